--- /dev/null
+++ b/cmake/EgretpathLibraries.cmake
@@ -0,0 +1,3 @@
+# The libraries in the order of their dependencies; see docs/DESIGN.md.
+set(egretpath_libraries
+    core table settings telemetry membership distribution routing admission idempotency history http platform rpc node client)
--- /dev/null
+++ b/src/core/identity.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "core/strongtype.h"
+
+namespace Egretpath
+{
+
+/// Where a VM stands.
+struct Location
+{
+    RegionName region;
+    ZoneName zone;
+
+    friend auto operator<=>(const Location &, const Location &) = default;
+};
+
+/// Who a node is: the upstream it stands beside and this run of its process.
+///
+/// The incarnation is part of the identity, so that a replacement at the same address is another node.
+struct NodeIdentity
+{
+    UpstreamName upstream;
+    Incarnation incarnation;
+
+    friend auto operator<=>(const NodeIdentity &, const NodeIdentity &) = default;
+};
+
+/// What an upstream was doing when its node measured it. Carried by answers, refusals and probes.
+struct LoadReport
+{
+    std::uint32_t inFlight = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t slots = 0;
+    /// Smoothed time from handing a call to the upstream to its whole answer, in microseconds.
+    std::uint32_t serviceTimeMicroseconds = 0;
+    /// The upstream takes no new work.
+    bool leaving = false;
+};
+
+}
--- /dev/null
+++ b/src/core/strongtype.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace Egretpath
+{
+
+/// A value of type @p Value that cannot be mixed up with another of the same representation.
+///
+/// Preconditions: none. Thread safety: as @p Value. Errors: none.
+template<typename Tag, typename Value>
+class StrongType
+{
+public:
+    using ValueType = Value;
+
+    constexpr StrongType() = default;
+    constexpr explicit StrongType(Value value)
+        : value_(std::move(value))
+    {
+    }
+
+    /// The wrapped value. Thread safety: as a const access to @p Value.
+    [[nodiscard]] constexpr const Value &value() const { return value_; }
+
+    friend constexpr auto operator<=>(const StrongType &, const StrongType &) = default;
+    friend std::ostream &operator<<(std::ostream &stream, const StrongType &item) { return stream << item.value_; }
+
+private:
+    Value value_{};
+};
+
+template<typename Tag>
+using Name = StrongType<Tag, std::string>;
+
+/// A service: the unit that callers address, for example "arrangements".
+using ServiceName = Name<struct ServiceNameTag>;
+/// A region as the table names it, for example "northmere".
+using RegionName = Name<struct RegionNameTag>;
+/// An availability zone inside a region.
+using ZoneName = Name<struct ZoneNameTag>;
+/// An upstream: one back end VM's slot. It outlives restarts and replacements of the VM.
+using UpstreamName = Name<struct UpstreamNameTag>;
+/// An IP address and port in the form "127.0.0.1:8080".
+using Endpoint = Name<struct EndpointTag>;
+/// Identifies one call in logs and histories; chosen at the ingress.
+using RequestId = Name<struct RequestIdTag>;
+
+/// One run of one node process. A restarted or replaced node at the same address has another one.
+/// Drawn at random at start, so that it needs no clock and no disk. Zero means "unknown".
+using Incarnation = StrongType<struct IncarnationTag, std::uint64_t>;
+/// The number that operators give a table; larger is newer.
+using TableNumber = StrongType<struct TableNumberTag, std::uint64_t>;
+/// A count of bytes.
+using Bytes = StrongType<struct BytesTag, std::uint64_t>;
+
+}
+
+template<typename Tag, typename Value>
+struct std::hash<Egretpath::StrongType<Tag, Value>>
+{
+    std::size_t operator()(const Egretpath::StrongType<Tag, Value> &item) const noexcept
+    {
+        return std::hash<Value>{}(item.value());
+    }
+};
