telemetry: structured log lines under a rate limit, metrics for scrapers

Each decision needs a line, but a spike of load must not become a spike of writing: decisions over the limit of a second are dropped and counted.

--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -53,7 +53,11 @@
 private:
     kj::Promise<void> check(asio::awaitable<bool> work)
     {
-        return toPromise(executor_, std::move(work)).then([](bool taken) { KJ_REQUIRE(taken, "the caller is gone"); });
+        return toPromise(executor_, std::move(work)).then([](bool taken) {
+            if (!taken) {
+                kj::throwRecoverableException(KJ_EXCEPTION(FAILED, "the caller is gone"));
+            }
+        });
     }
 
     asio::any_io_executor executor_;
--- /dev/null
+++ b/src/telemetry/eventlog.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "core/clock.h"
+#include "telemetry/structuredline.h"
+
+namespace Egretpath
+{
+
+/// Where and how much an EventLog writes.
+struct EventLogSettings
+{
+    /// A file, or "-" for standard error. The VMs keep no disk, so standard error is the usual choice.
+    std::string file = "-";
+    /// trace, debug, info, warn, error or off.
+    std::string level = "info";
+    /// Lines of decisions written in a second at most; further ones are counted and dropped.
+    std::uint64_t decisionsPerSecond = 200;
+};
+
+/// Writes structured lines through log4cxx: decisions under a rate limit, all other events without one.
+///
+/// A load spike must not turn into a spike of log writing, so decisions over the limit are dropped and their count is
+/// written with the next second's first line. Preconditions: none. Thread safety: none. Errors: a file that can't be
+/// opened is reported by log4cxx on standard error and nothing is written.
+class EventLog
+{
+public:
+    explicit EventLog(const EventLogSettings &settings);
+    ~EventLog();
+    EventLog(const EventLog &) = delete;
+    EventLog &operator=(const EventLog &) = delete;
+
+    /// Whether a decision written now would pass level and limit. Counts a dropped one if not; ask before building the
+    /// line, so that a dropped line costs nothing.
+    [[nodiscard]] bool admitsDecision(TimePoint now);
+    /// Precondition: admitsDecision() returned true.
+    void decision(const StructuredLine &line);
+    void info(const StructuredLine &line);
+    void warning(const StructuredLine &line);
+    void error(const StructuredLine &line);
+
+    [[nodiscard]] std::uint64_t droppedDecisions() const { return dropped_; }
+
+private:
+    class Implementation;
+
+    std::unique_ptr<Implementation> implementation_;
+    std::uint64_t limit_;
+    std::uint64_t dropped_ = 0;
+    std::uint64_t droppedInSecond_ = 0;
+    std::uint64_t writtenInSecond_ = 0;
+    TimePoint second_;
+};
+
+}
--- /dev/null
+++ b/src/telemetry/latencyhistogram.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/clock.h"
+
+namespace Egretpath
+{
+
+/// Counts durations in buckets of logarithmic width, from 50 microseconds to 60 seconds.
+///
+/// Preconditions: none. Thread safety: none. Errors: none; durations outside go to the outermost buckets.
+class LatencyHistogram
+{
+public:
+    LatencyHistogram();
+    ~LatencyHistogram();
+    LatencyHistogram(const LatencyHistogram &) = delete;
+    LatencyHistogram &operator=(const LatencyHistogram &) = delete;
+
+    void record(Duration duration);
+    /// The upper edge of the bucket that holds the share @p quantile (0 to 1) of all; zero without any.
+    [[nodiscard]] Duration quantile(double quantile) const;
+    /// Appends the lines of a Prometheus histogram named @p name; @p labels is empty or `key="value",...`.
+    void appendText(std::string &text, std::string_view name, std::string_view labels) const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation_;
+};
+
+}
