--- /dev/null
+++ b/src/table/table.cpp
@@ -0,0 +1,134 @@
+#include "table/table.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+#include <utility>
+
+namespace Egretpath
+{
+
+namespace
+{
+
+/// The element of the sorted @p list whose @p name is @p wanted, or null.
+template<typename Policy, typename Name>
+const Policy *findByName(const std::vector<Policy> &list, Name Policy::*name, const Name &wanted)
+{
+    const auto found =
+        std::lower_bound(list.begin(), list.end(), wanted,
+                         [name](const Policy &policy, const Name &other) { return policy.*name < other; });
+    const bool matches = found != list.end() && (*found).*name == wanted;
+    return matches ? &*found : nullptr;
+}
+
+struct ServiceOrder
+{
+    bool operator()(const UpstreamPolicy &left, const ServiceName &right) const { return left.service < right; }
+    bool operator()(const ServiceName &left, const UpstreamPolicy &right) const { return left < right.service; }
+};
+
+template<typename Policy>
+void appendRows(std::vector<TableRow> &rows, const std::vector<Policy> &policies)
+{
+    for (const Policy &policy : policies) {
+        rows.emplace_back(policy);
+    }
+}
+
+}
+
+Table::Table(const TableVersion &version, Policies policies)
+    : version_(version)
+    , services_(std::move(policies.services))
+    , regions_(std::move(policies.regions))
+    , spills_(std::move(policies.spills))
+    , upstreams_(std::move(policies.upstreams))
+{
+    sortPolicies();
+    indexUpstreams();
+}
+
+void Table::sortPolicies()
+{
+    std::sort(services_.begin(), services_.end());
+    std::sort(regions_.begin(), regions_.end());
+    std::sort(spills_.begin(), spills_.end());
+    std::sort(upstreams_.begin(), upstreams_.end(), [](const UpstreamPolicy &left, const UpstreamPolicy &right) {
+        return std::tie(left.service, left.upstream) < std::tie(right.service, right.upstream);
+    });
+}
+
+void Table::indexUpstreams()
+{
+    upstreamsByName_.resize(upstreams_.size());
+    std::iota(upstreamsByName_.begin(), upstreamsByName_.end(), 0U);
+    std::sort(upstreamsByName_.begin(), upstreamsByName_.end(), [this](std::uint32_t left, std::uint32_t right) {
+        return upstreams_[left].upstream < upstreams_[right].upstream;
+    });
+}
+
+const ServicePolicy *Table::service(const ServiceName &name) const
+{
+    return findByName(services_, &ServicePolicy::service, name);
+}
+
+std::span<const UpstreamPolicy> Table::upstreams(const ServiceName &service) const
+{
+    const auto [first, last] = std::equal_range(upstreams_.begin(), upstreams_.end(), service, ServiceOrder{});
+    return {first, last};
+}
+
+const UpstreamPolicy *Table::upstream(const UpstreamName &name) const
+{
+    const auto found = std::lower_bound(
+        upstreamsByName_.begin(), upstreamsByName_.end(), name,
+        [this](std::uint32_t index, const UpstreamName &other) { return upstreams_[index].upstream < other; });
+    const bool matches = found != upstreamsByName_.end() && upstreams_[*found].upstream == name;
+    return matches ? &upstreams_[*found] : nullptr;
+}
+
+const RegionPolicy *Table::region(const RegionName &name) const
+{
+    return findByName(regions_, &RegionPolicy::region, name);
+}
+
+std::uint32_t Table::spillWeight(const ServiceName &service, const RegionName &region) const
+{
+    const auto wanted = std::tie(service, region);
+    const auto found =
+        std::lower_bound(spills_.begin(), spills_.end(), wanted, [](const SpillPolicy &policy, const auto &other) {
+            return std::tie(policy.service, policy.region) < other;
+        });
+    const bool matches = found != spills_.end() && std::tie(found->service, found->region) == wanted;
+    return matches ? found->weight : 0;
+}
+
+std::vector<TableRow> Table::rows() const
+{
+    std::vector<TableRow> rows;
+    rows.reserve(services_.size() + regions_.size() + spills_.size() + upstreams_.size());
+    appendRows(rows, regions_);
+    appendRows(rows, services_);
+    appendRows(rows, spills_);
+    appendRows(rows, upstreams_);
+    std::sort(rows.begin(), rows.end(),
+              [](const TableRow &left, const TableRow &right) { return left.keyView() < right.keyView(); });
+    return rows;
+}
+
+bool operator==(const Table &left, const Table &right)
+{
+    return left.version() == right.version() && left.rows() == right.rows();
+}
+
+std::string toCsv(const Table &table)
+{
+    std::string text = canonicalHeader() + "\n";
+    for (const TableRow &row : table.rows()) {
+        text += row.canonicalText() + "\n";
+    }
+    return text;
+}
+
+}
--- /dev/null
+++ b/src/table/tablepublication.cpp
@@ -0,0 +1,258 @@
+#include "table/tablepublication.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "table/tablebuilder.h"
+#include "table/tablecolumns.h"
+#include "table/tableparser.h"
+
+namespace Egretpath
+{
+
+namespace
+{
+
+constexpr std::string_view FirstLine = "egretpath-table 1";
+constexpr std::string_view LastLine = "end";
+constexpr std::string_view NumberField = "number";
+constexpr std::string_view DigestField = "digest";
+constexpr std::string_view PartCountField = "parts";
+constexpr std::string_view PartField = "part";
+
+std::size_t partOf(const TableRow &row, std::size_t partCount)
+{
+    return stableHash(row.keyView().service) % partCount;
+}
+
+std::vector<std::string> partTexts(const std::vector<TableRow> &rows, std::size_t partCount)
+{
+    std::vector<std::string> texts(partCount, canonicalHeader() + "\n");
+    for (const TableRow &row : rows) {
+        texts[partOf(row, partCount)].append(row.canonicalText()).append("\n");
+    }
+    return texts;
+}
+
+bool fit(const std::vector<std::string> &texts)
+{
+    return std::all_of(texts.begin(), texts.end(),
+                       [](const std::string &text) { return text.size() <= TablePublication::ValueCap; });
+}
+
+SplitTable makeSplit(const TableVersion &version, std::vector<std::string> texts)
+{
+    SplitTable split{{version, {}}, {}};
+    for (std::string &text : texts) {
+        const Digest digest = digestOf(text);
+        split.head.parts.push_back(digest);
+        split.parts.emplace(digest, std::move(text));
+    }
+    return split;
+}
+
+/// Reads the lines of a head one after the other and stops at the first that is wrong.
+class HeadReader
+{
+public:
+    HeadReader(std::string_view text, std::string_view source)
+        : rest_(text)
+        , source_(source)
+    {
+    }
+
+    TableResult<TableHead> read()
+    {
+        TableHead head;
+        std::uint64_t number = 0;
+        std::uint64_t partCount = 0;
+        const bool whole = readExactly(FirstLine) && readNumber(NumberField, UINT64_MAX, number)
+            && readDigest(DigestField, head.version.digest)
+            && readNumber(PartCountField, TablePublication::PartCountCap, partCount) && readParts(partCount, head)
+            && readExactly(LastLine) && readNothing();
+        if (!whole) {
+            return TableProblems{std::move(problem_)};
+        }
+        head.version.number = TableNumber(number);
+        return head;
+    }
+
+private:
+    std::string_view nextLine()
+    {
+        ++row_;
+        const std::size_t size = rest_.find('\n');
+        // A last line without its line feed was cut off.
+        const std::string_view line = size == std::string_view::npos ? std::string_view() : rest_.substr(0, size);
+        rest_.remove_prefix(size == std::string_view::npos ? rest_.size() : size + 1);
+        return line;
+    }
+
+    bool fail(std::string_view line, std::string allowed)
+    {
+        constexpr std::size_t ShownSize = 80;
+        problem_ = {std::string(source_), row_, {}, std::string(line.substr(0, ShownSize)), std::move(allowed)};
+        return false;
+    }
+
+    bool readExactly(std::string_view expected)
+    {
+        const std::string_view line = nextLine();
+        return line == expected || fail(line, "the line \"" + std::string(expected) + "\"");
+    }
+
+    bool readNothing()
+    {
+        ++row_;
+        return rest_.empty() || fail(rest_, "nothing after the line \"" + std::string(LastLine) + "\"");
+    }
+
+    /// The text after `<field> `, or nothing.
+    static std::optional<std::string_view> valueOf(std::string_view line, std::string_view field)
+    {
+        if (line.size() <= field.size() || !line.starts_with(field) || line[field.size()] != ' ') {
+            return std::nullopt;
+        }
+        return line.substr(field.size() + 1);
+    }
+
+    bool readNumber(std::string_view field, std::uint64_t most, std::uint64_t &number)
+    {
+        const std::string_view line = nextLine();
+        const auto value = valueOf(line, field);
+        if (value) {
+            const char *end = value->data() + value->size();
+            const auto result = std::from_chars(value->data(), end, number);
+            if (result.ec == std::errc{} && result.ptr == end && number >= 1 && number <= most) {
+                return true;
+            }
+        }
+        return fail(line, "\"" + std::string(field) + " <a whole number from 1 to " + std::to_string(most) + ">\"");
+    }
+
+    bool readDigest(std::string_view field, Digest &digest)
+    {
+        const std::string_view line = nextLine();
+        const auto value = valueOf(line, field);
+        return (value && fromHex(*value, digest))
+            || fail(line, "\"" + std::string(field) + " <32 hexadecimal digits>\"");
+    }
+
+    bool readParts(std::uint64_t partCount, TableHead &head)
+    {
+        for (std::uint64_t index = 0; index < partCount; ++index) {
+            Digest digest;
+            if (!readDigest(PartField, digest)) {
+                return false;
+            }
+            head.parts.push_back(digest);
+        }
+        return true;
+    }
+
+    std::string_view rest_;
+    std::string_view source_;
+    std::size_t row_ = 0;
+    TableProblem problem_;
+};
+
+std::vector<Digest> uniqueParts(const TableHead &head)
+{
+    std::vector<Digest> digests = head.parts;
+    std::sort(digests.begin(), digests.end());
+    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
+    return digests;
+}
+
+void readPart(TableBuilder &builder, const TableParts &parts, const Digest &digest, const std::string &key)
+{
+    const auto part = parts.find(digest);
+    if (part == parts.end()) {
+        builder.addProblem({key, 0, {}, "missing", "the part that the head lists"});
+        return;
+    }
+    const Digest found = digestOf(part->second);
+    if (found != digest) {
+        builder.addProblem({key, 0, {}, "content with digest " + toHex(found), "content with the digest in the key"});
+        return;
+    }
+    TableParser::parseInto(builder, part->second, key);
+}
+
+}
+
+std::string TablePublication::headKey(std::string_view prefix)
+{
+    return std::string(prefix) + "/head";
+}
+
+std::string TablePublication::partKey(std::string_view prefix, const Digest &part)
+{
+    return std::string(prefix) + "/part/" + toHex(part);
+}
+
+TableResult<SplitTable> TablePublication::split(const Table &table)
+{
+    const std::vector<TableRow> rows = table.rows();
+    for (std::size_t partCount = DefaultPartCount; partCount <= PartCountCap; partCount *= 2) {
+        std::vector<std::string> texts = partTexts(rows, partCount);
+        if (fit(texts)) {
+            return makeSplit(table.version(), std::move(texts));
+        }
+    }
+    return TableProblems{{"table " + toString(table.version()),
+                          0,
+                          {},
+                          "a service too large for one part",
+                          "rows of one service of at most " + std::to_string(ValueCap) + " bytes in all"}};
+}
+
+std::string TablePublication::printHead(const TableHead &head)
+{
+    std::string text(FirstLine);
+    const auto append = [&text](std::string_view field, const std::string &value) {
+        text.append("\n").append(field).append(" ").append(value);
+    };
+    append(NumberField, std::to_string(head.version.number.value()));
+    append(DigestField, toHex(head.version.digest));
+    append(PartCountField, std::to_string(head.parts.size()));
+    for (const Digest &part : head.parts) {
+        append(PartField, toHex(part));
+    }
+    return text.append("\n").append(LastLine).append("\n");
+}
+
+TableResult<TableHead> TablePublication::parseHead(std::string_view text, std::string_view source)
+{
+    return HeadReader(text, source).read();
+}
+
+std::vector<Digest> TablePublication::missingParts(const TableHead &head, const TableParts &held)
+{
+    std::vector<Digest> missing = uniqueParts(head);
+    missing.erase(
+        std::remove_if(missing.begin(), missing.end(), [&held](const Digest &digest) { return held.contains(digest); }),
+        missing.end());
+    return missing;
+}
+
+TableResult<TablePointer> TablePublication::assemble(const TableHead &head, const TableParts &parts,
+                                                     std::string_view prefix)
+{
+    TableBuilder builder;
+    for (const Digest &digest : uniqueParts(head)) {
+        readPart(builder, parts, digest, partKey(prefix, digest));
+    }
+    const std::string source = headKey(prefix);
+    auto table = builder.build(head.version.number, source);
+    if (table && table.value()->version() != head.version) {
+        return TableProblems{
+            {source, 0, {}, "digest " + toHex(head.version.digest), "digest " + toHex(table.value()->digest())}};
+    }
+    return table;
+}
+
+}
