--- a/src/settings/nodesettingsreader.cpp
+++ b/src/settings/nodesettingsreader.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <fstream>
-#include <iterator>
 #include <optional>
 #include <sstream>
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 #include <toml++/toml.h>
 
@@ -210,21 +210,13 @@
 SettingsResult<NodeSettings> NodeSettingsReader::readFile(const std::string &path)
 {
     std::ifstream stream(path, std::ios::binary);
-    const std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
-    if (!stream.is_open() || stream.bad()) {
-        return SettingsProblems{{path, 0, {}, "unreadable", "a file that can be read"}};
+    std::ostringstream text;
+    text << stream.rdbuf();
+    // Inserting nothing at all sets the fail bit, so an empty file counts as unreadable; it lacks keys anyway.
+    if (!stream.is_open() || !text) {
+        return SettingsProblems{{path, 0, {}, "unreadable", "a file that can be read and isn't empty"}};
     }
-    return read(text, path);
-}
-
-std::vector<std::string> NodeSettingsReader::knownKeys()
-{
-    std::vector<std::string> names;
-    for (const SettingsKey &key : settingsKeys()) {
-        names.push_back(fullName(key.group, key.key));
-    }
-    std::sort(names.begin(), names.end());
-    return names;
+    return read(std::move(text).str(), path);
 }
 
 std::string_view toString(LogLevel level)
--- a/src/settings/nodesettingsreader.h
+++ b/src/settings/nodesettingsreader.h
@@ -2,7 +2,6 @@
 
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "settings/nodesettings.h"
 #include "settings/settingsproblem.h"
@@ -24,9 +23,6 @@
 
     /// Reads settings from the file at @p path. Errors: as read(), or a problem if the file can't be read.
     [[nodiscard]] static SettingsResult<NodeSettings> readFile(const std::string &path);
-
-    /// Every key that read() knows, as `group.key`, sorted. The pages in docs/settings are tested against it.
-    [[nodiscard]] static std::vector<std::string> knownKeys();
 };
 
 /// The word for @p level in settings. Thread safety: safe.
