--- a/src/table/table.cpp
+++ b/src/table/table.cpp
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "table/tableorder.h"
+
 namespace Egretpath
 {
 
@@ -38,34 +40,32 @@
 
 }
 
-Table::Table(const TableVersion &version, Policies policies)
+Table::Table(const TableVersion &version, Policies policies, std::vector<std::uint32_t> upstreamsByName)
     : version_(version)
     , services_(std::move(policies.services))
     , regions_(std::move(policies.regions))
     , spills_(std::move(policies.spills))
     , upstreams_(std::move(policies.upstreams))
+    , upstreamsByName_(std::move(upstreamsByName))
 {
-    sortPolicies();
-    indexUpstreams();
 }
 
-void Table::sortPolicies()
+void Table::sort(Policies &policies)
 {
-    std::sort(services_.begin(), services_.end());
-    std::sort(regions_.begin(), regions_.end());
-    std::sort(spills_.begin(), spills_.end());
-    std::sort(upstreams_.begin(), upstreams_.end(), [](const UpstreamPolicy &left, const UpstreamPolicy &right) {
-        return std::tie(left.service, left.upstream) < std::tie(right.service, right.upstream);
-    });
+    std::sort(policies.services.begin(), policies.services.end(), TableOrder{});
+    std::sort(policies.regions.begin(), policies.regions.end(), TableOrder{});
+    std::sort(policies.spills.begin(), policies.spills.end(), TableOrder{});
+    std::sort(policies.upstreams.begin(), policies.upstreams.end(), TableOrder{});
 }
 
-void Table::indexUpstreams()
+std::vector<std::uint32_t> Table::indexByName(const std::vector<UpstreamPolicy> &upstreams)
 {
-    upstreamsByName_.resize(upstreams_.size());
-    std::iota(upstreamsByName_.begin(), upstreamsByName_.end(), 0U);
-    std::sort(upstreamsByName_.begin(), upstreamsByName_.end(), [this](std::uint32_t left, std::uint32_t right) {
-        return upstreams_[left].upstream < upstreams_[right].upstream;
+    std::vector<std::uint32_t> index(upstreams.size());
+    std::iota(index.begin(), index.end(), 0U);
+    std::sort(index.begin(), index.end(), [&upstreams](std::uint32_t left, std::uint32_t right) {
+        return upstreams[left].upstream < upstreams[right].upstream;
     });
+    return index;
 }
 
 const ServicePolicy *Table::service(const ServiceName &name) const
--- a/src/table/table.h
+++ b/src/table/table.h
@@ -13,7 +13,7 @@
 
 /// The operators' table: immutable, checked whole, and compact.
 ///
-/// Made only by TableBuilder, hence by TableParser, TableDiff and TablePublication. Held by
+/// Made only by TableBuilder and TableEditor, hence by TableParser, TableDiff and TablePublication. Held by
 /// `std::shared_ptr<const Table>`; pointers and spans into it live as long as the table.
 /// Thread safety: every method may be called from any thread at once. Errors: no method fails.
 class Table
@@ -48,10 +48,7 @@
     /// Copies of all rows, sorted by key. Costs time and memory in proportion to the table.
     [[nodiscard]] std::vector<TableRow> rows() const;
 
-private:
-    friend class TableBuilder;
-
-    /// The rows by kind, in any order.
+    /// The rows by kind.
     struct Policies
     {
         std::vector<ServicePolicy> services;
@@ -60,10 +57,15 @@
         std::vector<UpstreamPolicy> upstreams;
     };
 
-    Table(const TableVersion &version, Policies policies);
+private:
+    friend class TableBuilder;
+    friend class TableEditor;
+
+    /// Preconditions: @p policies stand in TableOrder, @p upstreamsByName is their indexByName().
+    Table(const TableVersion &version, Policies policies, std::vector<std::uint32_t> upstreamsByName);
 
-    void sortPolicies();
-    void indexUpstreams();
+    static void sort(Policies &policies);
+    [[nodiscard]] static std::vector<std::uint32_t> indexByName(const std::vector<UpstreamPolicy> &upstreams);
 
     TableVersion version_;
     std::vector<ServicePolicy> services_;
--- a/src/table/tablebuilder.cpp
+++ b/src/table/tablebuilder.cpp
@@ -1,7 +1,6 @@
 #include "table/tablebuilder.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "table/tabledigest.h"
@@ -191,7 +190,10 @@
         std::visit(collect, source.tableRow.policy());
     }
     policies.upstreams.shrink_to_fit();
-    return TablePointer(new Table(TableVersion{number, digest.value()}, std::move(policies)));
+    Table::sort(policies);
+    std::vector<std::uint32_t> upstreamsByName = Table::indexByName(policies.upstreams);
+    return TablePointer(
+        new Table(TableVersion{number, digest.value()}, std::move(policies), std::move(upstreamsByName)));
 }
 
 void TableBuilder::append(Table::Policies &policies, const ServicePolicy &policy)
--- a/src/table/tablediff.cpp
+++ b/src/table/tablediff.cpp
@@ -4,10 +4,12 @@
 #include <array>
 #include <cstddef>
 #include <optional>
+#include <span>
 #include <utility>
 
-#include "table/tablebuilder.h"
 #include "table/tablecolumns.h"
+#include "table/tableeditor.h"
+#include "table/tableorder.h"
 
 namespace Egretpath
 {
@@ -37,53 +39,34 @@
     return "change to table " + toString(change.target);
 }
 
-/// The rows of the base while a change is applied to them.
-class EditedRows
+/// Walks two sorted lists of rows of one kind side by side.
+template<typename Policy>
+void compare(std::span<const Policy> base, std::span<const Policy> target, TableChange &change)
 {
-public:
-    explicit EditedRows(const Table &base)
-        : rows_(base.rows())
-        , keep_(rows_.size(), true)
-    {
-    }
-
-    /// Errors: false if there is no such row.
-    bool remove(const TableRowKey &key)
-    {
-        const auto index = find(rows_, viewOf(key));
-        if (!index || !keep_[*index]) {
-            return false;
+    auto before = base.begin();
+    auto after = target.begin();
+    while (before != base.end() || after != target.end()) {
+        const bool isRemoved = after == target.end() || (before != base.end() && TableOrder{}(*before, *after));
+        if (isRemoved) {
+            change.removed.push_back(TableRow(*before++).key());
+            continue;
         }
-        keep_[*index] = false;
-        return true;
-    }
-
-    void change(const TableRow &row)
-    {
-        if (const auto index = find(rows_, row.keyView())) {
-            keep_[*index] = false;
+        const bool isNew = before == base.end() || TableOrder{}(*after, *before);
+        if (isNew) {
+            change.changed.emplace_back(*after++);
+            continue;
         }
-        added_.push_back(row);
-    }
-
-    /// Hands all rows to @p builder.
-    void moveTo(TableBuilder &builder, const std::string &source)
-    {
-        for (std::size_t index = 0; index < rows_.size(); ++index) {
-            if (keep_[index]) {
-                builder.addRow(std::move(rows_[index]), source, 0);
+        if (*before != *after) {
+            change.changed.emplace_back(*after);
+            const TableRowKey oldKey = TableRow(*before).key();
+            if (oldKey != change.changed.back().key()) {
+                change.removed.push_back(oldKey);
             }
         }
-        for (TableRow &row : added_) {
-            builder.addRow(std::move(row), source, 0);
-        }
+        ++before;
+        ++after;
     }
-
-private:
-    std::vector<TableRow> rows_;
-    std::vector<bool> keep_;
-    std::vector<TableRow> added_;
-};
+}
 
 /// What it means that a cell gets smaller or larger.
 struct Effect
@@ -255,41 +238,22 @@
 TableChange TableDiff::between(const Table &base, const Table &target)
 {
     TableChange change{base.version(), target.version(), {}, {}};
-    const std::vector<TableRow> before = base.rows();
-    const std::vector<TableRow> after = target.rows();
-    for (const TableRow &row : after) {
-        const auto index = find(before, row.keyView());
-        if (!index || before[*index] != row) {
-            change.changed.push_back(row);
-        }
-    }
-    for (const TableRow &row : before) {
-        if (!find(after, row.keyView())) {
-            change.removed.push_back(row.key());
-        }
-    }
+    compare(base.services(), target.services(), change);
+    compare(base.regions(), target.regions(), change);
+    compare(base.spills(), target.spills(), change);
+    compare(base.upstreams(), target.upstreams(), change);
+    std::sort(change.changed.begin(), change.changed.end(), keyOrder);
+    std::sort(change.removed.begin(), change.removed.end());
     return change;
 }
 
 TableResult<TablePointer> TableDiff::apply(const Table &base, const TableChange &change)
 {
     const std::string source = sourceOf(change);
-    TableBuilder builder;
     if (base.version() != change.base) {
-        builder.addProblem({source, 0, {}, "base " + toString(base.version()), "base " + toString(change.base)});
-        return builder.build(change.target.number, source);
-    }
-    EditedRows rows(base);
-    for (const TableRowKey &key : change.removed) {
-        if (!rows.remove(key)) {
-            builder.addProblem({source, 0, {}, "removal of " + toString(key), "removal of a row of the base"});
-        }
-    }
-    for (const TableRow &row : change.changed) {
-        rows.change(row);
+        return TableProblems{{source, 0, {}, "base " + toString(base.version()), "base " + toString(change.base)}};
     }
-    rows.moveTo(builder, source);
-    auto table = builder.build(change.target.number, source);
+    auto table = TableEditor::edit(base, change.changed, change.removed, change.target.number, source);
     if (table && table.value()->version() != change.target) {
         return TableProblems{
             {source, 0, {}, "digest " + toHex(table.value()->digest()), "digest " + toHex(change.target.digest)}};
--- a/tests/table/tabledifftest.cpp
+++ b/tests/table/tabledifftest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "table/tableeditor.h"
 #include "tablegenerator.h"
 
 using namespace Egretpath;
@@ -40,7 +41,9 @@
         const auto result = TableDiff::apply(*base, change);
         RC_ASSERT(result.has_value());
         RC_ASSERT(*result.value() == *target);
-        RC_ASSERT(change.changed.size() <= target->rows().size());
+        for (const UpstreamPolicy &upstream : result.value()->upstreams()) {
+            RC_ASSERT(result.value()->upstream(upstream.upstream) == &upstream);
+        }
     }));
 }
 
@@ -71,19 +74,45 @@
     CHECK_FALSE(TableDiff::apply(*base, doubled).has_value());
 }
 
+TEST_CASE("an edit that doesn't leave a whole table is refused")
+{
+    const TablePointer base = tableFrom(Base, 1);
+    const auto problemOf = [&base](const std::vector<TableRow> &changed, const std::vector<TableRowKey> &removed) {
+        const auto result = TableEditor::edit(*base, changed, removed, TableNumber(2), "change");
+        return result ? "" : toString(result.error());
+    };
+    const auto upstream = [](const char *service, const char *region) {
+        return TableRow(UpstreamPolicy{UpstreamName("intake-1"), ServiceName(service), RegionName(region), 1, 1, 1, 1});
+    };
+    CHECK(problemOf({upstream("intake", "northmere")}, {}).empty());
+    CHECK(problemOf({upstream("intake", "eastholm")}, {})
+          == "change: \"a second row for upstream intake-1\" is not allowed; allowed: one row for each upstream\n");
+    CHECK(problemOf({upstream("arrangements", "northmere")}, {})
+          == "change: \"a second row for upstream intake-1\" is not allowed; allowed: one row for each upstream\n");
+    CHECK(problemOf({upstream("tariffs", "northmere")}, {upstream("intake", "northmere").key()})
+          == "change: \"a row of service tariffs\" is not allowed; allowed: a service that has a service row\n");
+    CHECK(problemOf({}, {TableRowKey{ServiceName("intake"), {}, {}}})
+          == "change: \"a row of service intake\" is not allowed; allowed: a service that has a service row\n");
+    CHECK(
+        problemOf({}, {upstream("intake", "eastholm").key()})
+        == "change: \"removal of service intake, region eastholm, upstream intake-1\" is not allowed; allowed: removal "
+           "of a row of the base\n");
+}
+
 TEST_CASE("a change is described by what it will do")
 {
     const TablePointer base = tableFrom(Base, 1);
     const TablePointer target = tableFrom(Target, 2);
+    const std::string moves = "upstream arrangements-1: moves from service arrangements in region northmere to service "
+                              "arrangements in region eastholm";
+    const std::string isNew = "upstream arrangements-4: new for service arrangements in region eastholm: weight 100, "
+                              "in_flight_cap 6, queue_cap 6, connection_cap 220";
     const std::vector<std::string> expected{
         "region eastholm: measure_cap 100 -> 0: no more probes towards the region",
         "service arrangements: tries_cap 1 -> 2: calls may be repeated, which is safe only for idempotent ones",
         "service arrangements: deadline_ms 800 -> 500: calls are given up earlier",
-        "upstream arrangements-1: moves from service arrangements in region northmere to service arrangements in "
-        "region "
-        "eastholm",
-        "upstream arrangements-4: new for service arrangements in region eastholm: weight 100, in_flight_cap 6, "
-        "queue_cap 6, connection_cap 220",
+        moves,
+        isNew,
         "upstream arrangements-2: weight 100 -> 50: takes a smaller share of the calls",
         "upstream arrangements-2: in_flight_cap 6 -> 9: runs more calls at once",
         "upstream arrangements-2: queue_cap 6 -> 9: more calls wait for a slot",
--- a/tests/table/tablepublicationtest.cpp
+++ b/tests/table/tablepublicationtest.cpp
@@ -18,7 +18,8 @@
         const std::string name = "service-" + std::to_string(service);
         text += name + ",,,,,800\n";
         for (int upstream = 0; upstream < upstreams; ++upstream) {
-            text += name + ",northmere," + name + "-" + std::to_string(upstream) + ",100,6,\n";
+            text.append(name).append(",northmere,").append(name).append("-");
+            text.append(std::to_string(upstream)).append(",100,6,\n");
         }
     }
     return text;
