client: check, diff and publish-plan without a network

Cause: operators need to know before they publish whether a table is accepted and what it will do; the platform is written only by their tool.

--- /dev/null
+++ b/src/client/commandline.cpp
@@ -0,0 +1,53 @@
+#include "client/commandline.h"
+
+#include <cstddef>
+#include <utility>
+
+#include <CLI/App.hpp>
+#include <CLI/Config.hpp>
+#include <CLI/Formatter.hpp>
+
+namespace Egretpath
+{
+
+namespace
+{
+
+/// CLI11 takes the arguments without the program's name, last one first.
+std::vector<std::string> reversed(const std::vector<std::string> &arguments)
+{
+    if (arguments.empty()) {
+        return {};
+    }
+    return {arguments.rbegin(), arguments.rend() - 1};
+}
+
+}
+
+void CommandLine::add(std::unique_ptr<Command> command)
+{
+    commands_.push_back(std::move(command));
+}
+
+ExitCode CommandLine::run(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err)
+{
+    CLI::App app("Reads and checks tables of egretpath. It never writes to the platform.", "egretpath");
+    app.require_subcommand(1);
+    std::vector<const CLI::App *> declared;
+    for (const auto &command : commands_) {
+        declared.push_back(command->declare(app));
+    }
+    try {
+        app.parse(reversed(arguments));
+    } catch (const CLI::ParseError &error) {
+        return app.exit(error, out, err) == 0 ? ExitCode::Fine : ExitCode::BadUsage;
+    }
+    for (std::size_t index = 0; index < declared.size(); ++index) {
+        if (declared[index]->parsed()) {
+            return commands_[index]->run(CommandOutput{out, err});
+        }
+    }
+    return ExitCode::BadUsage;
+}
+
+}
--- /dev/null
+++ b/src/daemons/egretpath.cpp
@@ -0,0 +1,17 @@
+#include <iostream>
+#include <memory>
+
+#include "client/checkcommand.h"
+#include "client/commandline.h"
+#include "client/diffcommand.h"
+#include "client/publishplancommand.h"
+
+/// The operators' client. It reads and checks; it never writes to the platform.
+int main(int argumentCount, char **arguments)
+{
+    Egretpath::CommandLine commandLine;
+    commandLine.add(std::make_unique<Egretpath::CheckCommand>());
+    commandLine.add(std::make_unique<Egretpath::DiffCommand>());
+    commandLine.add(std::make_unique<Egretpath::PublishPlanCommand>());
+    return static_cast<int>(commandLine.run({arguments, arguments + argumentCount}, std::cout, std::cerr));
+}
