table: update from changed parts alone

Ruled out: keeping parsed parts, which doubles the memory. Change: changedParts() and update() read only the parts that differ and edit the table at hand; the head's digest is checked as before.

--- a/bench/tables/tablesbench.cpp
+++ b/bench/tables/tablesbench.cpp
@@ -99,6 +99,17 @@
     state.counters["largest_part:bytes"] = static_cast<double>(largest);
 }
 
+void updateOnePart(benchmark::State &state)
+{
+    const TablePointer base = parsed(tableText(state.range(0), CommonWeight), 1);
+    const TablePointer target = parsed(tableText(state.range(0), DrainWeight), 2);
+    const TableHead baseHead = TablePublication::split(*base).value().head;
+    const SplitTable split = TablePublication::split(*target).value();
+    for (auto step : state) {
+        benchmark::DoNotOptimize(TablePublication::update(*base, baseHead, split.head, split.parts, "bench"));
+    }
+}
+
 void atEachSize(benchmark::internal::Benchmark *benchmark)
 {
     benchmark->Unit(benchmark::kMillisecond)->Arg(1000)->Arg(5000)->Arg(22000);
@@ -107,6 +118,7 @@
 BENCHMARK(parse)->Apply(atEachSize);
 BENCHMARK(applyOneRow)->Apply(atEachSize);
 BENCHMARK(compare)->Apply(atEachSize);
+BENCHMARK(updateOnePart)->Apply(atEachSize);
 BENCHMARK(assemble)->Apply(atEachSize);
 
 }
--- a/src/table/tablebuilder.cpp
+++ b/src/table/tablebuilder.cpp
@@ -75,15 +75,17 @@
     return table;
 }
 
-TableResult<TableRow> TableBuilder::takeSingleRow(std::string_view source)
+TableResult<std::vector<TableRow>> TableBuilder::takeRows(std::string_view source)
 {
-    if (!hasProblems() && sources_.size() != 1) {
-        addProblem({std::string(source), 0, {}, std::to_string(sources_.size()) + " rows", "one row"});
-    }
     if (hasProblems()) {
         return takeProblems(source);
     }
-    return std::move(sources_.front().tableRow);
+    std::vector<TableRow> rows;
+    rows.reserve(sources_.size());
+    for (Source &item : sources_) {
+        rows.push_back(std::move(item.tableRow));
+    }
+    return rows;
 }
 
 std::uint32_t TableBuilder::fileIndex(std::string_view file)
--- a/src/table/tablebuilder.h
+++ b/src/table/tablebuilder.h
@@ -34,9 +34,9 @@
     /// Makes the table and leaves the builder empty. @p source names the whole table in problems.
     /// Errors: all problems, in the order of the files and rows.
     [[nodiscard]] TableResult<TablePointer> build(TableNumber number, std::string_view source);
-    /// The only row, without the checks against other rows; leaves the builder unspecified.
-    /// Errors: all problems, or one if there isn't exactly one row.
-    [[nodiscard]] TableResult<TableRow> takeSingleRow(std::string_view source);
+    /// The rows in the order in which they were added, without the checks against each other; leaves the builder
+    /// unspecified. Errors: all problems, in the order of the files and rows.
+    [[nodiscard]] TableResult<std::vector<TableRow>> takeRows(std::string_view source);
 
 private:
     struct Source
--- a/src/table/tableparser.cpp
+++ b/src/table/tableparser.cpp
@@ -321,7 +321,14 @@
     } else {
         reader.readLine(text);
     }
-    return builder.takeSingleRow(source);
+    auto rows = builder.takeRows(source);
+    if (!rows) {
+        return rows.error();
+    }
+    if (rows.value().size() != 1) {
+        return TableProblems{{std::string(source), 0, {}, std::string(text), "one row"}};
+    }
+    return std::move(rows.value().front());
 }
 
 }
--- a/src/table/tablepublication.h
+++ b/src/table/tablepublication.h
@@ -73,6 +73,17 @@
     /// or rows whose digest isn't the head's.
     [[nodiscard]] static TableResult<TablePointer> assemble(const TableHead &head, const TableParts &parts,
                                                             std::string_view prefix);
+
+    /// The digests of @p head that a reader with the table of @p base has to read for update(), each once.
+    /// Preconditions: none. Errors: none.
+    [[nodiscard]] static std::vector<Digest> changedParts(const TableHead &base, const TableHead &head);
+
+    /// As assemble(), for a reader that has the table of an earlier head: needs only changedParts(), and reads only
+    /// those. @p base is the table that was assembled from @p baseHead; its other parts need not be kept.
+    /// Errors: as assemble(); besides, a base that doesn't belong to @p baseHead.
+    [[nodiscard]] static TableResult<TablePointer> update(const Table &base, const TableHead &baseHead,
+                                                          const TableHead &head, const TableParts &parts,
+                                                          std::string_view prefix);
 };
 
 }
--- a/tests/table/tableparsertest.cpp
+++ b/tests/table/tableparsertest.cpp
@@ -172,6 +172,9 @@
     REQUIRE(rc::check("parse(print(table)) == table", [] {
         const TablePointer table = *anyTable();
         RC_ASSERT(*tableFrom(toCsv(*table), table->number().value()) == *table);
+        for (const TableRow &row : table->rows()) {
+            RC_ASSERT(TableParser::parseRow(row.canonicalText(), "peer").value() == row);
+        }
     }));
 }
 
--- a/tests/table/tablepublicationtest.cpp
+++ b/tests/table/tablepublicationtest.cpp
@@ -41,6 +41,36 @@
     }));
 }
 
+TEST_CASE("a reader that has an earlier table gets the next one from the changed parts alone")
+{
+    REQUIRE(rc::check("update(a, changed parts of b) == b", [] {
+        const TablePointer base = *anyTable();
+        const TablePointer target = *anyTable();
+        const TableHead baseHead = TablePublication::split(*base).value().head;
+        const SplitTable split = TablePublication::split(*target).value();
+        TableParts changed;
+        for (const Digest &digest : TablePublication::changedParts(baseHead, split.head)) {
+            changed[digest] = split.parts.at(digest);
+        }
+        const auto result = TablePublication::update(*base, baseHead, split.head, changed, "t");
+        RC_ASSERT(result.has_value());
+        RC_ASSERT(*result.value() == *target);
+    }));
+}
+
+TEST_CASE("an update of another base, or without a changed part, is refused")
+{
+    const TablePointer base = tableFrom(Header + "a,,,,,1\n", 1);
+    const SplitTable before = TablePublication::split(*base).value();
+    const SplitTable after = TablePublication::split(*tableFrom(Header + "a,,,,,2\n", 2)).value();
+    CHECK(TablePublication::update(*base, before.head, after.head, after.parts, "t").has_value());
+    CHECK_FALSE(TablePublication::update(*base, after.head, after.head, after.parts, "t").has_value());
+    CHECK_FALSE(TablePublication::update(*base, before.head, after.head, before.parts, "t").has_value());
+    TableHead otherDigest = after.head;
+    otherDigest.version.digest.low ^= 1;
+    CHECK_FALSE(TablePublication::update(*base, before.head, otherDigest, after.parts, "t").has_value());
+}
+
 TEST_CASE("a change of one service leaves the other parts as they were")
 {
     std::string text = manyUpstreams(100, 3);
