--- a/src/settings/settingskeys.cpp
+++ b/src/settings/settingskeys.cpp
@@ -9,13 +9,14 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include "table/tablename.h"
+
 namespace Egretpath
 {
 
 namespace
 {
 
-constexpr std::string_view AllowedName = "1 to 63 letters, digits, '.', '_' and '-' of ASCII";
 constexpr std::string_view AllowedListen =
     "an IP address and port such as \"10.0.0.7:8080\"; port 0 lets the system choose";
 constexpr std::string_view AllowedRemote = "an IP address and port from 1 to 65535 such as \"10.0.0.7:8080\"";
@@ -24,7 +25,6 @@
 constexpr std::string_view AllowedPlatformKey = "1 to 200 printable characters without spaces";
 constexpr std::string_view AllowedFile = "\"-\" for the standard error stream, or the path of a file";
 
-constexpr std::size_t NameCap = 63;
 constexpr std::size_t TextCap = 200;
 constexpr std::size_t FilePathCap = 4096;
 constexpr std::size_t SeedsMost = 64;
@@ -39,18 +39,6 @@
 
 constexpr std::array<std::string_view, 5> Levels{"trace", "debug", "info", "warn", "error"};
 
-bool isNameCharacter(char character)
-{
-    const bool isLetter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
-    const bool isDigit = character >= '0' && character <= '9';
-    return isLetter || isDigit || character == '.' || character == '_' || character == '-';
-}
-
-bool isName(std::string_view text)
-{
-    return !text.empty() && text.size() <= NameCap && std::all_of(text.begin(), text.end(), isNameCharacter);
-}
-
 bool isPlatformKey(std::string_view text)
 {
     return !text.empty() && text.size() <= TextCap
@@ -143,10 +131,13 @@
 
 constexpr std::array<SettingsKey, 32> Keys{{
     {"node", "upstream", true,
-     TextForm{AllowedName, isName, AssignText<&Settings::node, &NodePlaceSettings::upstream>}},
-    {"node", "service", true, TextForm{AllowedName, isName, AssignText<&Settings::node, &NodePlaceSettings::service>}},
-    {"node", "region", true, TextForm{AllowedName, isName, AssignText<&Settings::node, &NodePlaceSettings::region>}},
-    {"node", "zone", true, TextForm{AllowedName, isName, AssignText<&Settings::node, &NodePlaceSettings::zone>}},
+     TextForm{AllowedTableName, isTableName, AssignText<&Settings::node, &NodePlaceSettings::upstream>}},
+    {"node", "service", true,
+     TextForm{AllowedTableName, isTableName, AssignText<&Settings::node, &NodePlaceSettings::service>}},
+    {"node", "region", true,
+     TextForm{AllowedTableName, isTableName, AssignText<&Settings::node, &NodePlaceSettings::region>}},
+    {"node", "zone", true,
+     TextForm{AllowedTableName, isTableName, AssignText<&Settings::node, &NodePlaceSettings::zone>}},
     {"listen", "callers", true,
      TextForm{AllowedListen, isListenEndpoint, AssignText<&Settings::listen, &ListenSettings::callers>}},
     {"listen", "peers", true,
--- a/src/table/tablepublication.cpp
+++ b/src/table/tablepublication.cpp
@@ -1,14 +1,12 @@
 #include "table/tablepublication.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <optional>
 #include <utility>
 
 #include "table/tablebuilder.h"
 #include "table/tablecolumns.h"
 #include "table/tableeditor.h"
+#include "table/tableheadreader.h"
 #include "table/tableorder.h"
 #include "table/tableparser.h"
 
@@ -18,13 +16,6 @@
 namespace
 {
 
-constexpr std::string_view FirstLine = "egretpath-table 1";
-constexpr std::string_view LastLine = "end";
-constexpr std::string_view NumberField = "number";
-constexpr std::string_view DigestField = "digest";
-constexpr std::string_view PartCountField = "parts";
-constexpr std::string_view PartField = "part";
-
 std::size_t partOf(std::string_view service, std::size_t partCount)
 {
     return stableHash(service) % partCount;
@@ -56,111 +47,6 @@
     return split;
 }
 
-/// Reads the lines of a head one after the other and stops at the first that is wrong.
-class HeadReader
-{
-public:
-    HeadReader(std::string_view text, std::string_view source)
-        : rest_(text)
-        , source_(source)
-    {
-    }
-
-    TableResult<TableHead> read()
-    {
-        TableHead head;
-        std::uint64_t number = 0;
-        std::uint64_t partCount = 0;
-        const bool whole = readExactly(FirstLine) && readNumber(NumberField, UINT64_MAX, number)
-            && readDigest(DigestField, head.version.digest)
-            && readNumber(PartCountField, TablePublication::PartCountCap, partCount) && readParts(partCount, head)
-            && readExactly(LastLine) && readNothing();
-        if (!whole) {
-            return TableProblems{std::move(problem_)};
-        }
-        head.version.number = TableNumber(number);
-        return head;
-    }
-
-private:
-    std::string_view nextLine()
-    {
-        ++row_;
-        const std::size_t size = rest_.find('\n');
-        // A last line without its line feed was cut off.
-        const std::string_view line = size == std::string_view::npos ? std::string_view() : rest_.substr(0, size);
-        rest_.remove_prefix(size == std::string_view::npos ? rest_.size() : size + 1);
-        return line;
-    }
-
-    bool fail(std::string_view line, std::string allowed)
-    {
-        constexpr std::size_t ShownSize = 80;
-        problem_ = {std::string(source_), row_, {}, std::string(line.substr(0, ShownSize)), std::move(allowed)};
-        return false;
-    }
-
-    bool readExactly(std::string_view expected)
-    {
-        const std::string_view line = nextLine();
-        return line == expected || fail(line, "the line \"" + std::string(expected) + "\"");
-    }
-
-    bool readNothing()
-    {
-        ++row_;
-        return rest_.empty() || fail(rest_, "nothing after the line \"" + std::string(LastLine) + "\"");
-    }
-
-    /// The text after `<field> `, or nothing.
-    static std::optional<std::string_view> valueOf(std::string_view line, std::string_view field)
-    {
-        if (line.size() <= field.size() || !line.starts_with(field) || line[field.size()] != ' ') {
-            return std::nullopt;
-        }
-        return line.substr(field.size() + 1);
-    }
-
-    bool readNumber(std::string_view field, std::uint64_t most, std::uint64_t &number)
-    {
-        const std::string_view line = nextLine();
-        const auto value = valueOf(line, field);
-        if (value) {
-            const char *end = value->data() + value->size();
-            const auto result = std::from_chars(value->data(), end, number);
-            if (result.ec == std::errc{} && result.ptr == end && number >= 1 && number <= most) {
-                return true;
-            }
-        }
-        return fail(line, "\"" + std::string(field) + " <a whole number from 1 to " + std::to_string(most) + ">\"");
-    }
-
-    bool readDigest(std::string_view field, Digest &digest)
-    {
-        const std::string_view line = nextLine();
-        const auto value = valueOf(line, field);
-        return (value && fromHex(*value, digest))
-            || fail(line, "\"" + std::string(field) + " <32 hexadecimal digits>\"");
-    }
-
-    bool readParts(std::uint64_t partCount, TableHead &head)
-    {
-        for (std::uint64_t index = 0; index < partCount; ++index) {
-            Digest digest;
-            if (!readDigest(PartField, digest)) {
-                return false;
-            }
-            head.parts.push_back(digest);
-        }
-        return true;
-    }
-
-    std::string_view rest_;
-    std::string_view source_;
-    std::size_t row_ = 0;
-    TableProblem problem_;
-};
-
 std::vector<Digest> uniqueParts(const TableHead &head)
 {
     std::vector<Digest> digests = head.parts;
@@ -265,22 +151,12 @@
 
 std::string TablePublication::printHead(const TableHead &head)
 {
-    std::string text(FirstLine);
-    const auto append = [&text](std::string_view field, const std::string &value) {
-        text.append("\n").append(field).append(" ").append(value);
-    };
-    append(NumberField, std::to_string(head.version.number.value()));
-    append(DigestField, toHex(head.version.digest));
-    append(PartCountField, std::to_string(head.parts.size()));
-    for (const Digest &part : head.parts) {
-        append(PartField, toHex(part));
-    }
-    return text.append("\n").append(LastLine).append("\n");
+    return toString(head);
 }
 
 TableResult<TableHead> TablePublication::parseHead(std::string_view text, std::string_view source)
 {
-    return HeadReader(text, source).read();
+    return TableHeadReader(text, source).read();
 }
 
 std::vector<Digest> TablePublication::missingParts(const TableHead &head, const TableParts &held)
--- a/src/table/tablepublication.h
+++ b/src/table/tablepublication.h
@@ -7,21 +7,12 @@
 #include <vector>
 
 #include "table/table.h"
+#include "table/tablehead.h"
 #include "table/tableproblem.h"
 
 namespace Egretpath
 {
 
-/// The one value that says which table is published, and of which parts it is made.
-struct TableHead
-{
-    TableVersion version;
-    /// Digest of the text of each part, in the order of the parts. A digest may occur twice.
-    std::vector<Digest> parts;
-
-    friend bool operator==(const TableHead &, const TableHead &) = default;
-};
-
 /// The texts of parts, by the digest of their text.
 using TableParts = std::map<Digest, std::string>;
 
@@ -48,7 +39,7 @@
     /// Parts of a table, unless they would be too large.
     static constexpr std::size_t DefaultPartCount = 16;
     /// The most parts that a head may list.
-    static constexpr std::size_t PartCountCap = 4096;
+    static constexpr std::size_t PartCountCap = TableHeadPartCap;
 
     /// `<prefix>/head`.
     [[nodiscard]] static std::string headKey(std::string_view prefix);
