--- /dev/null
+++ b/src/distribution/exchangemessages.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/strongtype.h"
+#include "distribution/tableversion.h"
+#include "membership/vmrecord.h"
+
+namespace Egretpath
+{
+
+/// What a node has, and how old its knowledge of the platform is.
+struct TableSummary
+{
+    /// The table in force; nothing if the node has none in force yet.
+    std::optional<TableVersion> version;
+    /// The largest version the node has heard of, in force or not.
+    std::optional<TableVersion> heard;
+    /// How long ago a reader found `version` at the platform's head; nothing if that never happened.
+    std::optional<Milliseconds> confirmedAge;
+};
+
+/// What a transferred payload is.
+enum class PayloadKind : std::uint8_t {
+    None,
+    /// Rows that differ from a base version.
+    Change,
+    /// The whole table.
+    Whole,
+};
+
+/// How far the receiver of a push passes it on.
+enum class PushScope : std::uint8_t {
+    /// To its zone.
+    Zone,
+    /// To its zone and one node of each other zone of its region.
+    Region,
+};
+
+/// push(PushChange) -> TableSummary. Carries a change towards nodes that hold its base.
+struct PushChange
+{
+    TableVersion base;
+    TableVersion target;
+    PushScope scope = PushScope::Zone;
+    std::string payload;
+};
+
+/// pull(PullRequest) -> PullAnswer.
+struct PullRequest
+{
+    /// What the asking node holds, in force or not.
+    std::optional<TableVersion> have;
+    /// The payload is wanted. If false, only the summary is.
+    bool wantsTable = true;
+};
+
+struct PullAnswer
+{
+    TableSummary summary;
+    PayloadKind kind = PayloadKind::None;
+    /// For Change: what it applies to.
+    std::optional<TableVersion> base;
+    /// For Change and Whole: what it leads to.
+    std::optional<TableVersion> target;
+    std::string payload;
+};
+
+/// A push to be sent.
+struct OutgoingPush
+{
+    VmRecord receiver;
+    PushChange change;
+};
+
+/// A pull to be sent.
+struct OutgoingPull
+{
+    VmRecord receiver;
+    PullRequest request;
+};
+
+/// Requests to be sent after an event. Each must end in exactly one call of the matching
+/// TableExchange::...Answered() or ...Failed().
+struct ExchangeRequests
+{
+    std::vector<OutgoingPush> pushes;
+    std::vector<OutgoingPull> pulls;
+};
+
+/// Two tables were published under one number.
+struct TableConflict
+{
+    TableVersion winner;
+    TableVersion loser;
+
+    friend bool operator==(const TableConflict &, const TableConflict &) = default;
+};
+
+/// Bytes of each message on the wire beside its payload: Cap'n Proto framing, TCP and IP headers. An
+/// estimate for the budgets; the node's real counters are measured at its sockets.
+constexpr std::uint64_t MessageOverheadBytes = 160;
+
+}
--- /dev/null
+++ b/src/distribution/startgate.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "core/strongtype.h"
+#include "distribution/exchangemessages.h"
+#include "distribution/tableversion.h"
+#include "membership/peerdirectory.h"
+
+namespace Egretpath
+{
+
+/// How a starting node asks around.
+struct StartGateSettings
+{
+    /// K: how many places the sample has, spread over regions, then zones.
+    std::size_t sampleSize = 8;
+    /// A place whose node has not answered is given to another node of the same zone after this time.
+    Milliseconds answerTimeout{500};
+    /// Empty answers count after this time if nobody has heard of any table.
+    Milliseconds emptySettleTime{2'000};
+    /// Empty answers count after this time even if a table was heard of.
+    Milliseconds mixedSettleTime{10'000};
+    /// In the second case a place is empty only after so many of its nodes said so.
+    std::size_t emptyAnswersPerPlace = 3;
+};
+
+/// What the gate says.
+enum class StartState : std::uint8_t {
+    /// Too few answers. Refuse calls.
+    Asking,
+    /// Enough answers; the table they call for is not held yet. Refuse calls.
+    Fetching,
+    /// Serve with the version held. Final.
+    Open,
+};
+
+struct StartDecision
+{
+    StartState state = StartState::Asking;
+    /// For Fetching: the version to get, and from whom (nothing: from the platform).
+    std::optional<TableVersion> required;
+    std::optional<UpstreamName> holder;
+};
+
+/// Keeps a starting node, whose memory is empty, from putting an older table in force than it had.
+///
+/// The platform may serve an old table, be down, or be cut off; peers may be behind or starting too. So
+/// the node asks a sample with places spread over all regions and zones, and opens when more than half of
+/// the places have answered; it then needs the largest version of all answers and the platform.
+/// The places are tied to zones and a silent node is replaced only from its own zone: a part of the fleet
+/// with less than half of the places cannot open the gate however many of its nodes are asked.
+/// Thread safety: none; one strand owns it. Errors: none.
+class StartGate
+{
+public:
+    StartGate(StartGateSettings settings, UpstreamName own, std::uint64_t seed, TimePoint now);
+
+    /// Takes a list (the platform's, or the seeds of the settings). May be called again as it grows.
+    void setDirectory(std::shared_ptr<const PeerDirectory> directory, TimePoint now);
+
+    /// Whom to ask for a summary now (a pull with wantsTable = false). Call it at every event and about
+    /// each 100 ms; a node is returned once for each request to be made.
+    [[nodiscard]] std::vector<VmRecord> peersToAsk(TimePoint now);
+    void peerAnswered(const UpstreamName &peer, const TableSummary &summary, TimePoint now);
+    void peerFailed(const UpstreamName &peer, TimePoint now);
+    /// The platform's head was read; nothing if the platform has no table.
+    void platformAnswered(const std::optional<TableVersion> &head, TimePoint now);
+
+    /// The state, given the version that the store holds. Once Open, always Open.
+    [[nodiscard]] StartDecision decide(const std::optional<TableVersion> &held, TimePoint now);
+    /// The largest version heard of, for the summaries that this node gives while it starts.
+    [[nodiscard]] const std::optional<TableVersion> &heard() const { return heard_; }
+
+private:
+    /// One place of the sample.
+    struct Place
+    {
+        PeerDirectory::Index zone = 0;
+        std::optional<UpstreamName> asked;
+        TimePoint askedAt;
+        std::vector<UpstreamName> tried;
+        std::size_t emptyAnswers = 0;
+        bool informed = false;
+        bool exhausted = false;
+    };
+
+    void assignPlaces();
+    [[nodiscard]] std::optional<PeerDirectory::Index> nextPeer(const Place &place);
+    [[nodiscard]] bool enoughAnswers(TimePoint now) const;
+    [[nodiscard]] bool counts(const Place &place, TimePoint now) const;
+    void hear(const std::optional<TableVersion> &version, const std::optional<UpstreamName> &holder);
+    [[nodiscard]] Place *placeOf(const UpstreamName &peer);
+
+    StartGateSettings settings_;
+    UpstreamName own_;
+    Random random_;
+    TimePoint startedAt_;
+    std::shared_ptr<const PeerDirectory> directory_;
+    std::vector<Place> places_;
+    std::optional<TableVersion> heard_;
+    std::optional<UpstreamName> holder_;
+    bool platformSeen_ = false;
+    bool open_ = false;
+};
+
+}
