--- a/src/distribution/exchangemessages.h
+++ b/src/distribution/exchangemessages.h
@@ -8,6 +8,7 @@
 #include "core/clock.h"
 #include "core/strongtype.h"
 #include "distribution/tableversion.h"
+#include "membership/spreadscope.h"
 #include "membership/vmrecord.h"
 
 namespace Egretpath
@@ -18,7 +19,8 @@
 {
     /// The table in force; nothing if the node has none in force yet.
     std::optional<TableVersion> version;
-    /// The largest version the node has heard of, in force or not.
+    /// The largest version that the node knows to be in force anywhere. A starting node, which has none in
+    /// force itself, passes on what it heard.
     std::optional<TableVersion> heard;
     /// How long ago a reader found `version` at the platform's head; nothing if that never happened.
     std::optional<Milliseconds> confirmedAge;
@@ -33,20 +35,12 @@
     Whole,
 };
 
-/// How far the receiver of a push passes it on.
-enum class PushScope : std::uint8_t {
-    /// To its zone.
-    Zone,
-    /// To its zone and one node of each other zone of its region.
-    Region,
-};
-
 /// push(PushChange) -> TableSummary. Carries a change towards nodes that hold its base.
 struct PushChange
 {
     TableVersion base;
     TableVersion target;
-    PushScope scope = PushScope::Zone;
+    SpreadScope scope = SpreadScope::Zone;
     std::string payload;
 };
 
@@ -75,6 +69,8 @@
 {
     VmRecord receiver;
     PushChange change;
+    /// How many receivers were tried before.
+    std::uint8_t attempt = 0;
 };
 
 /// A pull to be sent.
--- a/src/distribution/readerelection.h
+++ b/src/distribution/readerelection.h
@@ -41,12 +41,12 @@
     Milliseconds standbyInterval{1'000};
     /// How long the second and third of a region watch after they found the reader behind.
     Milliseconds takeoverHold{30'000};
-    /// How far the fleet may be behind the head before a standby holds the reader for dead, frozen or cut off.
-    Milliseconds takeoverGrace{1'000};
     /// A node without a confirmation younger than this reads for itself.
     Milliseconds fallbackAfter{15'000};
     /// The shortest time between two fallback reads of a node.
     Milliseconds fallbackFloor{1'000};
+    /// The longest time between two tries of a ranked node while reads fail.
+    Milliseconds failureLimit{2'000};
     /// The size of the fleet to count with until a list is known.
     std::size_t assumedFleetSize = 1'000;
 };
@@ -54,7 +54,8 @@
 /// Decides which nodes read the platform, without talking to others.
 ///
 /// Each region's live nodes are ranked by rendezvous hash. The first watches; the next two poll and take
-/// over when they find the head newer than what the fleet passed them. All others read only when no
+/// over when they find the head newer than what the fleet passed them: then the reader is dead, frozen or
+/// cut off, or has just lost a race, which costs no more than a second watch for a while. All others read only when no
 /// reader's confirmation has reached them for long, each at an interval that grows with the fleet.
 /// Lists that differ between nodes cost double reads, never a wrong table: any node may read.
 /// Thread safety: none; one strand owns it. Errors: none.
@@ -82,6 +83,7 @@
     [[nodiscard]] ReadDecision decideReader(TimePoint now);
     [[nodiscard]] ReadDecision decideStandby(TimePoint now);
     [[nodiscard]] ReadDecision decideFallback(TimePoint now);
+    [[nodiscard]] ReadDecision watch(TimePoint now) const;
     [[nodiscard]] ReadDecision poll(TimePoint now, Duration interval);
     [[nodiscard]] Duration fallbackInterval() const;
     [[nodiscard]] Duration jittered(Duration interval);
@@ -94,7 +96,6 @@
     TimePoint confirmedAt_;
     TimePoint watchUntil_;
     TimePoint nextPollAt_;
-    std::optional<TimePoint> behindSince_;
     bool fallbackPlanned_ = false;
     std::uint32_t failures_ = 0;
 };
--- a/src/distribution/startgate.h
+++ b/src/distribution/startgate.h
@@ -44,7 +44,8 @@
 struct StartDecision
 {
     StartState state = StartState::Asking;
-    /// For Fetching: the version to get, and from whom (nothing: from the platform).
+    /// For Fetching: the version to get, and from whom. Nothing: from the platform, or from whomever the
+    /// periodic pulls find.
     std::optional<TableVersion> required;
     std::optional<UpstreamName> holder;
 };
@@ -62,7 +63,8 @@
 public:
     StartGate(StartGateSettings settings, UpstreamName own, std::uint64_t seed, TimePoint now);
 
-    /// Takes a list (the platform's, or the seeds of the settings). May be called again as it grows.
+    /// Takes a list (the platform's, or the seeds of the settings). May be called again as it grows. With
+    /// an empty one the platform alone decides; before the first call the gate stays shut.
     void setDirectory(std::shared_ptr<const PeerDirectory> directory, TimePoint now);
 
     /// Whom to ask for a summary now (a pull with wantsTable = false). Call it at every event and about
@@ -70,33 +72,37 @@
     [[nodiscard]] std::vector<VmRecord> peersToAsk(TimePoint now);
     void peerAnswered(const UpstreamName &peer, const TableSummary &summary, TimePoint now);
     void peerFailed(const UpstreamName &peer, TimePoint now);
-    /// The platform's head was read; nothing if the platform has no table.
+    /// The platform's head was read; nothing if the platform has no table. Until this was called, or the
+    /// settle time passed, the gate waits for the platform.
     void platformAnswered(const std::optional<TableVersion> &head, TimePoint now);
 
     /// The state, given the version that the store holds. Once Open, always Open.
     [[nodiscard]] StartDecision decide(const std::optional<TableVersion> &held, TimePoint now);
-    /// The largest version heard of, for the summaries that this node gives while it starts.
+    /// The largest version that any node is known to have in force; TableExchange::hear() takes it.
     [[nodiscard]] const std::optional<TableVersion> &heard() const { return heard_; }
 
 private:
     /// One place of the sample.
     struct Place
     {
-        PeerDirectory::Index zone = 0;
+        Location location;
         std::optional<UpstreamName> asked;
-        TimePoint askedAt;
+        TimePoint nextAskAt;
         std::vector<UpstreamName> tried;
         std::size_t emptyAnswers = 0;
         bool informed = false;
         bool exhausted = false;
     };
 
-    void assignPlaces();
-    [[nodiscard]] std::optional<PeerDirectory::Index> nextPeer(const Place &place);
-    [[nodiscard]] bool enoughAnswers(TimePoint now) const;
+    [[nodiscard]] std::vector<Location> placeLocations() const;
+    [[nodiscard]] const VmRecord *nextPeer(Place &place);
+    [[nodiscard]] bool isTried(const UpstreamName &peer) const;
     [[nodiscard]] bool counts(const Place &place, TimePoint now) const;
-    void hear(const std::optional<TableVersion> &version, const std::optional<UpstreamName> &holder);
+    void hear(const TableVersion &version);
+    [[nodiscard]] std::optional<TableVersion> required() const;
+    [[nodiscard]] bool platformSettled(TimePoint now) const;
     [[nodiscard]] Place *placeOf(const UpstreamName &peer);
+    [[nodiscard]] bool hasEnough(TimePoint now) const;
 
     StartGateSettings settings_;
     UpstreamName own_;
@@ -105,7 +111,9 @@
     std::shared_ptr<const PeerDirectory> directory_;
     std::vector<Place> places_;
     std::optional<TableVersion> heard_;
-    std::optional<UpstreamName> holder_;
+    /// Nodes with the largest version heard of in force.
+    std::vector<UpstreamName> holders_;
+    std::optional<TableVersion> platformVersion_;
     bool platformSeen_ = false;
     bool open_ = false;
 };
--- a/src/distribution/tableexchange.h
+++ b/src/distribution/tableexchange.h
@@ -24,21 +24,24 @@
     std::size_t zoneFanOut = 6;
     /// Time between two pulls of a node, jittered by half.
     Milliseconds pullInterval{1'000};
-    /// Time between two pulls over a paid link by a ranked node, jittered by half.
-    Milliseconds regionPullInterval{2'000};
+    /// Time between two summaries that a ranked node asks for over a paid link, jittered by half.
+    Milliseconds regionPullInterval{1'000};
+    /// A difference over a paid link is repaired over it only after this time: in most cases the copy that
+    /// is on its way, or the region's own reader, has ended it by then.
+    Milliseconds paidRepairDelay{1'500};
     /// A pull without an answer is given up after this time.
     Milliseconds pullTimeout{1'000};
     /// How many receivers of a zone or region are tried for one copy.
     std::size_t pushTries = 3;
     /// Pushes, pulls, summaries and changes.
     Bytes controlBytesPerSecond{2'000};
-    Bytes controlBurst{64 * 1024};
+    Bytes controlBurst{std::uint64_t{64} * 1024};
     /// The share of these that may cross paid links, for each node.
     Bytes paidBytesPerSecond{1'000};
-    Bytes paidBurst{32 * 1024};
+    Bytes paidBurst{std::uint64_t{32} * 1024};
     /// Whole tables, which only starting nodes and nodes after a long split need.
-    Bytes wholeBytesPerSecond{32 * 1024};
-    Bytes wholeBurst{4 * 1024 * 1024};
+    Bytes wholeBytesPerSecond{std::uint64_t{32} * 1024};
+    Bytes wholeBurst{std::uint64_t{4} * 1024 * 1024};
 };
 
 /// Passes tables from node to node.
@@ -70,7 +73,8 @@
     /// This node's own read found @p head at the platform at @p readAt. Confirms the table held if they are
     /// the same, and notes a conflict. To be called after loading, if the head was newer.
     void headRead(const TableVersion &head, TimePoint readAt);
-    /// The store moved from @p former to a newer version by this node's own read of the platform.
+    /// The store moved from @p former to a newer version by this node's own read of the platform. Passed on
+    /// only if the table is in force here.
     [[nodiscard]] ExchangeRequests loaded(const std::optional<TableVersion> &former, TimePoint now);
 
     /// A push came from @p sender.
@@ -78,7 +82,7 @@
     /// A pull came from @p sender, which stands at @p senderLocation.
     [[nodiscard]] PullAnswer pullReceived(const Location &senderLocation, const PullRequest &request, TimePoint now);
 
-    /// The answer to a push that this node sent.
+    /// The answer to a push that this node sent. If the receiver has a larger version, it is pulled.
     [[nodiscard]] ExchangeRequests pushAnswered(const VmRecord &receiver, const TableSummary &answer, TimePoint now);
     /// A push could not be delivered, or its answer did not come. Another receiver of the same zone or
     /// region is tried, since the loss of this copy would cut off all behind it.
@@ -87,7 +91,7 @@
     /// confirmation, so that a paused node or slow link never makes it look younger than it is.
     [[nodiscard]] ExchangeRequests pullAnswered(const VmRecord &receiver, const PullAnswer &answer, TimePoint sentAt,
                                                 TimePoint now);
-    [[nodiscard]] ExchangeRequests pullFailed(const OutgoingPull &pull, TimePoint now);
+    void pullFailed(const OutgoingPull &pull);
 
     /// Periodic work. Call it at nextAt().
     [[nodiscard]] ExchangeRequests tick(TimePoint now);
@@ -96,9 +100,12 @@
     /// A pull of the table from @p receiver, for a start gate in Fetching.
     [[nodiscard]] ExchangeRequests fetchFrom(const VmRecord &receiver, TimePoint now);
 
-    /// What this node tells others. @p heard: see StartGate::heard().
+    /// @p version is in force somewhere (see StartGate::heard()).
+    void hear(const TableVersion &version);
+    /// What this node tells others.
     [[nodiscard]] TableSummary summary(TimePoint now) const;
-    /// When a reader last found the version held here at the platform's head.
+    /// When a reader last found what was then held here at the platform's head. A platform that serves an
+    /// older table than the one held confirms nothing.
     [[nodiscard]] std::optional<TimePoint> confirmedAt() const { return confirmedAt_; }
     /// The largest version heard of.
     [[nodiscard]] const std::optional<TableVersion> &heard() const { return heard_; }
@@ -112,23 +119,33 @@
     [[nodiscard]] std::uint64_t badPayloads() const { return badPayloads_; }
 
 private:
+    /// A newer version seen behind a paid link, to be pulled if nothing nearer brings it.
+    struct RegionRepair
+    {
+        VmRecord holder;
+        TimePoint dueAt;
+    };
+
     [[nodiscard]] bool isPaid(const Location &other) const { return other.region != location_.region; }
     [[nodiscard]] bool trySpend(const Location &receiver, std::size_t payloadBytes, TimePoint now);
-    void spend(const Location &receiver, std::size_t payloadBytes, TimePoint now);
-    void hear(const TableVersion &version);
+    void spend(const Location &receiver, TimePoint now);
     void confirm(const TableVersion &version, TimePoint readAt);
-    void noticeSummary(const TableSummary &summary, TimePoint receivedAgeBase);
-    void versionChanged();
+    void noteConflict(const TableVersion &other);
 
-    [[nodiscard]] ExchangeRequests passOn(const TableVersion &base, PushScope scope, TimePoint now);
+    [[nodiscard]] ExchangeRequests adopted(const std::optional<TableVersion> &former, SpreadScope scope, TimePoint now);
     void pushToZone(const PushChange &change, ExchangeRequests &requests, TimePoint now);
     void pushToOtherZones(const PushChange &change, ExchangeRequests &requests, TimePoint now);
     void pushToNextRegion(const PushChange &change, ExchangeRequests &requests, TimePoint now);
-    void addPush(const VmRecord &receiver, PushChange change, ExchangeRequests &requests, TimePoint now);
+    void repairPeer(const VmRecord &peer, const TableVersion &peerVersion, ExchangeRequests &requests, TimePoint now);
+    void addPush(OutgoingPush push, ExchangeRequests &requests, TimePoint now);
     void addPull(const VmRecord &receiver, bool wantsTable, ExchangeRequests &requests, TimePoint now);
-    [[nodiscard]] const VmRecord *randomPeer();
+    void pullTable(const VmRecord &receiver, ExchangeRequests &requests, TimePoint now);
+    void addPayload(const Location &receiver, const PullRequest &request, PullAnswer &answer, TimePoint now);
+    [[nodiscard]] bool apply(const PullAnswer &answer);
+    [[nodiscard]] const VmRecord *randomRegionPeer();
     [[nodiscard]] const VmRecord *randomForeignReader();
-    [[nodiscard]] bool applyAnswer(const PullAnswer &answer);
+    [[nodiscard]] const VmRecord *nextRegionReceiver(const VmRecord &failed) const;
+    [[nodiscard]] SpreadScope scopeTowards(const Location &other) const;
     [[nodiscard]] Duration jittered(Duration interval);
 
     ExchangeSettings settings_;
@@ -142,6 +159,8 @@
     std::optional<TimePoint> confirmedAt_;
     std::optional<TableConflict> conflict_;
     std::optional<TimePoint> tablePullSince_;
+    std::optional<RegionRepair> regionRepair_;
+    TimePoint adoptedAt_;
     TimePoint nextPullAt_;
     TimePoint nextRegionPullAt_;
     ByteBudget controlBudget_;
--- a/src/membership/membershipnotice.h
+++ b/src/membership/membershipnotice.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/strongtype.h"
+#include "membership/spreadscope.h"
 #include "membership/vmrecord.h"
 
 namespace Egretpath
@@ -18,6 +19,8 @@
     VmState state = VmState::Leaving;
     /// Time since the news was made, summed over the nodes that held it. The time on the wire is not in it.
     Milliseconds age{0};
+    /// How far the receiver passes it on.
+    SpreadScope scope = SpreadScope::Zone;
 
     friend bool operator==(const MembershipNotice &, const MembershipNotice &) = default;
 };
--- a/src/membership/membershipview.h
+++ b/src/membership/membershipview.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -20,7 +19,7 @@
 enum class Standing : std::uint8_t {
     /// Listed, but neither seen nor reported by any node. It may be sent work.
     Unknown,
-    /// An answer of its present incarnation was seen. It may be sent work.
+    /// Its present incarnation was seen or reported at work. It may be sent work.
     Eligible,
     /// A connection to it failed a short time ago. Only when nothing better is left.
     Suspect,
@@ -39,6 +38,8 @@
     Milliseconds leavingHold{120'000};
     /// Older notices are dropped.
     Milliseconds noticeLifetime{30'000};
+    /// How far the list may be behind: younger evidence of a live incarnation goes before a listed Leaving.
+    Milliseconds listLag{30'000};
     /// By how much a notice must be newer than what is known to speak for another incarnation. Covers
     /// the time on the wire, which ages do not count.
     Milliseconds noticeMargin{2'000};
@@ -57,6 +58,15 @@
     Standing standing = Standing::Unknown;
 };
 
+/// A piece of news due for sending.
+struct DueNotice
+{
+    /// With the scope that this node holds it at, and its age now.
+    MembershipNotice notice;
+    /// In how many rounds it was sent before.
+    std::uint8_t roundsSent = 0;
+};
+
 /// What this node believes about every instance.
 ///
 /// Three sources, the earlier going before the later: what this node saw itself, what other nodes
@@ -81,10 +91,11 @@
     /// This node's connection attempt to the node of @p upstream failed.
     void connectFailed(const UpstreamName &upstream, TimePoint now);
     /// An answer (of any kind but a Draining refusal) came from @p incarnation of @p upstream. Also to be
-    /// called with the incarnation that a WrongIncarnation refusal names.
-    void answered(const UpstreamName &upstream, Incarnation incarnation, TimePoint now);
-    /// @p incarnation of @p upstream refused a call because it leaves.
-    void refusedDraining(const UpstreamName &upstream, Incarnation incarnation, TimePoint now);
+    /// called with the incarnation that a WrongIncarnation refusal names. @p sentAt is when this node sent
+    /// the request that was answered; it tells a late answer of a former incarnation from a true one.
+    void answered(const UpstreamName &upstream, Incarnation incarnation, TimePoint sentAt, TimePoint now);
+    /// @p incarnation of @p upstream refused a call because it leaves, or its load report says that it does.
+    void refusedDraining(const UpstreamName &upstream, Incarnation incarnation, TimePoint sentAt, TimePoint now);
 
     /// Another node's news. Returns true if it changed anything; only then it is passed on.
     bool noticeReceived(const MembershipNotice &notice, TimePoint now);
@@ -92,7 +103,7 @@
     void announce(const UpstreamName &self, Incarnation incarnation, VmState state, TimePoint now);
     /// The news for one round of sending, at most @p limit pieces, the least often sent first. Each call is
     /// a round: it uses up one of noticeRounds of each piece returned.
-    [[nodiscard]] std::vector<MembershipNotice> noticesToSend(std::size_t limit, TimePoint now);
+    [[nodiscard]] std::vector<DueNotice> noticesToSend(std::size_t limit, TimePoint now);
     /// Whether noticesToSend() would return anything.
     [[nodiscard]] bool hasNotices() const { return !notices_.empty(); }
 
@@ -122,12 +133,15 @@
         Incarnation incarnation;
         /// The one before; news about it is late by definition.
         Incarnation former;
-        /// When the newest evidence was made.
+        /// When the present incarnation was last seen or reported. Failed connections do not count: they
+        /// say nothing about who would have answered.
         TimePoint madeAt;
         /// Until when suspect or, if leaving, until when leaving is believed.
         TimePoint until;
         Source source = Source::None;
         bool leaving = false;
+        /// The list has said Leaving since `leaving` was set; when it says Live again, another one runs.
+        bool listedLeaving = false;
         std::uint8_t failures = 0;
     };
 
@@ -135,14 +149,18 @@
     {
         MembershipNotice notice;
         TimePoint madeAt;
-        std::uint8_t roundsLeft = 0;
+        std::uint8_t roundsSent = 0;
     };
 
     [[nodiscard]] std::optional<std::size_t> position(const UpstreamName &upstream) const;
     [[nodiscard]] Standing standing(std::size_t position, TimePoint now) const;
     [[nodiscard]] bool accepts(const Evidence &evidence, const MembershipNotice &notice, TimePoint madeAt) const;
-    void replaceIncarnation(Evidence &evidence, Incarnation incarnation) const;
-    void markLeaving(Evidence &evidence, TimePoint now) const;
+    [[nodiscard]] Evidence carriedOver(const VmRecord &record, TimePoint now) const;
+    [[nodiscard]] Candidate candidateAt(std::size_t position, TimePoint now) const;
+    /// Takes what this node saw of @p incarnation. Returns false if that was the former one.
+    bool sighted(Evidence &evidence, Incarnation incarnation, TimePoint sentAt, TimePoint now);
+    static void replaceIncarnation(Evidence &evidence, Incarnation incarnation);
+    void markLeaving(Evidence &evidence, TimePoint now);
     void queueNotice(const MembershipNotice &notice, TimePoint madeAt);
     void buildIndexes();
 
--- a/src/membership/noticespreader.h
+++ b/src/membership/noticespreader.h
@@ -20,6 +20,8 @@
     Milliseconds interval{250};
     /// Receivers in the own zone in each round.
     std::size_t zoneFanOut = 3;
+    /// In how many rounds news is sent to other zones and regions; each time to another node.
+    std::uint8_t outwardRounds = 2;
     /// News in one message.
     std::size_t noticesPerMessage = 32;
 };
@@ -33,9 +35,9 @@
 
 /// Passes the news of a MembershipView on, rumour style.
 ///
-/// Every node sends to random nodes of its own zone. Each zone is reached from the others of its region
-/// by one random receiver a round with a chance that keeps the sum over a zone near a few messages;
-/// only a region's ranked readers send over the paid links, to the same rank of the other regions.
+/// Every node sends to random nodes of its own zone in each round. What its maker announced also goes to
+/// one node of each other zone of the region and one ranked reader of each other region, in the first
+/// rounds only; the scope in the notice tells the receivers how far to go on.
 /// Thread safety: none; one strand owns it. Errors: none.
 class NoticeSpreader
 {
@@ -51,9 +53,9 @@
     [[nodiscard]] std::vector<NoticeBatch> tick(TimePoint now);
 
 private:
-    [[nodiscard]] std::vector<PeerDirectory::Index> receivers();
-    void addOtherZones(std::vector<PeerDirectory::Index> &receivers);
-    void addOtherRegions(std::vector<PeerDirectory::Index> &receivers) const;
+    void addToZone(const std::vector<DueNotice> &due, std::vector<NoticeBatch> &batches);
+    void addToOtherZones(const std::vector<DueNotice> &due, std::vector<NoticeBatch> &batches);
+    void addToOtherRegions(const std::vector<DueNotice> &due, std::vector<NoticeBatch> &batches);
 
     SpreadSettings settings_;
     UpstreamName own_;
--- a/src/membership/peerdirectory.h
+++ b/src/membership/peerdirectory.h
@@ -47,6 +47,10 @@
     PeerDirectory() = default;
     /// Takes the live VMs of @p list. Preconditions: none. Errors: none.
     explicit PeerDirectory(const VmList &list);
+    // positions_ refers to the names inside peers_.
+    PeerDirectory(const PeerDirectory &) = delete;
+    PeerDirectory &operator=(const PeerDirectory &) = delete;
+    ~PeerDirectory() = default;
 
     [[nodiscard]] const std::vector<VmRecord> &peers() const { return peers_; }
     [[nodiscard]] const std::vector<Zone> &zones() const { return zones_; }
@@ -65,9 +69,12 @@
     /// Up to @p count distinct random members of the zone at @p location, without @p excluded.
     [[nodiscard]] std::vector<Index> sampleZone(const Location &location, std::size_t count,
                                                 const UpstreamName &excluded, Random &random) const;
+    /// Bytes of the records and indexes, estimated from container sizes. For metrics.
+    [[nodiscard]] std::size_t memoryBytes() const;
 
 private:
-    void rankReaders(Region &region) const;
+    [[nodiscard]] std::vector<Index> rankedReaders(const Region &region) const;
+    void addPeer(Index index);
 
     std::vector<VmRecord> peers_;
     std::vector<Zone> zones_;
