--- a/bench/distribution/distributionbench.cpp
+++ b/bench/distribution/distributionbench.cpp
@@ -5,9 +5,11 @@
 #include <chrono>
 #include <ctime>
 #include <iostream>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "distribution/vmliststore.h"
 #include "fakefleet.h"
 #include "membership/membershipview.h"
 #include "membership/noticespreader.h"
@@ -196,6 +198,31 @@
     print("membership.directory_heap_22000", directory.memoryBytes(), "B");
 }
 
+/// One VM of the largest list begins to leave.
+void measureListChange()
+{
+    VmListStore reader;
+    VmListStore follower;
+    VmList list = largestList();
+    std::sort(list.records.begin(), list.records.end(),
+              [](const VmRecord &left, const VmRecord &right) { return left.upstream < right.upstream; });
+    if (!reader.load(list) || !follower.load(list)) {
+        return;
+    }
+    list.version = 2;
+    list.records[LargestFleet / 2].state = VmState::Leaving;
+    const TableVersion base = *reader.currentVersion();
+    if (!reader.load(std::move(list))) {
+        return;
+    }
+    const std::string change = reader.changeSince(base).value_or("");
+    const double begin = processorSeconds();
+    const bool applied = follower.applyChange(base, *reader.currentVersion(), change);
+    print("membership.list_change", change.size(), "B");
+    print("membership.list_change_applied", applied, "times");
+    print("membership.list_change_apply", (processorSeconds() - begin) * 1e3, "ms");
+}
+
 /// One node's view of a single upstream, enough to follow news about it.
 struct SpreadingNode
 {
@@ -267,6 +294,7 @@
         }
     }
     measureMembership();
+    measureListChange();
     measureNotice();
     for (const std::size_t nodes : sizes) {
         measureFleet(nodes);
