--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -146,7 +146,6 @@
 
     [[nodiscard]] std::uint32_t slots() const;
     [[nodiscard]] std::uint32_t uploadSlots() const;
-    [[nodiscard]] std::uint32_t uploadQueuePlaces() const;
     [[nodiscard]] bool hasSlotFor(CallClass callClass) const;
     [[nodiscard]] bool hasQueuePlaceFor(CallClass callClass) const;
     [[nodiscard]] Duration expectedWait(std::size_t callsAhead) const;
@@ -156,6 +155,7 @@
     [[nodiscard]] Failure refusal(Reason reason) const;
     [[nodiscard]] std::vector<CallId> release(CallId call, TimePoint now, bool answered);
     void recordServiceTime(CallClass callClass, Duration time);
+    Queue::iterator removeQueued(Queue::iterator place);
     void start(CallId call, CallClass callClass, TimePoint now);
     [[nodiscard]] std::vector<CallId> startQueued(TimePoint now);
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -118,26 +118,32 @@
     [[nodiscard]] const RoutingStrategy &strategy() const { return *strategy_; }
 
 private:
-    struct Group;
+    /// Candidates of one distance.
+    struct Group
+    {
+        /// Those that would take a call now.
+        std::vector<const Candidate *> open;
+        /// Count of those left out because their latest refusal still holds.
+        std::size_t refusing = 0;
+
+        void clear()
+        {
+            open.clear();
+            refusing = 0;
+        }
+    };
 
     void sortIntoGroups(const RouteRequest &request);
     void sortCandidate(const RouteRequest &request, const Candidate &candidate);
-    [[nodiscard]] Group *pickGroup(const RouteRequest &request, ChoiceReason &reason);
+    [[nodiscard]] Group *groupOf(const RouteRequest &request, const Candidate &candidate);
+    [[nodiscard]] const Group *pickGroup(const RouteRequest &request, ChoiceReason &reason);
     [[nodiscard]] bool otherZoneIsFaster(TimePoint now) const;
-    [[nodiscard]] Group *drawRegion(std::span<const RegionSpill> spill);
+    [[nodiscard]] const Group *drawRegion(std::span<const RegionSpill> spill);
     [[nodiscard]] double bestExpected(const Group &group, TimePoint now) const;
     [[nodiscard]] Choice chooseIn(const Group &group, ChoiceReason reason, const RouteRequest &request);
     void fillAlternatives(Choice &choice, const Group &group, const RouteRequest &request) const;
     [[nodiscard]] Failure refusal(TimePoint now);
 
-    /// Candidates of one distance that would take a call now.
-    struct Group
-    {
-        std::vector<const Candidate *> open;
-        /// Candidates left out because their latest refusal still holds.
-        std::size_t refusing = 0;
-    };
-
     Location own_;
     std::unique_ptr<RoutingStrategy> strategy_;
     const LoadView &view_;
@@ -148,6 +154,7 @@
     Group ownRegion_;
     /// One for each entry of RouteRequest::regionSpill.
     std::vector<Group> otherRegions_;
+    std::vector<double> regionWeights_;
     /// The soonest end of a refusal among the candidates of this call.
     TimePoint soonestOpening_;
 };
