--- a/src/routing/hotcoldstrategy.cpp
+++ b/src/routing/hotcoldstrategy.cpp
@@ -19,7 +19,12 @@
     if (load == nullptr) {
         return 0.0;
     }
-    return load->hasReport ? load->report.inFlight + load->report.queued : load->inFlight;
+    if (!load->hasReport) {
+        return load->inFlight;
+    }
+    // Own calls sent since the report count on top, as the paper compensates for reusing a probe.
+    const double sentSince = static_cast<double>(load->inFlight) - load->inFlightAtReport;
+    return std::max(0.0, load->report.inFlight + load->report.queued + sentSince);
 }
 
 double reportedLatency(const UpstreamLoad *load)
@@ -43,7 +48,8 @@
         inFlights_.push_back(score(*candidates[pool_.back()], view, now));
     }
     std::vector<double> sorted = inFlights_;
-    const auto border = sorted.begin() + static_cast<std::ptrdiff_t>(HotQuantile * (sorted.size() - 1));
+    const auto border =
+        sorted.begin() + static_cast<std::ptrdiff_t>(HotQuantile * static_cast<double>(sorted.size() - 1));
     std::nth_element(sorted.begin(), border, sorted.end());
 
     std::size_t chosen = 0;
--- a/src/routing/loadview.cpp
+++ b/src/routing/loadview.cpp
@@ -61,7 +61,8 @@
     }
 }
 
-void LoadView::onAnswered(const UpstreamName &upstream, Duration latency, const LoadReport &report, TimePoint now)
+void LoadView::onAnswered(const UpstreamName &upstream, Duration latency, const std::optional<LoadReport> &report,
+                          TimePoint now)
 {
     onCancelled(upstream, now);
     UpstreamLoad &load = recordOf(upstream, now);
@@ -76,7 +77,7 @@
     takeReport(load, report, now);
 }
 
-void LoadView::onErrorAnswer(const UpstreamName &upstream, const LoadReport &report, TimePoint now)
+void LoadView::onErrorAnswer(const UpstreamName &upstream, const std::optional<LoadReport> &report, TimePoint now)
 {
     onFailed(upstream, Reason::None, now);
     takeReport(recordOf(upstream, now), report, now);
@@ -89,9 +90,7 @@
     UpstreamLoad &load = recordOf(upstream, now);
     ++load.refused;
     load.progressTime = now;
-    if (report) {
-        takeReport(load, *report, now);
-    }
+    takeReport(load, report, now);
     if (!tellsOfLoad(reason)) {
         return;
     }
@@ -157,14 +156,17 @@
         * std::exp(-microseconds(now - load.failureTime) / microseconds(settings_.failureMemory));
 }
 
-void LoadView::takeReport(UpstreamLoad &load, const LoadReport &report, TimePoint now)
+void LoadView::takeReport(UpstreamLoad &load, const std::optional<LoadReport> &report, TimePoint now)
 {
-    load.report = report;
+    if (!report) {
+        return;
+    }
+    load.report = *report;
     load.reportTime = now;
     load.hasReport = true;
     load.inFlightAtReport = load.inFlight;
-    if (report.slots > 0) {
-        const double occupancy = static_cast<double>(report.inFlight + report.queued) / report.slots;
+    if (report->slots > 0) {
+        const double occupancy = static_cast<double>(report->inFlight + report->queued) / report->slots;
         smooth(typicalOccupancy_, occupancy, settings_.occupancyGain);
     }
 }
--- a/src/routing/loadview.h
+++ b/src/routing/loadview.h
@@ -74,12 +74,13 @@
     /// A call left for @p upstream.
     void onSent(const UpstreamName &upstream, TimePoint now);
 
-    /// A whole, successful answer came after @p latency.
-    void onAnswered(const UpstreamName &upstream, Duration latency, const LoadReport &report, TimePoint now);
+    /// A whole, successful answer came after @p latency. Not every answer needs to carry a report.
+    void onAnswered(const UpstreamName &upstream, Duration latency, const std::optional<LoadReport> &report,
+                    TimePoint now);
 
     /// A whole answer came that says that the upstream failed (HTTP 5xx). Its latency is never
     /// counted: errors are often quick, and must not make the upstream look fast.
-    void onErrorAnswer(const UpstreamName &upstream, const LoadReport &report, TimePoint now);
+    void onErrorAnswer(const UpstreamName &upstream, const std::optional<LoadReport> &report, TimePoint now);
 
     /// The node beside @p upstream refused the call before it ran.
     void onRefused(const UpstreamName &upstream, Reason reason, Milliseconds retryAfter,
@@ -123,7 +124,7 @@
 
 private:
     UpstreamLoad &recordOf(const UpstreamName &upstream, TimePoint now);
-    void takeReport(UpstreamLoad &load, const LoadReport &report, TimePoint now);
+    void takeReport(UpstreamLoad &load, const std::optional<LoadReport> &report, TimePoint now);
     void addFailure(UpstreamLoad &load, TimePoint now);
 
     LoadViewSettings settings_;
--- a/src/routing/roundrobinstrategy.cpp
+++ b/src/routing/roundrobinstrategy.cpp
@@ -8,12 +8,12 @@
 {
     double total = 0.0;
     std::size_t chosen = 0;
-    double *most = nullptr;
+    double *most = &arrears_[candidates.front()->upstream];
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         double &arrears = arrears_[candidates[index]->upstream];
         arrears += candidates[index]->weight;
         total += candidates[index]->weight;
-        if (most == nullptr || arrears > *most) {
+        if (arrears > *most) {
             most = &arrears;
             chosen = index;
         }
--- a/src/routing/routingstrategy.cpp
+++ b/src/routing/routingstrategy.cpp
@@ -48,6 +48,7 @@
 std::vector<std::string_view> strategyNames()
 {
     std::vector<std::string_view> names;
+    names.reserve(Constructors.size());
     for (const NamedConstructor &entry : Constructors) {
         names.push_back(entry.name);
     }
