--- a/src/routing/waitestimator.cpp
+++ b/src/routing/waitestimator.cpp
@@ -63,7 +63,7 @@
     const bool hasSlots = load != nullptr && load->hasReport && load->report.slots > 0;
     const double slots = hasSlots ? load->report.slots : std::max(candidate.inFlightCap, 1U);
     const double own = load == nullptr ? 0.0 : load->inFlight;
-    const double typicalOthers = std::max(0.0, view.typicalOccupancy() * slots - own);
+    const double typicalOthers = view.typicalOccupancy() * slots;
     if (load == nullptr || !load->hasReport) {
         return (own + typicalOthers) / slots;
     }
