--- a/src/routing/egretpathstrategy.h
+++ b/src/routing/egretpathstrategy.h
@@ -10,7 +10,7 @@
 struct EgretpathSettings
 {
     /// Candidates drawn by weight, of which the one with the lowest predicted time is taken.
-    std::size_t choices = 3;
+    std::size_t choices = 6;
     /// Time in which the weight of a new incarnation rises to its full value.
     Duration warmUp = std::chrono::seconds{5};
     /// Share of its weight that a new incarnation gets at first.
--- a/src/routing/waitestimator.cpp
+++ b/src/routing/waitestimator.cpp
@@ -54,7 +54,7 @@
         // learned of it still looks good. No call ended in this time, so the next will hardly take less.
         service = std::max(service, microseconds(now - load->progressTime));
     }
-    return service;
+    return service < settings_.noiseFactor * typical ? typical : service;
 }
 
 double WaitEstimator::occupancy(const Candidate &candidate, const UpstreamLoad *load, const LoadView &view,
