--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -13,9 +13,8 @@
 constexpr double ServiceTimeGain = 0.1;
 /// A queued call is given up when less than this share of its usual service time is left to its deadline.
 constexpr double LeastServiceShare = 0.5;
-/// Calls at the upstream are on average seen in the middle of their service time, so their mean age is
-/// evidence of at least this share of it.
-constexpr double AgeShare = 0.5;
+/// A call at the upstream is late beyond this many times the smoothed service time.
+constexpr double LateFactor = 2.0;
 
 double microseconds(Duration duration)
 {
@@ -139,18 +138,17 @@
 
 LoadReport Admission::report(TimePoint now) const
 {
-    double ages = 0.0;
-    std::size_t shortCalls = 0;
+    // Guards against an upstream that stops answering: the smoothed time only knows calls that ended, so a
+    // stall would look like the last good moment. The lateness of running calls enters with the weight that it
+    // would have if they ended now.
+    const double smoothed = microseconds(shortServiceTime());
+    double lateness = 0.0;
     for (const auto &[call, running] : running_) {
         if (running.callClass != CallClass::Upload) {
-            ages += microseconds(now - running.start);
-            ++shortCalls;
+            lateness += std::max(0.0, microseconds(now - running.start) - LateFactor * smoothed);
         }
     }
-    // Guards against an upstream that stops answering: the smoothed time only knows calls that ended, so a
-    // stall would look like the last good moment.
-    const double seenNow = shortCalls == 0 ? 0.0 : AgeShare * ages / static_cast<double>(shortCalls);
-    const double service = std::max(microseconds(shortServiceTime()), seenNow);
+    const double service = smoothed + (smoothed > 0.0 ? ServiceTimeGain * lateness : 0.0);
     LoadReport report;
     report.inFlight = static_cast<std::uint32_t>(running_.size());
     report.queued = static_cast<std::uint32_t>(queue_.size());
--- a/src/routing/loadview.cpp
+++ b/src/routing/loadview.cpp
@@ -69,7 +69,10 @@
     ++load.answered;
     const double sample = microseconds(latency);
     smooth(load.latencyMicroseconds, sample, load.hasLatency ? settings_.latencyGain : 1.0);
-    smooth(typicalLatencyMicroseconds_, sample, typicalLatencyMicroseconds_ > 0 ? settings_.occupancyGain : 1.0);
+    ++answers_;
+    // The plain mean at first, so that the first sample does not weigh for long.
+    smooth(typicalLatencyMicroseconds_, sample,
+           std::max(settings_.typicalLatencyGain, 1.0 / static_cast<double>(answers_)));
     load.hasLatency = true;
     load.latencyTime = now;
     load.progressTime = now;
--- a/src/routing/loadview.h
+++ b/src/routing/loadview.h
@@ -51,7 +51,7 @@
 struct LoadViewSettings
 {
     /// Weight of the newest latency in the smoothed one.
-    double latencyGain = 0.3;
+    double latencyGain = 0.1;
     /// Time in which evidence of failures falls to 1/e.
     Duration failureMemory = std::chrono::seconds{5};
     /// Shortest and longest time for which a refusal keeps new calls away.
@@ -59,10 +59,14 @@
     Duration refusalHoldMaximum = Milliseconds{250};
     /// Weight of the newest report in typicalOccupancy().
     double occupancyGain = 0.05;
+    /// Weight of the newest latency in typicalLatencyMicroseconds(). Small, so that a zone that turns slow is
+    /// compared with what was usual before, and does not pass for normal at once.
+    double typicalLatencyGain = 0.002;
 };
 
 /// The ingress's view of the upstreams: own calls in flight, the last reports, latencies and failures seen.
 ///
+/// One view for each service: the typical latency is that of its calls, and an upstream serves one service.
 /// Each call is told once by onSent() and once by exactly one of onAnswered(), onErrorAnswer(),
 /// onRefused(), onFailed() or onCancelled(). An event for an upstream that is not known creates its record.
 /// Thread safety: none; one owner. Errors: none.
@@ -131,6 +135,7 @@
     std::unordered_map<UpstreamName, UpstreamLoad> loads_;
     double typicalOccupancy_ = 0.5;
     double typicalLatencyMicroseconds_ = 0.0;
+    std::uint64_t answers_ = 0;
 };
 
 }
--- a/src/routing/waitestimator.h
+++ b/src/routing/waitestimator.h
@@ -15,7 +15,7 @@
     Duration latencyMemory = std::chrono::seconds{5};
     /// A service time below this many times the typical one counts as typical: a few answers of a skewed
     /// distribution differ that much by chance, and must not outweigh calls in flight.
-    double noiseFactor = 2.0;
+    double noiseFactor = 3.0;
     /// Latency assumed before anything was seen or reported.
     double defaultServiceMicroseconds = 2000.0;
     /// Service times added for each recent failure; this is what keeps quick errors from attracting calls.
