--- a/src/routing/waitestimator.cpp
+++ b/src/routing/waitestimator.cpp
@@ -15,9 +15,9 @@
 }
 
 /// One for something just seen, falling to 1/e at @p memory.
-double freshness(TimePoint seen, Duration memory, TimePoint now)
+double freshness(TimePoint seen, double memoryMicroseconds, TimePoint now)
 {
-    return std::exp(-std::max(0.0, microseconds(now - seen)) / microseconds(memory));
+    return std::exp(-std::max(0.0, microseconds(now - seen)) / memoryMicroseconds);
 }
 
 double mix(double share, double fresh, double fallback)
@@ -32,6 +32,12 @@
 {
 }
 
+double WaitEstimator::typicalMicroseconds(const LoadView &view) const
+{
+    const double seen = view.typicalLatencyMicroseconds();
+    return seen > 0.0 ? seen : settings_.defaultServiceMicroseconds;
+}
+
 double WaitEstimator::serviceMicroseconds(const UpstreamLoad *load, const LoadView &view, TimePoint now) const
 {
     const double typical = view.typicalLatencyMicroseconds() > 0 ? view.typicalLatencyMicroseconds()
@@ -41,12 +47,13 @@
     }
     double service = typical;
     if (load->hasLatency) {
-        service = mix(freshness(load->latencyTime, settings_.latencyMemory, now), load->latencyMicroseconds, typical);
+        service = mix(freshness(load->latencyTime, microseconds(settings_.latencyMemory), now),
+                      load->latencyMicroseconds, typical);
     }
     if (load->hasReport) {
         // A report may raise what was seen here, never lower it: a report that claims to be quick while
         // answers come back late is a lie or out of date.
-        const double fresh = freshness(load->reportTime, settings_.latencyMemory, now);
+        const double fresh = freshness(load->reportTime, microseconds(settings_.latencyMemory), now);
         service = std::max(service, mix(fresh, load->report.serviceTimeMicroseconds, service));
     }
     if (load->inFlight > 0) {
@@ -69,7 +76,8 @@
     }
     const double reported = static_cast<double>(load->report.inFlight) + load->report.queued;
     const double others = std::max(0.0, reported - load->inFlightAtReport);
-    return (own + mix(freshness(load->reportTime, settings_.reportMemory, now), others, typicalOthers)) / slots;
+    const double memory = settings_.reportMemory * typicalMicroseconds(view);
+    return (own + mix(freshness(load->reportTime, memory, now), others, typicalOthers)) / slots;
 }
 
 double WaitEstimator::expectedMicroseconds(const Candidate &candidate, const LoadView &view, TimePoint now) const
--- a/src/routing/waitestimator.h
+++ b/src/routing/waitestimator.h
@@ -9,8 +9,9 @@
 /// Constants of WaitEstimator.
 struct WaitEstimatorSettings
 {
-    /// Age at which a report's occupancy counts 1/e against the typical one.
-    Duration reportMemory = Milliseconds{10};
+    /// Age, in typical latencies, at which a report's occupancy counts 1/e against the typical one. The calls that it
+    /// counted have mostly ended after one service time.
+    double reportMemory = 0.5;
     /// Age at which a latency or service time counts 1/e against the typical latency.
     Duration latencyMemory = std::chrono::seconds{5};
     /// A service time below this many times the typical one counts as typical: a few answers of a skewed
@@ -43,6 +44,8 @@
                                    TimePoint now) const;
 
 private:
+    [[nodiscard]] double typicalMicroseconds(const LoadView &view) const;
+
     WaitEstimatorSettings settings_;
 };
 
