--- a/bench/strategies/load.cpp
+++ b/bench/strategies/load.cpp
@@ -2,7 +2,7 @@
 
 const std::vector<Load> &allLoads()
 {
-    static const std::vector<Load> Loads{
+    static const std::vector<Load> loads{
         {"steady-50", 0.5, 0.0, Fault::None},
         {"steady-80", 0.8, 0.0, Fault::None},
         {"steady-95", 0.95, 0.0, Fault::None},
@@ -15,5 +15,5 @@
         {"full", 1.0, 0.0, Fault::None},
         {"overload-3x", 3.0, 0.0, Fault::None},
     };
-    return Loads;
+    return loads;
 }
--- a/tests/routing/retrytest.cpp
+++ b/tests/routing/retrytest.cpp
@@ -77,8 +77,9 @@
         budget.onFirstTry(Service);
         retries += policy.decide(refusedOnce()) == RetryDecision::Retry ? 1 : 0;
     }
-    CHECK(retries <= Calls / 10 + RetryBudgetSettings{}.serviceBurst);
-    CHECK(retries >= Calls / 10 - 1);
+    constexpr int Share = Calls / 10;
+    CHECK(retries <= Share + static_cast<int>(RetryBudgetSettings{}.serviceBurst));
+    CHECK(retries >= Share - 1);
     CHECK(policy.decide(refusedOnce()) == RetryDecision::BudgetSpent);
 }
 
--- a/tests/routing/routertest.cpp
+++ b/tests/routing/routertest.cpp
@@ -130,7 +130,7 @@
 {
     candidates.clear();
     for (int index = 0; index < 8; ++index) {
-        const std::string name = "near-" + std::to_string(index);
+        const std::string name = numbered("near-", index);
         candidates.push_back(candidateAt(name, "a"));
         for (int call = 0; call < 8 - index; ++call) {
             view.onSent(UpstreamName{name}, Start);
--- a/tests/routing/strategytest.cpp
+++ b/tests/routing/strategytest.cpp
@@ -71,7 +71,7 @@
     for (const char *name : {"random", "two-choices", "egretpath"}) {
         Chooser chooser = threeAlike();
         for (int extra = 0; extra < 9; ++extra) {
-            chooser.candidates.push_back(candidateAt("extra" + std::to_string(extra), "a"));
+            chooser.candidates.push_back(candidateAt(numbered("extra", extra), "a"));
         }
         chooser.candidates[0].weight = 0.01;
         INFO(name);
@@ -112,7 +112,7 @@
     // reports buries it in calls and they are all late.
     Chooser chooser = threeAlike();
     for (int extra = 0; extra < 9; ++extra) {
-        chooser.candidates.push_back(candidateAt("extra" + std::to_string(extra), "a"));
+        chooser.candidates.push_back(candidateAt(numbered("extra", extra), "a"));
     }
     chooser.view.onReplaced(UpstreamName{"one"}, Incarnation{2}, Start);
     const int atFirst = chooser.counts("egretpath", 6000, Start)["one"];
--- a/tests/routing/testcandidates.h
+++ b/tests/routing/testcandidates.h
@@ -16,6 +16,11 @@
     return {UpstreamName{name}, Location{RegionName{region}, ZoneName{zone}}, 1.0, 6};
 }
 
+inline std::string numbered(std::string prefix, int number)
+{
+    return prefix.append(std::to_string(number));
+}
+
 inline LoadReport reportOf(std::uint32_t inFlight, std::uint32_t serviceTimeMicroseconds = 5000)
 {
     return {inFlight, 0, 6, serviceTimeMicroseconds, false};
