idempotency, history: public headers

The node is coded against these while the decisions behind them follow. No behaviour yet; the sources only prove that each header stands on its own.

--- /dev/null
+++ b/src/history/historychecker.cpp
@@ -0,0 +1,1 @@
+#include "history/historychecker.h"
--- /dev/null
+++ b/src/history/historyformat.cpp
@@ -0,0 +1,1 @@
+#include "history/historyformat.h"
--- /dev/null
+++ b/src/history/historyreader.cpp
@@ -0,0 +1,1 @@
+#include "history/historyreader.h"
--- /dev/null
+++ b/src/history/historyrecord.cpp
@@ -0,0 +1,1 @@
+#include "history/historyrecord.h"
--- /dev/null
+++ b/src/history/historywriter.cpp
@@ -0,0 +1,1 @@
+#include "history/historywriter.h"
--- /dev/null
+++ b/src/idempotency/atmostonceguard.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/atmostonceguard.h"
--- /dev/null
+++ b/src/idempotency/callstate.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/callstate.h"
--- /dev/null
+++ b/src/idempotency/idempotencykey.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/idempotencykey.h"
--- /dev/null
+++ b/src/idempotency/keyledger.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/keyledger.h"
--- /dev/null
+++ b/src/idempotency/keyrouter.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/keyrouter.h"
--- /dev/null
+++ b/src/idempotency/latenessguard.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/latenessguard.h"
--- /dev/null
+++ b/src/idempotency/ownerset.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/ownerset.h"
--- /dev/null
+++ b/src/idempotency/requestledger.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/requestledger.h"
--- /dev/null
+++ b/src/idempotency/timedkeyboundary.cpp
@@ -0,0 +1,1 @@
+#include "idempotency/timedkeyboundary.h"
