--- a/src/idempotency/atmostonceguard.h
+++ b/src/idempotency/atmostonceguard.h
@@ -97,8 +97,7 @@
     [[nodiscard]] Result<std::optional<KeyPlace>> placeKey(const IncomingCall &call, TimePoint now, WallTime wall);
     [[nodiscard]] Result<std::optional<KeyPlace>> placeTimedKey(const TimedKey &key, const IncomingCall &call,
                                                                 TimePoint now, WallTime wall);
-    [[nodiscard]] std::optional<Failure> lateness(const IncomingCall &call, const std::optional<KeyPlace> &place,
-                                                  TimePoint now);
+    [[nodiscard]] static Failure lateFailure(const std::optional<KeyPlace> &place);
     [[nodiscard]] BeginDecision beginPlaced(const IncomingCall &call, const std::optional<KeyPlace> &place,
                                             TimePoint now, WallTime wall);
     [[nodiscard]] Failure remember(const TryId &tryId, Failure failure);
--- a/src/idempotency/callstate.h
+++ b/src/idempotency/callstate.h
@@ -56,21 +56,24 @@
 class CallState
 {
 public:
-    /// Precondition: @p triesCap is at least 1.
+    /// Precondition: @p triesCap is at least 1. It counts sendings, so it may be larger than 1 for calls that may run
+    /// once: those are sent again only after a proof that they did not run, or to the owner of their key.
     CallState(CallId id, Repetition repetition, std::uint32_t triesCap, TimePoint deadline);
 
     /// Prepares a try. Nothing may be sent before permitSending().
-    /// Errors: DeadlinePassed; BudgetSpent (cap reached); KeyInUse (an earlier try may still run). The call goes on.
+    /// Errors: DeadlinePassed; BudgetSpent (cap reached); KeyInUse (an earlier try may run, or was meant for another
+    /// upstream than the key's owner); Cancelled (the call ended). The call itself is not ended by them.
     [[nodiscard]] Result<TryId> startTry(const NodeIdentity &target, TimePoint now);
     /// To be called last before the first byte is written, without waiting in between. False: write nothing. From
     /// true on, the try counts as having left.
     [[nodiscard]] bool permitSending(TryNumber number, TimePoint now);
-    /// The try ended without an answer. Its verdict counts only if the try had left; a try that had not is not run.
+    /// The try ended without an answer. A try that had not left is not run. One that had is not run only if the egress
+    /// said so in @p failure; the node itself reports broken connections and silence as may-have-run.
     [[nodiscard]] NextStep tryFailed(TryNumber number, const Failure &failure);
     /// The whole answer to a try arrived. True once at most: give it to the caller.
     [[nodiscard]] bool answered(TryNumber number);
-    /// Ends the call. Nothing if it ended before; else the failure to give to the caller, whose verdict and, for
-    /// may-have-run, reason follow from the tries.
+    /// Ends the call. Nothing if it ended before; else the failure to give to the caller, with the verdict that the
+    /// tries prove. A call with a key is not run only if its owner says so: another call may have run under the key.
     [[nodiscard]] std::optional<Failure> giveUp(Reason reason, Milliseconds retryAfter = Milliseconds{0},
                                                 std::string detail = {});
 
@@ -97,12 +100,14 @@
     {
         NodeIdentity target;
         TryState state = TryState::Prepared;
-        bool provedByOwner = false;
+        bool left = false;
     };
 
     [[nodiscard]] bool ended() const { return end_ != CallPhase::Deciding; }
     [[nodiscard]] Try *find(TryNumber number);
     [[nodiscard]] bool anyTryIn(TryState state) const;
+    [[nodiscard]] bool underWay() const;
+    [[nodiscard]] bool earlierTriesForbid(const NodeIdentity &target) const;
     [[nodiscard]] bool provedNotRun() const;
 
     CallId id_;
--- a/src/idempotency/keyledger.h
+++ b/src/idempotency/keyledger.h
@@ -44,6 +44,8 @@
 /// The request may be run now; the ledger counts it as begun.
 struct RunRequest
 {
+    /// What is left of the call's time; set by AtMostOnceGuard.
+    Duration timeLeft{0};
 };
 
 /// The request ran; this is its answer.
@@ -139,6 +141,7 @@
 
     KeyLedgerLimits limits_;
     Entries entries_;
+    /// Keys that ended, lowest stamp first.
     std::set<KeyId> finishedByStamp_;
     std::deque<KeyId> answersByAge_;
     std::uint64_t answerBytes_ = 0;
--- a/src/idempotency/latenessguard.h
+++ b/src/idempotency/latenessguard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <unordered_map>
 
 #include "core/clock.h"
@@ -12,9 +13,11 @@
 /// Limits of a LatenessGuard.
 struct LatenessLimits
 {
-    /// The least transit is taken over the current and the previous window, so that drift between the two monotonic
-    /// clocks adds up over two windows at most (100 ppm: 12 ms in two minutes).
+    /// The least transit is taken over the current and the previous window with calls, so that a jump of a peer's clock
+    /// is forgotten.
     Duration window = std::chrono::minutes(1);
+    /// How much the two monotonic clocks may drift apart, in parts per million; a least transit ages by it.
+    std::int64_t driftPartsPerMillion = 200;
     /// Peers remembered; beyond it the one unheard for longest is forgotten.
     std::size_t peers = 32'768;
 };
@@ -24,8 +27,9 @@
 /// The least seen difference between arrival here and sending there, by the two processes' monotonic clocks, stands for
 /// clock offset plus least transit. What a call exceeds it by is the time it waited.
 /// It cannot see a wait that all calls of both windows shared, nor that of the first call from a peer, nor the least
-/// transit itself. A peer whose monotonic clock stands still while its VM is suspended makes later calls look late for
-/// up to two windows: they are refused without need, but never run without right.
+/// transit itself, nor waits shorter than the drift since the least was seen. A peer whose monotonic clock stood still
+/// while its VM was suspended makes later calls look late for up to two windows: refused without need, but never run
+/// without right.
 /// Thread safety: none; one strand owns it.
 class LatenessGuard
 {
@@ -42,16 +46,23 @@
     [[nodiscard]] std::size_t peerCount() const { return peers_.size(); }
 
 private:
+    struct Least
+    {
+        Duration difference = Duration::max();
+        TimePoint seenAt;
+    };
+
     struct Peer
     {
         TimePoint windowStart;
-        Duration currentLeast = Duration::max();
-        Duration previousLeast = Duration::max();
+        Least current;
+        Least previous;
         TimePoint heardAt;
     };
 
     void makeRoom();
     void rotate(Peer &peer, TimePoint now) const;
+    [[nodiscard]] Duration aged(const Least &least, TimePoint now) const;
 
     LatenessLimits limits_;
     std::unordered_map<Incarnation, Peer> peers_;
--- a/src/idempotency/requestledger.h
+++ b/src/idempotency/requestledger.h
@@ -33,8 +33,8 @@
 public:
     explicit RequestLedger(RequestLedgerLimits limits = {});
 
-    /// The first message of each connection from an ingress: all its calls from @p nextSequence on are still unsent.
-    /// Changes nothing for an ingress that is remembered.
+    /// The first message of each connection from an ingress. @p nextSequence is one more than the largest sequence that
+    /// it has sent to this egress incarnation so far; 1 if none. Changes nothing for an ingress that is remembered.
     void introduce(Incarnation ingress, CallSequence nextSequence);
 
     /// Nothing if this try arrives for the first time; it is remembered. Else why it may not run: as not run only if
--- a/src/idempotency/timedkeyboundary.h
+++ b/src/idempotency/timedkeyboundary.h
@@ -13,8 +13,11 @@
 /// Assumptions under which keys that callers stamped themselves run at most once.
 struct TimedKeyLimits
 {
-    /// The wall clocks of callers and owners differ by less than this.
-    Milliseconds clockAllowance{5'000};
+    /// The wall clocks of any two owners, and of one owner before and after a restart, differ by less than this.
+    Milliseconds clockAllowance{2'000};
+    /// A key made further ahead of the owner's wall clock is refused. Because of that a caller's wrong clock costs
+    /// only refusals.
+    Milliseconds futureAllowance{2'000};
     /// How long an owner goes on after its table was last confirmed to be current.
     Milliseconds lease{3'000};
 };
@@ -22,8 +25,8 @@
 /// Decides, in the owner, whether a caller-chosen key with a creation time can have run at another owner, or in an
 /// earlier incarnation, and refuses it then.
 ///
-/// Holds only if the wall clocks keep to the allowance and a confirmed table really is the newest one accepted: a
-/// platform that serves old values while it claims they are current breaks it. See docs/matters/at-most-once.md.
+/// Holds only if the owners' wall clocks keep to the allowance and a confirmed table really is the newest one accepted:
+/// a platform that serves old values while it claims they are current breaks it. See docs/matters/at-most-once.md.
 /// Thread safety: none; one strand owns it.
 class TimedKeyBoundary
 {
@@ -43,13 +46,14 @@
     [[nodiscard]] KeyStamp boundary() const { return boundary_; }
 
 private:
-    [[nodiscard]] bool leaseHolds(TimePoint now) const;
+    [[nodiscard]] bool leaseHolds(TimePoint now, WallTime wall) const;
     void raise(WallTime wall, Milliseconds grace);
 
     TimedKeyLimits limits_;
     KeyStamp boundary_;
     std::optional<Digest> ownerSet_;
     TimePoint confirmedAt_;
+    WallTime confirmedAtWall_;
 };
 
 }
