--- a/src/history/historychecker.h
+++ b/src/history/historychecker.h
@@ -69,6 +69,8 @@
     std::size_t notRun = 0;
     std::size_t mayHaveRun = 0;
     std::size_t runs = 0;
+    /// Runs of requests that no caller recorded; the rules for them could only be held by their keys.
+    std::size_t runsWithoutInvocation = 0;
     std::size_t statusSamples = 0;
 };
 
--- a/src/history/historyreader.h
+++ b/src/history/historyreader.h
@@ -24,8 +24,7 @@
 {
 public:
     /// Adds the records of @p path.
-    /// Errors: a file that cannot be opened, or a line that is no record though a line end follows it and the next
-    /// line is not the start of a later run (see HistoryWriter).
+    /// Errors: a file that cannot be opened, or a line with a line end that is no record; file and line are named.
     [[nodiscard]] HistoryResult<void> readFile(const std::string &path);
 
     /// The records so far, sorted by time. Leaves the reader empty.
--- a/src/history/historyrecord.h
+++ b/src/history/historyrecord.h
@@ -74,7 +74,7 @@
     friend bool operator==(const RunStartedRecord &, const RunStartedRecord &) = default;
 };
 
-/// An upstream sent the last byte of an answer.
+/// An upstream ran a request to its end. Written before the last byte of the answer is sent.
 struct RunFinishedRecord
 {
     RequestId request;
@@ -110,7 +110,8 @@
     friend bool operator==(const TableAcceptedRecord &, const TableAcceptedRecord &) = default;
 };
 
-/// A node, or the upstream beside it, was stopped on purpose: from the order to stop until its process was gone.
+/// A process was stopped on purpose: from the order to stop until it was gone. @c node is the identity that the process
+/// itself shows: a node's in status samples, an upstream's in its runs.
 struct PlannedStopRecord
 {
     NodeIdentity node;
