idempotency, history: refused keys can be retired

A caller that hears may-have-run, asks again with the same key, hears not-run and then pays under a fresh key is charged twice if its first message was held up in the network and runs after all. Nothing the owner remembers of a request that never arrived can tell it so. With RefusedKeys::Retire a refused key runs no more, and not-run is final for the key; the price is that a caller needs the fresh key of the answer, and an ingress cannot repeat a refused call itself.

--- a/src/history/historychecker.cpp
+++ b/src/history/historychecker.cpp
@@ -51,7 +51,7 @@
     violations.push_back(std::move(violation));
 }
 
-void checkNotRunIsTrue(const HistoryIndex &index, const HistoryBounds &, Violations &violations)
+void checkNotRunIsTrue(const HistoryIndex &index, const HistoryBounds &bounds, Violations &violations)
 {
     constexpr HistoryRule Rule = HistoryRule::NotRunIsTrue;
     for (const auto &[request, outcomes] : index.outcomes()) {
@@ -66,9 +66,12 @@
         }
         const InvocationRecord *invocation = index.invocation(request);
         const auto byKey = invocation ? index.runsByKey().find(invocation->key) : index.runsByKey().end();
-        // A run that began after this request was sent may follow its refusal under the same key.
-        if (byKey != index.runsByKey().end() && byKey->second.front().record->time < invocation->time) {
-            report(violations, Rule, "the key ran before this request was sent", outcomes, byKey->second);
+        if (byKey == index.runsByKey().end()) {
+            continue;
+        }
+        // Without retirement a run that began after this request was sent may follow its refusal.
+        if (bounds.refusedKeysRetire || byKey->second.front().record->time < invocation->time) {
+            report(violations, Rule, "the key ran", outcomes, byKey->second);
         }
     }
 }
--- a/src/history/historychecker.h
+++ b/src/history/historychecker.h
@@ -15,7 +15,8 @@
 
 /// The promises that a history is held against.
 enum class HistoryRule : std::uint8_t {
-    /// A request that was refused as not run has no run, and its key has none from before the request was sent.
+    /// A request that was refused as not run has no run. Its key has none from before the request was sent, because a
+    /// caller asks about its payment and not about one sending; later requests under the key may run.
     NotRunIsTrue,
     /// A request that may not be repeated ran once at most, and so did its key.
     RanOnce,
@@ -48,6 +49,8 @@
     /// Measuring bytes for each second of an incarnation, beyond the burst.
     std::uint64_t measuringBytesEachSecond = 3'000;
     std::uint64_t measuringBurst = 16'384;
+    /// The system retires refused keys: "not run" then denies every run of the key, also later ones.
+    bool refusedKeysRetire = false;
 };
 
 /// A promise that the history shows broken.
--- a/src/idempotency/atmostonceguard.cpp
+++ b/src/idempotency/atmostonceguard.cpp
@@ -44,7 +44,7 @@
         return remember(call.tryId, place.error());
     }
     if (waited > call.timeLeft) {
-        return remember(call.tryId, lateFailure(place.value()));
+        return remember(call.tryId, lateFailure(call, place.value(), now));
     }
     BeginDecision decision = beginPlaced(call, place.value(), now, wall);
     if (auto *run = std::get_if<RunRequest>(&decision)) {
@@ -152,11 +152,11 @@
     return RunRequest{};
 }
 
-Failure AtMostOnceGuard::lateFailure(const std::optional<KeyPlace> &place)
+Failure AtMostOnceGuard::lateFailure(const IncomingCall &call, const std::optional<KeyPlace> &place, TimePoint now)
 {
     constexpr const char *Detail = "the call waited on its way past its deadline";
     // Of a key, "not run" is said only if nothing ran under it, whichever request brought it.
-    const bool proved = !place || place->ledger->provedNew(place->key);
+    const bool proved = !place || place->ledger->refuse(place->key, call.fingerprint, call.tryId, now);
     return proved ? notRun(Reason::DeadlinePassed, Detail) : mayHaveRun(Reason::DeadlinePassed, Detail);
 }
 
--- a/src/idempotency/atmostonceguard.h
+++ b/src/idempotency/atmostonceguard.h
@@ -97,7 +97,8 @@
     [[nodiscard]] Result<std::optional<KeyPlace>> placeKey(const IncomingCall &call, TimePoint now, WallTime wall);
     [[nodiscard]] Result<std::optional<KeyPlace>> placeTimedKey(const TimedKey &key, const IncomingCall &call,
                                                                 TimePoint now, WallTime wall);
-    [[nodiscard]] static Failure lateFailure(const std::optional<KeyPlace> &place);
+    [[nodiscard]] static Failure lateFailure(const IncomingCall &call, const std::optional<KeyPlace> &place,
+                                             TimePoint now);
     [[nodiscard]] BeginDecision beginPlaced(const IncomingCall &call, const std::optional<KeyPlace> &place,
                                             TimePoint now, WallTime wall);
     [[nodiscard]] Failure remember(const TryId &tryId, Failure failure);
--- a/src/idempotency/keyledger.cpp
+++ b/src/idempotency/keyledger.cpp
@@ -27,7 +27,7 @@
         return decideKnown(position->second, fingerprint);
     }
     forgetOld(now);
-    return decideUnknown(key, fingerprint, tryId, wall);
+    return decideUnknown(key, fingerprint, tryId, now, wall);
 }
 
 BeginDecision KeyLedger::decideKnown(const Entry &entry, const Digest &fingerprint) const
@@ -42,6 +42,8 @@
         return mayHaveRun(Reason::KeyInUse, "a request with this key is running", limits_.inUseRetryAfter);
     case State::Unknown:
         return mayHaveRun(Reason::AnswerNotHeld, "a request with this key was handed over; how it ended is not known");
+    case State::Refused:
+        return notRun(Reason::BadKey, "the key was refused before; use the one that this answer carries");
     case State::Done:
         break;
     }
@@ -51,7 +53,8 @@
     return ReplayAnswer{entry.answer};
 }
 
-BeginDecision KeyLedger::decideUnknown(const KeyId &key, const Digest &fingerprint, const TryId &tryId, WallTime wall)
+BeginDecision KeyLedger::decideUnknown(const KeyId &key, const Digest &fingerprint, const TryId &tryId, TimePoint now,
+                                       WallTime wall)
 {
     // A forgotten key looks like a new one. All forgotten stamps are at or below the boundary.
     if (key.stamp <= boundary_) {
@@ -62,6 +65,7 @@
         return mayHaveRun(Reason::BadKey, "the key's stamp lies ahead of its owner's clock");
     }
     if (runningCount() >= limits_.runningKeys) {
+        (void)refuse(key, fingerprint, tryId, now);
         return notRun(Reason::Overloaded, "too many keys in use", limits_.inUseRetryAfter);
     }
     entries_.emplace(key, Entry{fingerprint, tryId, {}, nullptr, State::Begun});
@@ -98,7 +102,11 @@
         end(position, State::Unknown, now);
         return false;
     }
-    entries_.erase(position);
+    if (limits_.refusedKeys == RefusedKeys::Retire) {
+        end(position, State::Refused, now);
+    } else {
+        entries_.erase(position);
+    }
     return true;
 }
 
@@ -110,9 +118,27 @@
     }
 }
 
-bool KeyLedger::provedNew(const KeyId &key) const
+bool KeyLedger::refuse(const KeyId &key, const Digest &fingerprint, const TryId &tryId, TimePoint now)
 {
-    return key.stamp > boundary_ && !entries_.contains(key);
+    if (!provedNotRun(key)) {
+        return false;
+    }
+    if (limits_.refusedKeys == RefusedKeys::Retire) {
+        const auto [position, isNew] = entries_.emplace(key, Entry{fingerprint, tryId, {}, nullptr, State::Refused});
+        if (isNew) {
+            end(position, State::Refused, now);
+        }
+    }
+    return true;
+}
+
+bool KeyLedger::provedNotRun(const KeyId &key) const
+{
+    const auto position = entries_.find(key);
+    if (position != entries_.end()) {
+        return position->second.state == State::Refused;
+    }
+    return key.stamp > boundary_;
 }
 
 void KeyLedger::forgetOld(TimePoint now)
--- a/src/idempotency/keyledger.h
+++ b/src/idempotency/keyledger.h
@@ -56,9 +56,19 @@
 
 using BeginDecision = std::variant<RunRequest, ReplayAnswer, Failure>;
 
+/// What becomes of a key whose request was refused as not run.
+enum class RefusedKeys : std::uint8_t {
+    /// It may be tried again. "Not run" then speaks of all that arrived so far: an earlier request under the key whose
+    /// end its caller does not know may still arrive and run.
+    StayUsable,
+    /// Nothing runs under it any more: "not run" is final for the key, and its caller needs a fresh one.
+    Retire,
+};
+
 /// Limits of a KeyLedger.
 struct KeyLedgerLimits
 {
+    RefusedKeys refusedKeys = RefusedKeys::StayUsable;
     /// Finished keys remembered at most.
     std::size_t finishedKeys = 100'000;
     /// Begun and unfinished keys at most; further ones are refused as not run.
@@ -87,21 +97,24 @@
     /// Decides on one request under @p key. @p fingerprint covers method, target and body.
     ///
     /// RunRequest: the caller of this method must end it by finished(), abandoned() or unknownOutcome().
-    /// Failures: KeyInUse, AnswerNotHeld, KeyOutOfMemory and BadKey as may-have-run; Overloaded as not run.
+    /// Failures: KeyInUse, AnswerNotHeld, KeyOutOfMemory and BadKey as may-have-run; Overloaded, and BadKey for a
+    /// retired key, as not run.
     [[nodiscard]] BeginDecision begin(const KeyId &key, const Digest &fingerprint, const TryId &tryId, TimePoint now,
                                       WallTime wall);
     /// To be called before the first byte goes to the upstream. False if @p tryId does not hold the key: do not send.
     [[nodiscard]] bool handedOver(const KeyId &key, const TryId &tryId);
     /// The whole answer arrived. Ignored unless @p tryId holds the key.
     void finished(const KeyId &key, const TryId &tryId, HeldAnswer answer, TimePoint now);
-    /// The request ends without having been handed over; the key may be tried again. After handedOver() it counts as
-    /// unknownOutcome(). Returns whether "not run" is proved.
+    /// The request ends without having been handed over. After handedOver() it counts as unknownOutcome(). Returns
+    /// whether "not run" is proved.
     bool abandoned(const KeyId &key, const TryId &tryId, TimePoint now);
     /// Handed over, and how it ended is not known. Later tries are refused as may-have-run.
     void unknownOutcome(const KeyId &key, const TryId &tryId, TimePoint now);
 
+    /// A request under @p key is refused before begin(). Returns whether it is proved that none ran, or runs, here.
+    [[nodiscard]] bool refuse(const KeyId &key, const Digest &fingerprint, const TryId &tryId, TimePoint now);
     /// Whether it is proved that no request ran, or runs, under @p key here.
-    [[nodiscard]] bool provedNew(const KeyId &key) const;
+    [[nodiscard]] bool provedNotRun(const KeyId &key) const;
 
     /// Forgets finished keys past their retention. Call now and then; begin() does so too.
     void forgetOld(TimePoint now);
@@ -117,6 +130,7 @@
         HandedOver,
         Done,
         Unknown,
+        Refused,
     };
 
     struct Entry
@@ -132,7 +146,7 @@
 
     [[nodiscard]] BeginDecision decideKnown(const Entry &entry, const Digest &fingerprint) const;
     [[nodiscard]] BeginDecision decideUnknown(const KeyId &key, const Digest &fingerprint, const TryId &tryId,
-                                              WallTime wall);
+                                              TimePoint now, WallTime wall);
     [[nodiscard]] Entries::iterator running(const KeyId &key, const TryId &tryId);
     void end(Entries::iterator position, State state, TimePoint now);
     void holdAnswer(Entries::iterator position, HeldAnswer answer);
--- a/tests/history/historycheckertest.cpp
+++ b/tests/history/historycheckertest.cpp
@@ -77,7 +77,10 @@
         return add(PlannedStopRecord{node, HistoryTime(ordered), HistoryTime(gone)});
     }
 
-    [[nodiscard]] HistoryReport check() const { return HistoryChecker().check(lines_); }
+    [[nodiscard]] HistoryReport check(const HistoryBounds &bounds = {}) const
+    {
+        return HistoryChecker(bounds).check(lines_);
+    }
 
 private:
     std::vector<HistoryLine> lines_;
@@ -124,7 +127,12 @@
 {
     checkBroken(answered().invoke("r2", 5, "k").fail("r2", 6, Verdict::NotRun), HistoryRule::NotRunIsTrue);
     checkClean(answered().invoke("r2", 5, "other").fail("r2", 6, Verdict::NotRun));
-    checkClean(Script().invoke("r2", 0, "k").fail("r2", 1, Verdict::NotRun).invoke("r1", 2, "k").start("r1", 3, "k"));
+    const Script later =
+        Script().invoke("r2", 0, "k").fail("r2", 1, Verdict::NotRun).invoke("r1", 2, "k").start("r1", 3, "k");
+    checkClean(later);
+    HistoryBounds retiring;
+    retiring.refusedKeysRetire = true;
+    CHECK(later.check(retiring).violations.size() == 1);
     checkClean(Script().invoke("r1", 0).start("r1", 1).invoke("r2", 2).fail("r2", 3, Verdict::NotRun));
 }
 
--- a/tests/idempotency/interleavingstest.cpp
+++ b/tests/idempotency/interleavingstest.cpp
@@ -46,24 +46,19 @@
     return rc::detail::checkTestable(property, metadata, params);
 }
 
-}
-
-TEST_CASE("no interleaving runs a key twice or denies a run")
+void checkFleets(RefusedKeys refusedKeys)
 {
-    // A household is charged twice, or is told that nothing ran and pays again. Ingresses and owners restart, pause and
-    // hold different tables, while messages are lost, copied, late and out of order and memories overflow.
     FleetCounts total;
-    const auto result = checkRuns([&total] {
+    const auto result = checkRuns([&total, refusedKeys] {
         const auto choices = *rc::gen::container<std::vector<std::uint32_t>>(
             *rc::gen::inRange<std::size_t>(300, 1000), rc::gen::inRange<std::uint32_t>(0, ChoiceBound));
-        SimulatedFleet fleet;
+        SimulatedFleet fleet(refusedKeys);
         for (const std::uint32_t choice : choices) {
             fleet.apply(choice);
         }
         fleet.settle(choices.front());
         add(total, fleet.counts());
-        const std::vector<std::string> violations = fleet.violations();
-        RC_ASSERT(violations == std::vector<std::string>());
+        RC_ASSERT(fleet.violations() == std::vector<std::string>());
     });
     std::ostringstream report;
     rc::detail::printResultMessage(result, report);
@@ -80,3 +75,19 @@
                  << total.copiesRefused << ", out of memory " << total.outOfMemory << ", sendings stopped "
                  << total.lateSendings << ", restarts " << total.restarts << ", tables " << total.tableChanges);
 }
+
+}
+
+TEST_CASE("no interleaving runs a key twice or denies a run")
+{
+    // A household is charged twice, or is told that nothing ran and pays again. Ingresses and owners restart, pause and
+    // hold different tables, while messages are lost, copied, late and out of order and memories overflow.
+    checkFleets(RefusedKeys::StayUsable);
+}
+
+TEST_CASE("a key that was said not to have run never runs if refused keys are retired")
+{
+    // An accountant hears "may have run", asks again with the same key, hears "not run" and pays under a fresh key. The
+    // first message was held up in the network and runs then: the payment is made twice.
+    checkFleets(RefusedKeys::Retire);
+}
--- a/tests/idempotency/keyledgertest.cpp
+++ b/tests/idempotency/keyledgertest.cpp
@@ -31,7 +31,7 @@
     KeyLedger ledger;
     run(ledger, keyId(0), "receipt 1", 1);
     CHECK(replayed(ledger.begin(keyId(0), Request, tryId(2), Start, WallStart)) == "receipt 1");
-    CHECK_FALSE(ledger.provedNew(keyId(0)));
+    CHECK_FALSE(ledger.provedNotRun(keyId(0)));
 }
 
 TEST_CASE("a key in use is refused with a time to come back")
@@ -57,7 +57,7 @@
     KeyLedger ledger;
     REQUIRE(runs(ledger.begin(keyId(0), Request, tryId(1), Start, WallStart)));
     CHECK(ledger.abandoned(keyId(0), tryId(1), Start));
-    CHECK(ledger.provedNew(keyId(0)));
+    CHECK(ledger.provedNotRun(keyId(0)));
     REQUIRE(runs(ledger.begin(keyId(0), Request, tryId(2), Start, WallStart)));
     REQUIRE(ledger.handedOver(keyId(0), tryId(2)));
     CHECK_FALSE(ledger.abandoned(keyId(0), tryId(2), Start));
@@ -114,7 +114,7 @@
     checkRefused(ledger.begin(keyId(10), Request, tryId(90), Start, WallStart), Reason::KeyOutOfMemory);
     checkRefused(ledger.begin(keyId(10, 2), Request, tryId(91), Start, WallStart), Reason::KeyOutOfMemory);
     checkRefused(ledger.begin(keyId(5), Request, tryId(92), Start, WallStart), Reason::KeyOutOfMemory);
-    CHECK_FALSE(ledger.provedNew(keyId(5)));
+    CHECK_FALSE(ledger.provedNotRun(keyId(5)));
     CHECK(runs(ledger.begin(keyId(11), Request, tryId(93), Start, WallStart)));
 }
 
@@ -164,5 +164,35 @@
     REQUIRE(runs(ledger.begin(keyId(0), Request, tryId(1), Start, WallStart)));
     const auto second = ledger.begin(keyId(1), Request, tryId(2), Start, WallStart);
     CHECK(refusal(second).verdict == Verdict::NotRun);
-    CHECK(ledger.provedNew(keyId(1)));
+    CHECK(ledger.provedNotRun(keyId(1)));
+}
+
+TEST_CASE("a retired key never runs again, and is said not to have run until it is forgotten")
+{
+    KeyLedgerLimits limits;
+    limits.refusedKeys = RefusedKeys::Retire;
+    limits.finishedKeys = 1;
+    limits.runningKeys = 1;
+    KeyLedger ledger(limits);
+    REQUIRE(runs(ledger.begin(keyId(1), Request, tryId(1), Start, WallStart)));
+    SECTION("refused while it waited")
+    {
+        CHECK(ledger.abandoned(keyId(1), tryId(1), Start));
+        CHECK(refusal(ledger.begin(keyId(1), Request, tryId(2), Start, WallStart)).verdict == Verdict::NotRun);
+        CHECK(ledger.provedNotRun(keyId(1)));
+        run(ledger, keyId(2), "receipt", 3);
+        checkRefused(ledger.begin(keyId(1), Request, tryId(4), Start, WallStart), Reason::KeyOutOfMemory);
+    }
+    SECTION("refused at once")
+    {
+        CHECK(refusal(ledger.begin(keyId(2), Request, tryId(2), Start, WallStart)).reason == Reason::Overloaded);
+        CHECK(ledger.abandoned(keyId(1), tryId(1), Start));
+        CHECK_FALSE(runs(ledger.begin(keyId(2), Request, tryId(2), Start, WallStart)));
+    }
+    SECTION("late")
+    {
+        CHECK(ledger.refuse(keyId(2), Request, tryId(2), Start));
+        CHECK_FALSE(ledger.refuse(keyId(1), Request, tryId(2), Start));
+        CHECK_FALSE(runs(ledger.begin(keyId(2), Request, tryId(2), Start, WallStart)));
+    }
 }
--- a/tests/idempotency/simulatedfleet.cpp
+++ b/tests/idempotency/simulatedfleet.cpp
@@ -34,9 +34,10 @@
 }
 
 /// Small memories and short allowances, so that a few dozen events exhaust them.
-AtMostOnceLimits tightLimits()
+AtMostOnceLimits tightLimits(RefusedKeys refusedKeys)
 {
     AtMostOnceLimits limits;
+    limits.keys.refusedKeys = refusedKeys;
     limits.keys.finishedKeys = 2;
     limits.keys.runningKeys = 3;
     limits.keys.answerBytes = Bytes(3 * answer(toHex(Digest{})).size().value());
@@ -74,8 +75,9 @@
     {&SimulatedFleet::confirmTable, 90}, {&SimulatedFleet::passTime, 60},
 };
 
-SimulatedFleet::SimulatedFleet()
-    : now_(Start)
+SimulatedFleet::SimulatedFleet(RefusedKeys refusedKeys)
+    : refusedKeys_(refusedKeys)
+    , now_(Start)
     , wall_(WallStart)
     , router_(KeyRouter::standard(true))
 {
@@ -350,8 +352,8 @@
     egress.incarnation = Incarnation(++incarnations_);
     egress.queued.clear();
     egress.handedOver.clear();
-    egress.guard =
-        std::make_unique<AtMostOnceGuard>(NodeIdentity{egress.name, egress.incarnation}, tightLimits(), wallOf(egress));
+    egress.guard = std::make_unique<AtMostOnceGuard>(NodeIdentity{egress.name, egress.incarnation},
+                                                     tightLimits(refusedKeys_), wallOf(egress));
 }
 
 void SimulatedFleet::restartIngress(Random &random)
@@ -512,7 +514,8 @@
         }
         for (const Run &run : runs_) {
             const bool sameKey = !run.key.empty() && run.key == invocation.key;
-            if (run.call == call || (sameKey && run.step < invocation.step)) {
+            const bool keyDenied = refusedKeys_ == RefusedKeys::Retire || run.step < invocation.step;
+            if (run.call == call || (sameKey && keyDenied)) {
                 found.push_back("ran, and was said not to have run: " + invocation.key);
             }
         }
--- a/tests/idempotency/simulatedfleet.h
+++ b/tests/idempotency/simulatedfleet.h
@@ -36,7 +36,7 @@
 class SimulatedFleet
 {
 public:
-    SimulatedFleet();
+    explicit SimulatedFleet(RefusedKeys refusedKeys);
 
     void apply(std::uint32_t choice);
     /// Lets everything that is under way arrive, in the order of @p seed.
@@ -156,6 +156,7 @@
     void concludeWith(const CallId &call, const std::optional<Failure> &failure);
     void checkAnswer(const Call &call, const HeldAnswer &answer);
 
+    RefusedKeys refusedKeys_;
     TimePoint now_;
     WallTime wall_;
     std::uint64_t step_ = 0;
