--- a/src/history/historychecker.cpp
+++ b/src/history/historychecker.cpp
@@ -65,7 +65,10 @@
             continue;
         }
         const InvocationRecord *invocation = index.invocation(request);
-        const auto byKey = invocation ? index.runsByKey().find(invocation->key) : index.runsByKey().end();
+        if (invocation == nullptr) {
+            continue;
+        }
+        const auto byKey = index.runsByKey().find(invocation->key);
         if (byKey == index.runsByKey().end()) {
             continue;
         }
@@ -249,6 +252,7 @@
         note(sample.record->table, sample.record->time);
     }
     std::vector<std::pair<HistoryTime, TableNumber>> result;
+    result.reserve(first.size());
     for (const auto &[table, time] : first) {
         result.emplace_back(time, table);
     }
--- a/src/idempotency/atmostonceguard.cpp
+++ b/src/idempotency/atmostonceguard.cpp
@@ -5,7 +5,7 @@
 namespace Egretpath
 {
 
-AtMostOnceGuard::AtMostOnceGuard(NodeIdentity self, AtMostOnceLimits limits, WallTime startedAt)
+AtMostOnceGuard::AtMostOnceGuard(NodeIdentity self, AtMostOnceLimits limits)
     : self_(std::move(self))
     , requests_(limits.requests)
     , lateness_(limits.lateness)
@@ -13,7 +13,7 @@
     , timedKeys_(limits.keys)
 {
     if (limits.timedKeys) {
-        timedKeyBoundary_.emplace(*limits.timedKeys, startedAt);
+        timedKeyBoundary_.emplace(*limits.timedKeys);
     }
 }
 
--- a/src/idempotency/atmostonceguard.h
+++ b/src/idempotency/atmostonceguard.h
@@ -55,7 +55,7 @@
 class AtMostOnceGuard
 {
 public:
-    AtMostOnceGuard(NodeIdentity self, AtMostOnceLimits limits, WallTime startedAt);
+    AtMostOnceGuard(NodeIdentity self, AtMostOnceLimits limits);
 
     /// See RequestLedger::introduce().
     void introduce(Incarnation ingress, CallSequence nextSequence);
--- a/src/idempotency/timedkeyboundary.cpp
+++ b/src/idempotency/timedkeyboundary.cpp
@@ -5,17 +5,16 @@
 namespace Egretpath
 {
 
-TimedKeyBoundary::TimedKeyBoundary(TimedKeyLimits limits, WallTime startedAt)
+TimedKeyBoundary::TimedKeyBoundary(TimedKeyLimits limits)
     : limits_(limits)
 {
-    raise(startedAt, Milliseconds{0});
 }
 
 void TimedKeyBoundary::confirmed(const Digest &ownerSet, bool sawEveryTable, TimePoint now, WallTime wall)
 {
     // Whoever owned the keys before may take them until its own lease runs out, so until then they are refused here.
     if (ownerSet_ != ownerSet || !sawEveryTable || !leaseHolds(now, wall)) {
-        raise(wall, limits_.lease);
+        raise(wall);
     }
     ownerSet_ = ownerSet;
     confirmedAt_ = now;
@@ -49,9 +48,9 @@
     return ownerSet_ && now - confirmedAt_ < limits_.lease && wall - confirmedAtWall_ < limits_.lease;
 }
 
-void TimedKeyBoundary::raise(WallTime wall, Milliseconds grace)
+void TimedKeyBoundary::raise(WallTime wall)
 {
-    boundary_ = std::max(boundary_, stampOf(wall + limits_.clockAllowance + limits_.futureAllowance + grace));
+    boundary_ = std::max(boundary_, stampOf(wall + limits_.clockAllowance + limits_.futureAllowance + limits_.lease));
 }
 
 }
--- a/src/idempotency/timedkeyboundary.h
+++ b/src/idempotency/timedkeyboundary.h
@@ -31,8 +31,8 @@
 class TimedKeyBoundary
 {
 public:
-    /// @p startedAt is the wall time at which this incarnation began to take calls.
-    TimedKeyBoundary(TimedKeyLimits limits, WallTime startedAt);
+    /// Takes no keys before the first confirmed(), which raises the boundary above the start of this incarnation.
+    explicit TimedKeyBoundary(TimedKeyLimits limits);
 
     /// The table in force was confirmed to be the newest one; @p ownerSet is this service's set in it.
     /// @p sawEveryTable: no accepted table was skipped since the last confirmation. A skipped one may have moved keys
@@ -47,10 +47,10 @@
 
 private:
     [[nodiscard]] bool leaseHolds(TimePoint now, WallTime wall) const;
-    void raise(WallTime wall, Milliseconds grace);
+    void raise(WallTime wall);
 
     TimedKeyLimits limits_;
-    KeyStamp boundary_;
+    KeyStamp boundary_{0};
     std::optional<Digest> ownerSet_;
     TimePoint confirmedAt_;
     WallTime confirmedAtWall_;
--- a/tests/idempotency/hardcasestest.cpp
+++ b/tests/idempotency/hardcasestest.cpp
@@ -18,7 +18,7 @@
 
 AtMostOnceGuard guardOf(const NodeIdentity &self, const AtMostOnceLimits &limits = {})
 {
-    AtMostOnceGuard guard(self, limits, WallStart);
+    AtMostOnceGuard guard(self, limits);
     guard.introduce(Incarnation(IngressA), CallSequence(1));
     guard.introduce(Incarnation(IngressB), CallSequence(1));
     return guard;
@@ -210,6 +210,17 @@
     CHECK(guard.openCalls() == 0);
 }
 
+TEST_CASE("a call is handed over once")
+{
+    AtMostOnceGuard guard = guardOf(Owner);
+    for (const auto &key : {std::optional<KeyText>(), std::optional(issued(Owner))}) {
+        const TryId id = tryId(key ? 1 : 2);
+        REQUIRE(runs(guard.begin(incoming(id, key), Start, WallStart)));
+        CHECK(guard.handedOver(id));
+        CHECK_FALSE(guard.handedOver(id));
+    }
+}
+
 TEST_CASE("a cancelled call is not handed over any more")
 {
     AtMostOnceGuard guard = guardOf(Owner);
--- a/tests/idempotency/simulatedfleet.cpp
+++ b/tests/idempotency/simulatedfleet.cpp
@@ -104,13 +104,18 @@
     }
 }
 
-void SimulatedFleet::apply(std::uint32_t choice)
+std::uint32_t SimulatedFleet::totalWeight()
 {
     std::uint32_t total = 0;
     for (const WeightedEvent &item : Events) {
         total += item.weight;
     }
-    std::uint32_t place = choice % total;
+    return std::max(total, 1U);
+}
+
+void SimulatedFleet::apply(std::uint32_t choice)
+{
+    std::uint32_t place = choice % totalWeight();
     ++step_;
     for (const WeightedEvent &item : Events) {
         if (place < item.weight) {
@@ -352,8 +357,8 @@
     egress.incarnation = Incarnation(++incarnations_);
     egress.queued.clear();
     egress.handedOver.clear();
-    egress.guard = std::make_unique<AtMostOnceGuard>(NodeIdentity{egress.name, egress.incarnation},
-                                                     tightLimits(refusedKeys_), wallOf(egress));
+    egress.guard =
+        std::make_unique<AtMostOnceGuard>(NodeIdentity{egress.name, egress.incarnation}, tightLimits(refusedKeys_));
 }
 
 void SimulatedFleet::restartIngress(Random &random)
--- a/tests/idempotency/simulatedfleet.h
+++ b/tests/idempotency/simulatedfleet.h
@@ -119,6 +119,7 @@
         std::uint32_t weight;
     };
     static const std::vector<WeightedEvent> Events;
+    [[nodiscard]] static std::uint32_t totalWeight();
 
     void invoke(Random &random);
     void sendPrepared(Random &random);
--- a/tests/idempotency/timedkeyboundarytest.cpp
+++ b/tests/idempotency/timedkeyboundarytest.cpp
@@ -17,7 +17,7 @@
 /// An owner whose set was confirmed at its start; its boundary lies at Clock + Future + Lease after the start.
 TimedKeyBoundary confirmedOwner()
 {
-    TimedKeyBoundary boundary({Clock, Future, Lease}, WallStart);
+    TimedKeyBoundary boundary({Clock, Future, Lease});
     boundary.confirmed(Set, true, Start, WallStart);
     return boundary;
 }
@@ -57,7 +57,7 @@
 
 TEST_CASE("an owner that was not confirmed within its lease takes no keys")
 {
-    TimedKeyBoundary boundary({Clock, Future, Lease}, WallStart);
+    TimedKeyBoundary boundary({Clock, Future, Lease});
     CHECK(check(boundary, 20s, 20s)->reason == Reason::NoTable);
     keepConfirmed(boundary, 0s, 10s);
     CHECK_FALSE(check(boundary, 9s, 10s + Lease - 1ms));
@@ -66,6 +66,10 @@
     {
         CHECK(boundary.check(keyId(9000), Set, Start + 10s, WallStart + 10s + Lease)->reason == Reason::NoTable);
     }
+    SECTION("nor if the wall clock was set back meanwhile")
+    {
+        CHECK(boundary.check(keyId(9000), Set, Start + 10s + Lease, WallStart + 10s)->reason == Reason::NoTable);
+    }
     SECTION("and after a gap it refuses what another owner may have taken meanwhile")
     {
         boundary.confirmed(Set, true, Start + 14s, WallStart + 14s);
