idempotency: comparisons written out, for the linter

clang-tidy 14 reports modernize-use-nullptr inside the body that the compiler makes for a defaulted operator<=>. Switching the check off was ruled out; written-out comparisons mean the same.

--- a/src/idempotency/callid.h
+++ b/src/idempotency/callid.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <tuple>
 
 #include "core/strongtype.h"
 
@@ -20,7 +21,11 @@
     Incarnation ingress;
     CallSequence sequence;
 
-    friend auto operator<=>(const CallId &, const CallId &) = default;
+    friend bool operator==(const CallId &, const CallId &) = default;
+    friend auto operator<=>(const CallId &left, const CallId &right)
+    {
+        return std::tie(left.ingress, left.sequence) <=> std::tie(right.ingress, right.sequence);
+    }
 };
 
 /// One sending of a call to one egress. A try is sent once; what arrives a second time is a copy.
@@ -29,7 +34,11 @@
     CallId call;
     TryNumber number;
 
-    friend auto operator<=>(const TryId &, const TryId &) = default;
+    friend bool operator==(const TryId &, const TryId &) = default;
+    friend auto operator<=>(const TryId &left, const TryId &right)
+    {
+        return std::tie(left.call, left.number) <=> std::tie(right.call, right.number);
+    }
 };
 
 }
--- a/src/idempotency/idempotencykey.h
+++ b/src/idempotency/idempotencykey.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "core/clock.h"
 #include "core/digest.h"
@@ -31,7 +32,11 @@
     KeyStamp stamp;
     Digest nonce;
 
-    friend auto operator<=>(const KeyId &, const KeyId &) = default;
+    friend bool operator==(const KeyId &, const KeyId &) = default;
+    friend auto operator<=>(const KeyId &left, const KeyId &right)
+    {
+        return std::tie(left.stamp, left.nonce) <=> std::tie(right.stamp, right.nonce);
+    }
 };
 
 /// A key issued by egretpath. It names the one node incarnation that may run requests under it.
--- a/src/idempotency/requestledger.h
+++ b/src/idempotency/requestledger.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <list>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 
 #include "core/verdict.h"
@@ -58,7 +59,10 @@
         CallSequence sequence;
         TryNumber number;
 
-        friend auto operator<=>(const Floor &, const Floor &) = default;
+        friend auto operator<=>(const Floor &left, const Floor &right)
+        {
+            return std::tie(left.sequence, left.number) <=> std::tie(right.sequence, right.number);
+        }
     };
 
     struct Ingress
