idempotency, history: one name for each kind of call id; the checker knows cancelled runs and shed answers

The name was taken by admission's CallId. A stop does not cut a run whose deadline or caller ended it, and a server error that names no request cannot be held to a run: such answers are counted, not passed over in silence.

--- a/bench/idempotency/idempotencymemory.cpp
+++ b/bench/idempotency/idempotencymemory.cpp
@@ -23,7 +23,7 @@
 
 TryId tryId(std::uint64_t sequence)
 {
-    return TryId{CallId{Incarnation(1), CallSequence(sequence)}, TryNumber(1)};
+    return TryId{IngressCallId{Incarnation(1), CallSequence(sequence)}, TryNumber(1)};
 }
 
 std::size_t heapInUse()
--- a/src/history/historychecker.h
+++ b/src/history/historychecker.h
@@ -24,7 +24,7 @@
     AnswerIsWholeAndOwn,
     /// No run starts later than the bound after its upstream began to leave.
     NoWorkAfterLeaving,
-    /// A planned stop cuts neither a run nor a caller.
+    /// A planned stop cuts neither a run nor a caller. A run that its deadline or its caller cancelled was not cut.
     StopCutsNothing,
     /// The table number in force never falls at a node incarnation, and one number has one content.
     TableNeverFalls,
@@ -69,6 +69,8 @@
     std::size_t invocations = 0;
     std::size_t outcomes = 0;
     std::size_t answered = 0;
+    /// Answers with a server error that named no request, as an upstream gives when it sheds load: not held to a run.
+    std::size_t uncheckedAnswers = 0;
     std::size_t notRun = 0;
     std::size_t mayHaveRun = 0;
     std::size_t runs = 0;
--- a/src/history/historyrecord.h
+++ b/src/history/historyrecord.h
@@ -35,7 +35,7 @@
     HistoryKey key;
     ServiceName service;
     bool repeatable = false;
-    /// The node that the caller sent it to.
+    /// The node that the caller sent it to, by the name that planned stops use; the incarnation may be unknown.
     NodeIdentity ingress;
     BodySummary body;
     HistoryTime time;
--- a/src/idempotency/callstate.cpp
+++ b/src/idempotency/callstate.cpp
@@ -6,7 +6,7 @@
 namespace Egretpath
 {
 
-CallState::CallState(CallId id, Repetition repetition, std::uint32_t triesCap, TimePoint deadline)
+CallState::CallState(IngressCallId id, Repetition repetition, std::uint32_t triesCap, TimePoint deadline)
     : id_(id)
     , repetition_(repetition)
     , triesCap_(triesCap)
--- a/src/idempotency/callstate.h
+++ b/src/idempotency/callstate.h
@@ -8,7 +8,7 @@
 #include "core/clock.h"
 #include "core/identity.h"
 #include "core/verdict.h"
-#include "idempotency/callid.h"
+#include "idempotency/ingresscallid.h"
 
 namespace Egretpath
 {
@@ -58,7 +58,7 @@
 public:
     /// Precondition: @p triesCap is at least 1. It counts sendings, so it may be larger than 1 for calls that may run
     /// once: those are sent again only after a proof that they did not run, or to the owner of their key.
-    CallState(CallId id, Repetition repetition, std::uint32_t triesCap, TimePoint deadline);
+    CallState(IngressCallId id, Repetition repetition, std::uint32_t triesCap, TimePoint deadline);
 
     /// Prepares a try. Nothing may be sent before permitSending().
     /// Errors: DeadlinePassed; BudgetSpent (cap reached); KeyInUse (an earlier try may run, or was meant for another
@@ -81,7 +81,7 @@
     [[nodiscard]] std::optional<Failure> refuse(const Failure &failure);
 
     [[nodiscard]] CallPhase phase() const;
-    [[nodiscard]] const CallId &id() const { return id_; }
+    [[nodiscard]] const IngressCallId &id() const { return id_; }
     [[nodiscard]] TimePoint deadline() const { return deadline_; }
     /// Tries that left and have not ended; cancel them after the verdict.
     [[nodiscard]] std::vector<TryId> outstanding() const;
@@ -110,7 +110,7 @@
     [[nodiscard]] bool earlierTriesForbid(const NodeIdentity &target) const;
     [[nodiscard]] bool provedNotRun() const;
 
-    CallId id_;
+    IngressCallId id_;
     Repetition repetition_;
     std::uint32_t triesCap_;
     TimePoint deadline_;
--- a/src/idempotency/callid.h
+++ b/src/idempotency/ingresscallid.h
@@ -16,13 +16,13 @@
 using TryNumber = StrongType<struct TryNumberTag, std::uint32_t>;
 
 /// One call, named by the ingress that took it. Unique without a clock, because incarnations are drawn at random.
-struct CallId
+struct IngressCallId
 {
     Incarnation ingress;
     CallSequence sequence;
 
-    friend bool operator==(const CallId &, const CallId &) = default;
-    friend auto operator<=>(const CallId &left, const CallId &right)
+    friend bool operator==(const IngressCallId &, const IngressCallId &) = default;
+    friend auto operator<=>(const IngressCallId &left, const IngressCallId &right)
     {
         return std::tie(left.ingress, left.sequence) <=> std::tie(right.ingress, right.sequence);
     }
@@ -31,7 +31,7 @@
 /// One sending of a call to one egress. A try is sent once; what arrives a second time is a copy.
 struct TryId
 {
-    CallId call;
+    IngressCallId call;
     TryNumber number;
 
     friend bool operator==(const TryId &, const TryId &) = default;
--- a/src/idempotency/keyledger.h
+++ b/src/idempotency/keyledger.h
@@ -13,8 +13,8 @@
 #include "core/clock.h"
 #include "core/digest.h"
 #include "core/verdict.h"
-#include "idempotency/callid.h"
 #include "idempotency/idempotencykey.h"
+#include "idempotency/ingresscallid.h"
 
 namespace Egretpath
 {
--- a/src/idempotency/requestledger.h
+++ b/src/idempotency/requestledger.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 
 #include "core/verdict.h"
-#include "idempotency/callid.h"
+#include "idempotency/ingresscallid.h"
 
 namespace Egretpath
 {
--- a/tests/history/historycheckertest.cpp
+++ b/tests/history/historycheckertest.cpp
@@ -154,6 +154,9 @@
     checkBroken(Script(ran).answer("r1", 4, ""), Rule);
     checkBroken(Script().invoke("r1", 1).start("r1", 2).answer("r1", 4, "r1"), Rule);
     checkBroken(Script(ran).invoke("r2", 4).answer("r2", 5, "r1"), Rule);
+    const OutcomeRecord shed{RequestId("r1"), Verdict::Answered, "", 503, Answer, {}, false, HistoryTime(2)};
+    checkClean(Script().invoke("r1", 1).add(shed));
+    CHECK(Script().invoke("r1", 1).add(shed).check().uncheckedAnswers == 1);
 }
 
 TEST_CASE("an answer repeated from memory names the request that ran under the same key")
@@ -177,6 +180,10 @@
     checkClean(answered().stop(Upstream, 2, 5));
     checkBroken(Script().invoke("r1", 1).start("r1", 2).stop(Upstream, 3, 5), Rule);
     checkClean(Script().invoke("r1", 1).start("r1", 2).stop(OtherUpstream, 3, 5));
+    const Script cancelled =
+        Script().invoke("r1", 1).start("r1", 2).fail("r1", 4, Verdict::MayHaveRun, "deadline-passed");
+    checkClean(Script(cancelled).stop(Upstream, 3, 5));
+    checkBroken(Script().invoke("r1", 1).start("r1", 2).stop({Upstream.upstream, Incarnation(0)}, 3, 5), Rule);
     const NodeIdentity node{Upstream.upstream, Incarnation(77)};
     const Script lost = Script().invoke("r1", 1).start("r1", 2).finish("r1", 4);
     checkBroken(Script(lost).fail("r1", 5, Verdict::MayHaveRun, "connection-lost").stop(node, 3, 5), Rule);
