--- /dev/null
+++ b/src/http/httpclientcall.cpp
@@ -0,0 +1,84 @@
+#include "http/httpclientcall.h"
+
+#include <utility>
+
+#include "http/httpclientconnection.h"
+
+namespace Egretpath
+{
+
+HttpClientCall::HttpClientCall(std::shared_ptr<HttpClientConnection> connection)
+    : connection_(std::move(connection))
+{
+}
+
+HttpClientCall::~HttpClientCall()
+{
+    connection_->endCall();
+}
+
+Result<void> HttpClientCall::sendHead(const HttpRequestHead &head)
+{
+    return connection_->sendHead(head);
+}
+
+boost::asio::awaitable<Result<void>> HttpClientCall::writeBody(std::string chunk)
+{
+    return connection_->writeBody(std::move(chunk));
+}
+
+boost::asio::awaitable<Result<void>> HttpClientCall::finishRequest()
+{
+    return connection_->finishRequest();
+}
+
+boost::asio::awaitable<Result<void>> HttpClientCall::sendRequest(HttpRequestHead head, std::string body)
+{
+    return connection_->sendRequest(std::move(head), std::move(body));
+}
+
+boost::asio::awaitable<Result<HttpResponseHead>> HttpClientCall::readHead()
+{
+    return connection_->readHead();
+}
+
+boost::asio::awaitable<Result<std::string>> HttpClientCall::readBody()
+{
+    return connection_->readBody();
+}
+
+boost::asio::awaitable<Result<std::string>> HttpClientCall::readWholeBody(Bytes limit)
+{
+    std::string whole;
+    for (;;) {
+        auto piece = co_await connection_->readBody();
+        if (!piece) {
+            co_return piece.error();
+        }
+        if (piece.value().empty()) {
+            co_return whole;
+        }
+        if (whole.size() + piece.value().size() > limit.value()) {
+            cancel();
+            co_return mayHaveRun(Reason::TooLarge, "the response is over the limit");
+        }
+        whole += piece.value();
+    }
+}
+
+bool HttpClientCall::firstByteSent() const
+{
+    return connection_->firstByteSent();
+}
+
+bool HttpClientCall::reused() const
+{
+    return connection_->reused();
+}
+
+void HttpClientCall::cancel()
+{
+    connection_->cancel();
+}
+
+}
--- /dev/null
+++ b/src/http/httpserverstate.cpp
@@ -0,0 +1,161 @@
+#include "http/httpserverstate.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "http/httpserverconnection.h"
+#include "http/socketio.h"
+#include "http/tcpendpoint.h"
+
+namespace Egretpath
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+/// When the process is out of file descriptors every accept fails at once; the pause keeps the loop from spinning.
+constexpr Milliseconds AcceptPause{10};
+
+/// Connections over the limit are answered with 503, which takes a moment; beyond this many they are only closed.
+constexpr std::size_t RefusalFactor = 2;
+
+}
+
+HttpServerState::HttpServerState(asio::any_io_executor executor, HttpLimits limits, HttpServer::Handler handler)
+    : executor_(std::move(executor))
+    , limits_(std::move(limits))
+    , handler_(std::move(handler))
+    , empty_(executor_, asio::steady_timer::time_point::max())
+{
+}
+
+Result<Endpoint> HttpServerState::listen(const tcp::endpoint &endpoint)
+{
+    auto acceptor = std::make_shared<Acceptor>(executor_);
+    error_code error;
+    acceptor->open(endpoint.protocol(), error);
+    if (!error) {
+        acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor->bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor->listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return notRun(Reason::ConnectFailed, "cannot listen: " + error.message());
+    }
+    acceptor->non_blocking(true);
+    acceptors_.push_back(acceptor);
+    asio::co_spawn(
+        executor_,
+        [self = shared_from_this(), acceptor]() -> asio::awaitable<void> { return self->acceptLoop(acceptor); },
+        asio::detached);
+    return toEndpoint(acceptor->local_endpoint());
+}
+
+asio::awaitable<void> HttpServerState::acceptLoop(std::shared_ptr<Acceptor> acceptor)
+{
+    asio::steady_timer pause(executor_);
+    while (acceptor->is_open()) {
+        error_code error;
+        tcp::socket socket = co_await acceptor->async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            startConnection(std::move(socket));
+        } else if (acceptor->is_open()) {
+            pause.expires_after(AcceptPause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+}
+
+void HttpServerState::startConnection(tcp::socket socket)
+{
+    error_code error;
+    const tcp::endpoint remote = socket.remote_endpoint(error);
+    if (error) {
+        return; // The caller was gone before it was accepted.
+    }
+    if (connections_.size() >= RefusalFactor * limits_.connections) {
+        return; // Not even a refusal is affordable.
+    }
+    prepareSocket(socket);
+    ++counts_.acceptedConnections;
+    auto connection = std::make_shared<HttpServerConnection>(std::move(socket), toEndpoint(remote), shared_from_this());
+    const bool overLimit = connections_.size() >= limits_.connections;
+    counts_.refusedConnections += overLimit ? 1 : 0;
+    connections_.insert(connection.get());
+    asio::co_spawn(
+        executor_, [connection, overLimit] { return overLimit ? connection->refuse() : connection->run(); },
+        asio::detached);
+}
+
+void HttpServerState::stopAccepting()
+{
+    if (std::exchange(stopping_, true)) {
+        return;
+    }
+    for (const std::shared_ptr<Acceptor> &acceptor : acceptors_) {
+        acceptBacklog(*acceptor);
+        error_code ignored;
+        acceptor->close(ignored);
+    }
+    acceptors_.clear();
+    for (HttpServerConnection *connection : connections_) {
+        connection->beginStop();
+    }
+    if (connections_.empty()) {
+        empty_.cancel();
+    }
+}
+
+/// The kernel completed these connections already: closing the listener would reset callers whose request may be on
+/// its way. They are taken first.
+void HttpServerState::acceptBacklog(Acceptor &acceptor)
+{
+    for (;;) {
+        error_code error;
+        tcp::socket socket(executor_);
+        acceptor.accept(socket, error);
+        if (error) {
+            return;
+        }
+        startConnection(std::move(socket));
+    }
+}
+
+asio::awaitable<void> HttpServerState::drained()
+{
+    const auto self = shared_from_this();
+    while (!stopping_ || !connections_.empty()) {
+        error_code ignored;
+        co_await empty_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void HttpServerState::closeAll()
+{
+    stopAccepting();
+    for (HttpServerConnection *connection : connections_) {
+        connection->drop();
+    }
+}
+
+void HttpServerState::removeConnection(HttpServerConnection *connection)
+{
+    connections_.erase(connection);
+    if (stopping_ && connections_.empty()) {
+        empty_.cancel();
+    }
+}
+
+}
--- /dev/null
+++ b/src/http/socketio.cpp
@@ -0,0 +1,79 @@
+#include "http/socketio.h"
+
+#include <array>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/socket_base.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Egretpath
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+void prepareSocket(asio::ip::tcp::socket &socket)
+{
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+}
+
+asio::awaitable<error_code> readSome(asio::ip::tcp::socket &socket, ReadBuffer &buffer)
+{
+    const std::size_t space = buffer.prepare();
+    if (space == 0) {
+        co_return asio::error::no_buffer_space;
+    }
+    error_code error;
+    const std::size_t count = co_await socket.async_read_some(asio::buffer(buffer.space(), space),
+                                                              asio::redirect_error(asio::use_awaitable, error));
+    buffer.commit(count);
+    co_return error;
+}
+
+asio::awaitable<error_code> writeAll(asio::ip::tcp::socket &socket, std::string_view data, std::size_t &written)
+{
+    error_code error;
+    while (!data.empty()) {
+        std::size_t count = socket.write_some(asio::buffer(data.data(), data.size()), error);
+        if (error == asio::error::would_block) {
+            count = co_await socket.async_write_some(asio::buffer(data.data(), data.size()),
+                                                     asio::redirect_error(asio::use_awaitable, error));
+        }
+        written += count;
+        if (error) {
+            co_return error;
+        }
+        data.remove_prefix(count);
+    }
+    co_return error;
+}
+
+SocketState peekState(asio::ip::tcp::socket &socket)
+{
+    std::array<char, 1> byte{};
+    error_code error;
+    const std::size_t count = socket.receive(asio::buffer(byte), asio::socket_base::message_peek, error);
+    if (error == asio::error::would_block) {
+        return SocketState::Quiet;
+    }
+    return error || count == 0 ? SocketState::Closed : SocketState::Readable;
+}
+
+void resetSocket(asio::ip::tcp::socket &socket)
+{
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+void closeSocket(asio::ip::tcp::socket &socket)
+{
+    error_code ignored;
+    socket.close(ignored);
+}
+
+}
--- /dev/null
+++ b/tests/http/httpclienttest.cpp
@@ -0,0 +1,305 @@
+#include "http/httpconnectionpool.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "eventloop.h"
+#include "http/httpserver.h"
+#include "rawconnection.h"
+
+using namespace Egretpath;
+namespace asio = boost::asio;
+
+namespace
+{
+
+TimePoint soon(Duration duration = std::chrono::seconds(10))
+{
+    return std::chrono::steady_clock::now() + duration;
+}
+
+/// The outcome of a GET whose other side answers with @p answer and closes.
+asio::awaitable<Result<std::string>> getFrom(EventLoop &loop, HttpConnectionPool &pool, std::string answer)
+{
+    RawListener listener(loop.executor());
+    auto opened = co_await pool.open(listener.endpoint(), soon());
+    REQUIRE(opened);
+    HttpClientCall &call = *opened.value();
+    REQUIRE(co_await call.sendRequest({}, {}));
+    RawConnection server = co_await listener.accept();
+    (void)co_await server.receiveUntil("\r\n\r\n");
+    co_await server.send(std::move(answer));
+    server.close();
+    auto head = co_await call.readHead();
+    if (!head) {
+        co_return head.error();
+    }
+    co_return co_await call.readWholeBody(Bytes(1000));
+}
+
+std::optional<Failure> failureOf(const std::string &answer)
+{
+    EventLoop loop;
+    HttpConnectionPool pool(loop.executor(), {});
+    std::optional<Failure> failure;
+    loop.run([&]() -> asio::awaitable<void> {
+        auto result = co_await getFrom(loop, pool, answer);
+        if (!result) {
+            failure = result.error();
+        }
+    });
+    return failure;
+}
+
+HttpServer::Handler answering(std::string body)
+{
+    return [body](HttpExchange &exchange) -> asio::awaitable<void> { (void)co_await exchange.respond({}, body); };
+}
+
+asio::awaitable<std::string> get(HttpConnectionPool &pool, Endpoint endpoint)
+{
+    auto opened = co_await pool.open(endpoint, soon());
+    REQUIRE(opened);
+    REQUIRE(co_await opened.value()->sendRequest({}, {}));
+    REQUIRE(co_await opened.value()->readHead());
+    auto body = co_await opened.value()->readWholeBody(Bytes(1000));
+    REQUIRE(body);
+    co_return body.value();
+}
+
+}
+
+// A back end breaks while it answers. Whatever the break looks like on the wire, the answer is not whole, and since
+// the request left this process it may have run.
+TEST_CASE("a broken response is BadAnswer and may have run")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    for (const std::string &answer : {
+             ok + "Content-Length: 10\r\n\r\n12345",
+             ok + "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
+             ok + "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n",
+             ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+             ok + "\r\nuntil the end of the connection",
+             ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n12",
+             ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+             ok + "Transfer-Encoding: gzip\r\n\r\n12",
+             std::string("HTTP/1.1 101 Switching Protocols\r\n\r\n"),
+             std::string("nonsense\r\n\r\n"),
+         }) {
+        INFO(answer);
+        const auto failure = failureOf(answer);
+        REQUIRE(failure);
+        CHECK(failure->verdict == Verdict::MayHaveRun);
+        CHECK(failure->reason == Reason::BadAnswer);
+    }
+}
+
+TEST_CASE("a connection that ends before the response is lost, and the request may have run")
+{
+    for (const std::string &answer :
+         {std::string(), std::string("HTTP/1.1 200"), std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n")}) {
+        INFO(answer);
+        const auto failure = failureOf(answer);
+        REQUIRE(failure);
+        CHECK(failure->verdict == Verdict::MayHaveRun);
+        CHECK(failure->reason == Reason::ConnectionLost);
+    }
+}
+
+TEST_CASE("whole responses are read, informational ones skipped")
+{
+    EventLoop loop;
+    HttpConnectionPool pool(loop.executor(), {});
+    loop.run([&]() -> asio::awaitable<void> {
+        const std::string informed = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+        auto whole = co_await getFrom(loop, pool, informed + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n12345");
+        REQUIRE(whole);
+        CHECK(whole.value() == "12345");
+        whole = co_await getFrom(
+            loop, pool,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n12\r\n3\r\n345\r\n0\r\nT: t\r\n\r\n");
+        REQUIRE(whole);
+        CHECK(whole.value() == "12345");
+        whole = co_await getFrom(loop, pool, "HTTP/1.1 204 No Content\r\n\r\n");
+        REQUIRE(whole);
+        CHECK(whole.value().empty());
+    });
+}
+
+TEST_CASE("what fails before the first byte did not run")
+{
+    EventLoop loop;
+    HttpPoolLimits limits;
+    limits.connectionsPerEndpoint = 1;
+    HttpConnectionPool pool(loop.executor(), limits);
+    loop.run([&]() -> asio::awaitable<void> {
+        Endpoint closed;
+        {
+            RawListener listener(loop.executor());
+            closed = listener.endpoint();
+        }
+        auto refused = co_await pool.open(closed, soon());
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().verdict == Verdict::NotRun);
+        CHECK(refused.error().reason == Reason::ConnectFailed);
+
+        RawListener listener(loop.executor());
+        auto opened = co_await pool.open(listener.endpoint(), soon());
+        REQUIRE(opened);
+        auto overLimit = co_await pool.open(listener.endpoint(), soon());
+        REQUIRE_FALSE(overLimit);
+        CHECK(overLimit.error().verdict == Verdict::NotRun);
+        CHECK(overLimit.error().reason == Reason::BudgetSpent);
+
+        HttpRequestHead injected;
+        injected.target = "/a HTTP/1.1\r\nX-Injected: b";
+        const auto sent = opened.value()->sendHead(injected);
+        REQUIRE_FALSE(sent);
+        CHECK(sent.error().verdict == Verdict::NotRun);
+
+        opened.value()->cancel();
+        const auto cancelled = co_await opened.value()->sendRequest({}, {});
+        REQUIRE_FALSE(cancelled);
+        CHECK(cancelled.error().verdict == Verdict::NotRun);
+        CHECK(cancelled.error().reason == Reason::Cancelled);
+    });
+}
+
+TEST_CASE("a silent server ends in DeadlinePassed and may have run, a cancelled call in Cancelled")
+{
+    EventLoop loop;
+    HttpConnectionPool pool(loop.executor(), {});
+    loop.run([&]() -> asio::awaitable<void> {
+        RawListener listener(loop.executor());
+        auto opened = co_await pool.open(listener.endpoint(), soon(Milliseconds(30)));
+        REQUIRE(opened);
+        REQUIRE(co_await opened.value()->sendRequest({}, {}));
+        auto head = co_await opened.value()->readHead();
+        REQUIRE_FALSE(head);
+        CHECK(head.error().verdict == Verdict::MayHaveRun);
+        CHECK(head.error().reason == Reason::DeadlinePassed);
+    });
+}
+
+// The process is paused after it connected, longer than the call's deadline. Its caller was told that the call did not
+// run. When the process wakes up, its next step is the write, before the overdue timer is looked at.
+TEST_CASE("no first byte leaves after the deadline, even before the timer fires")
+{
+    EventLoop loop;
+    HttpConnectionPool pool(loop.executor(), {});
+    loop.run([&]() -> asio::awaitable<void> {
+        RawListener listener(loop.executor());
+        auto opened = co_await pool.open(listener.endpoint(), soon(Milliseconds(30)));
+        REQUIRE(opened);
+        std::this_thread::sleep_for(Milliseconds(40));
+        const auto sent = co_await opened.value()->sendRequest({}, {});
+        REQUIRE_FALSE(sent);
+        CHECK(sent.error().verdict == Verdict::NotRun);
+        CHECK(sent.error().reason == Reason::DeadlinePassed);
+        RawConnection server = co_await listener.accept();
+        CHECK((co_await server.receiveAll()).empty());
+    });
+}
+
+// The server closes an idle connection while it lies in the pool. Used again, the request would be lost and could only
+// be reported as "may have run", although nothing is wrong with the server.
+TEST_CASE("a pooled connection that the server closed is found out before use")
+{
+    EventLoop loop;
+    HttpLimits limits;
+    limits.idleTime = Milliseconds(30);
+    HttpServer server(loop.executor(), limits, answering("again"));
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    HttpConnectionPool pool(loop.executor(), {});
+    loop.run([&]() -> asio::awaitable<void> {
+        CHECK(co_await get(pool, endpoint) == "again");
+        CHECK(co_await get(pool, endpoint) == "again");
+        CHECK(pool.counts().opened == 1);
+        CHECK(co_await loop.until([&] { return server.connectionCount() == 0; }));
+        CHECK(co_await get(pool, endpoint) == "again");
+        CHECK(pool.counts().foundClosed == 1);
+        CHECK(pool.counts().opened == 2);
+    });
+}
+
+TEST_CASE("a fresh connection can be insisted on, and idle ones make room and grow old")
+{
+    EventLoop loop;
+    HttpServer server(loop.executor(), {}, answering("x"));
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    const Endpoint other = server.listen(Endpoint("127.0.0.1:0")).value();
+    HttpPoolLimits limits;
+    limits.connections = 1;
+    limits.idleTime = Milliseconds(50);
+    HttpConnectionPool pool(loop.executor(), limits);
+    loop.run([&]() -> asio::awaitable<void> {
+        CHECK(co_await get(pool, endpoint) == "x");
+        {
+            auto fresh = co_await pool.open(endpoint, soon(), HttpConnectionChoice::Fresh);
+            REQUIRE(fresh);
+            CHECK_FALSE(fresh.value()->reused());
+        }
+        CHECK(co_await get(pool, other) == "x");
+        CHECK(pool.connectionCount(endpoint) == 0);
+        CHECK(pool.idleCount() == 1);
+        CHECK(co_await loop.until([&] { return pool.connectionCount() == 0; }));
+    });
+}
+
+// A server refuses an upload at once and closes its side. The caller is still writing; the refusal is what it has to
+// see, not a broken pipe.
+TEST_CASE("an early refusal is read although the upload could not be finished")
+{
+    EventLoop loop;
+    HttpLimits limits;
+    limits.bodyBytes = 1000;
+    HttpServer server(loop.executor(), limits, answering("never"));
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    HttpConnectionPool pool(loop.executor(), {});
+    loop.run([&]() -> asio::awaitable<void> {
+        auto opened = co_await pool.open(endpoint, soon());
+        REQUIRE(opened);
+        HttpRequestHead head;
+        head.method = "POST";
+        (void)co_await opened.value()->sendRequest(head, std::string(8 * 1024 * 1024, 'x'));
+        const auto response = co_await opened.value()->readHead();
+        REQUIRE(response);
+        CHECK(response.value().status == 413);
+    });
+}
+
+// Two calls of one caller share connections. Each answer has to be the one to its own request, also when earlier ones
+// are abandoned half way.
+TEST_CASE("an abandoned answer never shows up as the answer to the next request")
+{
+    EventLoop loop;
+    HttpServer server(loop.executor(), {}, [&](HttpExchange &exchange) -> asio::awaitable<void> {
+        const std::string target = exchange.head().target;
+        (void)co_await exchange.respond({}, std::string(50000, 'x') + target);
+    });
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    HttpConnectionPool pool(loop.executor(), {});
+    loop.run([&]() -> asio::awaitable<void> {
+        for (int turn = 0; turn < 20; ++turn) {
+            auto opened = co_await pool.open(endpoint, soon());
+            REQUIRE(opened);
+            HttpRequestHead head;
+            head.target = "/" + std::to_string(turn);
+            REQUIRE(co_await opened.value()->sendRequest(head, {}));
+            REQUIRE(co_await opened.value()->readHead());
+            if (turn % 2 == 0) {
+                (void)co_await opened.value()->readBody();
+                continue;
+            }
+            const auto body = co_await opened.value()->readWholeBody(Bytes(100000));
+            REQUIRE(body);
+            CHECK(body.value().ends_with("x" + head.target));
+        }
+    });
+}
--- /dev/null
+++ b/tests/http/httpstreamingtest.cpp
@@ -0,0 +1,131 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "eventloop.h"
+#include "http/httpconnectionpool.h"
+#include "http/httpserver.h"
+
+using namespace Egretpath;
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::size_t Size = 8 * 1024 * 1024;
+constexpr std::size_t PieceSize = 10000;
+
+/// Content in which a lost or doubled piece shows.
+std::string content(std::size_t begin, std::size_t length)
+{
+    constexpr std::size_t Period = 251;
+    std::string text(length, '\0');
+    for (std::size_t index = 0; index < length; ++index) {
+        text[index] = static_cast<char>((begin + index) % Period);
+    }
+    return text;
+}
+
+TimePoint soon()
+{
+    return std::chrono::steady_clock::now() + std::chrono::seconds(20);
+}
+
+/// Reads with @p read until the end, and checks content and the size of the pieces.
+template<typename Read>
+asio::awaitable<std::size_t> checkedRead(Read read, std::size_t limit)
+{
+    std::size_t total = 0;
+    for (;;) {
+        auto piece = co_await read();
+        REQUIRE(piece);
+        if (piece.value().empty()) {
+            co_return total;
+        }
+        REQUIRE(piece.value().size() <= limit);
+        REQUIRE(piece.value() == content(total, piece.value().size()));
+        total += piece.value().size();
+    }
+}
+
+template<typename Write>
+asio::awaitable<void> writeContent(Write write)
+{
+    for (std::size_t sent = 0; sent < Size; sent += PieceSize) {
+        const auto written = co_await write(content(sent, std::min(PieceSize, Size - sent)));
+        REQUIRE(written);
+    }
+}
+
+}
+
+TEST_CASE("8 MiB pass both ways under a small buffer, with and without a length")
+{
+    const bool chunked = GENERATE(false, true);
+    const std::optional<std::uint64_t> length = chunked ? std::nullopt : std::optional<std::uint64_t>(Size);
+    EventLoop loop;
+    HttpLimits limits;
+    limits.readBufferBytes = 16 * 1024;
+    std::size_t uploaded = 0;
+    HttpServer server(loop.executor(), limits, [&](HttpExchange &exchange) -> asio::awaitable<void> {
+        uploaded = co_await checkedRead([&] { return exchange.readBody(); }, limits.readBufferBytes);
+        REQUIRE(co_await exchange.beginResponse({}, length));
+        co_await writeContent([&](std::string piece) { return exchange.writeBody(std::move(piece)); });
+        REQUIRE(co_await exchange.endResponse());
+    });
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    HttpPoolLimits poolLimits;
+    poolLimits.readBufferBytes = 32 * 1024;
+    HttpConnectionPool pool(loop.executor(), poolLimits);
+    loop.run([&]() -> asio::awaitable<void> {
+        for (int turn = 0; turn < 2; ++turn) {
+            auto opened = co_await pool.open(endpoint, soon());
+            REQUIRE(opened);
+            HttpClientCall &call = *opened.value();
+            CHECK(call.reused() == (turn == 1));
+            HttpRequestHead head;
+            head.method = "POST";
+            head.contentLength = length;
+            REQUIRE(call.sendHead(head));
+            CHECK_FALSE(call.firstByteSent());
+            co_await writeContent([&](std::string piece) { return call.writeBody(std::move(piece)); });
+            REQUIRE(co_await call.finishRequest());
+            CHECK(call.firstByteSent());
+            auto response = co_await call.readHead();
+            REQUIRE(response);
+            CHECK(response.value().contentLength == length);
+            CHECK(co_await checkedRead([&] { return call.readBody(); }, poolLimits.readBufferBytes) == Size);
+            CHECK(uploaded == Size);
+        }
+    });
+    CHECK(pool.counts().opened == 1);
+}
+
+// The upstream dies in the middle of a statement. The caller must see that it ended early, not half a statement.
+TEST_CASE("an answer that is aborted half way is never whole at the other end")
+{
+    const bool chunked = GENERATE(false, true);
+    EventLoop loop;
+    HttpServer server(loop.executor(), {}, [&](HttpExchange &exchange) -> asio::awaitable<void> {
+        (void)co_await exchange.beginResponse({}, chunked ? std::nullopt : std::optional<std::uint64_t>(100));
+        (void)co_await exchange.writeBody("half");
+        co_await loop.sleep(Milliseconds(5));
+        exchange.abort();
+    });
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    HttpConnectionPool pool(loop.executor(), {});
+    loop.run([&]() -> asio::awaitable<void> {
+        auto opened = co_await pool.open(endpoint, soon());
+        REQUIRE(opened);
+        REQUIRE(co_await opened.value()->sendRequest({}, {}));
+        REQUIRE(co_await opened.value()->readHead());
+        const auto body = co_await opened.value()->readWholeBody(Bytes(1000));
+        REQUIRE_FALSE(body);
+        CHECK(body.error().verdict == Verdict::MayHaveRun);
+        CHECK(body.error().reason == Reason::BadAnswer);
+        opened.value().reset();
+        CHECK(pool.connectionCount() == 0);
+    });
+}
