--- a/tests/http/eventloop.cpp
+++ b/tests/http/eventloop.cpp
@@ -15,7 +15,7 @@
 
 void EventLoop::run(std::function<asio::awaitable<void>()> scenario)
 {
-    constexpr std::chrono::seconds Limit{30};
+    constexpr std::chrono::seconds Limit{10};
     bool ended = false;
     std::exception_ptr thrown;
     asio::co_spawn(context_, std::move(scenario), [&](std::exception_ptr error) {
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "awaitedcheck.h"
 #include "eventloop.h"
 #include "http/httpserver.h"
 #include "rawconnection.h"
@@ -31,7 +32,7 @@
     auto opened = co_await pool.open(listener.endpoint(), soon());
     REQUIRE(opened);
     HttpClientCall &call = *opened.value();
-    REQUIRE(co_await call.sendRequest({}, {}));
+    requireAwaited(co_await call.sendRequest({}, {}));
     RawConnection server = co_await listener.accept();
     (void)co_await server.receiveUntil("\r\n\r\n");
     co_await server.send(std::move(answer));
@@ -66,8 +67,8 @@
 {
     auto opened = co_await pool.open(endpoint, soon());
     REQUIRE(opened);
-    REQUIRE(co_await opened.value()->sendRequest({}, {}));
-    REQUIRE(co_await opened.value()->readHead());
+    requireAwaited(co_await opened.value()->sendRequest({}, {}));
+    requireAwaited(co_await opened.value()->readHead());
     auto body = co_await opened.value()->readWholeBody(Bytes(1000));
     REQUIRE(body);
     co_return body.value();
@@ -179,7 +180,7 @@
         RawListener listener(loop.executor());
         auto opened = co_await pool.open(listener.endpoint(), soon(Milliseconds(30)));
         REQUIRE(opened);
-        REQUIRE(co_await opened.value()->sendRequest({}, {}));
+        requireAwaited(co_await opened.value()->sendRequest({}, {}));
         auto head = co_await opened.value()->readHead();
         REQUIRE_FALSE(head);
         CHECK(head.error().verdict == Verdict::MayHaveRun);
@@ -203,7 +204,7 @@
         CHECK(sent.error().verdict == Verdict::NotRun);
         CHECK(sent.error().reason == Reason::DeadlinePassed);
         RawConnection server = co_await listener.accept();
-        CHECK((co_await server.receiveAll()).empty());
+        checkAwaited((co_await server.receiveAll()).empty());
     });
 }
 
@@ -218,11 +219,11 @@
     const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
     HttpConnectionPool pool(loop.executor(), {});
     loop.run([&]() -> asio::awaitable<void> {
-        CHECK(co_await get(pool, endpoint) == "again");
-        CHECK(co_await get(pool, endpoint) == "again");
+        checkAwaited(co_await get(pool, endpoint) == "again");
+        checkAwaited(co_await get(pool, endpoint) == "again");
         CHECK(pool.counts().opened == 1);
-        CHECK(co_await loop.until([&] { return server.connectionCount() == 0; }));
-        CHECK(co_await get(pool, endpoint) == "again");
+        checkAwaited(co_await loop.until([&] { return server.connectionCount() == 0; }));
+        checkAwaited(co_await get(pool, endpoint) == "again");
         CHECK(pool.counts().foundClosed == 1);
         CHECK(pool.counts().opened == 2);
     });
@@ -239,16 +240,16 @@
     limits.idleTime = Milliseconds(50);
     HttpConnectionPool pool(loop.executor(), limits);
     loop.run([&]() -> asio::awaitable<void> {
-        CHECK(co_await get(pool, endpoint) == "x");
+        checkAwaited(co_await get(pool, endpoint) == "x");
         {
             auto fresh = co_await pool.open(endpoint, soon(), HttpConnectionChoice::Fresh);
             REQUIRE(fresh);
             CHECK_FALSE(fresh.value()->reused());
         }
-        CHECK(co_await get(pool, other) == "x");
+        checkAwaited(co_await get(pool, other) == "x");
         CHECK(pool.connectionCount(endpoint) == 0);
         CHECK(pool.idleCount() == 1);
-        CHECK(co_await loop.until([&] { return pool.connectionCount() == 0; }));
+        checkAwaited(co_await loop.until([&] { return pool.connectionCount() == 0; }));
     });
 }
 
@@ -291,8 +292,8 @@
             REQUIRE(opened);
             HttpRequestHead head;
             head.target = "/" + std::to_string(turn);
-            REQUIRE(co_await opened.value()->sendRequest(head, {}));
-            REQUIRE(co_await opened.value()->readHead());
+            requireAwaited(co_await opened.value()->sendRequest(head, {}));
+            requireAwaited(co_await opened.value()->readHead());
             if (turn % 2 == 0) {
                 (void)co_await opened.value()->readBody();
                 continue;
--- a/tests/http/httpservertest.cpp
+++ b/tests/http/httpservertest.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "awaitedcheck.h"
 #include "eventloop.h"
 #include "rawconnection.h"
 
@@ -181,8 +182,17 @@
     CHECK(answerTo(loop, echo, "GET /slow").starts_with("HTTP/1.1 408 "));
     CHECK(echo.handled == 0);
 
-    const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n6\r\n012345\r\n6\r\n012345\r\n0\r\n\r\n";
-    CHECK(answerTo(loop, echo, chunked).starts_with("HTTP/1.1 500 "));
+    const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n6\r\n012345\r\n";
+    CHECK(answerTo(loop, echo, chunked + "6\r\n012345\r\n").starts_with("HTTP/1.1 413 "));
+    CHECK(echo.handled == 0);
+    loop.run([&]() -> asio::awaitable<void> {
+        RawConnection caller(loop.executor());
+        co_await caller.connect(echo.endpoint);
+        co_await caller.send(chunked);
+        checkAwaited(co_await loop.until([&] { return echo.handled == 1; }));
+        co_await caller.send("6\r\n012345\r\n0\r\n\r\n");
+        checkAwaited((co_await caller.receiveAll()).starts_with("HTTP/1.1 500 "));
+    });
     CHECK(echo.failures == std::vector<Reason>{Reason::TooLarge});
 }
 
@@ -205,7 +215,7 @@
             co_await caller.send(std::string(1, byte));
             co_await loop.sleep(Microseconds(50));
         }
-        CHECK((co_await caller.receiveAll()).starts_with("HTTP/1.1 200 "));
+        checkAwaited((co_await caller.receiveAll()).starts_with("HTTP/1.1 200 "));
     });
 }
 
@@ -219,11 +229,11 @@
     loop.run([&]() -> asio::awaitable<void> {
         RawConnection first(loop.executor());
         co_await first.connect(echo.endpoint);
-        CHECK(co_await loop.until([&] { return echo.server.connectionCount() == 1; }));
+        checkAwaited(co_await loop.until([&] { return echo.server.connectionCount() == 1; }));
         RawConnection second(loop.executor());
         co_await second.connect(echo.endpoint);
-        CHECK((co_await second.receiveAll()).starts_with("HTTP/1.1 503 "));
-        CHECK((co_await first.receiveAll()).empty());
+        checkAwaited((co_await second.receiveAll()).starts_with("HTTP/1.1 503 "));
+        checkAwaited((co_await first.receiveAll()).empty());
     });
     CHECK(echo.server.counts().refusedConnections == 1);
 }
@@ -236,9 +246,9 @@
         RawConnection caller(loop.executor());
         co_await caller.connect(echo.endpoint);
         co_await caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
-        CHECK(co_await caller.receiveUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+        checkAwaited(co_await caller.receiveUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
         co_await caller.send("xy");
-        CHECK((co_await caller.receiveUntil("/axy")).starts_with("HTTP/1.1 200 "));
+        checkAwaited((co_await caller.receiveUntil("/axy")).starts_with("HTTP/1.1 200 "));
     });
 }
 
@@ -251,7 +261,7 @@
     Reason seen = Reason::None;
     HttpServer server(loop.executor(), {}, [&](HttpExchange &exchange) -> asio::awaitable<void> {
         exchange.onCallerGone([&] { told = true; });
-        CHECK(co_await loop.until([&] { return told; }));
+        checkAwaited(co_await loop.until([&] { return told; }));
         CHECK(exchange.callerGone());
         const auto sent = co_await exchange.respond({}, "late");
         seen = sent ? Reason::None : sent.error().reason;
@@ -264,8 +274,8 @@
         co_await loop.sleep(Milliseconds(20));
         CHECK_FALSE(told);
         caller.close();
-        CHECK(co_await loop.until([&] { return seen != Reason::None; }));
-        CHECK(co_await loop.until([&] { return server.connectionCount() == 0; }));
+        checkAwaited(co_await loop.until([&] { return seen != Reason::None; }));
+        checkAwaited(co_await loop.until([&] { return server.connectionCount() == 0; }));
     });
     CHECK(seen == Reason::Cancelled);
 }
@@ -285,7 +295,7 @@
             RawConnection caller(loop.executor());
             co_await caller.connect(endpoint);
             co_await caller.send(std::string("GET ") + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
-            CHECK((co_await caller.receiveAll()).starts_with("HTTP/1.1 500 "));
+            checkAwaited((co_await caller.receiveAll()).starts_with("HTTP/1.1 500 "));
         }
     });
 }
@@ -335,24 +345,30 @@
         (void)co_await idle.receiveUntil("whole");
         co_await busy.connect(endpoint);
         co_await busy.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
-        CHECK(co_await loop.until([&] { return server.counts().requests == 2; }));
+        checkAwaited(co_await loop.until([&] { return server.counts().requests == 2; }));
 
         RawConnection inBacklog(loop.executor());
         co_await inBacklog.connect(endpoint);
         server.stopAccepting();
         co_await inBacklog.send(Get);
-        CHECK((co_await inBacklog.receiveAll()).ends_with("whole"));
+        checkAwaited((co_await inBacklog.receiveAll()).ends_with("whole"));
         co_await idle.send(Get);
         const std::string onItsWay = co_await idle.receiveAll();
         CHECK(onItsWay.ends_with("whole"));
         CHECK(onItsWay.find("Connection: close") != std::string::npos);
         release = true;
-        CHECK((co_await busy.receiveAll()).ends_with("whole"));
-        CHECK((co_await unused.receiveAll()).empty());
+        checkAwaited((co_await busy.receiveAll()).ends_with("whole"));
+        checkAwaited((co_await unused.receiveAll()).empty());
         co_await server.drained();
         CHECK(server.connectionCount() == 0);
 
         RawConnection late(loop.executor());
-        CHECK_THROWS(co_await late.connect(endpoint));
+        bool refused = false;
+        try {
+            co_await late.connect(endpoint);
+        } catch (const boost::system::system_error &) {
+            refused = true;
+        }
+        CHECK(refused);
     });
 }
--- a/tests/http/httpstreamingtest.cpp
+++ b/tests/http/httpstreamingtest.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "awaitedcheck.h"
 #include "eventloop.h"
 #include "http/httpconnectionpool.h"
 #include "http/httpserver.h"
@@ -71,9 +72,9 @@
     std::size_t uploaded = 0;
     HttpServer server(loop.executor(), limits, [&](HttpExchange &exchange) -> asio::awaitable<void> {
         uploaded = co_await checkedRead([&] { return exchange.readBody(); }, limits.readBufferBytes);
-        REQUIRE(co_await exchange.beginResponse({}, length));
+        requireAwaited(co_await exchange.beginResponse({}, length));
         co_await writeContent([&](std::string piece) { return exchange.writeBody(std::move(piece)); });
-        REQUIRE(co_await exchange.endResponse());
+        requireAwaited(co_await exchange.endResponse());
     });
     const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
     HttpPoolLimits poolLimits;
@@ -91,12 +92,12 @@
             REQUIRE(call.sendHead(head));
             CHECK_FALSE(call.firstByteSent());
             co_await writeContent([&](std::string piece) { return call.writeBody(std::move(piece)); });
-            REQUIRE(co_await call.finishRequest());
+            requireAwaited(co_await call.finishRequest());
             CHECK(call.firstByteSent());
             auto response = co_await call.readHead();
             REQUIRE(response);
             CHECK(response.value().contentLength == length);
-            CHECK(co_await checkedRead([&] { return call.readBody(); }, poolLimits.readBufferBytes) == Size);
+            checkAwaited(co_await checkedRead([&] { return call.readBody(); }, poolLimits.readBufferBytes) == Size);
             CHECK(uploaded == Size);
         }
     });
@@ -119,8 +120,8 @@
     loop.run([&]() -> asio::awaitable<void> {
         auto opened = co_await pool.open(endpoint, soon());
         REQUIRE(opened);
-        REQUIRE(co_await opened.value()->sendRequest({}, {}));
-        REQUIRE(co_await opened.value()->readHead());
+        requireAwaited(co_await opened.value()->sendRequest({}, {}));
+        requireAwaited(co_await opened.value()->readHead());
         const auto body = co_await opened.value()->readWholeBody(Bytes(1000));
         REQUIRE_FALSE(body);
         CHECK(body.error().verdict == Verdict::MayHaveRun);
