--- a/src/http/httpconnectionpool.h
+++ b/src/http/httpconnectionpool.h
@@ -24,7 +24,7 @@
     /// An idle connection is closed after this time. Keep it under the server's idle time.
     Duration idleTime = std::chrono::seconds(30);
     std::uint32_t headerBytes = 32 * 1024;
-    std::size_t readBufferBytes = 64 * 1024;
+    std::size_t readBufferBytes = std::size_t{64} * 1024;
 };
 
 /// Whether a call may go over a connection that served earlier ones.
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -22,10 +22,10 @@
 {
     /// Start line and header fields together.
     std::uint32_t headerBytes = 16 * 1024;
-    std::uint64_t bodyBytes = 16 * 1024 * 1024;
+    std::uint64_t bodyBytes = std::uint64_t{16} * 1024 * 1024;
     std::size_t connections = 1000;
     /// The most bytes that a connection holds unread; the size of the largest piece from readBody().
-    std::size_t readBufferBytes = 64 * 1024;
+    std::size_t readBufferBytes = std::size_t{64} * 1024;
     /// How long a connection may stand without a request, and an exchange without a byte either way.
     Duration idleTime = std::chrono::seconds(60);
     /// From the first byte of a head to its last.
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -28,7 +28,7 @@
 constexpr std::uint16_t VersionStatus = 505;
 
 /// Up to this size a body is sent together with its head in one write; larger ones are not worth the copy.
-constexpr std::size_t JoinedBodyBytes = 16 * 1024;
+constexpr std::size_t JoinedBodyBytes = std::size_t{16} * 1024;
 
 /// How long a closed connection still takes and drops what the caller sends. Closing with unread bytes would reset the
 /// connection, and the caller would lose the answer that says why it was refused.
--- a/src/http/readbuffer.cpp
+++ b/src/http/readbuffer.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr std::size_t InitialCapacity = 4 * 1024;
+constexpr std::size_t InitialCapacity = 4096;
 constexpr std::size_t GrowthFactor = 4;
 
 }
--- a/tests/http/awaitedcheck.h
+++ b/tests/http/awaitedcheck.h
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include <source_location>
+#include <boost/assert/source_location.hpp>
 
 namespace Egretpath
 {
@@ -10,7 +10,7 @@
 /// CHECK() for a value that was awaited. Catch2's macros name their expression twice, the second time where it never
 /// runs; g++ 12 runs a co_await there all the same, and the operation would happen again.
 template<typename Value>
-void checkAwaited(const Value &value, std::source_location where = std::source_location::current())
+void checkAwaited(const Value &value, boost::source_location where = BOOST_CURRENT_LOCATION)
 {
     INFO(where.file_name() << ":" << where.line());
     CHECK(static_cast<bool>(value));
@@ -18,7 +18,7 @@
 
 /// As checkAwaited(), but ends the test when the value is false or an error.
 template<typename Value>
-void requireAwaited(const Value &value, std::source_location where = std::source_location::current())
+void requireAwaited(const Value &value, boost::source_location where = BOOST_CURRENT_LOCATION)
 {
     INFO(where.file_name() << ":" << where.line());
     REQUIRE(static_cast<bool>(value));
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -268,7 +268,7 @@
         REQUIRE(opened);
         HttpRequestHead head;
         head.method = "POST";
-        (void)co_await opened.value()->sendRequest(head, std::string(8 * 1024 * 1024, 'x'));
+        (void)co_await opened.value()->sendRequest(head, std::string(std::size_t{8} * 1024 * 1024, 'x'));
         const auto response = co_await opened.value()->readHead();
         REQUIRE(response);
         CHECK(response.value().status == 413);
--- a/tests/http/httpstreamingtest.cpp
+++ b/tests/http/httpstreamingtest.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr std::size_t Size = 8 * 1024 * 1024;
+constexpr std::size_t Size = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t PieceSize = 10000;
 
 /// Content in which a lost or doubled piece shows.
@@ -68,7 +68,7 @@
     const std::optional<std::uint64_t> length = chunked ? std::nullopt : std::optional<std::uint64_t>(Size);
     EventLoop loop;
     HttpLimits limits;
-    limits.readBufferBytes = 16 * 1024;
+    limits.readBufferBytes = 16384;
     std::size_t uploaded = 0;
     HttpServer server(loop.executor(), limits, [&](HttpExchange &exchange) -> asio::awaitable<void> {
         uploaded = co_await checkedRead([&] { return exchange.readBody(); }, limits.readBufferBytes);
@@ -78,7 +78,7 @@
     });
     const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
     HttpPoolLimits poolLimits;
-    poolLimits.readBufferBytes = 32 * 1024;
+    poolLimits.readBufferBytes = 32768;
     HttpConnectionPool pool(loop.executor(), poolLimits);
     loop.run([&]() -> asio::awaitable<void> {
         for (int turn = 0; turn < 2; ++turn) {
