--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -393,7 +393,8 @@
 {
     callerGoneCallback_ = std::move(callback);
     if (callerGone_ && callerGoneCallback_) {
-        asio::post(server_->executor(), std::exchange(callerGoneCallback_, nullptr));
+        // What is set when the post runs is called: the handler may have replaced or dropped the callback by then.
+        asio::post(server_->executor(), [self = shared_from_this()] { self->noteCallerGone(); });
     }
 }
 
--- a/src/http/sockettimer.cpp
+++ b/src/http/sockettimer.cpp
@@ -17,8 +17,8 @@
     std::uint64_t generation = 0;
 };
 
-SocketTimer::SocketTimer(boost::asio::any_io_executor executor, std::function<void()> expired)
-    : state_(new State{boost::asio::steady_timer(std::move(executor)), std::move(expired)})
+SocketTimer::SocketTimer(const boost::asio::any_io_executor &executor, std::function<void()> expired)
+    : state_(new State{boost::asio::steady_timer(executor), std::move(expired)})
 {
 }
 
--- a/src/http/sockettimer.h
+++ b/src/http/sockettimer.h
@@ -17,7 +17,7 @@
 class SocketTimer
 {
 public:
-    SocketTimer(boost::asio::any_io_executor executor, std::function<void()> expired);
+    SocketTimer(const boost::asio::any_io_executor &executor, std::function<void()> expired);
     ~SocketTimer();
     SocketTimer(const SocketTimer &) = delete;
     SocketTimer &operator=(const SocketTimer &) = delete;
--- a/tests/http/httpservertest.cpp
+++ b/tests/http/httpservertest.cpp
@@ -153,7 +153,10 @@
         INFO(body);
         EventLoop loop;
         EchoServer echo(loop, {});
-        const std::string answer = answerTo(loop, echo, start + body + Get);
+        std::string request = start;
+        request += body;
+        request += Get;
+        const std::string answer = answerTo(loop, echo, request);
         CHECK_FALSE(answer.starts_with("HTTP/1.1 200"));
         CHECK(countOf(answer, "HTTP/1.1") <= 1);
     }
--- a/tests/http/rawconnection.cpp
+++ b/tests/http/rawconnection.cpp
@@ -15,8 +15,8 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-RawConnection::RawConnection(asio::any_io_executor executor)
-    : socket_(std::move(executor))
+RawConnection::RawConnection(const asio::any_io_executor &executor)
+    : socket_(executor)
 {
 }
 
@@ -59,8 +59,8 @@
     socket_.close();
 }
 
-RawListener::RawListener(asio::any_io_executor executor)
-    : acceptor_(std::move(executor), tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+RawListener::RawListener(const asio::any_io_executor &executor)
+    : acceptor_(executor, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
 {
 }
 
--- a/tests/http/rawconnection.h
+++ b/tests/http/rawconnection.h
@@ -15,7 +15,7 @@
 class RawConnection
 {
 public:
-    explicit RawConnection(boost::asio::any_io_executor executor);
+    explicit RawConnection(const boost::asio::any_io_executor &executor);
     explicit RawConnection(boost::asio::ip::tcp::socket socket);
 
     [[nodiscard]] boost::asio::awaitable<void> connect(Endpoint endpoint);
@@ -34,7 +34,7 @@
 class RawListener
 {
 public:
-    explicit RawListener(boost::asio::any_io_executor executor);
+    explicit RawListener(const boost::asio::any_io_executor &executor);
     [[nodiscard]] Endpoint endpoint() const;
     [[nodiscard]] boost::asio::awaitable<RawConnection> accept();
 
--- /dev/null
+++ b/tests/standins/querytarget.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Egretpath
+{
+
+/// The target of a request, taken apart: "/control?mode=up&flag" gives the path and the parameters, in their order.
+/// Percent signs stay as they are; the stand-ins need none. Thread safety: none; const access may be shared.
+class QueryTarget
+{
+public:
+    explicit QueryTarget(std::string_view target);
+
+    [[nodiscard]] const std::string &path() const { return path_; }
+    [[nodiscard]] bool has(std::string_view name) const { return find(name).has_value(); }
+    [[nodiscard]] std::optional<std::string> find(std::string_view name) const;
+    /// The parameter as a number; nothing when it is absent or none.
+    [[nodiscard]] std::optional<std::uint64_t> number(std::string_view name) const;
+
+private:
+    struct Parameter
+    {
+        std::string name;
+        std::string value;
+    };
+
+    std::string path_;
+    std::vector<Parameter> parameters_;
+};
+
+/// Reads a whole number; nothing for all else. Thread safety: safe.
+[[nodiscard]] std::optional<std::uint64_t> parseUnsigned(std::string_view text);
+
+}
--- /dev/null
+++ b/tests/standins/standinprogram.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "core/clock.h"
+#include "core/strongtype.h"
+#include "http/httpexchange.h"
+#include "http/httpserver.h"
+
+namespace Egretpath
+{
+
+/// The one-thread event loop of a stand-in program and what all of them do: listen, say where, stop on SIGTERM.
+/// Thread safety: none.
+class StandinProgram
+{
+public:
+    [[nodiscard]] boost::asio::any_io_executor executor() { return context_.get_executor(); }
+
+    /// Serves @p handler at @p endpoint, prints "listening ADDRESS", and runs until SIGTERM or SIGINT; then in-flight
+    /// requests end first, for some seconds. Returns the program's exit code.
+    int serve(const Endpoint &endpoint, HttpServer::Handler handler);
+
+private:
+    boost::asio::io_context context_{1};
+};
+
+/// Resumes after @p duration.
+[[nodiscard]] boost::asio::awaitable<void> sleepFor(Duration duration);
+/// Reads the whole request body. Errors: as HttpExchange::readBody().
+[[nodiscard]] boost::asio::awaitable<Result<std::string>> readWholeBody(HttpExchange &exchange);
+/// Sends a short text; a caller that is gone is ignored.
+[[nodiscard]] boost::asio::awaitable<void> respondText(HttpExchange &exchange, std::uint16_t status, std::string text);
+
+}
--- /dev/null
+++ b/tests/standins/standinrelay.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "core/strongtype.h"
+#include "http/httpexchange.h"
+#include "standins/relaydirection.h"
+
+namespace Egretpath
+{
+
+/// Passes TCP connections on to another address, and delays, slows down, holds back or cuts them on demand. See
+/// docs/standins.md. Thread safety: none.
+class StandinRelay
+{
+public:
+    StandinRelay(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint target);
+
+    /// Listens at @p endpoint and returns where. Throws boost::system::system_error when that fails.
+    [[nodiscard]] Endpoint listen(const boost::asio::ip::tcp::endpoint &endpoint);
+
+    /// Serves the control endpoint.
+    [[nodiscard]] boost::asio::awaitable<void> control(HttpExchange &exchange);
+
+private:
+    using Socket = RelayDirection::Socket;
+
+    struct Connection
+    {
+        std::weak_ptr<boost::asio::ip::tcp::socket> client;
+        std::weak_ptr<boost::asio::ip::tcp::socket> server;
+        std::weak_ptr<RelayDirection> request;
+        std::weak_ptr<RelayDirection> response;
+    };
+
+    [[nodiscard]] boost::asio::awaitable<void> acceptLoop();
+    [[nodiscard]] boost::asio::awaitable<void> relay(Socket client);
+    void wakeAll();
+    void resetAll();
+
+    boost::asio::any_io_executor executor_;
+    boost::asio::ip::tcp::endpoint target_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::shared_ptr<RelayConditions> conditions_;
+    bool refusing_ = false;
+    std::vector<Connection> connections_;
+};
+
+}
