--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -343,10 +343,13 @@
     std::string data = std::exchange(pendingHead_, {});
     if (!remaining_) {
         data += writeChunk(chunk);
-    } else if (data.empty()) {
-        data = std::move(chunk);
-    } else {
+    } else if (chunk.size() <= JoinedBodyBytes) {
         data += chunk;
+    } else {
+        if (auto written = co_await writeOut(std::move(data)); !written) {
+            co_return written;
+        }
+        data = std::move(chunk);
     }
     co_return co_await writeOut(std::move(data));
 }
