--- a/tests/standins/loadgenerator.cpp
+++ b/tests/standins/loadgenerator.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/digest.h"
+#include "standins/querytarget.h"
 #include "standins/standinprogram.h"
 
 namespace Egretpath
@@ -132,7 +133,7 @@
     CallOutcome outcome = co_await attempt(call, target);
     for (unsigned retry = 0; retry < plan_.callerRetries && outcome.verdict != Verdict::Answered; ++retry) {
         const bool safe = outcome.verdict == Verdict::NotRun || call.kind == CallKind::Lookup || !call.key.empty();
-        const Duration pause = FirstRetryPause * (1U << std::min(retry, 8U));
+        const Duration pause = std::max(outcome.retryAfter, FirstRetryPause * (1U << std::min(retry, 8U)));
         if (!safe || now() + pause >= call.deadline) {
             break;
         }
@@ -142,7 +143,7 @@
         outcome = co_await attempt(call, target);
     }
     const TimePoint ended = now();
-    summary_.addCall(call.kind, call.direct, outcome.verdict, ended - call.arrival, ended <= call.deadline);
+    summary_.addCall(call.kind, call.direct, outcome, ended - call.arrival, ended <= call.deadline);
     --inFlight_;
 }
 
@@ -191,6 +192,7 @@
     const auto said = verdictFromString(headerOf(head, "Egretpath-Verdict"));
     outcome.verdict = said.value_or(plainVerdict(call.direct, head.status));
     outcome.answer = std::move(body.value());
+    outcome.retryAfter = std::chrono::seconds(parseUnsigned(headerOf(head, "Retry-After")).value_or(0));
     keys_.offer(call.service, head.headers.find("Egretpath-Next-Key"));
     if (outcome.verdict == Verdict::Answered && head.status == OkStatus) {
         checkAnswer(call, head, outcome.answer);
@@ -222,10 +224,9 @@
         return {};
     }
     std::string body = runId_ + " body " + std::to_string(lastCall_) + " " + std::to_string(inFlight_);
-    const std::string &filler = uploadContent_;
     const std::size_t size = kind == CallKind::Upload ? plan_.uploadBytes : PaymentBytes;
     if (kind == CallKind::Upload) {
-        body += filler;
+        body += uploadContent_;
     }
     body.resize(size, 'p');
     return body;
--- a/tests/standins/loadsummary.cpp
+++ b/tests/standins/loadsummary.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr std::uint16_t OkStatus = 200;
+
 struct NamedQuantile
 {
     const char *name;
@@ -25,11 +27,15 @@
 
 }
 
-void LoadSummary::addCall(CallKind kind, bool direct, Verdict verdict, Duration latency, bool inTime)
+void LoadSummary::addCall(CallKind kind, bool direct, const CallOutcome &outcome, Duration latency, bool inTime)
 {
     Side &side = direct ? direct_ : through_;
-    ++side.verdicts.at(static_cast<std::size_t>(verdict));
-    if (verdict == Verdict::Answered) {
+    if (outcome.verdict == Verdict::Answered && outcome.status != OkStatus) {
+        ++side.failedAnswers;
+        return;
+    }
+    ++side.verdicts.at(static_cast<std::size_t>(outcome.verdict));
+    if (outcome.verdict == Verdict::Answered) {
         side.inTime += inTime ? 1 : 0;
         const std::chrono::duration<double, std::milli> milliseconds(latency);
         side.latencies.at(static_cast<std::size_t>(kind)).push_back(milliseconds.count());
@@ -44,8 +50,11 @@
            << "retries " << retries_ << " calls\n"
            << "not_sent " << notSent_ << " calls\n"
            << "missing_keys " << missingKeys_ << " calls\n";
-    printSide(stream, "direct_", direct_, seconds);
-    printAdded(stream);
+    const auto &verdicts = direct_.verdicts;
+    if (std::any_of(verdicts.begin(), verdicts.end(), [](std::uint64_t count) { return count > 0; })) {
+        printSide(stream, "direct_", direct_, seconds);
+        printAdded(stream);
+    }
 }
 
 void LoadSummary::printSide(std::ostream &stream, const char *prefix, Side &side, double seconds)
@@ -53,6 +62,7 @@
     stream << prefix << "served " << side.verdicts[static_cast<std::size_t>(Verdict::Answered)] << " calls\n"
            << prefix << "not_run " << side.verdicts[static_cast<std::size_t>(Verdict::NotRun)] << " calls\n"
            << prefix << "may_have_run " << side.verdicts[static_cast<std::size_t>(Verdict::MayHaveRun)] << " calls\n"
+           << prefix << "failed_answers " << side.failedAnswers << " calls\n"
            << prefix << "goodput " << static_cast<double>(side.inTime) / seconds << " calls/s\n";
     for (const CallKind kind : AllCallKinds) {
         std::vector<double> &latencies = side.latencies.at(static_cast<std::size_t>(kind));
--- a/tests/standins/loadsummary.h
+++ b/tests/standins/loadsummary.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "core/verdict.h"
 #include "standins/loadplan.h"
+#include "standins/standinhistory.h"
 
 namespace Egretpath
 {
@@ -17,7 +17,7 @@
 {
 public:
     /// A call ended; @p latency runs from its planned arrival, so that a stall of the load tool is not hidden.
-    void addCall(CallKind kind, bool direct, Verdict verdict, Duration latency, bool inTime);
+    void addCall(CallKind kind, bool direct, const CallOutcome &outcome, Duration latency, bool inTime);
     void addWrongAnswer() { ++wrongAnswers_; }
     void addRetry() { ++retries_; }
     /// An arrival that was not sent because too many calls were in flight.
@@ -34,6 +34,8 @@
     struct Side
     {
         std::array<std::uint64_t, 3> verdicts{};
+        /// Whole answers of the service that say that it failed.
+        std::uint64_t failedAnswers = 0;
         std::uint64_t inTime = 0;
         /// Milliseconds of answered calls.
         std::array<std::vector<double>, AllCallKinds.size()> latencies;
--- a/tests/standins/standinhistory.h
+++ b/tests/standins/standinhistory.h
@@ -25,6 +25,8 @@
     RequestId echo;
     /// The connection ended with neither an answer nor a verdict.
     bool cut = false;
+    /// When the caller may come back; not part of the history.
+    Milliseconds retryAfter{0};
 };
 
 /// Writes what callers and upstreams saw, one JSON object a line and flushed, in the record format of the history
