http: a last chunk in single bytes no longer trips an assertion of Beast

Found by the sanitizer build of the byte-by-byte test: Beast's parser asserts that the last chunk comes back with five bytes once it asked for more. In a build with assertions a caller could end the process. The parser is now fed such a rest only from five bytes on.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -46,7 +46,7 @@
 
     MessageProblem feed(ReadBuffer &buffer)
     {
-        if (this->is_done() || buffer.empty()) {
+        if (this->is_done() || buffer.empty() || wouldMisjudgeLastChunk(buffer)) {
             return MessageProblem::None;
         }
         fed_ = buffer.unread();
@@ -55,6 +55,7 @@
         ErrorCode error;
         const std::size_t used = this->put(boost::asio::buffer(fed_.data(), fed_.size()), error);
         buffer.consume(used);
+        needsMore_ = error == http::error::need_more;
         if (!headWasDone && headerOverLimit(used, buffer)) {
             return MessageProblem::HeaderTooLarge;
         }
@@ -112,6 +113,15 @@
         return gap.find_first_of("\r\n") != std::string_view::npos;
     }
 
+    /// Beast asserts that a last chunk, once it asked for the rest of it, comes back with at least the five bytes of
+    /// "0\r\n\r\n". A peer that sends them one by one breaks that, and ends a process that was built with assertions.
+    /// No chunk that the parser waits for is complete in fewer bytes, so waiting for five loses nothing.
+    bool wouldMisjudgeLastChunk(const ReadBuffer &buffer) const
+    {
+        constexpr std::size_t LastChunkBytes = 5;
+        return needsMore_ && this->is_header_done() && buffer.unread().size() < LastChunkBytes;
+    }
+
     /// Beast compares its limit with the unparsed rest only; a head that arrives in pieces would never reach it.
     bool headerOverLimit(std::size_t used, const ReadBuffer &buffer)
     {
@@ -123,6 +133,7 @@
     }
 
     std::uint32_t headerLimit_;
+    bool needsMore_ = false;
     /// Bytes of the head consumed by earlier feeds.
     std::size_t headerBytes_ = 0;
     /// Where the last header field ends in what is being fed.
--- a/src/http/sockettimer.cpp
+++ b/src/http/sockettimer.cpp
@@ -65,7 +65,8 @@
             return;
         }
         state->limit = TimePoint::max();
-        state->expired();
+        const auto expired = state->expired; // The call may destroy the timer and with it the stored function.
+        expired();
     });
 }
 
