membership, distribution: names that no other library has

Two libraries had a struct Candidate in the same namespace and two a struct TableVersion: templates over them would have been merged by the linker. An instance of a service is now called Instance; TableVersion is the table's.

--- a/src/distribution/exchangemessages.h
+++ b/src/distribution/exchangemessages.h
@@ -7,7 +7,7 @@
 
 #include "core/clock.h"
 #include "core/strongtype.h"
-#include "distribution/tableversion.h"
+#include "table/tableversion.h"
 #include "membership/spreadscope.h"
 #include "membership/vmrecord.h"
 
--- a/src/distribution/readerelection.h
+++ b/src/distribution/readerelection.h
@@ -8,7 +8,7 @@
 #include "core/clock.h"
 #include "core/random.h"
 #include "core/strongtype.h"
-#include "distribution/tableversion.h"
+#include "table/tableversion.h"
 #include "membership/peerdirectory.h"
 
 namespace Egretpath
--- a/src/distribution/startgate.h
+++ b/src/distribution/startgate.h
@@ -10,7 +10,7 @@
 #include "core/random.h"
 #include "core/strongtype.h"
 #include "distribution/exchangemessages.h"
-#include "distribution/tableversion.h"
+#include "table/tableversion.h"
 #include "membership/peerdirectory.h"
 
 namespace Egretpath
--- a/src/distribution/tablestore.h
+++ b/src/distribution/tablestore.h
@@ -3,7 +3,7 @@
 #include <optional>
 #include <string>
 
-#include "distribution/tableversion.h"
+#include "table/tableversion.h"
 
 namespace Egretpath
 {
--- a/src/membership/membershipview.cpp
+++ b/src/membership/membershipview.cpp
@@ -253,29 +253,29 @@
     return isDoubted ? Standing::Unknown : Standing::Eligible;
 }
 
-Candidate MembershipView::candidateAt(std::size_t position, TimePoint now) const
+Instance MembershipView::instanceAt(std::size_t position, TimePoint now) const
 {
     return {&list_.records[position], evidence_[position].incarnation, standing(position, now)};
 }
 
-std::vector<Candidate> MembershipView::candidates(const ServiceName &service, TimePoint now) const
+std::vector<Instance> MembershipView::instances(const ServiceName &service, TimePoint now) const
 {
-    std::vector<Candidate> found;
+    std::vector<Instance> found;
     const auto positions = byService_.find(service.value());
     if (positions == byService_.end()) {
         return found;
     }
     found.reserve(positions->second.size());
     for (const std::uint32_t place : positions->second) {
-        found.push_back(candidateAt(place, now));
+        found.push_back(instanceAt(place, now));
     }
     return found;
 }
 
-std::optional<Candidate> MembershipView::candidate(const UpstreamName &upstream, TimePoint now) const
+std::optional<Instance> MembershipView::instance(const UpstreamName &upstream, TimePoint now) const
 {
     const std::optional<std::size_t> place = position(upstream);
-    return place ? std::optional(candidateAt(*place, now)) : std::nullopt;
+    return place ? std::optional(instanceAt(*place, now)) : std::nullopt;
 }
 
 Incarnation MembershipView::incarnationOf(const UpstreamName &upstream) const
--- a/src/membership/membershipview.h
+++ b/src/membership/membershipview.h
@@ -50,7 +50,7 @@
 };
 
 /// One instance of a service as a choice for a call. Pointers live until the next applyList().
-struct Candidate
+struct Instance
 {
     const VmRecord *record = nullptr;
     /// Zero if unknown.
@@ -108,9 +108,9 @@
     [[nodiscard]] bool hasNotices() const { return !notices_.empty(); }
 
     /// All listed instances of @p service, in the order of their names.
-    [[nodiscard]] std::vector<Candidate> candidates(const ServiceName &service, TimePoint now) const;
+    [[nodiscard]] std::vector<Instance> instances(const ServiceName &service, TimePoint now) const;
     /// The instance named @p upstream, or nothing if it is not listed.
-    [[nodiscard]] std::optional<Candidate> candidate(const UpstreamName &upstream, TimePoint now) const;
+    [[nodiscard]] std::optional<Instance> instance(const UpstreamName &upstream, TimePoint now) const;
     /// The incarnation believed to be running; zero if unknown.
     [[nodiscard]] Incarnation incarnationOf(const UpstreamName &upstream) const;
     /// Rises whenever a standing may have changed by an event (not by the passing of time).
@@ -161,7 +161,7 @@
     [[nodiscard]] Standing standing(std::size_t position, TimePoint now) const;
     [[nodiscard]] bool accepts(const Evidence &evidence, const MembershipNotice &notice, TimePoint madeAt) const;
     [[nodiscard]] Evidence carriedOver(const VmRecord &record, TimePoint now) const;
-    [[nodiscard]] Candidate candidateAt(std::size_t position, TimePoint now) const;
+    [[nodiscard]] Instance instanceAt(std::size_t position, TimePoint now) const;
     /// Takes what this node saw of @p incarnation. Returns false if that was the former one.
     bool sighted(Evidence &evidence, Incarnation incarnation, TimePoint sentAt, TimePoint now);
     static void replaceIncarnation(Evidence &evidence, Incarnation incarnation);
--- a/tests/membership/membershipviewtest.cpp
+++ b/tests/membership/membershipviewtest.cpp
@@ -36,7 +36,7 @@
 
 Standing standingAt(const MembershipView &view, int milliseconds)
 {
-    return view.candidate(Ledger, at(milliseconds))->standing;
+    return view.instance(Ledger, at(milliseconds))->standing;
 }
 
 MembershipNotice noticeOf(Incarnation incarnation, VmState state, int age)
@@ -59,8 +59,8 @@
     CHECK(standingAt(view, 620) == Standing::Suspect);
     view.answered(Ledger, First, at(630), at(640));
     CHECK(standingAt(view, 640) == Standing::Eligible);
-    CHECK(view.candidates(ServiceName("ledger"), at(640)).size() == 1);
-    CHECK(view.candidates(ServiceName("board"), at(640)).empty());
+    CHECK(view.instances(ServiceName("ledger"), at(640)).size() == 1);
+    CHECK(view.instances(ServiceName("board"), at(640)).empty());
 }
 
 // Story: callers of a service see a delay on each call after a VM left. The list still shows the VM, so calls go
