--- a/src/distribution/startgate.h
+++ b/src/distribution/startgate.h
@@ -71,6 +71,8 @@
     /// each 100 ms; a node is returned once for each request to be made.
     [[nodiscard]] std::vector<VmRecord> peersToAsk(TimePoint now);
     void peerAnswered(const UpstreamName &peer, const TableSummary &summary, TimePoint now);
+    /// A request to @p peer failed: one of peersToAsk(), or the pull from the holder that decide() named. The
+    /// next holder is named then.
     void peerFailed(const UpstreamName &peer, TimePoint now);
     /// The platform's head was read; nothing if the platform has no table. Until this was called, or the
     /// settle time passed, the gate waits for the platform.
--- a/tests/distribution/fakefleet.cpp
+++ b/tests/distribution/fakefleet.cpp
@@ -531,9 +531,10 @@
         },
         [this, from, sent, isGate] {
             Node &asking = nodes_[from];
-            if (isGate && asking.gate) {
+            if (asking.gate) {
                 asking.gate->peerFailed(sent->receiver.upstream, now_);
-            } else if (!isGate) {
+            }
+            if (!isGate) {
                 asking.exchange->pullFailed(*sent);
             }
         });
--- a/tests/distribution/startgatetest.cpp
+++ b/tests/distribution/startgatetest.cpp
@@ -94,6 +94,24 @@
     CHECK(gate.decide(Newer, at(3)).state == StartState::Open);
 }
 
+TEST_CASE("when the holder of the table fails, the next one is named, then none")
+{
+    StartGate gate = gateOf(60);
+    gate.platformAnswered(Older, at(0));
+    std::vector<UpstreamName> holders;
+    for (const VmRecord &peer : gate.peersToAsk(at(0))) {
+        gate.peerAnswered(peer.upstream, inForce(holders.size() < 2 ? Newer : Older), at(1));
+        holders.push_back(peer.upstream);
+    }
+    CHECK(gate.decide(Older, at(1)).holder == holders[0]);
+    gate.peerFailed(holders[0], at(2));
+    CHECK(gate.decide(Older, at(2)).holder == holders[1]);
+    gate.peerFailed(holders[1], at(3));
+    const StartDecision decision = gate.decide(Older, at(3));
+    CHECK(decision.required == Newer);
+    CHECK_FALSE(decision.holder);
+}
+
 TEST_CASE("a single node goes by the platform alone, once it is known to be single")
 {
     StartGate gate({}, Own, 1, at(0));
