idempotency: the list of held answers no longer grows without bound

Keys that were forgotten by age or count left their place in the queue of held answers, which is only emptied from its front when the byte budget is used up: with small answers 24 bytes for each key ever finished stayed. Each entry now knows its place in a list. An answer counts its bookkeeping against the budget: with a body of 512 bytes 672 bytes were measured for each answer, 576 had been counted.

--- a/src/idempotency/keyledger.cpp
+++ b/src/idempotency/keyledger.cpp
@@ -5,9 +5,17 @@
 namespace Egretpath
 {
 
+namespace
+{
+
+/// What the heap and the ledger's lists need for each held answer besides its content, as measured on 64-bit Linux.
+constexpr std::uint64_t BookkeepingBytes = 96;
+
+}
+
 Bytes HeldAnswer::size() const
 {
-    std::uint64_t total = sizeof(HeldAnswer) + body.size();
+    std::uint64_t total = sizeof(HeldAnswer) + BookkeepingBytes + body.size();
     for (const HeldField &field : fields) {
         total += sizeof(HeldField) + field.name.size() + field.value.size();
     }
@@ -68,7 +76,7 @@
         (void)refuse(key, fingerprint, tryId, now);
         return notRun(Reason::Overloaded, "too many keys in use", limits_.inUseRetryAfter);
     }
-    entries_.emplace(key, Entry{fingerprint, tryId, {}, nullptr, State::Begun});
+    entries_.emplace(key, Entry{fingerprint, tryId, {}, nullptr, {}, State::Begun});
     return RunRequest{};
 }
 
@@ -124,7 +132,8 @@
         return false;
     }
     if (limits_.refusedKeys == RefusedKeys::Retire) {
-        const auto [position, isNew] = entries_.emplace(key, Entry{fingerprint, tryId, {}, nullptr, State::Refused});
+        const auto [position, isNew] =
+            entries_.emplace(key, Entry{fingerprint, tryId, {}, nullptr, {}, State::Refused});
         if (isNew) {
             end(position, State::Refused, now);
         }
@@ -180,21 +189,18 @@
         return;
     }
     while (answerBytes_ + size > budget) {
-        const auto oldest = entries_.find(answersByAge_.front());
-        answersByAge_.pop_front();
-        if (oldest != entries_.end()) {
-            dropAnswer(oldest->second);
-        }
+        dropAnswer(entries_.at(answersByAge_.front()));
     }
     position->second.answer = std::make_shared<const HeldAnswer>(std::move(answer));
     answerBytes_ += size;
-    answersByAge_.push_back(position->first);
+    position->second.answerPlace = answersByAge_.insert(answersByAge_.end(), position->first);
 }
 
 void KeyLedger::dropAnswer(Entry &entry)
 {
     if (entry.answer) {
         answerBytes_ -= entry.answer->size().value();
+        answersByAge_.erase(entry.answerPlace);
         entry.answer = nullptr;
     }
 }
--- a/src/idempotency/keyledger.h
+++ b/src/idempotency/keyledger.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <memory>
 #include <set>
 #include <string>
@@ -122,6 +122,7 @@
     [[nodiscard]] KeyStamp boundary() const { return boundary_; }
     [[nodiscard]] std::size_t finishedCount() const { return finishedByStamp_.size(); }
     [[nodiscard]] std::size_t runningCount() const { return entries_.size() - finishedByStamp_.size(); }
+    [[nodiscard]] std::size_t answersHeld() const { return answersByAge_.size(); }
     [[nodiscard]] Bytes answerBytes() const { return Bytes(answerBytes_); }
 
 private:
@@ -139,6 +140,8 @@
         TryId holder;
         TimePoint endedAt;
         std::shared_ptr<const HeldAnswer> answer;
+        /// Its place in answersByAge_; valid while the answer is held.
+        std::list<KeyId>::iterator answerPlace;
         State state = State::Begun;
     };
 
@@ -157,7 +160,7 @@
     Entries entries_;
     /// Keys that ended, lowest stamp first.
     std::set<KeyId> finishedByStamp_;
-    std::deque<KeyId> answersByAge_;
+    std::list<KeyId> answersByAge_;
     std::uint64_t answerBytes_ = 0;
     KeyStamp boundary_{0};
 };
--- a/tests/idempotency/keyledgertest.cpp
+++ b/tests/idempotency/keyledgertest.cpp
@@ -95,6 +95,7 @@
         run(ledger, keyId(index), std::string(1000, 'a'), index + 1);
     }
     CHECK(ledger.answerBytes().value() <= limits.answerBytes.value());
+    CHECK(ledger.answersHeld() == 2);
     checkRefused(ledger.begin(keyId(0), Request, tryId(9), Start, WallStart), Reason::AnswerNotHeld);
     CHECK(replayed(ledger.begin(keyId(2), Request, tryId(9), Start, WallStart)).size() == 1000);
     run(ledger, keyId(5), std::string(5000, 'a'), 4);
@@ -110,6 +111,7 @@
         run(ledger, keyId(stamp), "receipt", stamp);
     }
     CHECK(ledger.finishedCount() == 2);
+    CHECK(ledger.answersHeld() == 2);
     CHECK(ledger.boundary() == keyId(10).stamp);
     checkRefused(ledger.begin(keyId(10), Request, tryId(90), Start, WallStart), Reason::KeyOutOfMemory);
     checkRefused(ledger.begin(keyId(10, 2), Request, tryId(91), Start, WallStart), Reason::KeyOutOfMemory);
