--- a/bench/strategies/main.cpp
+++ b/bench/strategies/main.cpp
@@ -138,7 +138,8 @@
     app.add_option("--seconds", options.settings.seconds, "virtual seconds of each run");
     app.add_option("--retry-share", options.settings.retryShare, "retries for each first try");
     app.add_option("--probe-bytes", options.settings.probeBytesPerSecond, "bytes of probes a second for each node");
-    app.add_option("--report-interval", options.reportMilliseconds, "least milliseconds between two reports to a node");
+    app.add_option("--report-interval", options.reportMilliseconds,
+                   "a call asks for a report if the last one is older, in milliseconds");
     app.add_flag("--gradient-limit", options.settings.gradientLimit, "adaptive concurrency at the upstreams");
     CLI11_PARSE(app, argc, argv);
 
--- a/bench/strategies/simulation.cpp
+++ b/bench/strategies/simulation.cpp
@@ -113,7 +113,9 @@
 {
     Ingress ingress;
     const Location location = locationOf(index / IngressesPerUpstream);
-    ingress.view = std::make_unique<LoadView>();
+    LoadViewSettings view;
+    view.reportInterval = settings_.reportInterval;
+    ingress.view = std::make_unique<LoadView>(view);
     ingress.router = std::make_unique<Router>(location, strategyNamed(settings_.strategy), *ingress.view,
                                               Random{settings_.seed * 1000 + index});
     RetryBudgetSettings retries;
@@ -122,7 +124,6 @@
     ingress.retries = std::make_unique<RetryPolicy>(*ingress.budget);
     ingress.probeBudget = std::make_unique<ProbeBudget>(ProbeBudgetSettings{settings_.probeBytesPerSecond, 0.0, 1.0});
     ingress.planner = std::make_unique<ProbePlanner>(location, *ingress.view, *ingress.probeBudget);
-    ingress.reported.resize(UpstreamCount);
     ingresses_.push_back(std::move(ingress));
     if (settings_.probeBytesPerSecond > 0.0) {
         schedule(begin_ + ProbePeriod, EventKind::Probe, index);
@@ -214,6 +215,7 @@
     call.upstream = choice.value().candidate;
     call.sent = now_;
     ++call.tries;
+    call.carriesReport = ingress.view->wantsReport(choice.value().upstream, now_);
     ingress.view->onSent(choice.value().upstream, now_);
     if (isMeasured(call)) {
         ++result_.tries;
@@ -272,12 +274,9 @@
 void Simulation::attachReport(std::size_t index)
 {
     Call &call = calls_[index];
-    TimePoint &reported = ingresses_[call.ingress].reported[call.upstream];
-    call.carriesReport = now_ - reported >= settings_.reportInterval;
     if (!call.carriesReport) {
         return;
     }
-    reported = now_;
     call.report = upstreams_[call.upstream].admission->report(now_);
     if (settings_.load.fault == Fault::LyingReport && faultIsOn() && call.upstream == 0) {
         call.report = LoadReport{0, 0, Slots, 100, false};
--- a/bench/strategies/simulation.h
+++ b/bench/strategies/simulation.h
@@ -27,7 +27,7 @@
     double retryShare = 0.1;
     /// Bytes of probes that each ingress may send a second; none if zero.
     double probeBytesPerSecond = 0.0;
-    /// Only one answer in this time carries a report from an upstream to an ingress.
+    /// A call asks for a report if the last one is older.
     Egretpath::Duration reportInterval{0};
     /// Whether the egress uses the gradient limit.
     bool gradientLimit = false;
@@ -94,7 +94,7 @@
         unsigned tries = 0;
         bool isError = false;
         Egretpath::LoadReport report;
-        bool carriesReport = true;
+        bool carriesReport = false;
         Egretpath::Failure failure;
         std::vector<Egretpath::UpstreamName> excluded;
     };
@@ -107,8 +107,6 @@
         std::unique_ptr<Egretpath::RetryPolicy> retries;
         std::unique_ptr<Egretpath::ProbeBudget> probeBudget;
         std::unique_ptr<Egretpath::ProbePlanner> planner;
-        /// When each upstream last sent a report here.
-        std::vector<Egretpath::TimePoint> reported;
     };
 
     struct Upstream
--- a/src/routing/loadview.cpp
+++ b/src/routing/loadview.cpp
@@ -150,6 +150,12 @@
     return place == loads_.end() ? nullptr : &place->second;
 }
 
+bool LoadView::wantsReport(const UpstreamName &upstream, TimePoint now) const
+{
+    const UpstreamLoad *load = find(upstream);
+    return load == nullptr || !load->hasReport || now - load->reportTime >= settings_.reportInterval;
+}
+
 double LoadView::failureEvidence(const UpstreamLoad &load, TimePoint now) const
 {
     if (load.failureEvidence == 0.0) {
--- a/src/routing/loadview.h
+++ b/src/routing/loadview.h
@@ -62,6 +62,8 @@
     /// Weight of the newest latency in typicalLatencyMicroseconds(). Small, so that a zone that turns slow is
     /// compared with what was usual before, and does not pass for normal at once.
     double typicalLatencyGain = 0.002;
+    /// A call asks for a report if the last one is older.
+    Duration reportInterval = Milliseconds{100};
 };
 
 /// The ingress's view of the upstreams: own calls in flight, the last reports, latencies and failures seen.
@@ -114,6 +116,10 @@
     /// The record of @p upstream, or nullptr. Valid until the next event.
     [[nodiscard]] const UpstreamLoad *find(const UpstreamName &upstream) const;
 
+    /// Whether the next call to @p upstream should ask for a report with its answer. Asking keeps the bytes of
+    /// measuring bounded by time instead of by calls, and needs no state for each peer at the upstream's node.
+    [[nodiscard]] bool wantsReport(const UpstreamName &upstream, TimePoint now) const;
+
     /// Evidence of failures at @p now; zero without any.
     [[nodiscard]] double failureEvidence(const UpstreamLoad &load, TimePoint now) const;
 
--- a/tests/routing/loadviewtest.cpp
+++ b/tests/routing/loadviewtest.cpp
@@ -86,6 +86,21 @@
     CHECK(expected(view, "failing", minuteLater) < 2 * expected(view, "healthy", minuteLater));
 }
 
+TEST_CASE("a report is asked for only when the last one is old")
+{
+    const UpstreamName upstream{"one"};
+    LoadView view;
+    CHECK(view.wantsReport(upstream, Start));
+    answerCalls(view, "one", Milliseconds{5}, reportOf(1), 1);
+    CHECK_FALSE(view.wantsReport(upstream, Start + Milliseconds{99}));
+    view.onSent(upstream, Start);
+    view.onAnswered(upstream, Milliseconds{5}, std::nullopt, Start + Milliseconds{50});
+    CHECK(view.wantsReport(upstream, Start + Milliseconds{100}));
+    view.onReplaced(upstream, Incarnation{1}, Start);
+    view.onReplaced(upstream, Incarnation{2}, Start);
+    CHECK(view.wantsReport(upstream, Start));
+}
+
 TEST_CASE("a refusal holds new calls back within its bounds")
 {
     const UpstreamName upstream{"one"};
