node: a refused key is never run again, and its caller gets a fresh one

Cause: with keys that stay usable, a request stuck on its way could run after a later one under its key had been told not-run and its caller had paid under another key. The ledger's Retire rule closes this; the refusal now carries a fresh key.

--- a/src/node/egresscontroller.cpp
+++ b/src/node/egresscontroller.cpp
@@ -19,6 +19,8 @@
     limits.keys.finishedKeys = settings.entries;
     limits.keys.retention = settings.memory;
     limits.keys.answerBytes = settings.answer;
+    // Else a request that is stuck on its way could still run after a later one under its key was told "not run".
+    limits.keys.refusedKeys = RefusedKeys::Retire;
     return limits;
 }
 
--- a/src/node/ingresscall.cpp
+++ b/src/node/ingresscall.cpp
@@ -493,7 +493,8 @@
     count(failure.verdict, failure.reason);
     HttpResponseHead head = failureHead(failure);
     head.headers.set(HeaderNames::RequestId, requestId_.value());
-    if (failure.reason == Reason::BadKey) {
+    // A key that was refused once is never run again, so the caller needs another one.
+    if (failure.verdict == Verdict::NotRun && !key_.empty()) {
         co_await addFreshKey(head);
     }
     std::string body(toString(failure.verdict));
--- a/src/node/tablecontroller.cpp
+++ b/src/node/tablecontroller.cpp
@@ -196,6 +196,7 @@
         send(exchange_.pullAnswered(pull.receiver, answer.value(), sentAt, currentTime()));
     } else {
         exchange_.pullFailed(pull);
+        gate_.peerFailed(pull.receiver.upstream, currentTime());
     }
     afterChange();
 }
