--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,10 +1,12 @@
 # Functions that run a whole deployment on loopback: the platform stand-in, and for each upstream of a table its
 # stand-in and its node. To be sourced by scripts that set `root`; every process started is ended by its id.
 #
-# Each pair of an upstream and its node has a loopback address of its own: 127.77.<zone>.<place>, with the node's
+# <network> is the first half of a loopback address, 127.77 unless EGRETPATH_NETWORK says another one, so that several
+# deployments can run side by side. Each pair of an upstream and its node has a loopback address of its own: <network>.<zone>.<place>, with the node's
 # listeners at ports 8080 (callers), 8081 (peers) and 8082 (operators) and the upstream at 9000.
 
-platform_address=127.77.0.1:8500
+network=${EGRETPATH_NETWORK:-127.77}
+platform_address=$network.0.1:8500
 pids=""
 
 # deployment_prepare TABLE DIR: settings, list of VMs and list of nodes for the upstream rows of the table.
@@ -24,7 +26,7 @@
         zone_index=$(((region_index - 1) * 2 + 2 - number % 2))
         zone=$region-$([ $((number % 2)) -eq 1 ] && echo a || echo b)
         place=$(($(grep -c " $zone " "$dir/upstreams" || true) + 1))
-        address=127.77.$zone_index.$place
+        address=$network.$zone_index.$place
         echo "$upstream $service $region $zone $address $slots " >>"$dir/upstreams"
         echo "$upstream,$service,$region,$zone,$address:8081,live" >>"$dir/vms"
         echo "$address:8082" >>"$dir/nodes"
