node: keys are issued by load, removed upstreams are forgotten, last answers are flushed

A call with a key can't be sent elsewhere later, so its owner is now chosen by the router's view of the load at the time of issue; before, the own zone's upstreams were drawn by weight alone. A body that grows over its cap is told so (413) instead of may-have-run/cancelled. The stop waits 200 ms after the last call, so that the end of the process does not reset its last answers.

--- a/src/node/ingresscall.cpp
+++ b/src/node/ingresscall.cpp
@@ -78,6 +78,12 @@
     , arrival_(currentTime())
     , pumpEnd_(controller.executor_, asio::steady_timer::time_point::max())
 {
+    ++controller_.openCalls_;
+}
+
+IngressCall::~IngressCall()
+{
+    --controller_.openCalls_;
 }
 
 asio::awaitable<void> IngressCall::run()
@@ -198,6 +204,10 @@
     if (step == NextStep::MayTryAgain && (failure == &shed || mayTryAgain(*failure, target))) {
         co_return true;
     }
+    if (bodyTooLarge_) {
+        co_await finish(state_->giveUp(Reason::TooLarge, DefaultRetryAfter, "the body is larger than body_cap"));
+        co_return false;
+    }
     const Milliseconds retryAfter = failure->retryAfter.count() > 0 ? failure->retryAfter : DefaultRetryAfter;
     co_await finish(state_->giveUp(failure->reason, retryAfter, failure->detail));
     co_return false;
@@ -342,7 +352,8 @@
     bool wanted = co_await sender->write(std::move(firstPiece_));
     while (true) {
         Result<std::string> piece = co_await exchange_.readBody();
-        if (!piece || length > policy_->bodyCap.value()) {
+        bodyTooLarge_ = length > policy_->bodyCap.value();
+        if (!piece || bodyTooLarge_) {
             cancellation_->cancel();
             break;
         }
--- a/src/node/ingresscall.h
+++ b/src/node/ingresscall.h
@@ -37,6 +37,9 @@
 {
 public:
     IngressCall(IngressController &controller, HttpExchange &exchange);
+    ~IngressCall();
+    IngressCall(const IngressCall &) = delete;
+    IngressCall &operator=(const IngressCall &) = delete;
 
     boost::asio::awaitable<void> run();
 
@@ -96,6 +99,8 @@
     bool bodyWhole_ = false;
     /// Pieces behind the first one were taken from the caller; the body can't be sent a second time.
     bool bodyConsumed_ = false;
+    /// The body grew over the service's cap while it was passed on.
+    bool bodyTooLarge_ = false;
     bool pumping_ = false;
     /// Cancelled at the end of the pump.
     boost::asio::steady_timer pumpEnd_;
--- a/src/node/ingresscontroller.cpp
+++ b/src/node/ingresscontroller.cpp
@@ -45,7 +45,7 @@
     , router_(board.location, strategyOf(board.settings.routing), board.load, Random(board.random()))
     , retryPolicy_(retryBudget_)
     , keyRouter_(KeyRouter::standard(false))
-    , keyIssuer_(board, peers)
+    , keyIssuer_(board, router_, peers)
 {
 }
 
@@ -55,10 +55,8 @@
         co_await serveKeys(exchange);
         co_return;
     }
-    ++openCalls_;
     const auto call = std::make_shared<IngressCall>(*this, exchange);
     co_await call->run();
-    --openCalls_;
 }
 
 asio::awaitable<void> IngressController::serveKeys(HttpExchange &exchange)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -35,6 +35,7 @@
 constexpr Milliseconds DrainStep{20};
 /// How long a leaving node goes on to take calls of callers, while its notices and refusals spread.
 constexpr Milliseconds NoticeTime{1000};
+constexpr Milliseconds FlushTime{200};
 constexpr Milliseconds IdleSweep{10'000};
 constexpr Milliseconds PeerIdleTime{60'000};
 
@@ -153,6 +154,21 @@
     {
         egress_.tableChanged();
         probes_.tableChanged();
+        forgetRemoved();
+        lastTable_ = board_.table;
+    }
+
+    /// Records of upstreams that the table no longer has would pile up over the life of the node.
+    void forgetRemoved()
+    {
+        if (!lastTable_) {
+            return;
+        }
+        for (const UpstreamPolicy &policy : lastTable_->upstreams()) {
+            if (board_.table->upstream(policy.upstream) == nullptr) {
+                board_.load.forget(policy.upstream);
+            }
+        }
     }
 
     void drainChanged()
@@ -197,6 +213,9 @@
         co_await waitUntil([noticed] { return std::chrono::steady_clock::now() >= noticed; }, limit);
         callers_.stopAccepting();
         co_await waitUntil([this] { return isIdle(); }, limit);
+        // The last answers are with the kernel; a process that ended now could reset connections under them.
+        const TimePoint flushed = std::chrono::steady_clock::now() + FlushTime;
+        co_await waitUntil([flushed] { return std::chrono::steady_clock::now() >= flushed; }, flushed);
         board_.log.info(StructuredLine("stop").add("state", isIdle() ? "drained" : "limit-reached"));
         callers_.closeAll();
         context_.stop();
@@ -233,6 +252,7 @@
     HttpServer callers_;
     HttpServer operators_;
     asio::steady_timer drainTimer_;
+    TablePointer lastTable_;
 };
 
 Node::Node(asio::io_context &context, NodeSettings settings)
