standins: callers take a fresh key after not-run, and come back when told

The load tool went on with a refused key, which is never run again, and read only whole seconds from Retry-After.

--- a/tests/standins/loadgenerator.cpp
+++ b/tests/standins/loadgenerator.cpp
@@ -140,6 +140,11 @@
         co_await sleepFor(pause);
         summary_.addRetry();
         target = nextTarget(call.direct);
+        if (outcome.verdict == Verdict::NotRun && !call.key.empty()) {
+            // A key that was refused is never run; another one names the same payment, which provably did not run.
+            const auto fresh = co_await keys_.take(call.service, target);
+            call.key = fresh.value_or(call.key);
+        }
         outcome = co_await attempt(call, target);
     }
     const TimePoint ended = now();
@@ -192,7 +197,7 @@
     const auto said = verdictFromString(headerOf(head, "Egretpath-Verdict"));
     outcome.verdict = said.value_or(plainVerdict(call.direct, head.status));
     outcome.answer = std::move(body.value());
-    outcome.retryAfter = std::chrono::seconds(parseUnsigned(headerOf(head, "Retry-After")).value_or(0));
+    outcome.retryAfter = retryAfterOf(head);
     keys_.offer(call.service, head.headers.find("Egretpath-Next-Key"));
     if (outcome.verdict == Verdict::Answered && head.status == OkStatus) {
         checkAnswer(call, head, outcome.answer);
@@ -200,6 +205,14 @@
     return outcome;
 }
 
+Milliseconds LoadGenerator::retryAfterOf(const HttpResponseHead &head)
+{
+    if (const auto milliseconds = parseUnsigned(headerOf(head, "Egretpath-Retry-After-Ms"))) {
+        return Milliseconds(*milliseconds);
+    }
+    return std::chrono::seconds(parseUnsigned(headerOf(head, "Retry-After")).value_or(0));
+}
+
 void LoadGenerator::checkAnswer(const Call &call, const HttpResponseHead &head, const std::string &answer)
 {
     const std::string id = headerOf(head, "Standin-Request-Id");
--- a/tests/standins/loadgenerator.h
+++ b/tests/standins/loadgenerator.h
@@ -47,6 +47,7 @@
     [[nodiscard]] boost::asio::awaitable<CallOutcome> attempt(Call &call, Endpoint target);
     [[nodiscard]] boost::asio::awaitable<CallOutcome> exchange(Call &call, Endpoint target);
     [[nodiscard]] CallOutcome judge(const Call &call, const HttpResponseHead &head, Result<std::string> body);
+    [[nodiscard]] static Milliseconds retryAfterOf(const HttpResponseHead &head);
     void checkAnswer(const Call &call, const HttpResponseHead &head, const std::string &answer);
     [[nodiscard]] Endpoint nextTarget(bool direct);
     [[nodiscard]] std::string bodyOf(CallKind kind);
