--- a/bench/strategies/simulation.cpp
+++ b/bench/strategies/simulation.cpp
@@ -219,7 +219,6 @@
     ingress.view->onSent(choice.value().upstream, now_);
     if (isMeasured(call)) {
         ++result_.tries;
-        result_.firstTriesByLink[static_cast<std::size_t>(choice.value().link)] += call.tries == 1 ? 1 : 0;
     }
     schedule(now_ + delay(call.ingress, call.upstream), EventKind::AtEgress, index);
 }
--- a/bench/strategies/simulation.h
+++ b/bench/strategies/simulation.h
@@ -44,7 +44,6 @@
     std::uint64_t refused = 0;
     std::uint64_t errors = 0;
     std::uint64_t tries = 0;
-    std::uint64_t firstTriesByLink[Egretpath::LinkKindCount] = {};
     std::uint64_t measuringBytes[Egretpath::LinkKindCount] = {};
     double nodeSeconds = 0.0;
     double measuredSeconds = 0.0;
@@ -156,6 +155,5 @@
     std::vector<Upstream> upstreams_;
     std::vector<Call> calls_;
     std::vector<std::size_t> freeCalls_;
-    std::uint64_t nextCallId_ = 0;
     SimulationResult result_;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -140,6 +140,18 @@
     return anyOpen ? &otherRegions_[drawWeighted(regionWeights_, random_)] : nullptr;
 }
 
+Duration Router::crossingOf(LinkKind link) const
+{
+    switch (link) {
+    case LinkKind::BetweenZones:
+        return settings_.zoneCrossing;
+    case LinkKind::BetweenRegions:
+        return settings_.regionCrossing;
+    default:
+        return Duration{0};
+    }
+}
+
 double Router::bestExpected(const Group &group, TimePoint now) const
 {
     double best = std::numeric_limits<double>::max();
@@ -158,10 +170,8 @@
     choice.reason = reason;
     choice.link = linkBetween(own_, chosen.location);
     choice.score = strategy_->score(chosen, view_, request.now);
-    choice.expectedMicroseconds = estimator_.expectedMicroseconds(chosen, view_, request.now);
-    if (choice.link != LinkKind::InZone) {
-        choice.expectedMicroseconds += microseconds(settings_.zoneCrossing);
-    }
+    choice.expectedMicroseconds =
+        estimator_.expectedMicroseconds(chosen, view_, request.now) + microseconds(crossingOf(choice.link));
     choice.considered = group.open.size();
     fillAlternatives(choice, group, request);
     return choice;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -85,7 +85,9 @@
 {
     /// What a call to another zone of the region costs on top, there and back.
     Duration zoneCrossing = Microseconds{3000};
-    /// The first share of a retry-after that is drawn at random on top, so that callers don't return together.
+    /// The same for another region.
+    Duration regionCrossing = Milliseconds{16};
+    /// Up to this share of a retry-after is drawn at random on top of it, so that callers don't return together.
     double retryAfterJitter = 0.5;
     /// Retry-after when nothing tells a better one.
     Milliseconds defaultRetryAfter{100};
@@ -139,6 +141,7 @@
     [[nodiscard]] const Group *pickGroup(const RouteRequest &request, ChoiceReason &reason);
     [[nodiscard]] bool otherZoneIsFaster(TimePoint now) const;
     [[nodiscard]] const Group *drawRegion(std::span<const RegionSpill> spill);
+    [[nodiscard]] Duration crossingOf(LinkKind link) const;
     [[nodiscard]] double bestExpected(const Group &group, TimePoint now) const;
     [[nodiscard]] Choice chooseIn(const Group &group, ChoiceReason reason, const RouteRequest &request);
     void fillAlternatives(Choice &choice, const Group &group, const RouteRequest &request) const;
--- a/tests/admission/admissionpropertytest.cpp
+++ b/tests/admission/admissionpropertytest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <optional>
 
--- a/tests/routing/probetest.cpp
+++ b/tests/routing/probetest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "routing/probeplanner.h"
--- a/tests/routing/routerpropertytest.cpp
+++ b/tests/routing/routerpropertytest.cpp
@@ -1,4 +1,4 @@
-#include <set>
+#include <algorithm>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -25,8 +25,7 @@
     const int count = *rc::gen::inRange(0, 12);
     for (int index = 0; index < count; ++index) {
         const std::string region = *rc::gen::element<std::string>("northmere", "southmere", "westmere");
-        Candidate candidate =
-            candidateAt("u" + std::to_string(index), *rc::gen::element<std::string>("a", "b"), region);
+        Candidate candidate = candidateAt(numbered("u", index), *rc::gen::element<std::string>("a", "b"), region);
         candidate.weight = *rc::gen::element(0.0, 0.0, 0.5, 1.0, 3.0);
         world.candidates.push_back(candidate);
         if (*rc::gen::inRange(0, 4) == 0) {
