routing, node: load reports ride only on answers that are asked for

Each answer carried a load report, and probes spent 1,000 bytes a second of each node though the queueing model showed no clear gain from them. A call now asks for a report when the last one is old (LoadView::wantsReport), refusals carry one anyway, and the default probe budget is 100 bytes a second. The bytes of reports are counted by link beside those of probes.

--- a/src/node/egresscall.cpp
+++ b/src/node/egresscall.cpp
@@ -234,7 +234,12 @@
 
 CallOutcome EgressCall::outcome(std::variant<Failure, WholeAnswer, StreamedAnswer> result) const
 {
-    return {controller_.board_.self, controller_.report(), std::move(result)};
+    // A refusal always says how things stand here, since it is to keep further calls away.
+    std::optional<LoadReport> report;
+    if (head_.wantsReport || std::holds_alternative<Failure>(result)) {
+        report = controller_.report();
+    }
+    return {controller_.board_.self, report, std::move(result)};
 }
 
 CallOutcome EgressCall::refused(Failure failure)
--- a/src/node/ingresscall.cpp
+++ b/src/node/ingresscall.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t FirstPieceLimit = 64 * 1024;
 constexpr Milliseconds DefaultRetryAfter{100};
 constexpr Milliseconds NoTableRetryAfter{200};
+/// Of a load report on the wire: 24 bytes of data and a pointer.
+constexpr std::uint64_t ReportBytes = 32;
 constexpr std::uint16_t ServiceUnavailable = 503;
 constexpr std::uint16_t FirstServerError = 500;
 
@@ -60,6 +62,13 @@
     return key.empty() ? Repetition::Once : Repetition::OncePerKey;
 }
 
+std::string linkLabel(LinkKind link)
+{
+    std::string label = "link=\"";
+    label.append(toString(link)).append("\"");
+    return label;
+}
+
 std::uint32_t sendingsCap(const ServicePolicy &policy)
 {
     return std::max<std::uint32_t>(policy.triesCap, RetryPolicy::NotRunTriesCap);
@@ -267,6 +276,9 @@
     target.upstream = owner.value().upstream;
     target.node = *node;
     target.incarnation = owner.value().incarnation.value_or(Incarnation());
+    if (const auto instance = board_.membership.instance(target.upstream, currentTime())) {
+        target.link = linkBetween(board_.location, instance->record->location);
+    }
     return target;
 }
 
@@ -409,6 +421,7 @@
         head.remaining = std::chrono::duration_cast<Microseconds>(deadline_ - now);
         head.sentAt = std::chrono::duration_cast<Microseconds>(now.time_since_epoch());
         sentAt_ = now;
+        head.wantsReport = board_.load.wantsReport(upstream, now);
         board_.load.onSent(upstream, now);
         sent_ = true;
         return true;
@@ -439,7 +452,10 @@
         board_.load.onFailed(upstream, Reason::WrongIncarnation, now);
         return;
     }
-    if (ended.report.leaving) {
+    if (ended.report) {
+        board_.metrics.count("egretpath_report_bytes_total", linkLabel(target.link), ReportBytes);
+    }
+    if (ended.report && ended.report->leaving) {
         board_.membership.refusedDraining(upstream, ended.identity.incarnation, sentAt_, now);
     } else {
         board_.membership.answered(upstream, ended.identity.incarnation, sentAt_, now);
--- a/src/node/probecontroller.cpp
+++ b/src/node/probecontroller.cpp
@@ -20,6 +20,8 @@
 
 constexpr Milliseconds PlanInterval{100};
 constexpr Milliseconds ProbeLimit{500};
+constexpr double SavedProbes = 2;
+const double ProbeBytes = static_cast<double>(ProbePlannerSettings().probeSize.value());
 /// A service without calls for this time is not probed.
 constexpr Milliseconds UseMemory{2000};
 
@@ -37,6 +39,10 @@
     }
     settings.paidBytesPerSecond =
         std::min(tableCap, static_cast<double>(board.settings.measuring.paidPerSecond.value()));
+    if (settings.bytesPerSecond > 0) {
+        // Under a small budget the bucket must still hold a probe, or none could ever be sent.
+        settings.burstSeconds = std::max(1.0, SavedProbes * ProbeBytes / settings.bytesPerSecond);
+    }
     return settings;
 }
 
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -43,6 +43,8 @@
   contentLength @13 :Int64;
   # Negative: unknown.
   repeatable @14 :Bool;
+  wantsReport @15 :Bool;
+  # The answer is to carry a load report.
 }
 
 struct Failure {
@@ -60,6 +62,7 @@
 struct CallOutcome {
   identity @0 :Identity;
   report @1 :LoadReport;
+  # Null unless the call asked for it or the egress refuses.
   union {
     failure @2 :Failure;
     answer @3 :Answer;
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -46,6 +47,8 @@
     std::int64_t contentLength = 0;
     /// Whether the table lets this service's calls be tried more than once.
     bool repeatable = false;
+    /// Ask for a load report with the answer; refusals carry one anyway.
+    bool wantsReport = false;
 };
 
 /// Status and header fields of an answer.
@@ -73,7 +76,7 @@
 struct CallOutcome
 {
     NodeIdentity identity;
-    LoadReport report;
+    std::optional<LoadReport> report;
     std::variant<Failure, WholeAnswer, StreamedAnswer> result;
 };
 
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -111,6 +111,7 @@
     wire.setCallClass(static_cast<std::uint8_t>(head.callClass));
     wire.setContentLength(head.contentLength);
     wire.setRepeatable(head.repeatable);
+    wire.setWantsReport(head.wantsReport);
 }
 
 CallHead read(Wire::CallHead::Reader wire)
@@ -132,6 +133,7 @@
         static_cast<PeerCallClass>(std::min(wire.getCallClass(), static_cast<std::uint8_t>(PeerCallClass::Upload)));
     head.contentLength = wire.getContentLength();
     head.repeatable = wire.getRepeatable();
+    head.wantsReport = wire.getWantsReport();
     return head;
 }
 
@@ -149,7 +151,9 @@
 void write(Wire::CallOutcome::Builder wire, const CallOutcome &outcome)
 {
     write(wire.initIdentity(), outcome.identity);
-    write(wire.initReport(), outcome.report);
+    if (outcome.report) {
+        write(wire.initReport(), *outcome.report);
+    }
     if (const auto *failure = std::get_if<Failure>(&outcome.result)) {
         write(wire.initFailure(), *failure);
     } else if (const auto *answer = std::get_if<WholeAnswer>(&outcome.result)) {
@@ -164,7 +168,10 @@
 
 CallOutcome read(Wire::CallOutcome::Reader wire)
 {
-    CallOutcome outcome{read(wire.getIdentity()), read(wire.getReport()), StreamedAnswer{}};
+    CallOutcome outcome{read(wire.getIdentity()), std::nullopt, StreamedAnswer{}};
+    if (wire.hasReport()) {
+        outcome.report = read(wire.getReport());
+    }
     if (wire.isFailure()) {
         outcome.result = readFailure(wire.getFailure());
     } else if (wire.isAnswer()) {
--- a/src/settings/nodesettings.h
+++ b/src/settings/nodesettings.h
@@ -64,7 +64,7 @@
 /// [measuring]: bytes a second that this node may spend on probes.
 struct MeasuringSettings
 {
-    Bytes perSecond{1000};
+    Bytes perSecond{100};
     /// The share of it for links between regions; the table's measure_cap bounds it as well.
     Bytes paidPerSecond{0};
 };
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -173,7 +173,7 @@
         CHECK(answer.head.headers.find("X-Name") == "value");
         CHECK(answer.body == "body");
         CHECK(outcome.value().identity.incarnation == Incarnation(7));
-        CHECK(outcome.value().report.leaving);
+        CHECK(outcome.value().report->leaving);
     }(fixture));
 }
 
