--- a/src/node/egresscall.cpp
+++ b/src/node/egresscall.cpp
@@ -14,7 +14,7 @@
 {
 
 /// Answers up to this size travel in one message and are held for keys.
-constexpr std::size_t WholeAnswerLimit = 256 * 1024;
+constexpr std::size_t WholeAnswerLimit = 256UL * 1024;
 /// The egress ends a call this much before the ingress's deadline, so that its verdict, which knows more, arrives
 /// first.
 constexpr Milliseconds DeadlineMargin{3};
@@ -25,6 +25,29 @@
     return std::chrono::steady_clock::now();
 }
 
+WholeAnswer fromHeld(const HeldAnswer &held)
+{
+    WholeAnswer answer;
+    answer.head.status = held.status;
+    for (const HeldField &field : held.fields) {
+        answer.head.headers.add(field.name, field.value);
+    }
+    answer.body = held.body;
+    answer.replayed = true;
+    return answer;
+}
+
+HeldAnswer toHeld(const WholeAnswer &answer)
+{
+    HeldAnswer held;
+    held.status = answer.head.status;
+    for (const HttpHeader &field : answer.head.headers) {
+        held.fields.push_back({field.name, field.value});
+    }
+    held.body = answer.body;
+    return held;
+}
+
 Digest fingerprintOf(const CallHead &head, const std::string &body)
 {
     // An upload's body is not at hand when it has to be admitted; its length stands for it.
@@ -63,11 +86,7 @@
     }
     if (const auto *replay = std::get_if<ReplayAnswer>(&decision)) {
         logPlacement("replayed", nullptr);
-        AnswerHead head{replay->answer->status, {}};
-        for (const HeldField &field : replay->answer->fields) {
-            head.headers.add(field.name, field.value);
-        }
-        co_return outcome(WholeAnswer{std::move(head), replay->answer->body, true});
+        co_return outcome(fromHeld(*replay->answer));
     }
     begun_ = true;
     deadline_ = arrival_ + std::get<RunRequest>(decision).timeLeft - DeadlineMargin;
@@ -264,15 +283,8 @@
 CallOutcome EgressCall::answered(WholeAnswer answer)
 {
     begun_ = false;
-    HeldAnswer held;
-    if (!head_.repeatable && !head_.idempotencyKey.empty()) {
-        held.status = answer.head.status;
-        for (const HttpHeader &field : answer.head.headers) {
-            held.fields.push_back({field.name, field.value});
-        }
-        held.body = answer.body;
-    }
-    controller_.guard_.finished(tryId_, std::move(held), currentTime());
+    const bool isHeld = !head_.repeatable && !head_.idempotencyKey.empty();
+    controller_.guard_.finished(tryId_, isHeld ? toHeld(answer) : HeldAnswer(), currentTime());
     releaseSlot(true);
     return outcome(std::move(answer));
 }
