history: a caller that could not connect has not been refused

With refusedKeysRetire, "not run" denies every run of the key. A recorded run (node killed, callers going on with the same key at the next node) had two violations: the caller could not connect to the killed node, recorded not-run by itself (cut, connect-failed), and its payment ran once 30 ms later through another node. No node had refused that key, so none could retire it; the system promised nothing.

The retired-key rule now holds for refusals that the system gave. For a caller that never connected the rule without retirement stays: no run of the request itself, and none of its key from before it was sent.

--- a/src/history/historychecker.cpp
+++ b/src/history/historychecker.cpp
@@ -72,8 +72,12 @@
         if (byKey == index.runsByKey().end()) {
             continue;
         }
-        // Without retirement a run that began after this request was sent may follow its refusal.
-        if (bounds.refusedKeysRetire || byKey->second.front().record->time < invocation->time) {
+        // Without retirement a run that began after this request was sent may follow its refusal. Nor can the system
+        // retire the key of a request that never reached it: the caller itself could not connect.
+        const bool refusedBySystem = std::any_of(outcomes.begin(), outcomes.end(), [](const auto &item) {
+            return item.record->verdict == Verdict::NotRun && !item.record->cut;
+        });
+        if ((bounds.refusedKeysRetire && refusedBySystem) || byKey->second.front().record->time < invocation->time) {
             report(violations, Rule, "the key ran", outcomes, byKey->second);
         }
     }
--- a/src/history/historychecker.h
+++ b/src/history/historychecker.h
@@ -49,7 +49,8 @@
     /// Measuring bytes for each second of an incarnation, beyond the burst.
     std::uint64_t measuringBytesEachSecond = 3'000;
     std::uint64_t measuringBurst = 16'384;
-    /// The system retires refused keys: "not run" then denies every run of the key, also later ones.
+    /// The system retires refused keys: its "not run" then denies every run of the key, also later ones. A caller that
+    /// could not connect (OutcomeRecord::cut) was not refused by the system, and may send the key elsewhere.
     bool refusedKeysRetire = false;
 };
 
