node: an ingress that asked no owner does not say that a key did not run

Found by histories: a node is killed and started again, and before it has a table a payment with an issued key arrives. "Not run" speaks of the key: had an earlier request under it run, its caller would have paid again under a fresh key. CallState keeps that rule for calls that it sees, but the refusals before it (no table, unknown service, body too large) went past it.

Ruled out: the owner forgetting a retired key; it was never asked. Change: those refusals become may-have-run when the key is one that some node accepts. Services that may be repeated and texts that no node accepts still hear not-run.

--- a/src/idempotency/keyrouter.cpp
+++ b/src/idempotency/keyrouter.cpp
@@ -1,5 +1,6 @@
 #include "idempotency/keyrouter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Egretpath
@@ -57,4 +58,16 @@
     return notRun(Reason::BadKey, "the key was not issued by egretpath; use the one that this answer carries");
 }
 
+Failure KeyRouter::refuseUnasked(const KeyText &key, Failure failure) const
+{
+    const OwnerSet unknown;
+    const bool someNodeAccepts = std::any_of(strategies_.begin(), strategies_.end(), [&](const auto &strategy) {
+        return strategy->route(key, unknown).has_value();
+    });
+    if (someNodeAccepts) {
+        failure.verdict = Verdict::MayHaveRun;
+    }
+    return failure;
+}
+
 }
--- a/src/idempotency/keyrouter.h
+++ b/src/idempotency/keyrouter.h
@@ -71,6 +71,10 @@
     /// table no longer has the owner.
     [[nodiscard]] Result<KeyTarget> route(const KeyText &key, const OwnerSet &owners) const;
 
+    /// What an ingress may say of a call with @p key that it refuses before any owner was asked: a key that some node
+    /// accepts may have run in an earlier call, so @p failure becomes may-have-run. Errors: none.
+    [[nodiscard]] Failure refuseUnasked(const KeyText &key, Failure failure) const;
+
 private:
     std::vector<std::unique_ptr<KeyStrategy>> strategies_;
 };
--- a/src/node/ingresscall.cpp
+++ b/src/node/ingresscall.cpp
@@ -83,11 +83,11 @@
 asio::awaitable<void> IngressCall::run()
 {
     if (auto failure = check()) {
-        co_await respond(std::move(*failure));
+        co_await respond(refuseUnasked(std::move(*failure)));
         co_return;
     }
     if (auto failure = co_await readFirstPiece()) {
-        co_await respond(std::move(*failure));
+        co_await respond(refuseUnasked(std::move(*failure)));
         co_return;
     }
     const IngressCallId id{board_.self.incarnation, CallSequence(sequence_)};
@@ -149,6 +149,16 @@
     co_return std::nullopt;
 }
 
+Failure IngressCall::refuseUnasked(Failure failure) const
+{
+    const bool repeatable = policy_ != nullptr && policy_->triesCap > 1;
+    const auto key = exchange_.head().headers.find(HeaderNames::IdempotencyKey);
+    if (repeatable || !key) {
+        return failure;
+    }
+    return controller_.keyRouter_.refuseUnasked(KeyText(std::string(*key)), std::move(failure));
+}
+
 asio::awaitable<void> IngressCall::tryUntilEnded()
 {
     while (true) {
--- a/src/node/ingresscall.h
+++ b/src/node/ingresscall.h
@@ -45,6 +45,8 @@
 
     [[nodiscard]] std::optional<Failure> check();
     boost::asio::awaitable<std::optional<Failure>> readFirstPiece();
+    /// What may be said of a call that ends before its owner is known.
+    [[nodiscard]] Failure refuseUnasked(Failure failure) const;
     boost::asio::awaitable<void> tryUntilEnded();
     /// Whether another try follows; if not, the caller was answered.
     boost::asio::awaitable<bool> evaluate(const TryTarget &target, TryNumber number,
--- a/tests/idempotency/idempotencykeytest.cpp
+++ b/tests/idempotency/idempotencykeytest.cpp
@@ -125,3 +125,20 @@
     CHECK(router.route(KeyText("order-17"), owners).error().verdict == Verdict::NotRun);
     CHECK(router.route(KeyText(Uuid), OwnerSet()).error().verdict == Verdict::MayHaveRun);
 }
+
+TEST_CASE("an ingress that asked no owner does not say that a key did not run")
+{
+    // A payment ran and its answer was lost. The caller asks again with the same key at a node that has just started
+    // and has no table yet. Told "not run", it would pay a second time under a fresh key.
+    Random random(1);
+    const KeyText issued = issueKey({UpstreamName("b"), Incarnation(9)}, WallStart, random).text();
+    const Failure noTable = notRun(Reason::NoTable, "no table is in force yet", Milliseconds(200));
+    const KeyRouter router = KeyRouter::standard(false);
+    const Failure said = router.refuseUnasked(issued, noTable);
+    CHECK(said.verdict == Verdict::MayHaveRun);
+    CHECK(said.reason == Reason::NoTable);
+    CHECK(said.retryAfter == noTable.retryAfter);
+    CHECK(router.refuseUnasked(KeyText("order-17"), noTable).verdict == Verdict::NotRun);
+    CHECK(router.refuseUnasked(KeyText(Uuid), noTable).verdict == Verdict::NotRun);
+    CHECK(KeyRouter::standard(true).refuseUnasked(KeyText(Uuid), noTable).verdict == Verdict::MayHaveRun);
+}
