node: the listener does not claim that an unread request did not run

The listener refuses connections over the limit and malformed heads before it knows of an idempotency key, and said not-run. By docs/matters/at-most-once.md that verdict speaks of the key, under which an earlier request may have run. It is may-have-run now. The price: a caller without a key loses a proof that it had at the connection limit.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -58,7 +58,8 @@
     limits.bodyBytes = LargestBody;
     limits.connections = settings.connections;
     limits.idleTime = settings.idle;
-    const Failure refusal = notRun(Reason::BadRequest);
+    // The listener refuses before it knows of a key, under which an earlier request may have run.
+    const Failure refusal = mayHaveRun(Reason::BadRequest);
     limits.refusalHeaders.add("Egretpath-Verdict", std::string(toString(refusal.verdict)));
     limits.refusalHeaders.add("Egretpath-Reason", std::string(toString(refusal.reason)));
     return limits;
