histories: promises held against real processes under seeded faults

bench/histories/run-histories starts a deployment with 18 nodes, drives lookups, payments and uploads, injects a seeded plan of 19 kinds of fault, one or two at a time, and checks the histories of callers, upstreams and nodes. record-history adds what only operators see: tables in force and measuring bytes every 200 ms, accepted tables, planned stops. The process test runs a fixed plan (SIGKILL, SIGSTOP, platform outage) in 16 s, with wide bounds of time so that a busy machine gives the same verdict. deployment.sh forgets processes that have ended, so that no foreign process with a reused id is signalled.

--- a/bench/histories/checkhistory.cpp
+++ b/bench/histories/checkhistory.cpp
@@ -23,6 +23,7 @@
     std::vector<std::string> files;
     std::int64_t leavingMilliseconds = HistoryBounds{}.leaving.count();
     std::int64_t tableMilliseconds = HistoryBounds{}.tableEverywhere.count();
+    std::int64_t startMilliseconds = HistoryBounds{}.tableAfterStart.count();
     HistoryBounds bounds;
 };
 
@@ -31,6 +32,7 @@
     program.add_option("files", options.files, "History files of one run")->required();
     program.add_option("--leaving-ms", options.leavingMilliseconds, "New work at a leaving upstream ends within this");
     program.add_option("--table-ms", options.tableMilliseconds, "An accepted table is in force within this");
+    program.add_option("--start-ms", options.startMilliseconds, "A starting node has a table within this");
     program.add_option("--measuring-bytes", options.bounds.measuringBytesEachSecond, "Measuring budget of a second");
     program.add_option("--measuring-burst", options.bounds.measuringBurst, "Measuring bytes beyond the budget");
     program.add_flag("--refused-keys-retire", options.bounds.refusedKeysRetire, "A refused key must never run");
@@ -41,6 +43,7 @@
     HistoryBounds bounds = options.bounds;
     bounds.leaving = Milliseconds{options.leavingMilliseconds};
     bounds.tableEverywhere = Milliseconds{options.tableMilliseconds};
+    bounds.tableAfterStart = Milliseconds{options.startMilliseconds};
     HistoryReader reader;
     for (const std::string &file : options.files) {
         if (const auto read = reader.readFile(file); !read) {
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -72,6 +72,22 @@
     pids="$pids $pid"
 }
 
+# forget_process PID: it has ended and been waited for; its number may belong to another process from now on.
+forget_process() {
+    left=""
+    for other in $pids; do
+        [ "$other" = "$1" ] || left="$left $other"
+    done
+    pids=$left
+}
+
+# stop_process PID SIGNAL: ends a process that start_process started and waits until it is gone.
+stop_process() {
+    kill "-$2" "$1" 2>/dev/null || true
+    wait "$1" 2>/dev/null || true
+    forget_process "$1"
+}
+
 put_value() {
     curl -sf -o /dev/null -X PUT --data-binary "@$2" "http://$platform_address/v1/kv/$1"
 }
@@ -79,7 +95,7 @@
 # deployment_start_platform DIR
 deployment_start_platform() {
     start_process "$1/platform.log" "$root/build/bin/standin-platform" --listen "$platform_address"
-    for _ in 1 2 3 4 5 6 7 8 9 10; do
+    for _ in $(seq 100); do
         curl -s -o /dev/null "http://$platform_address/control/counts" && break
         sleep 0.1
     done
@@ -126,7 +142,7 @@
         deployment_start_upstream "$dir" "$upstream" "$@"
         deployment_start_node "$dir" "$upstream"
     done
-    "$root/build/bin/egretpath" wait --number 1 --timeout-ms 15000 --nodes "$dir/nodes"
+    "$root/build/bin/egretpath" wait --number 1 --timeout-ms "${start_timeout_ms:-15000}" --nodes "$dir/nodes"
 }
 
 # endpoints DIR SERVICE PORT: the addresses of a service's upstreams with this port, in one line.
--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr Bytes StatusLimit{64 * 1024};
+constexpr Bytes StatusLimit{std::uint64_t{64} * 1024};
 
 std::string textOf(const json::object &status, std::string_view key)
 {
@@ -49,6 +49,18 @@
     return read;
 }
 
+Bytes measuringBytesOf(const json::object &status)
+{
+    const json::value *links = status.if_contains("probe_bytes");
+    std::uint64_t sum = 0;
+    if (links != nullptr && links->is_object()) {
+        for (const auto &[link, bytes] : links->as_object()) {
+            sum += bytes.is_int64() ? static_cast<std::uint64_t>(bytes.as_int64()) : 0;
+        }
+    }
+    return Bytes(sum);
+}
+
 NodeStatusResult parseStatus(const Endpoint &endpoint, const std::string &text)
 {
     boost::system::error_code error;
@@ -64,6 +76,7 @@
     read.start = textOf(status, "start");
     read.table = versionOf(status, "table");
     read.refusedTable = textOf(status, "table_refused");
+    read.measuringBytes = measuringBytesOf(status);
     read.conflict = flagOf(status, "table_conflict");
     read.leaving = flagOf(status, "leaving");
     return read;
--- a/src/client/nodestatus.h
+++ b/src/client/nodestatus.h
@@ -22,6 +22,8 @@
     std::string start;
     std::optional<TableVersion> table;
     std::string refusedTable;
+    /// Spent on measuring upstreams since this incarnation began, over all links.
+    Bytes measuringBytes;
     bool conflict = false;
     bool leaving = false;
 };
