history: a caller that could not connect was not cut by a planned stop

It stops listening a second after the order; 21 ms before it was gone a caller tried a new connection, got connect-failed with not-run, and went on at another node. The checker called that a cut caller. The promise is that no request in flight is cut, and this one had not left its caller: cut and not-run together are written only when no byte left. Connections cut with may-have-run are violations as before.

--- a/src/history/historychecker.cpp
+++ b/src/history/historychecker.cpp
@@ -220,7 +220,9 @@
         const InvocationRecord *invocation = index.invocation(request);
         const OutcomeRecord &outcome = *outcomes.front().record;
         const bool atStop = invocation != nullptr && sameProcess(invocation->ingress, stop.record->node);
-        if (atStop && outcome.cut && invocation->time <= stop.record->time && outcome.time >= stop.record->ordered) {
+        // A caller that could not connect any more had no request in flight.
+        const bool cut = outcome.cut && outcome.verdict != Verdict::NotRun;
+        if (atStop && cut && invocation->time <= stop.record->time && outcome.time >= stop.record->ordered) {
             report(violations, HistoryRule::StopCutsNothing, "the stop cut a caller",
                    IndexedRecords<PlannedStopRecord>{stop}, outcomes);
         }
--- a/src/node/ingresscall.cpp
+++ b/src/node/ingresscall.cpp
@@ -25,7 +25,7 @@
 {
 
 /// Bodies up to this size travel in one message with the head.
-constexpr std::size_t FirstPieceLimit = 64 * 1024;
+constexpr std::size_t FirstPieceLimit = std::size_t{64} * 1024;
 constexpr Milliseconds DefaultRetryAfter{100};
 constexpr Milliseconds NoTableRetryAfter{200};
 constexpr std::uint16_t ServiceUnavailable = 503;
--- a/tests/history/historycheckertest.cpp
+++ b/tests/history/historycheckertest.cpp
@@ -206,6 +206,7 @@
     checkClean(Script(lost).fail("r1", 5, Verdict::MayHaveRun, "deadline-passed").stop(node, 3, 5));
     checkBroken(Script().invoke("r1", 1).fail("r1", 4, Verdict::MayHaveRun, "", true).stop(Ingress, 3, 5), Rule);
     checkClean(Script().invoke("r1", 1).fail("r1", 4, Verdict::MayHaveRun, "", true).stop(Upstream, 3, 5));
+    checkClean(Script().invoke("r1", 4).fail("r1", 4, Verdict::NotRun, "connect-failed", true).stop(Ingress, 3, 5));
 }
 
 TEST_CASE("the table in force never falls, and one number has one content")
