--- a/src/node/ingresscall.cpp
+++ b/src/node/ingresscall.cpp
@@ -25,7 +25,7 @@
 {
 
 /// Bodies up to this size travel in one message with the head.
-constexpr std::size_t FirstPieceLimit = 64UL * 1024;
+constexpr std::size_t FirstPieceLimit = std::size_t{64} * 1024;
 constexpr Milliseconds DefaultRetryAfter{100};
 constexpr Milliseconds NoTableRetryAfter{200};
 /// Of a load report on the wire: 24 bytes of data and a pointer.
@@ -98,11 +98,11 @@
 asio::awaitable<void> IngressCall::run()
 {
     if (auto failure = check()) {
-        co_await respond(std::move(*failure));
+        co_await respond(refuseUnasked(std::move(*failure)));
         co_return;
     }
     if (auto failure = co_await readFirstPiece()) {
-        co_await respond(std::move(*failure));
+        co_await respond(refuseUnasked(std::move(*failure)));
         co_return;
     }
     const IngressCallId id{board_.self.incarnation, CallSequence(sequence_)};
@@ -164,6 +164,16 @@
     co_return std::nullopt;
 }
 
+Failure IngressCall::refuseUnasked(Failure failure) const
+{
+    const bool repeatable = policy_ != nullptr && policy_->triesCap > 1;
+    const auto key = exchange_.head().headers.find(HeaderNames::IdempotencyKey);
+    if (repeatable || !key) {
+        return failure;
+    }
+    return controller_.keyRouter_.refuseUnasked(KeyText(std::string(*key)), std::move(failure));
+}
+
 asio::awaitable<void> IngressCall::tryUntilEnded()
 {
     while (true) {
