node: the list of VMs is read by a few nodes and passed on

Every node read the platform's whole list for itself: at 22,000 VMs 1.41 MB a time, which neither the 2,000 reads a second nor 3 KB/s a node allow.

The list now goes the way of the table: the ranked nodes of each region read it, a second TableExchange over VmListStore passes on the rows that changed. The code that both need (send, push, pull, watch, poll) stands once, in ExchangeDriver; what depends on the subject is behind ExchangeSource. pushTable and pullTable name their subject; one that is not known is refused, so that no payload reaches another's store. The status page shows vm_list_bytes, platform_reads and platform_watches.

MembershipController keeps the notices alone; VmListController has the list.

--- a/src/distribution/exchangemessages.h
+++ b/src/distribution/exchangemessages.h
@@ -14,6 +14,14 @@
 namespace Egretpath
 {
 
+/// What a push or pull is about. Each is exchanged by a TableExchange of its own.
+enum class ExchangeSubject : std::uint8_t {
+    /// The operators' table.
+    Table,
+    /// The platform's list of VMs.
+    VmList,
+};
+
 /// What a node has, and how old its knowledge of the platform is.
 struct TableSummary
 {
--- a/src/node/blackboard.h
+++ b/src/node/blackboard.h
@@ -47,9 +47,9 @@
 
     /// The table in force; null until the start gate has opened. Written by TableController.
     TablePointer table;
-    /// Written by MembershipController, and by IngressController with what calls showed.
+    /// Written by MembershipController and VmListController, and by IngressController with what calls showed.
     MembershipView membership;
-    /// Written by MembershipController; null until a list was read.
+    /// Written by VmListController; null until a list was read.
     std::shared_ptr<const PeerDirectory> directory;
     /// Written by IngressController and ProbeController.
     LoadView load;
--- a/src/node/membershipcontroller.cpp
+++ b/src/node/membershipcontroller.cpp
@@ -1,6 +1,5 @@
 #include "node/membershipcontroller.h"
 
-#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -18,8 +17,6 @@
 
 constexpr Milliseconds RequestLimit{1000};
 constexpr Milliseconds NoticeStep{50};
-/// All nodes together read the list at most this often in a second.
-constexpr double FleetReadsPerSecond = 200.0;
 
 TimePoint currentTime()
 {
@@ -28,33 +25,15 @@
 
 }
 
-MembershipController::MembershipController(asio::any_io_executor executor, Blackboard &board, PeerClient &peers,
-                                           PlatformClient &platform, std::function<void()> listChanged)
+MembershipController::MembershipController(asio::any_io_executor executor, Blackboard &board, PeerClient &peers)
     : executor_(std::move(executor))
     , board_(board)
     , peers_(peers)
-    , platform_(platform)
-    , listChanged_(std::move(listChanged))
     , spreader_({}, board.self.upstream, board.location, board.membership, board.random())
 {
 }
 
-asio::awaitable<void> MembershipController::runList()
-{
-    asio::steady_timer timer(executor_);
-    while (true) {
-        const auto value = co_await platform_.read(PlatformKey(board_.settings.platform.vmsKey));
-        if (value) {
-            takeList(value.value().value, "platform");
-        } else if (board_.membership.listVersion() == 0) {
-            co_await askSeeds();
-        }
-        timer.expires_after(listInterval());
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-}
-
-asio::awaitable<void> MembershipController::runNotices()
+asio::awaitable<void> MembershipController::run()
 {
     asio::steady_timer timer(executor_);
     while (true) {
@@ -87,60 +66,6 @@
     board_.membership.announce(board_.self.upstream, board_.self.incarnation, state, currentTime());
 }
 
-std::string MembershipController::listText() const
-{
-    return printVmList(board_.membership.list());
-}
-
-void MembershipController::takeList(const std::string &text, std::string_view source)
-{
-    VmListParse parse = parseVmList(text);
-    if (!parse.list) {
-        StructuredLine line("vm-list-refused");
-        line.add("source", source).add("line", std::uint64_t{parse.problems.front().line});
-        line.add("problem", parse.problems.front().message);
-        board_.log.error(line);
-        return;
-    }
-    if (parse.list->version == board_.membership.listVersion()) {
-        return;
-    }
-    if (!board_.membership.applyList(std::move(*parse.list), currentTime())) {
-        return;
-    }
-    board_.directory = std::make_shared<PeerDirectory>(board_.membership.list());
-    spreader_.setDirectory(board_.directory);
-    StructuredLine line("vm-list");
-    line.add("version", board_.membership.listVersion()).add("source", source);
-    line.add("vms", std::uint64_t{board_.membership.list().records.size()});
-    board_.log.info(line);
-    listChanged_();
-}
-
-asio::awaitable<void> MembershipController::askSeeds()
-{
-    for (const Endpoint &seed : board_.settings.peers.seeds) {
-        const Result<std::string> list = co_await peers_.vmList(seed, currentTime() + RequestLimit);
-        if (list) {
-            takeList(list.value(), seed.value());
-        }
-        if (board_.membership.listVersion() != 0) {
-            co_return;
-        }
-    }
-}
-
-Duration MembershipController::listInterval()
-{
-    const auto fleet = static_cast<double>(board_.membership.list().records.size());
-    const auto spread = std::chrono::duration<double>(fleet / FleetReadsPerSecond);
-    const Duration least = board_.settings.platform.pollInterval;
-    const Duration interval = std::max(least, std::chrono::duration_cast<Duration>(spread));
-    // Jittered, so that nodes that started together do not read together.
-    std::uniform_real_distribution<double> jitter(0.75, 1.25);
-    return std::chrono::duration_cast<Duration>(interval * jitter(board_.random));
-}
-
 asio::awaitable<void> MembershipController::sendNotices(NoticeBatch batch)
 {
     // A lost batch is not sent again: each piece of news goes out in several rounds.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,6 +20,7 @@
 #include "node/probecontroller.h"
 #include "node/statuspage.h"
 #include "node/tablecontroller.h"
+#include "node/vmlistcontroller.h"
 #include "rpc/peerserver.h"
 
 namespace Egretpath
@@ -86,11 +87,12 @@
         , egress_(executor_, board_)
         , ingress_(executor_, board_, egress_, peers_)
         , tables_(executor_, board_, peers_, platform_, [this] { tableChanged(); })
-        , membership_(executor_, board_, peers_, platform_, [this] { tables_.directoryChanged(); })
+        , membership_(executor_, board_, peers_)
+        , lists_(executor_, board_, peers_, platform_, [this] { listChanged(); })
         , health_(executor_, board_, [this] { drainChanged(); })
         , probes_(executor_, board_, peers_)
-        , status_(board_, egress_, ingress_, tables_, probes_, peers_)
-        , dispatcher_(board_, egress_, tables_, membership_)
+        , status_(board_, egress_, ingress_, tables_, lists_, probes_, peers_, platform_)
+        , dispatcher_(board_, egress_, tables_, membership_, lists_)
         , peerServer_(context, dispatcher_, board_.settings.limits.connections)
         , callers_(executor_, callerLimits(board_.settings.limits),
                    [this](HttpExchange &exchange) { return ingress_.serve(exchange); })
@@ -131,8 +133,8 @@
     void spawnWork()
     {
         asio::co_spawn(executor_, tables_.run(), asio::detached);
-        asio::co_spawn(executor_, membership_.runList(), asio::detached);
-        asio::co_spawn(executor_, membership_.runNotices(), asio::detached);
+        asio::co_spawn(executor_, lists_.run(), asio::detached);
+        asio::co_spawn(executor_, membership_.run(), asio::detached);
         asio::co_spawn(executor_, health_.run(), asio::detached);
         asio::co_spawn(executor_, probes_.run(), asio::detached);
         asio::co_spawn(executor_, sweepIdle(), asio::detached);
@@ -155,6 +157,12 @@
         probes_.tableChanged();
     }
 
+    void listChanged()
+    {
+        tables_.directoryChanged();
+        membership_.directoryChanged();
+    }
+
     void drainChanged()
     {
         if (board_.leaving.upstreamDrains) {
@@ -225,6 +233,7 @@
     IngressController ingress_;
     TableController tables_;
     MembershipController membership_;
+    VmListController lists_;
     HealthController health_;
     ProbeController probes_;
     StatusPage status_;
--- a/src/node/peerdispatcher.cpp
+++ b/src/node/peerdispatcher.cpp
@@ -8,11 +8,12 @@
 namespace asio = boost::asio;
 
 PeerDispatcher::PeerDispatcher(Blackboard &board, EgressController &egress, TableController &tables,
-                               MembershipController &membership)
+                               MembershipController &membership, VmListController &lists)
     : board_(board)
     , egress_(egress)
     , tables_(tables)
     , membership_(membership)
+    , lists_(lists)
 {
 }
 
@@ -39,14 +40,19 @@
     return egress_.upload(std::move(head), std::move(answer), std::move(cancellation));
 }
 
-TableSummary PeerDispatcher::pushTable(UpstreamName sender, PushChange push)
+TableSummary PeerDispatcher::pushTable(UpstreamName sender, ExchangeSubject subject, PushChange push)
 {
-    return tables_.pushReceived(sender, push);
+    return driverOf(subject).pushReceived(sender, push);
 }
 
-PullAnswer PeerDispatcher::pullTable(UpstreamName sender, PullRequest pull)
+PullAnswer PeerDispatcher::pullTable(UpstreamName sender, ExchangeSubject subject, PullRequest pull)
 {
-    return tables_.pullReceived(sender, pull);
+    return driverOf(subject).pullReceived(sender, pull);
+}
+
+ExchangeDriver &PeerDispatcher::driverOf(ExchangeSubject subject)
+{
+    return subject == ExchangeSubject::VmList ? lists_.driver() : tables_.driver();
 }
 
 void PeerDispatcher::notify(UpstreamName /*sender*/, std::vector<MembershipNotice> notices)
@@ -61,7 +67,7 @@
 
 std::string PeerDispatcher::vmList()
 {
-    return membership_.listText();
+    return lists_.textForStarter();
 }
 
 }
--- a/src/node/peerdispatcher.h
+++ b/src/node/peerdispatcher.h
@@ -3,6 +3,7 @@
 #include "node/egresscontroller.h"
 #include "node/membershipcontroller.h"
 #include "node/tablecontroller.h"
+#include "node/vmlistcontroller.h"
 #include "rpc/peerservice.h"
 
 namespace Egretpath
@@ -15,7 +16,7 @@
 {
 public:
     PeerDispatcher(Blackboard &board, EgressController &egress, TableController &tables,
-                   MembershipController &membership);
+                   MembershipController &membership, VmListController &lists);
 
     [[nodiscard]] NodeIdentity identity() const override;
     void hello(NodeIdentity peer, std::uint64_t nextSequence) override;
@@ -23,17 +24,20 @@
                                              std::shared_ptr<Cancellation> cancellation) override;
     boost::asio::awaitable<Admission> upload(CallHead head, std::shared_ptr<AnswerReceiver> answer,
                                              std::shared_ptr<Cancellation> cancellation) override;
-    TableSummary pushTable(UpstreamName sender, PushChange push) override;
-    PullAnswer pullTable(UpstreamName sender, PullRequest pull) override;
+    TableSummary pushTable(UpstreamName sender, ExchangeSubject subject, PushChange push) override;
+    PullAnswer pullTable(UpstreamName sender, ExchangeSubject subject, PullRequest pull) override;
     void notify(UpstreamName sender, std::vector<MembershipNotice> notices) override;
     PeerProbe probe() override;
     std::string vmList() override;
 
 private:
+    [[nodiscard]] ExchangeDriver &driverOf(ExchangeSubject subject);
+
     Blackboard &board_;
     EgressController &egress_;
     TableController &tables_;
     MembershipController &membership_;
+    VmListController &lists_;
 };
 
 }
--- a/src/node/statuspage.cpp
+++ b/src/node/statuspage.cpp
@@ -31,22 +31,19 @@
     return board.table->version();
 }
 
-std::uint64_t controlBytes(const TableController &tables)
-{
-    const TableExchange &exchange = tables.exchange();
-    return exchange.controlBudget().spent().value() + exchange.wholeBudget().spent().value();
-}
-
 }
 
 StatusPage::StatusPage(Blackboard &board, const EgressController &egress, const IngressController &ingress,
-                       const TableController &tables, const ProbeController &probes, const PeerClient &peers)
+                       const TableController &tables, const VmListController &lists, const ProbeController &probes,
+                       const PeerClient &peers, const PlatformClient &platform)
     : board_(board)
     , egress_(egress)
     , ingress_(ingress)
     , tables_(tables)
+    , lists_(lists)
     , probes_(probes)
     , peers_(peers)
+    , platform_(platform)
 {
 }
 
@@ -65,9 +62,9 @@
         {"start", StartStateWords.at(static_cast<std::size_t>(tables_.startState()))},
         {"table", versionOf(inForce(board_))},
         {"table_held", versionOf(tables_.heldVersion())},
-        {"table_heard", versionOf(tables_.exchange().heard())},
+        {"table_heard", versionOf(tables_.driver().exchange().heard())},
         {"table_refused", tables_.refusedTable()},
-        {"table_conflict", tables_.exchange().conflict().has_value()},
+        {"table_conflict", tables_.driver().exchange().conflict().has_value()},
         {"vm_list", board_.membership.listVersion()},
         {"leaving", report.leaving},
         {"in_flight", report.inFlight},
@@ -76,10 +73,13 @@
         {"open_calls", ingress_.openCalls()},
         {"peer_connections", peers_.connectionCount()},
         {"peer_bytes", peers_.bytesTransferred()},
-        {"table_bytes", controlBytes(tables_)},
+        {"table_bytes", tables_.driver().bytes()},
+        {"vm_list_bytes", lists_.driver().bytes()},
+        {"platform_reads", platform_.counts().reads},
+        {"platform_watches", platform_.counts().watches},
         {"probe_bytes", std::move(probeBytes)},
     };
-    if (const auto confirmed = tables_.exchange().confirmedAt()) {
+    if (const auto confirmed = tables_.driver().exchange().confirmedAt()) {
         const auto age = std::chrono::steady_clock::now() - *confirmed;
         status["confirmed_ms"] = std::chrono::duration_cast<Milliseconds>(age).count();
     }
@@ -102,7 +102,10 @@
     metrics.set("egretpath_leaving", "", report.leaving ? 1 : 0);
     metrics.set("egretpath_peer_connections", "", static_cast<double>(peers_.connectionCount()));
     metrics.set("egretpath_peer_bytes", "", static_cast<double>(peers_.bytesTransferred()));
-    metrics.set("egretpath_table_bytes", "", static_cast<double>(controlBytes(tables_)));
+    metrics.set("egretpath_table_bytes", "", static_cast<double>(tables_.driver().bytes()));
+    metrics.set("egretpath_vm_list_bytes", "", static_cast<double>(lists_.driver().bytes()));
+    metrics.set("egretpath_platform_reads", "", static_cast<double>(platform_.counts().reads));
+    metrics.set("egretpath_platform_watches", "", static_cast<double>(platform_.counts().watches));
     metrics.set("egretpath_log_decisions_dropped", "", static_cast<double>(board_.log.droppedDecisions()));
     metrics.set("egretpath_membership_bytes", "", static_cast<double>(board_.membership.memoryBytes()));
     for (const LinkKind link : Links) {
--- a/src/node/statuspage.h
+++ b/src/node/statuspage.h
@@ -7,6 +7,7 @@
 #include "node/ingresscontroller.h"
 #include "node/probecontroller.h"
 #include "node/tablecontroller.h"
+#include "node/vmlistcontroller.h"
 
 namespace Egretpath
 {
@@ -18,7 +19,8 @@
 {
 public:
     StatusPage(Blackboard &board, const EgressController &egress, const IngressController &ingress,
-               const TableController &tables, const ProbeController &probes, const PeerClient &peers);
+               const TableController &tables, const VmListController &lists, const ProbeController &probes,
+               const PeerClient &peers, const PlatformClient &platform);
 
     /// One JSON object: who the node is, which table is in force, whether it takes work, and its counters.
     [[nodiscard]] std::string json() const;
@@ -32,8 +34,10 @@
     const EgressController &egress_;
     const IngressController &ingress_;
     const TableController &tables_;
+    const VmListController &lists_;
     const ProbeController &probes_;
     const PeerClient &peers_;
+    const PlatformClient &platform_;
 };
 
 }
--- a/src/node/tablecontroller.h
+++ b/src/node/tablecontroller.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -8,13 +7,9 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
-#include "distribution/readerelection.h"
 #include "distribution/startgate.h"
-#include "distribution/tableexchange.h"
-#include "node/blackboard.h"
+#include "node/exchangedriver.h"
 #include "node/nodetablestore.h"
-#include "platform/platformclient.h"
-#include "rpc/peerclient.h"
 #include "table/tablepublication.h"
 
 namespace Egretpath
@@ -24,7 +19,7 @@
 /// a table in force once the start gate has opened.
 ///
 /// Preconditions: references outlive the controller. Thread safety: none.
-class TableController
+class TableController final : private ExchangeSource
 {
 public:
     /// @p tableChanged is called after another table was put in force.
@@ -36,35 +31,24 @@
     /// Another list of VMs was read.
     void directoryChanged();
 
-    [[nodiscard]] TableSummary pushReceived(const UpstreamName &sender, const PushChange &push);
-    [[nodiscard]] PullAnswer pullReceived(const UpstreamName &sender, const PullRequest &pull);
-
     [[nodiscard]] StartState startState() const { return startState_; }
-    [[nodiscard]] const TableExchange &exchange() const { return exchange_; }
+    [[nodiscard]] ExchangeDriver &driver() { return driver_; }
+    [[nodiscard]] const ExchangeDriver &driver() const { return driver_; }
     [[nodiscard]] std::optional<TableVersion> heldVersion() const { return store_.currentVersion(); }
     /// What refused the table that the platform serves, or empty.
     [[nodiscard]] const std::string &refusedTable() const { return refusedTable_; }
 
 private:
-    void step();
+    boost::asio::awaitable<SourceReading> valueRead(std::string value) override;
+    void valueAbsent() override;
+    void pullFailed(const UpstreamName &peer) override;
+    void storeChanged() override;
+
     void stepGate(TimePoint now);
-    void stepReads(TimePoint now);
-    void afterChange();
     void putInForce();
-
     boost::asio::awaitable<void> askForSummary(VmRecord peer);
-    boost::asio::awaitable<void> push(OutgoingPush push);
-    boost::asio::awaitable<void> pull(OutgoingPull pull);
-    boost::asio::awaitable<void> pollHead();
-    boost::asio::awaitable<void> watchHead();
-    boost::asio::awaitable<void> takeHead(const PlatformResult<PlatformValue> &value);
-    boost::asio::awaitable<void> headRead(std::string text);
-    boost::asio::awaitable<bool> load(TableHead head);
-    void readFailed(const PlatformFailure &failure);
-    [[nodiscard]] PlatformKey headKey() const;
-    void send(ExchangeRequests requests);
+    boost::asio::awaitable<SourceReading> loadIfNewer(TableHead head);
     void refuse(std::string why);
-    [[nodiscard]] VmRecord recordOf(const UpstreamName &sender) const;
 
     boost::asio::any_io_executor executor_;
     Blackboard &board_;
@@ -72,14 +56,10 @@
     PlatformClient &platform_;
     std::function<void()> tableChanged_;
     NodeTableStore store_;
-    TableExchange exchange_;
+    ExchangeDriver driver_;
     StartGate gate_;
-    ReaderElection election_;
     StartState startState_ = StartState::Asking;
-    bool polling_ = false;
-    bool watching_ = false;
     bool gateReadDone_ = false;
-    std::uint64_t headIndex_ = 0;
     std::optional<TimePoint> fetchAskedAt_;
     std::string refusedTable_;
 };
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -107,6 +107,11 @@
   fleet @2;
 }
 
+enum Subject {
+  table @0;
+  vmList @1;
+}
+
 struct TablePush {
   base @0 :TableVersion;
   target @1 :TableVersion;
@@ -145,8 +150,8 @@
   call @0 (head :CallHead, body :Data, answer :AnswerSink) -> (outcome :CallOutcome);
   upload @1 (head :CallHead, answer :AnswerSink) -> (upload :Upload, refusal :CallOutcome);
   # Returns once the call is admitted (upload) or ended (refusal).
-  pushTable @2 (sender :Text, push :TablePush) -> (summary :TableSummary);
-  pullTable @3 (sender :Text, pull :TablePull) -> (answer :TablePullAnswer);
+  pushTable @2 (sender :Text, push :TablePush, subject :Subject) -> (summary :TableSummary);
+  pullTable @3 (sender :Text, pull :TablePull, subject :Subject) -> (answer :TablePullAnswer);
   notify @4 (sender :Text, notices :List(Notice)) -> ();
   probe @5 () -> (identity :Identity, report :LoadReport);
   vmList @6 () -> (list :Data);
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -403,7 +403,8 @@
     co_return co_await await(kj::mv(promise), deadline, std::move(cancellation));
 }
 
-asio::awaitable<Result<TableSummary>> PeerClient::pushTable(Endpoint peer, PushChange push, TimePoint deadline)
+asio::awaitable<Result<TableSummary>> PeerClient::pushTable(Endpoint peer, ExchangeSubject subject, PushChange push,
+                                                            TimePoint deadline)
 {
     const auto implementation = implementation_;
     auto connection = co_await implementation->connection(peer, deadline);
@@ -413,12 +414,14 @@
     const OpenCall open(connection.value());
     auto request = connection.value()->node.pushTableRequest();
     request.setSender(implementation->selfName());
+    request.setSubject(WireConversion::toWire(subject));
     WireConversion::write(request.initPush(), push);
     auto promise = request.send().then([](auto &&response) { return WireConversion::read(response.getSummary()); });
     co_return co_await await(kj::mv(promise), deadline, nullptr);
 }
 
-asio::awaitable<Result<PullAnswer>> PeerClient::pullTable(Endpoint peer, PullRequest pull, TimePoint deadline)
+asio::awaitable<Result<PullAnswer>> PeerClient::pullTable(Endpoint peer, ExchangeSubject subject, PullRequest pull,
+                                                          TimePoint deadline)
 {
     const auto implementation = implementation_;
     auto connection = co_await implementation->connection(peer, deadline);
@@ -428,6 +431,7 @@
     const OpenCall open(connection.value());
     auto request = connection.value()->node.pullTableRequest();
     request.setSender(implementation->selfName());
+    request.setSubject(WireConversion::toWire(subject));
     WireConversion::write(request.initPull(), pull);
     auto promise = request.send().then([](auto &&response) { return WireConversion::read(response.getAnswer()); });
     co_return co_await await(kj::mv(promise), deadline, nullptr);
--- a/src/rpc/peerclient.h
+++ b/src/rpc/peerclient.h
@@ -63,8 +63,10 @@
                                                            std::shared_ptr<AnswerReceiver> answer, SendPermit permit,
                                                            TimePoint deadline,
                                                            std::shared_ptr<Cancellation> cancellation);
-    boost::asio::awaitable<Result<TableSummary>> pushTable(Endpoint peer, PushChange push, TimePoint deadline);
-    boost::asio::awaitable<Result<PullAnswer>> pullTable(Endpoint peer, PullRequest pull, TimePoint deadline);
+    boost::asio::awaitable<Result<TableSummary>> pushTable(Endpoint peer, ExchangeSubject subject, PushChange push,
+                                                           TimePoint deadline);
+    boost::asio::awaitable<Result<PullAnswer>> pullTable(Endpoint peer, ExchangeSubject subject, PullRequest pull,
+                                                         TimePoint deadline);
     boost::asio::awaitable<Result<void>> notify(Endpoint peer, std::vector<MembershipNotice> notices,
                                                 TimePoint deadline);
     boost::asio::awaitable<Result<PeerProbe>> probe(Endpoint peer, TimePoint deadline);
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -189,6 +189,7 @@
         const auto params = context.getParams();
         WireConversion::write(context.getResults().initSummary(),
                               service_.pushTable(UpstreamName(WireConversion::readText(params.getSender())),
+                                                 WireConversion::fromWire(params.getSubject()),
                                                  WireConversion::read(params.getPush())));
         return kj::READY_NOW;
     }
@@ -198,6 +199,7 @@
         const auto params = context.getParams();
         WireConversion::write(context.getResults().initAnswer(),
                               service_.pullTable(UpstreamName(WireConversion::readText(params.getSender())),
+                                                 WireConversion::fromWire(params.getSubject()),
                                                  WireConversion::read(params.getPull())));
         return kj::READY_NOW;
     }
--- a/src/rpc/peerservice.h
+++ b/src/rpc/peerservice.h
@@ -64,8 +64,8 @@
                                                      std::shared_ptr<Cancellation> cancellation) = 0;
     virtual boost::asio::awaitable<Admission> upload(CallHead head, std::shared_ptr<AnswerReceiver> answer,
                                                      std::shared_ptr<Cancellation> cancellation) = 0;
-    virtual TableSummary pushTable(UpstreamName sender, PushChange push) = 0;
-    virtual PullAnswer pullTable(UpstreamName sender, PullRequest pull) = 0;
+    virtual TableSummary pushTable(UpstreamName sender, ExchangeSubject subject, PushChange push) = 0;
+    virtual PullAnswer pullTable(UpstreamName sender, ExchangeSubject subject, PullRequest pull) = 0;
     virtual void notify(UpstreamName sender, std::vector<MembershipNotice> notices) = 0;
     virtual PeerProbe probe() = 0;
     /// The platform's list of VMs as text, as this node has it.
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <kj/debug.h>
+
 namespace Egretpath::WireConversion
 {
 
@@ -69,6 +71,17 @@
 
 }
 
+Wire::Subject toWire(ExchangeSubject subject)
+{
+    return static_cast<Wire::Subject>(subject);
+}
+
+ExchangeSubject fromWire(Wire::Subject subject)
+{
+    KJ_REQUIRE(subject <= Wire::Subject::VM_LIST, "unknown subject of an exchange");
+    return static_cast<ExchangeSubject>(subject);
+}
+
 void write(Wire::Identity::Builder wire, const NodeIdentity &identity)
 {
     wire.setUpstream(identity.upstream.value());
--- a/src/rpc/wireconversion.h
+++ b/src/rpc/wireconversion.h
@@ -12,6 +12,10 @@
 namespace Egretpath::WireConversion
 {
 
+[[nodiscard]] Wire::Subject toWire(ExchangeSubject subject);
+/// Errors: kj::Exception for a subject that this version does not know; a payload must never reach another's store.
+[[nodiscard]] ExchangeSubject fromWire(Wire::Subject subject);
+
 void write(Wire::Identity::Builder wire, const NodeIdentity &identity);
 void write(Wire::LoadReport::Builder wire, const LoadReport &report);
 void write(Wire::CallHead::Builder wire, const CallHead &head);
--- a/tests/distribution/fakefleet.cpp
+++ b/tests/distribution/fakefleet.cpp
@@ -68,8 +68,9 @@
 
 // --- the fleet ---------------------------------------------------------------------------------------
 
-FakeFleet::FakeFleet(FleetShape shape, std::uint64_t seed)
-    : random_(seed)
+FakeFleet::FakeFleet(FleetShape shape, std::uint64_t seed, FleetSubject subject)
+    : subject_(std::move(subject))
+    , random_(seed)
     , now_(TimePoint{} + std::chrono::hours(1))
     , regionCut_(shape.regions, false)
 {
@@ -247,14 +248,18 @@
     started.alive = true;
     started.pausedUntil = now_;
     const UpstreamName &own = started.record.upstream;
-    started.store = std::make_unique<FakeStore>();
-    started.exchange = std::make_unique<TableExchange>(ExchangeSettings{}, own, started.record.location, *started.store,
+    started.hasRead = false;
+    started.store = subject_.makeStore();
+    started.exchange = std::make_unique<TableExchange>(subject_.exchange, own, started.record.location, *started.store,
                                                        random_(), now_);
     started.exchange->setDirectory(directory_);
-    started.election = std::make_unique<ReaderElection>(ReaderSettings{}, own, random_(), now_);
+    started.election = std::make_unique<ReaderElection>(subject_.readers, own, random_(), now_);
     started.election->setDirectory(directory_);
-    started.gate = std::make_unique<StartGate>(StartGateSettings{}, own, random_(), now_);
-    started.gate->setDirectory(directory_, now_);
+    started.exchange->setInForce(!subject_.hasStartGate);
+    if (subject_.hasStartGate) {
+        started.gate = std::make_unique<StartGate>(StartGateSettings{}, own, random_(), now_);
+        started.gate->setDirectory(directory_, now_);
+    }
     atNode(node, started.run, now_, [this, node] { step(node); });
 }
 
@@ -327,12 +332,28 @@
     return platformUp_ && !nodes_[node].cutFromPlatform;
 }
 
-void FakeFleet::countRead()
+void FakeFleet::countRead(std::size_t node)
 {
+    nodes_[node].hasRead = true;
     ++reads_;
     ++readsBySecond_[std::chrono::duration_cast<std::chrono::seconds>(now_.time_since_epoch()).count()];
 }
 
+void FakeFleet::forgetReads()
+{
+    reads_ = 0;
+    readsBySecond_.clear();
+    for (Node &node : nodes_) {
+        node.hasRead = false;
+    }
+}
+
+std::size_t FakeFleet::readingNodes() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(nodes_.begin(), nodes_.end(), [](const Node &node) { return node.hasRead; }));
+}
+
 std::size_t FakeFleet::mostReadsPerSecond() const
 {
     std::size_t most = 0;
@@ -362,7 +383,7 @@
         nodes_[node].election->readFailed(now_);
         return;
     }
-    countRead();
+    countRead(node);
     atNode(node, nodes_[node].run, now_ + PlatformDelay,
            [this, node, head = head_, readAt = now_] { headArrived(node, head, readAt); });
 }
@@ -373,7 +394,7 @@
         nodes_[node].election->readFailed(now_);
         return;
     }
-    countRead();
+    countRead(node);
     const std::optional<TableVersion> known = nodes_[node].store->currentVersion();
     const std::uint64_t run = nodes_[node].run;
     nodes_[node].watching = true;
@@ -429,7 +450,7 @@
         return;
     }
     if (platformReachable(node)) {
-        countRead();
+        countRead(node);
         atNode(node, reading.run, now_ + PlatformDelay,
                [this, node, version = *head, readAt] { loadArrived(node, version, readAt); });
     }
@@ -439,7 +460,7 @@
 {
     Node &reading = nodes_[node];
     const std::optional<TableVersion> former = reading.store->currentVersion();
-    if (former < version && reading.store->applyWhole(version, {})) {
+    if (former < version && reading.store->applyWhole(version, contents_[version])) {
         checkInForce(node);
         send(node, reading.exchange->loaded(former, now_));
     }
--- a/tests/distribution/fakefleet.h
+++ b/tests/distribution/fakefleet.h
@@ -52,13 +52,23 @@
     Milliseconds extraDelay{0};
 };
 
+/// What the fleet exchanges, and how. The default is a table.
+struct FleetSubject
+{
+    std::function<std::unique_ptr<TableStore>()> makeStore = [] { return std::make_unique<FakeStore>(); };
+    ExchangeSettings exchange;
+    ReaderSettings readers;
+    /// Without one, nodes put into use whatever they get.
+    bool hasStartGate = true;
+};
+
 /// Many nodes' decision logic on one virtual clock and one seeded message queue.
 ///
 /// It checks one thing all the time: the version in force at an address never falls, also over restarts.
 class FakeFleet
 {
 public:
-    FakeFleet(FleetShape shape, std::uint64_t seed);
+    FakeFleet(FleetShape shape, std::uint64_t seed, FleetSubject subject = {});
 
     /// Runs until virtual time has advanced by @p length.
     void run(Duration length);
@@ -66,8 +76,10 @@
     /// if @p limit passed before.
     [[nodiscard]] std::optional<Duration> runUntilAll(const TableVersion &version, Duration limit);
 
-    void publish(const TableVersion &version)
+    /// @p content is what the stores get as the whole.
+    void publish(const TableVersion &version, std::string content = {})
     {
+        contents_[version] = std::move(content);
         head_ = version;
         wakeWatches();
     }
@@ -104,6 +116,10 @@
     /// Most reads that the platform saw in any second.
     [[nodiscard]] std::size_t mostReadsPerSecond() const;
     [[nodiscard]] std::size_t reads() const { return reads_; }
+    /// Begins the counts of reads anew.
+    void forgetReads();
+    /// Nodes that read the platform since they last started or forgetReads() was called.
+    [[nodiscard]] std::size_t readingNodes() const;
     /// Most copies of the change to @p version that crossed any one link between two regions, in one direction.
     [[nodiscard]] std::size_t mostPaidCopies(const TableVersion &version) const;
     [[nodiscard]] std::size_t paidBytes() const { return paidBytes_; }
@@ -133,9 +149,10 @@
         bool alive = false;
         bool cutFromPlatform = false;
         bool watching = false;
+        bool hasRead = false;
         TimePoint pausedUntil;
         std::optional<TableVersion> lastInForce;
-        std::unique_ptr<FakeStore> store;
+        std::unique_ptr<TableStore> store;
         std::unique_ptr<TableExchange> exchange;
         std::unique_ptr<ReaderElection> election;
         std::unique_ptr<StartGate> gate;
@@ -163,7 +180,7 @@
     void headArrived(std::size_t node, std::optional<TableVersion> head, TimePoint readAt);
     void loadArrived(std::size_t node, TableVersion version, TimePoint readAt);
     [[nodiscard]] bool platformReachable(std::size_t node) const;
-    void countRead();
+    void countRead(std::size_t node);
 
     void send(std::size_t node, ExchangeRequests requests);
     void sendPush(std::size_t from, OutgoingPush push);
@@ -174,6 +191,8 @@
     void countPaid(std::size_t from, std::size_t to, std::size_t bytes, const std::optional<TableVersion> &payload);
     [[nodiscard]] std::size_t indexOf(const VmRecord &record) const;
 
+    FleetSubject subject_;
+    std::map<TableVersion, std::string> contents_;
     Random random_;
     TimePoint now_;
     std::uint64_t sequence_ = 0;
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -56,13 +56,15 @@
         co_return CallOutcome{identity(), {}, notRun(Reason::Overloaded, "full", Milliseconds(20))};
     }
 
-    TableSummary pushTable(UpstreamName sender, PushChange push) override
+    TableSummary pushTable(UpstreamName sender, ExchangeSubject subject, PushChange push) override
     {
+        lastSubject = subject;
         lastSender = sender;
         return {push.target, push.base, std::nullopt};
     }
-    PullAnswer pullTable(UpstreamName /*sender*/, PullRequest pull) override
+    PullAnswer pullTable(UpstreamName /*sender*/, ExchangeSubject subject, PullRequest pull) override
     {
+        lastSubject = subject;
         PullAnswer answer;
         answer.summary.version = pull.have;
         answer.kind = PayloadKind::Whole;
@@ -86,6 +88,7 @@
     std::vector<Incarnation> introduced;
     std::uint64_t introducedSequence = 0;
     UpstreamName lastSender;
+    std::optional<ExchangeSubject> lastSubject;
     std::vector<MembershipNotice> lastNotices;
 };
 
@@ -267,17 +270,19 @@
         const TableVersion base{TableNumber(6), Digest{1, 2}};
         const TableVersion target{TableNumber(7), Digest{3, 4}};
         const PushChange push{base, target, SpreadScope::Fleet, "change"};
-        const auto pushed = co_await f.client.pushTable(ServerEndpoint, push, deadline);
+        const auto pushed = co_await f.client.pushTable(ServerEndpoint, ExchangeSubject::VmList, push, deadline);
         REQUIRE(pushed.has_value());
         CHECK(pushed.value().version == target);
         CHECK(pushed.value().heard == base);
         CHECK_FALSE(pushed.value().confirmedAge.has_value());
         CHECK(f.service.lastSender == UpstreamName("caller"));
+        CHECK(f.service.lastSubject == ExchangeSubject::VmList);
         const PullRequest pull{std::nullopt, true};
-        const auto pulled = co_await f.client.pullTable(ServerEndpoint, pull, deadline);
+        const auto pulled = co_await f.client.pullTable(ServerEndpoint, ExchangeSubject::Table, pull, deadline);
         REQUIRE(pulled.has_value());
         CHECK_FALSE(pulled.value().summary.version.has_value());
         CHECK(pulled.value().payload == "rows");
+        CHECK(f.service.lastSubject == ExchangeSubject::Table);
         const MembershipNotice notice{UpstreamName("statements-1"), Incarnation(5), VmState::Leaving, Milliseconds(12),
                                       SpreadScope::Region};
         const std::vector<MembershipNotice> notices{notice};
