--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -1,10 +1,10 @@
 #include "client/nodestatus.h"
 
+#include <exception>
 #include <fstream>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 
@@ -108,8 +108,16 @@
     HttpConnectionPool pool(context.get_executor(), limits);
     const TimePoint deadline = std::chrono::steady_clock::now() + limit;
     std::vector<std::optional<NodeStatusResult>> results(nodes.size());
+    std::size_t unread = nodes.size();
+    const auto oneRead = [&context, &unread] {
+        // The pool's idle connections are work for the loop, so it would run on to its limit.
+        if (--unread == 0) {
+            context.stop();
+        }
+    };
     for (std::size_t index = 0; index < nodes.size(); ++index) {
-        asio::co_spawn(context, readInto(pool, nodes[index], deadline, results[index]), asio::detached);
+        asio::co_spawn(context, readInto(pool, nodes[index], deadline, results[index]),
+                       [&oneRead](const std::exception_ptr & /*none*/) { oneRead(); });
     }
     context.run_until(deadline + limit);
     std::vector<NodeStatusResult> statuses;
