standins: a caller that could not connect does not take its payment for not run

The load tool now keeps the doubt of earlier tries, and takes a fresh key only after a node's not-run.

--- a/tests/standins/loadgenerator.cpp
+++ b/tests/standins/loadgenerator.cpp
@@ -140,10 +140,11 @@
         co_await sleepFor(pause);
         summary_.addRetry();
         target = nextTarget(call.direct);
-        if (outcome.verdict == Verdict::NotRun && !call.key.empty()) {
-            // A key that was refused is never run; another one names the same payment, which provably did not run.
+        if (outcome.verdict == Verdict::NotRun && !outcome.cut && !call.key.empty()) {
+            // A key that a node refused is never run; another one names the same payment, which provably did not run.
             const auto fresh = co_await keys_.take(call.service, target);
             call.key = fresh.value_or(call.key);
+            call.keyMayHaveRun = false;
         }
         outcome = co_await attempt(call, target);
     }
@@ -158,6 +159,11 @@
     call.ids.push_back(id.value());
     history_.invocation(id, call.key, ServiceName(call.service), call.kind == CallKind::Lookup, target, call.body);
     CallOutcome outcome = co_await exchange(call, target);
+    // A caller that could not connect knows nothing new of a key that it had sent before.
+    if (outcome.cut && call.keyMayHaveRun) {
+        outcome.verdict = Verdict::MayHaveRun;
+    }
+    call.keyMayHaveRun = call.keyMayHaveRun || (outcome.verdict == Verdict::MayHaveRun && !call.key.empty());
     history_.outcome(id, outcome);
     co_return outcome;
 }
--- a/tests/standins/loadgenerator.h
+++ b/tests/standins/loadgenerator.h
@@ -41,6 +41,8 @@
         TimePoint deadline;
         /// The ids of the tries so far; an answer to any of them is the caller's own.
         std::vector<std::string> ids;
+        /// A try under the present key may have run.
+        bool keyMayHaveRun = false;
     };
 
     [[nodiscard]] boost::asio::awaitable<void> perform(LoadArrivals::Arrival arrival, TimePoint start);
