--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -348,6 +348,25 @@
     std::uint64_t bytesOfClosed_ = 0;
 };
 
+namespace
+{
+
+/// One request for control, with what @p send makes of the peer's capability. Precondition: what @p send refers to
+/// lives until the answer.
+template<typename Value, typename Implementation, typename Send>
+asio::awaitable<Result<Value>> ask(std::shared_ptr<Implementation> implementation, Endpoint peer, TimePoint deadline,
+                                   const Send &send)
+{
+    auto connection = co_await implementation->connection(peer, deadline);
+    if (!connection) {
+        co_return connection.error();
+    }
+    const OpenCall open(connection.value());
+    co_return co_await await(send(connection.value()->node), deadline, nullptr);
+}
+
+}
+
 PeerClient::PeerClient(asio::io_context &context, NodeIdentity self)
     : implementation_(std::make_shared<Implementation>(context, std::move(self)))
 {
@@ -406,51 +425,39 @@
 asio::awaitable<Result<TableSummary>> PeerClient::pushTable(Endpoint peer, ExchangeSubject subject, PushChange push,
                                                             TimePoint deadline)
 {
-    const auto implementation = implementation_;
-    auto connection = co_await implementation->connection(peer, deadline);
-    if (!connection) {
-        co_return connection.error();
-    }
-    const OpenCall open(connection.value());
-    auto request = connection.value()->node.pushTableRequest();
-    request.setSender(implementation->selfName());
-    request.setSubject(WireConversion::toWire(subject));
-    WireConversion::write(request.initPush(), push);
-    auto promise = request.send().then([](auto &&response) { return WireConversion::read(response.getSummary()); });
-    co_return co_await await(kj::mv(promise), deadline, nullptr);
+    const auto send = [this, subject, &push](Wire::Node::Client &node) -> kj::Promise<TableSummary> {
+        auto request = node.pushTableRequest();
+        request.setSender(implementation_->selfName());
+        request.setSubject(WireConversion::toWire(subject));
+        WireConversion::write(request.initPush(), push);
+        return request.send().then([](auto &&response) { return WireConversion::read(response.getSummary()); });
+    };
+    co_return co_await ask<TableSummary>(implementation_, std::move(peer), deadline, send);
 }
 
 asio::awaitable<Result<PullAnswer>> PeerClient::pullTable(Endpoint peer, ExchangeSubject subject, PullRequest pull,
                                                           TimePoint deadline)
 {
-    const auto implementation = implementation_;
-    auto connection = co_await implementation->connection(peer, deadline);
-    if (!connection) {
-        co_return connection.error();
-    }
-    const OpenCall open(connection.value());
-    auto request = connection.value()->node.pullTableRequest();
-    request.setSender(implementation->selfName());
-    request.setSubject(WireConversion::toWire(subject));
-    WireConversion::write(request.initPull(), pull);
-    auto promise = request.send().then([](auto &&response) { return WireConversion::read(response.getAnswer()); });
-    co_return co_await await(kj::mv(promise), deadline, nullptr);
+    const auto send = [this, subject, &pull](Wire::Node::Client &node) -> kj::Promise<PullAnswer> {
+        auto request = node.pullTableRequest();
+        request.setSender(implementation_->selfName());
+        request.setSubject(WireConversion::toWire(subject));
+        WireConversion::write(request.initPull(), pull);
+        return request.send().then([](auto &&response) { return WireConversion::read(response.getAnswer()); });
+    };
+    co_return co_await ask<PullAnswer>(implementation_, std::move(peer), deadline, send);
 }
 
 asio::awaitable<Result<void>> PeerClient::notify(Endpoint peer, std::vector<MembershipNotice> notices,
                                                  TimePoint deadline)
 {
-    const auto implementation = implementation_;
-    auto connection = co_await implementation->connection(peer, deadline);
-    if (!connection) {
-        co_return connection.error();
-    }
-    const OpenCall open(connection.value());
-    auto request = connection.value()->node.notifyRequest();
-    request.setSender(implementation->selfName());
-    WireConversion::write(request.initNotices(static_cast<unsigned>(notices.size())), notices);
-    auto promise = request.send().ignoreResult().then([] { return true; });
-    const Result<bool> sent = co_await await(kj::mv(promise), deadline, nullptr);
+    const auto send = [this, &notices](Wire::Node::Client &node) -> kj::Promise<bool> {
+        auto request = node.notifyRequest();
+        request.setSender(implementation_->selfName());
+        WireConversion::write(request.initNotices(static_cast<unsigned>(notices.size())), notices);
+        return request.send().ignoreResult().then([] { return true; });
+    };
+    const Result<bool> sent = co_await ask<bool>(implementation_, std::move(peer), deadline, send);
     if (!sent) {
         co_return sent.error();
     }
@@ -459,29 +466,21 @@
 
 asio::awaitable<Result<PeerProbe>> PeerClient::probe(Endpoint peer, TimePoint deadline)
 {
-    const auto implementation = implementation_;
-    auto connection = co_await implementation->connection(peer, deadline);
-    if (!connection) {
-        co_return connection.error();
-    }
-    const OpenCall open(connection.value());
-    auto promise = connection.value()->node.probeRequest().send().then([](auto &&response) {
-        return PeerProbe{WireConversion::read(response.getIdentity()), WireConversion::read(response.getReport())};
-    });
-    co_return co_await await(kj::mv(promise), deadline, nullptr);
+    const auto send = [](Wire::Node::Client &node) -> kj::Promise<PeerProbe> {
+        return node.probeRequest().send().then([](auto &&response) {
+            return PeerProbe{WireConversion::read(response.getIdentity()), WireConversion::read(response.getReport())};
+        });
+    };
+    co_return co_await ask<PeerProbe>(implementation_, std::move(peer), deadline, send);
 }
 
 asio::awaitable<Result<std::string>> PeerClient::vmList(Endpoint peer, TimePoint deadline)
 {
-    const auto implementation = implementation_;
-    auto connection = co_await implementation->connection(peer, deadline);
-    if (!connection) {
-        co_return connection.error();
-    }
-    const OpenCall open(connection.value());
-    auto promise = connection.value()->node.vmListRequest().send().then(
-        [](auto &&response) { return WireConversion::readBytes(response.getList()); });
-    co_return co_await await(kj::mv(promise), deadline, nullptr);
+    const auto send = [](Wire::Node::Client &node) -> kj::Promise<std::string> {
+        return node.vmListRequest().send().then(
+            [](auto &&response) { return WireConversion::readBytes(response.getList()); });
+    };
+    co_return co_await ask<std::string>(implementation_, std::move(peer), deadline, send);
 }
 
 void PeerClient::closeIdle(TimePoint now, Duration idle)
