node: tries of refused reads are spread

A starting node read the table's head at every step of 50 ms until the platform answered; one that refuses fast was asked 20 times a second by each. It is now asked each 500 ms.

--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr Bytes StatusLimit{64 * 1024};
+constexpr Bytes StatusLimit{std::uint64_t{64} * 1024};
 
 std::string textOf(const json::object &status, std::string_view key)
 {
--- a/src/distribution/vmlistsettings.cpp
+++ b/src/distribution/vmlistsettings.cpp
@@ -21,6 +21,9 @@
 /// A node without a reader's confirmation younger than this reads for itself. Confirmations pass from node to node with
 /// the pulls; at half the table's rate of pulls they are about twice as old, some 22 s at 22,000 nodes.
 constexpr Milliseconds FallbackAfter{60'000};
+/// The longest time between two tries while reads fail. When 22,000 nodes start at once and the platform refuses most
+/// of them, their further tries together are some 1,100 reads a second and get through; the list can wait as long.
+constexpr Milliseconds FailureLimit{16'000};
 constexpr Bytes ControlBytesPerSecond{700};
 constexpr Bytes PaidBytesPerSecond{400};
 
@@ -43,6 +46,7 @@
     settings.standbyInterval = std::max(pollInterval, StandbyInterval);
     settings.fallbackAfter = FallbackAfter;
     settings.fallbackFloor = StartReadSpread;
+    settings.failureLimit = FailureLimit;
     // Until a list is known, the floor alone spreads the reads.
     settings.assumedFleetSize = 1;
     return settings;
--- a/src/node/tablecontroller.cpp
+++ b/src/node/tablecontroller.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds RequestLimit{1000};
 /// A fetch that brought nothing is asked for again after this time.
 constexpr Milliseconds FetchInterval{1000};
+/// The gate waits for the platform's first answer, so a read that failed is tried again soon. With no pause between the
+/// tries, a platform that refuses fast would be asked by each starting node at every step.
+constexpr Milliseconds GateReadInterval{500};
 
 TimePoint currentTime()
 {
@@ -79,7 +82,8 @@
     for (VmRecord &peer : gate_.peersToAsk(now)) {
         asio::co_spawn(executor_, askForSummary(std::move(peer)), asio::detached);
     }
-    if (!gateReadDone_) {
+    if (!gateReadDone_ && now >= nextGateReadAt_) {
+        nextGateReadAt_ = now + GateReadInterval;
         driver_.poll();
     }
     const StartDecision decision = gate_.decide(store_.currentVersion(), now);
--- a/src/node/tablecontroller.h
+++ b/src/node/tablecontroller.h
@@ -60,6 +60,7 @@
     StartGate gate_;
     StartState startState_ = StartState::Asking;
     bool gateReadDone_ = false;
+    TimePoint nextGateReadAt_;
     std::optional<TimePoint> fetchAskedAt_;
     std::string refusedTable_;
 };
