history: not-run of a key needs somebody who refused

But no node answered: the word is the caller's own and speaks of one request, not of the key, which the caller knows to have been used.

Outcomes without an answer (cut) now only deny runs of the request itself.

--- a/src/history/historychecker.h
+++ b/src/history/historychecker.h
@@ -16,7 +16,8 @@
 /// The promises that a history is held against.
 enum class HistoryRule : std::uint8_t {
     /// A request that was refused as not run has no run. Its key has none from before the request was sent, because a
-    /// caller asks about its payment and not about one sending; later requests under the key may run.
+    /// caller asks about its payment and not about one sending; later requests under the key may run. A caller that
+    /// could not connect (OutcomeRecord::cut) was refused by nobody: only its request itself must have no run.
     NotRunIsTrue,
     /// A request that may not be repeated ran once at most, and so did its key.
     RanOnce,
@@ -49,8 +50,7 @@
     /// Measuring bytes for each second of an incarnation, beyond the burst.
     std::uint64_t measuringBytesEachSecond = 3'000;
     std::uint64_t measuringBurst = 16'384;
-    /// The system retires refused keys: its "not run" then denies every run of the key, also later ones. A caller that
-    /// could not connect (OutcomeRecord::cut) was not refused by the system, and may send the key elsewhere.
+    /// The system retires refused keys: "not run" then denies every run of the key, also later ones.
     bool refusedKeysRetire = false;
 };
 
