histories: an upstream that leaves and still runs what comes

The stand-in shed by itself while it drained, so no history could show work that reached a leaving upstream too late, and the rule was held vacuously. With drain=2 it says in /health that it leaves, a second late, and runs every call; run-histories keeps that up for over 4 s.

--- a/bench/histories/faultplan.awk
+++ b/bench/histories/faultplan.awk
@@ -52,6 +52,10 @@
         }
         first = names[++place]
         length_ = 500 + draw(3500)
+        if (first == "upstream-leaving") {
+            # Longer than the bound for new work at a leaving upstream.
+            length_ += 4000
+        }
         target = draw(count)
         line = time " " first " " targetOf(first, target) " " length_
         if (rand() < 0.5) {
--- a/tests/standins/standinstest.cpp
+++ b/tests/standins/standinstest.cpp
@@ -231,6 +231,9 @@
         co_await loop.sleep(Milliseconds(60));
         const std::string late = co_await upstream.call("GET", "/health");
         CHECK(late.starts_with("503 "));
+        (void)co_await upstream.call("POST", "/control?drain=2");
+        const std::string run = co_await upstream.call("GET", "/statements/4");
+        CHECK(run.starts_with("200 "));
     });
 }
 
--- a/tests/standins/standinupstream.cpp
+++ b/tests/standins/standinupstream.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint16_t FailedStatus = 500;
 constexpr std::uint16_t UnavailableStatus = 503;
 constexpr std::uint16_t TimeoutStatus = 504;
+/// The value of the control `drain` with which calls are not shed.
+constexpr std::uint64_t RunsWhileDraining = 2;
 constexpr std::uint64_t DefaultAnswerBytes = 200;
 constexpr std::uint64_t LargestAnswerBytes = std::uint64_t{16} * 1024 * 1024;
 constexpr std::uint64_t DefaultDeadlineMilliseconds = 60'000;
@@ -110,7 +112,7 @@
         co_await respondText(exchange, FailedStatus, "failing\n");
         co_return;
     }
-    if (leavingSince_) {
+    if (leavingSince_ && !faults_.runsWhileDraining) {
         co_await shed(exchange, "draining\n");
         co_return;
     }
@@ -219,6 +221,7 @@
 {
     if (const auto drain = target.number("drain")) {
         leavingSince_ = *drain != 0 ? std::optional(leavingSince_.value_or(now())) : std::nullopt;
+        faults_.runsWhileDraining = *drain == RunsWhileDraining;
     }
     if (const auto slow = target.number("slow")) {
         serviceTime_.setSlowFactor(static_cast<double>(std::max<std::uint64_t>(*slow, 1)));
--- a/tests/standins/standinupstream.h
+++ b/tests/standins/standinupstream.h
@@ -56,6 +56,8 @@
         bool failFast = false;
         bool truncate = false;
         bool lie = false;
+        /// Goes on to run the calls that arrive while it drains; only its reports say that it leaves.
+        bool runsWhileDraining = false;
     };
 
     struct Report
