standins: a refused payment goes on with the fresh key of its refusal

The load tool repeated refused calls under the same key. Callers are told to take the fresh key of the refusal, unless an earlier try may have run, and so does the tool now.

--- a/tests/standins/loadgenerator.cpp
+++ b/tests/standins/loadgenerator.cpp
@@ -131,6 +131,7 @@
         }
     }
     CallOutcome outcome = co_await attempt(call, target);
+    bool mayHaveRunBefore = false;
     for (unsigned retry = 0; retry < plan_.callerRetries && outcome.verdict != Verdict::Answered; ++retry) {
         const bool safe = outcome.verdict == Verdict::NotRun || call.kind == CallKind::Lookup || !call.key.empty();
         const Duration pause = std::max(outcome.retryAfter, FirstRetryPause * (1U << std::min(retry, 8U)));
@@ -139,6 +140,12 @@
         }
         co_await sleepFor(pause);
         summary_.addRetry();
+        mayHaveRunBefore = mayHaveRunBefore || outcome.verdict == Verdict::MayHaveRun;
+        // A refused key is never run again; its refusal carries a fresh one. But a try that may have run keeps its key,
+        // or the call could run twice.
+        if (outcome.verdict == Verdict::NotRun && !mayHaveRunBefore && !call.key.empty() && !outcome.nextKey.empty()) {
+            call.key = outcome.nextKey;
+        }
         target = nextTarget(call.direct);
         outcome = co_await attempt(call, target);
     }
@@ -193,7 +200,11 @@
     outcome.verdict = said.value_or(plainVerdict(call.direct, head.status));
     outcome.answer = std::move(body.value());
     outcome.retryAfter = std::chrono::seconds(parseUnsigned(headerOf(head, "Retry-After")).value_or(0));
-    keys_.offer(call.service, head.headers.find("Egretpath-Next-Key"));
+    outcome.nextKey = headerOf(head, "Egretpath-Next-Key");
+    // The fresh key of a refusal belongs to the call that was refused.
+    if (outcome.verdict != Verdict::NotRun) {
+        keys_.offer(call.service, head.headers.find("Egretpath-Next-Key"));
+    }
     if (outcome.verdict == Verdict::Answered && head.status == OkStatus) {
         checkAnswer(call, head, outcome.answer);
     }
--- a/tests/standins/standinhistory.h
+++ b/tests/standins/standinhistory.h
@@ -27,6 +27,8 @@
     bool cut = false;
     /// When the caller may come back; not part of the history.
     Milliseconds retryAfter{0};
+    /// A fresh key; not part of the history.
+    std::string nextKey;
 };
 
 /// Writes what callers and upstreams saw, one JSON object a line and flushed, in the record format of the history
