--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -1,11 +1,10 @@
 #include "client/nodestatus.h"
 
-#include <cstddef>
-#include <exception>
 #include <fstream>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 
@@ -20,7 +19,7 @@
 namespace
 {
 
-constexpr Bytes StatusLimit{64UL * 1024};
+constexpr Bytes StatusLimit{64 * 1024};
 
 std::string textOf(const json::object &status, std::string_view key)
 {
@@ -109,15 +108,8 @@
     HttpConnectionPool pool(context.get_executor(), limits);
     const TimePoint deadline = std::chrono::steady_clock::now() + limit;
     std::vector<std::optional<NodeStatusResult>> results(nodes.size());
-    std::size_t outstanding = nodes.size();
-    // The pool's idle connections are work for the context as well: it would run on until the time limit.
-    const auto readEnded = [&context, &outstanding](const std::exception_ptr &) {
-        if (--outstanding == 0) {
-            context.stop();
-        }
-    };
     for (std::size_t index = 0; index < nodes.size(); ++index) {
-        asio::co_spawn(context, readInto(pool, nodes[index], deadline, results[index]), readEnded);
+        asio::co_spawn(context, readInto(pool, nodes[index], deadline, results[index]), asio::detached);
     }
     context.run_until(deadline + limit);
     std::vector<NodeStatusResult> statuses;
