--- /dev/null
+++ b/bench/node/rpcbench.cpp
@@ -0,0 +1,134 @@
+// What one call between nodes and one decision's log line cost in processor time.
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <benchmark/benchmark.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "rpc/asioeventport.h"
+#include "rpc/peerclient.h"
+#include "rpc/peerserver.h"
+#include "telemetry/eventlog.h"
+
+namespace Egretpath
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+const Endpoint ServerEndpoint("127.0.0.1:24713");
+constexpr std::size_t ConnectionCap = 4;
+constexpr std::uint64_t NoLimit = 1'000'000'000;
+
+/// Answers each call at once with the body it got.
+class EchoService final : public PeerService
+{
+public:
+    [[nodiscard]] NodeIdentity identity() const override { return {UpstreamName("echo"), Incarnation(7)}; }
+    void hello(NodeIdentity /*peer*/, std::uint64_t /*nextSequence*/) override { }
+    asio::awaitable<CallOutcome> call(CallHead head, std::string body, std::shared_ptr<AnswerReceiver> /*answer*/,
+                                      std::shared_ptr<Cancellation> /*cancellation*/) override
+    {
+        WholeAnswer answer;
+        answer.head.status = 200;
+        answer.head.headers = std::move(head.headers);
+        answer.body = std::move(body);
+        CallOutcome outcome;
+        outcome.identity = identity();
+        outcome.result = std::move(answer);
+        co_return outcome;
+    }
+    asio::awaitable<Admission> upload(CallHead /*head*/, std::shared_ptr<AnswerReceiver> /*answer*/,
+                                      std::shared_ptr<Cancellation> /*cancellation*/) override
+    {
+        CallOutcome refusal;
+        refusal.result = notRun(Reason::Overloaded);
+        co_return refusal;
+    }
+    TableSummary pushTable(UpstreamName /*sender*/, ExchangeSubject /*subject*/, PushChange /*push*/) override
+    {
+        return {};
+    }
+    PullAnswer pullTable(UpstreamName /*sender*/, ExchangeSubject /*subject*/, PullRequest /*pull*/) override
+    {
+        return {};
+    }
+    void notify(UpstreamName /*sender*/, std::vector<MembershipNotice> /*notices*/) override { }
+    PeerProbe probe() override { return {identity(), {}}; }
+    std::string vmList() override { return {}; }
+};
+
+CallHead typicalHead()
+{
+    CallHead head;
+    head.requestId = RequestId("statements-1-17144512032731968161-306");
+    head.service = ServiceName("statements");
+    head.method = "GET";
+    head.target = "/statements/17?year=2";
+    head.headers.add("Host", "127.0.0.1:8080");
+    head.headers.add("Accept", "application/json");
+    head.headers.add("User-Agent", "benchmark");
+    return head;
+}
+
+asio::awaitable<void> callOften(PeerClient &client, std::size_t bodyBytes, benchmark::State &state)
+{
+    const PeerClient::SendPermit always = [](CallHead &) { return true; };
+    for (auto step : state) {
+        benchmark::DoNotOptimize(step);
+        auto cancellation = std::make_shared<Cancellation>();
+        const TimePoint deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        const auto outcome = co_await client.call(ServerEndpoint, typicalHead(), std::string(bodyBytes, 'x'), nullptr,
+                                                  always, deadline, std::move(cancellation));
+        if (!outcome) {
+            state.SkipWithError("a call failed");
+            break;
+        }
+    }
+}
+
+/// Client and server share one thread, so the processor time is that of both ends, sockets included.
+void callBetweenNodes(benchmark::State &state)
+{
+    AsioEventPort port;
+    EchoService service;
+    PeerServer server(port.context(), service, ConnectionCap);
+    server.listen(ServerEndpoint);
+    PeerClient client(port.context(), NodeIdentity{UpstreamName("caller"), Incarnation(1)});
+    asio::co_spawn(port.context(), callOften(client, static_cast<std::size_t>(state.range(0)), state),
+                   [&port](std::exception_ptr) { port.context().stop(); });
+    port.context().run();
+}
+
+void decisionLine(benchmark::State &state)
+{
+    EventLogSettings settings;
+    settings.file = "/dev/null";
+    settings.decisionsPerSecond = static_cast<std::uint64_t>(state.range(0));
+    EventLog log(settings);
+    for (auto step : state) {
+        benchmark::DoNotOptimize(step);
+        if (log.admitsDecision(std::chrono::steady_clock::now())) {
+            StructuredLine line("route");
+            line.add("request", "statements-1-17144512032731968161-306").add("try", std::uint64_t{1});
+            line.add("service", "statements").add("chosen", "statements-2").add("why", "own-zone");
+            line.add("score", 1.25).add("considered", std::uint64_t{6});
+            log.decision(line);
+        }
+    }
+}
+
+BENCHMARK(callBetweenNodes)->Arg(200)->Arg(16'000)->Unit(benchmark::kMicrosecond);
+// A limit of zero shows what a dropped line costs.
+BENCHMARK(decisionLine)->Arg(NoLimit)->Arg(0)->Unit(benchmark::kNanosecond);
+
+}
+
+}
+
+BENCHMARK_MAIN();
