--- a/src/node/egresscall.cpp
+++ b/src/node/egresscall.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "node/callclassification.h"
+#include "node/currenttime.h"
 #include "node/headernames.h"
 
 namespace Egretpath
@@ -20,11 +21,6 @@
 constexpr Milliseconds DeadlineMargin{3};
 constexpr Milliseconds DrainingRetryAfter{50};
 
-TimePoint currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 WholeAnswer fromHeld(const HeldAnswer &held)
 {
     WholeAnswer answer;
--- a/src/node/egressslots.cpp
+++ b/src/node/egressslots.cpp
@@ -5,21 +5,13 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "node/currenttime.h"
+
 namespace Egretpath
 {
 
 namespace asio = boost::asio;
 
-namespace
-{
-
-TimePoint currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
-}
-
 EgressSlots::EgressSlots(asio::any_io_executor executor, AdmissionCaps caps)
     : admission_(caps)
     , executor_(std::move(executor))
--- a/src/node/exchangedriver.cpp
+++ b/src/node/exchangedriver.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "node/currenttime.h"
+
 namespace Egretpath
 {
 
@@ -16,11 +18,6 @@
 constexpr Milliseconds RequestLimit{1000};
 constexpr Milliseconds WatchTime{20'000};
 
-TimePoint currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 }
 
 ExchangeDriver::ExchangeDriver(asio::any_io_executor executor, Blackboard &board, PeerClient &peers,
--- a/src/node/healthcontroller.cpp
+++ b/src/node/healthcontroller.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "node/currenttime.h"
+
 namespace Egretpath
 {
 
@@ -43,7 +45,7 @@
 
 asio::awaitable<std::optional<bool>> HealthController::askWhetherDraining()
 {
-    const TimePoint deadline = std::chrono::steady_clock::now() + board_.settings.upstream.healthInterval;
+    const TimePoint deadline = currentTime() + board_.settings.upstream.healthInterval;
     auto call = co_await pool_.open(board_.settings.upstream.address, deadline);
     if (!call) {
         co_return std::nullopt;
--- a/src/node/ingresscall.cpp
+++ b/src/node/ingresscall.cpp
@@ -12,6 +12,7 @@
 #include "node/callclassification.h"
 #include "node/calleranswer.h"
 #include "node/callerresponse.h"
+#include "node/currenttime.h"
 #include "node/headernames.h"
 #include "node/localupload.h"
 #include "node/requesttarget.h"
@@ -28,15 +29,7 @@
 constexpr std::size_t FirstPieceLimit = std::size_t{64} * 1024;
 constexpr Milliseconds DefaultRetryAfter{100};
 constexpr Milliseconds NoTableRetryAfter{200};
-/// Of a load report on the wire: 24 bytes of data and a pointer.
-constexpr std::uint64_t ReportBytes = 32;
 constexpr std::uint16_t ServiceUnavailable = 503;
-constexpr std::uint16_t FirstServerError = 500;
-
-TimePoint currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
 
 RequestId makeRequestId(const NodeIdentity &self, std::uint64_t sequence)
 {
@@ -62,13 +55,6 @@
     return key.empty() ? Repetition::Once : Repetition::OncePerKey;
 }
 
-std::string linkLabel(LinkKind link)
-{
-    std::string label = "link=\"";
-    label.append(toString(link)).append("\"");
-    return label;
-}
-
 std::uint32_t sendingsCap(const ServicePolicy &policy)
 {
     return std::max<std::uint32_t>(policy.triesCap, RetryPolicy::NotRunTriesCap);
@@ -83,6 +69,8 @@
     , sequence_(++controller.lastSequence_)
     , requestId_(makeRequestId(board_.self, sequence_))
     , service_(RequestTarget(exchange.head().target).service())
+    , evidence_(board_)
+    , decisions_(board_, requestId_, service_)
     , table_(board_.table)
     , arrival_(currentTime())
     , pumpEnd_(controller.executor_, asio::steady_timer::time_point::max())
@@ -190,7 +178,7 @@
         }
         const TryNumber number = tryId.value().number;
         const Result<CallOutcome> outcome = co_await send(target.value(), number);
-        learn(target.value(), outcome);
+        evidence_.take(target.value(), outcome, std::exchange(sent_, false), sentAt_);
         if (!co_await evaluate(target.value(), number, outcome)) {
             co_return;
         }
@@ -252,13 +240,7 @@
     request.deadlineLeft = deadline_ - currentTime();
     request.expectedServiceTime = Microseconds(static_cast<std::int64_t>(target.expectedMicroseconds));
     const RetryDecision decision = controller_.retryPolicy_.decide(request);
-    if (board_.log.admitsDecision(currentTime())) {
-        StructuredLine line("retry");
-        line.add("request", requestId_.value()).add("after", target.upstream.value());
-        line.add("verdict", toString(failure.verdict)).add("reason", toString(failure.reason));
-        line.add("decision", toString(decision));
-        board_.log.decision(line);
-    }
+    decisions_.retry(target.upstream, failure, decision);
     return decision == RetryDecision::Retry;
 }
 
@@ -281,7 +263,7 @@
     if (!node) {
         return mayHaveRun(Reason::KeyOutOfMemory, "the owner of the key is not listed", DefaultRetryAfter);
     }
-    logOwner(owner.value());
+    decisions_.owner(owner.value());
     TryTarget target;
     target.upstream = owner.value().upstream;
     target.node = *node;
@@ -300,7 +282,7 @@
     if (!choice) {
         return choice.error();
     }
-    logRoute(choice.value(), set);
+    decisions_.route(choice.value(), set, tried_.size() + 1);
     TryTarget target;
     target.upstream = choice.value().upstream;
     target.node = set.nodes[choice.value().candidate];
@@ -438,57 +420,6 @@
     };
 }
 
-void IngressCall::learn(const TryTarget &target, const Result<CallOutcome> &outcome)
-{
-    const TimePoint now = currentTime();
-    const UpstreamName &upstream = target.upstream;
-    const bool wasSent = std::exchange(sent_, false);
-    if (!outcome) {
-        if (outcome.error().reason == Reason::ConnectFailed) {
-            board_.membership.connectFailed(upstream, now);
-            // Counted as sent and failed, so that the router learns of it as well.
-            board_.load.onSent(upstream, now);
-            board_.load.onFailed(upstream, Reason::ConnectFailed, now);
-        } else if (wasSent && outcome.error().reason == Reason::Cancelled) {
-            board_.load.onCancelled(upstream, now);
-        } else if (wasSent) {
-            board_.load.onFailed(upstream, outcome.error().reason, now);
-        }
-        return;
-    }
-    const CallOutcome &ended = outcome.value();
-    if (ended.identity.upstream != upstream) {
-        // Another node listens at the address: the platform's list is behind.
-        board_.load.onFailed(upstream, Reason::WrongIncarnation, now);
-        return;
-    }
-    if (ended.report) {
-        board_.metrics.count("egretpath_report_bytes_total", linkLabel(target.link), ReportBytes);
-    }
-    if (ended.report && ended.report->leaving) {
-        board_.membership.refusedDraining(upstream, ended.identity.incarnation, sentAt_, now);
-    } else {
-        board_.membership.answered(upstream, ended.identity.incarnation, sentAt_, now);
-    }
-    board_.load.onReplaced(upstream, ended.identity.incarnation, now);
-    learnResult(upstream, ended, now);
-}
-
-void IngressCall::learnResult(const UpstreamName &upstream, const CallOutcome &ended, TimePoint now)
-{
-    const auto *failure = std::get_if<Failure>(&ended.result);
-    const auto *whole = std::get_if<WholeAnswer>(&ended.result);
-    if (failure != nullptr && failure->verdict == Verdict::NotRun) {
-        board_.load.onRefused(upstream, failure->reason, failure->retryAfter, ended.report, now);
-    } else if (failure != nullptr) {
-        board_.load.onFailed(upstream, failure->reason, now);
-    } else if (whole != nullptr && whole->head.status >= FirstServerError) {
-        board_.load.onErrorAnswer(upstream, ended.report, now);
-    } else {
-        board_.load.onAnswered(upstream, now - sentAt_, ended.report, now);
-    }
-}
-
 asio::awaitable<void> IngressCall::answer(const CallOutcome &outcome, TryNumber number)
 {
     if (!state_->answered(number)) {
@@ -564,38 +495,6 @@
     head.headers.set(HeaderNames::NextKey, controller_.keyIssuer_.issueFor(answerer));
 }
 
-void IngressCall::logRoute(const Choice &choice, const CandidateSet &set)
-{
-    if (!board_.log.admitsDecision(currentTime())) {
-        return;
-    }
-    std::string alternatives;
-    for (std::size_t index = 0; index < choice.alternativeCount; ++index) {
-        const Alternative &alternative = choice.alternatives[index];
-        alternatives.append(alternatives.empty() ? "" : ",");
-        alternatives.append(set.candidates[alternative.candidate].upstream.value()).append(":");
-        alternatives.append(std::to_string(static_cast<std::int64_t>(alternative.score)));
-    }
-    StructuredLine line("route");
-    line.add("request", requestId_.value()).add("try", std::uint64_t{tried_.size() + 1});
-    line.add("service", service_.value()).add("chosen", choice.upstream.value());
-    line.add("why", toString(choice.reason)).add("link", toString(choice.link));
-    line.add("score", choice.score).add("expected_us", choice.expectedMicroseconds);
-    line.add("considered", std::uint64_t{choice.considered}).add("alternatives", alternatives);
-    board_.log.decision(line);
-}
-
-void IngressCall::logOwner(const KeyTarget &owner)
-{
-    if (!board_.log.admitsDecision(currentTime())) {
-        return;
-    }
-    StructuredLine line("route");
-    line.add("request", requestId_.value()).add("service", service_.value());
-    line.add("chosen", owner.upstream.value()).add("why", "owner-of-key");
-    board_.log.decision(line);
-}
-
 void IngressCall::count(Verdict verdict, Reason reason)
 {
     std::string labels = "service=\"";
--- a/src/node/ingresscall.h
+++ b/src/node/ingresscall.h
@@ -12,23 +12,15 @@
 #include "idempotency/callstate.h"
 #include "node/candidateset.h"
 #include "node/ingresscontroller.h"
+#include "node/routelog.h"
+#include "node/tryevidence.h"
+#include "node/trytarget.h"
 #include "rpc/cancellation.h"
 #include "table/table.h"
 
 namespace Egretpath
 {
 
-/// Where one try goes.
-struct TryTarget
-{
-    UpstreamName upstream;
-    Endpoint node;
-    /// Set for calls with a key: only this run of the node may take the call.
-    Incarnation incarnation;
-    LinkKind link = LinkKind::InZone;
-    double expectedMicroseconds = 0.0;
-};
-
 /// One call at the ingress, from the request to the one answer that its caller gets.
 ///
 /// CallState keeps the promise: nothing is sent after the caller was answered, and not-run is said only if proved.
@@ -69,9 +61,6 @@
     [[nodiscard]] CallHead makeHead(const TryTarget &target, TryNumber number) const;
     [[nodiscard]] PeerClient::SendPermit permitFor(const UpstreamName &upstream, TryNumber number);
 
-    void learn(const TryTarget &target, const Result<CallOutcome> &outcome);
-    void learnResult(const UpstreamName &upstream, const CallOutcome &ended, TimePoint now);
-
     boost::asio::awaitable<void> answer(const CallOutcome &outcome, TryNumber number);
     void endStreamedAnswer(const Result<CallOutcome> &outcome);
     boost::asio::awaitable<void> finish(std::optional<Failure> failure);
@@ -80,8 +69,6 @@
     boost::asio::awaitable<void> addFreshKey(HttpResponseHead &head);
     void addNextKey(HttpResponseHead &head, const NodeIdentity &answerer);
 
-    void logRoute(const Choice &choice, const CandidateSet &set);
-    void logOwner(const KeyTarget &owner);
     void count(Verdict verdict, Reason reason);
 
     IngressController &controller_;
@@ -90,6 +77,8 @@
     std::uint64_t sequence_;
     RequestId requestId_;
     ServiceName service_;
+    TryEvidence evidence_;
+    RouteLog decisions_;
     TablePointer table_;
     const ServicePolicy *policy_ = nullptr;
     std::string key_;
--- a/src/node/keyissuer.cpp
+++ b/src/node/keyissuer.cpp
@@ -4,6 +4,7 @@
 
 #include "idempotency/idempotencykey.h"
 #include "node/candidateset.h"
+#include "node/currenttime.h"
 
 namespace Egretpath
 {
@@ -15,11 +16,6 @@
 
 constexpr Milliseconds AskLimit{250};
 
-TimePoint currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 }
 
 KeyIssuer::KeyIssuer(Blackboard &board, Router &router, PeerClient &peers)
--- a/src/node/membershipcontroller.cpp
+++ b/src/node/membershipcontroller.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "node/currenttime.h"
+
 namespace Egretpath
 {
 
@@ -18,11 +20,6 @@
 constexpr Milliseconds RequestLimit{1000};
 constexpr Milliseconds NoticeStep{50};
 
-TimePoint currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 }
 
 MembershipController::MembershipController(asio::any_io_executor executor, Blackboard &board, PeerClient &peers)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,6 +13,7 @@
 #include "http/httpserver.h"
 #include "node/blackboard.h"
 #include "node/callerresponse.h"
+#include "node/currenttime.h"
 #include "node/healthcontroller.h"
 #include "node/ingresscontroller.h"
 #include "node/membershipcontroller.h"
@@ -211,20 +212,20 @@
         while (true) {
             timer.expires_after(IdleSweep);
             co_await timer.async_wait(asio::use_awaitable);
-            peers_.closeIdle(std::chrono::steady_clock::now(), PeerIdleTime);
+            peers_.closeIdle(currentTime(), PeerIdleTime);
         }
     }
 
     asio::awaitable<void> drain()
     {
-        const TimePoint limit = std::chrono::steady_clock::now() + board_.settings.drain.limit;
-        const TimePoint noticed = std::chrono::steady_clock::now() + NoticeTime;
-        co_await waitUntil([noticed] { return std::chrono::steady_clock::now() >= noticed; }, limit);
+        const TimePoint limit = currentTime() + board_.settings.drain.limit;
+        const TimePoint noticed = currentTime() + NoticeTime;
+        co_await waitUntil([noticed] { return currentTime() >= noticed; }, limit);
         callers_.stopAccepting();
         co_await waitUntil([this] { return isIdle(); }, limit);
         // The last answers are with the kernel; a process that ended now could reset connections under them.
-        const TimePoint flushed = std::chrono::steady_clock::now() + FlushTime;
-        co_await waitUntil([flushed] { return std::chrono::steady_clock::now() >= flushed; }, flushed);
+        const TimePoint flushed = currentTime() + FlushTime;
+        co_await waitUntil([flushed] { return currentTime() >= flushed; }, flushed);
         board_.log.info(StructuredLine("stop").add("state", isIdle() ? "drained" : "limit-reached"));
         callers_.closeAll();
         context_.stop();
@@ -233,7 +234,7 @@
     template<typename Condition>
     asio::awaitable<void> waitUntil(Condition condition, TimePoint limit)
     {
-        while (!condition() && std::chrono::steady_clock::now() < limit) {
+        while (!condition() && currentTime() < limit) {
             drainTimer_.expires_after(DrainStep);
             co_await drainTimer_.async_wait(asio::use_awaitable);
         }
--- a/src/node/probecontroller.cpp
+++ b/src/node/probecontroller.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "node/candidateset.h"
+#include "node/currenttime.h"
 
 namespace Egretpath
 {
@@ -76,7 +77,7 @@
 
 void ProbeController::planAll()
 {
-    const TimePoint now = std::chrono::steady_clock::now();
+    const TimePoint now = currentTime();
     std::erase_if(board_.serviceUse, [now](const auto &entry) { return now - entry.second > UseMemory; });
     for (const auto &[service, used] : board_.serviceUse) {
         planFor(service, now);
@@ -98,9 +99,9 @@
 
 asio::awaitable<void> ProbeController::probe(UpstreamName upstream, Endpoint node)
 {
-    const TimePoint sentAt = std::chrono::steady_clock::now();
+    const TimePoint sentAt = currentTime();
     const Result<PeerProbe> answer = co_await peers_.probe(node, sentAt + ProbeLimit);
-    const TimePoint now = std::chrono::steady_clock::now();
+    const TimePoint now = currentTime();
     if (!answer || answer.value().identity.upstream != upstream) {
         co_return;
     }
--- a/src/node/statuspage.cpp
+++ b/src/node/statuspage.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include "node/currenttime.h"
+
 namespace Egretpath
 {
 
@@ -80,7 +82,7 @@
         {"probe_bytes", std::move(probeBytes)},
     };
     if (const auto confirmed = tables_.driver().exchange().confirmedAt()) {
-        const auto age = std::chrono::steady_clock::now() - *confirmed;
+        const auto age = currentTime() - *confirmed;
         status["confirmed_ms"] = std::chrono::duration_cast<Milliseconds>(age).count();
     }
     return json::serialize(status) + "\n";
--- a/src/node/tablecontroller.cpp
+++ b/src/node/tablecontroller.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "node/currenttime.h"
+
 namespace Egretpath
 {
 
@@ -23,11 +25,6 @@
 /// tries, a platform that refuses fast would be asked by each starting node at every step.
 constexpr Milliseconds GateReadInterval{500};
 
-TimePoint currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 StartGateSettings gateSettings(const StartSettings &settings)
 {
     StartGateSettings gate;
--- a/src/node/vmlistcontroller.cpp
+++ b/src/node/vmlistcontroller.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "distribution/vmlistsettings.h"
+#include "node/currenttime.h"
 
 namespace Egretpath
 {
@@ -29,11 +30,6 @@
 constexpr Bytes StarterBytesPerSecond{std::uint64_t{256} * 1024};
 constexpr Bytes StarterBurst{std::uint64_t{8} * 1024 * 1024};
 
-TimePoint currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 ExchangeDriverSettings driverSettings(const PlatformSettings &platform)
 {
     ExchangeDriverSettings settings;
