--- a/src/http/httpconnectionpool.cpp
+++ b/src/http/httpconnectionpool.cpp
@@ -23,6 +23,11 @@
     return state_->open(std::move(endpoint), deadline, choice);
 }
 
+void HttpConnectionPool::setConnectionCap(std::size_t cap)
+{
+    state_->setConnectionCap(cap);
+}
+
 void HttpConnectionPool::closeIdle()
 {
     state_->closeIdle();
--- a/src/http/httpconnectionpool.h
+++ b/src/http/httpconnectionpool.h
@@ -65,6 +65,9 @@
     [[nodiscard]] boost::asio::awaitable<Result<std::unique_ptr<HttpClientCall>>>
     open(Endpoint endpoint, TimePoint deadline, HttpConnectionChoice choice = HttpConnectionChoice::Pooled);
 
+    /// Changes both limits of connections. Connections above a lower one stay until their calls end.
+    void setConnectionCap(std::size_t cap);
+
     /// Closes all idle connections.
     void closeIdle();
 
--- a/src/http/httpconnectionpoolstate.cpp
+++ b/src/http/httpconnectionpoolstate.cpp
@@ -119,6 +119,12 @@
     }
 }
 
+void HttpConnectionPoolState::setConnectionCap(std::size_t cap)
+{
+    limits_.connections = cap;
+    limits_.connectionsPerEndpoint = cap;
+}
+
 void HttpConnectionPoolState::closeIdle()
 {
     const auto closing = std::exchange(idle_, {});
--- a/src/node/egresscontroller.cpp
+++ b/src/node/egresscontroller.cpp
@@ -24,17 +24,6 @@
     return limits;
 }
 
-HttpPoolLimits poolLimits(const Blackboard &board)
-{
-    HttpPoolLimits limits;
-    const UpstreamPolicy *policy = board.table ? board.table->upstream(board.self.upstream) : nullptr;
-    if (policy != nullptr) {
-        limits.connections = policy->connectionCap;
-    }
-    limits.connectionsPerEndpoint = limits.connections;
-    return limits;
-}
-
 }
 
 EgressController::EgressController(asio::any_io_executor executor, Blackboard &board)
@@ -42,7 +31,7 @@
     , board_(board)
     , guard_(board.self, guardLimits(board.settings.idempotency))
     , slots_(executor_, capsInForce())
-    , pool_(executor_, poolLimits(board))
+    , pool_(executor_, HttpPoolLimits())
 {
     // The ingress role of this process hands calls over without a connection.
     introduce(board_.self.incarnation, CallSequence(1));
@@ -82,6 +71,9 @@
 {
     const UpstreamPolicy *policy = board_.table->upstream(board_.self.upstream);
     board_.leaving.withoutWeight = policy == nullptr || policy->weight == 0;
+    if (policy != nullptr) {
+        pool_.setConnectionCap(policy->connectionCap);
+    }
     slots_.setCaps(capsInForce());
 }
 
--- a/src/table/tablerow.h
+++ b/src/table/tablerow.h
@@ -60,7 +60,7 @@
     std::uint32_t inFlightCap = 0;
     /// Calls that wait at the upstream's node for a slot.
     std::uint32_t queueCap = 0;
-    /// Connections that all nodes together may hold to the upstream's node.
+    /// Connections that the node beside the upstream may hold to it.
     std::uint32_t connectionCap = 0;
 
     friend auto operator<=>(const UpstreamPolicy &, const UpstreamPolicy &) = default;
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -133,6 +133,24 @@
     });
 }
 
+TEST_CASE("a changed connection cap holds for the next call")
+{
+    EventLoop loop;
+    HttpConnectionPool pool(loop.executor(), HttpPoolLimits());
+    loop.run([&]() -> asio::awaitable<void> {
+        RawListener listener(loop.executor());
+        auto first = co_await pool.open(listener.endpoint(), soon());
+        REQUIRE(first);
+        pool.setConnectionCap(1);
+        auto second = co_await pool.open(listener.endpoint(), soon());
+        REQUIRE_FALSE(second);
+        CHECK(second.error().reason == Reason::BudgetSpent);
+        pool.setConnectionCap(2);
+        auto third = co_await pool.open(listener.endpoint(), soon());
+        CHECK(third);
+    });
+}
+
 TEST_CASE("what fails before the first byte did not run")
 {
     EventLoop loop;
