--- a/src/node/callerresponse.cpp
+++ b/src/node/callerresponse.cpp
@@ -68,17 +68,21 @@
     return head;
 }
 
-asio::awaitable<void> respondFailure(HttpExchange &exchange, Failure failure)
+std::string failureBody(const Failure &failure)
 {
-    HttpResponseHead head = failureHead(failure);
-    std::string body;
-    body.append(toString(failure.verdict)).append(": ").append(toString(failure.reason));
+    std::string body(toString(failure.verdict));
+    body.append(": ").append(toString(failure.reason));
     if (!failure.detail.empty()) {
         body.append(": ").append(failure.detail);
     }
-    body.append("\n");
+    return body.append("\n");
+}
+
+asio::awaitable<void> respondFailure(HttpExchange &exchange, Failure failure)
+{
+    HttpResponseHead head = failureHead(failure);
     // The caller may be gone; there is nobody left to tell.
-    [[maybe_unused]] const Result<void> sent = co_await exchange.respond(std::move(head), std::move(body));
+    [[maybe_unused]] const Result<void> sent = co_await exchange.respond(std::move(head), failureBody(failure));
 }
 
 }
--- a/src/node/callerresponse.h
+++ b/src/node/callerresponse.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -17,7 +18,10 @@
 /// Thread safety: safe.
 [[nodiscard]] HttpResponseHead failureHead(const Failure &failure);
 
-/// Sends failureHead() with the detail as body. Precondition: no response was begun.
+/// What a person reads of @p failure: verdict, reason and detail in one line. Thread safety: safe.
+[[nodiscard]] std::string failureBody(const Failure &failure);
+
+/// Sends failureHead() with failureBody(). Precondition: no response was begun.
 boost::asio::awaitable<void> respondFailure(HttpExchange &exchange, Failure failure);
 
 }
--- a/src/node/ingresscall.cpp
+++ b/src/node/ingresscall.cpp
@@ -465,9 +465,7 @@
     if (failure.verdict == Verdict::NotRun && !key_.empty()) {
         co_await addFreshKey(head);
     }
-    std::string body(toString(failure.verdict));
-    body.append(": ").append(toString(failure.reason)).append(": ").append(failure.detail).append("\n");
-    [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), std::move(body));
+    [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), failureBody(failure));
 }
 
 void IngressCall::decorate(HttpResponseHead &head, const NodeIdentity &answerer)
--- a/tests/node/callerresponsetest.cpp
+++ b/tests/node/callerresponsetest.cpp
@@ -12,6 +12,8 @@
     CHECK(head.headers.find("Egretpath-Reason") == "overloaded");
     CHECK(head.headers.find("Retry-After") == "1");
     CHECK(head.headers.find("Egretpath-Retry-After-Ms") == "150");
+    CHECK(failureBody(notRun(Reason::Overloaded, "full")) == "not-run: overloaded: full\n");
+    CHECK(failureBody(notRun(Reason::Draining)) == "not-run: draining\n");
 }
 
 TEST_CASE("the status follows from the reason, else from the verdict")
