http: one way to frame a piece of a body, for requests and responses

The client's and the server's connection each decided when a piece joins the head and when it goes in a write of its own, with a constant each. That now stands in joinBodyPiece().

--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -23,9 +23,6 @@
 constexpr std::uint16_t SwitchingProtocolsStatus = 101;
 constexpr std::uint16_t FirstFinalStatus = 200;
 
-/// Up to this size a piece of the body is sent together with the head in one write; larger ones are not worth the copy.
-constexpr std::size_t JoinedBodyBytes = std::size_t{16} * 1024;
-
 /// Methods whose requests say nothing about a body when they have none.
 bool methodImpliesNoBody(const std::string &method)
 {
@@ -135,18 +132,12 @@
     if (remaining_) {
         *remaining_ -= chunk.size();
     }
-    std::string data = std::exchange(pendingHead_, {});
-    if (!remaining_) {
-        data += writeChunk(chunk);
-    } else if (chunk.size() <= JoinedBodyBytes) {
-        data += chunk;
-    } else {
-        if (auto written = co_await writeOut(std::move(data)); !written) {
-            co_return written;
-        }
-        data = std::move(chunk);
+    BodyWrites writes = joinBodyPiece(std::exchange(pendingHead_, {}), std::move(chunk), !remaining_);
+    auto written = co_await writeOut(std::move(writes.first));
+    if (written && !writes.second.empty()) {
+        written = co_await writeOut(std::move(writes.second));
     }
-    co_return co_await writeOut(std::move(data));
+    co_return written;
 }
 
 asio::awaitable<Result<void>> HttpClientConnection::finishRequest()
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -27,9 +27,6 @@
 constexpr std::uint16_t UnavailableStatus = 503;
 constexpr std::uint16_t VersionStatus = 505;
 
-/// Up to this size a body is sent together with its head in one write; larger ones are not worth the copy.
-constexpr std::size_t JoinedBodyBytes = std::size_t{16} * 1024;
-
 /// How long a closed connection still takes and drops what the caller sends. Closing with unread bytes would reset the
 /// connection, and the caller would lose the answer that says why it was refused.
 constexpr Milliseconds LingerTime{1000};
@@ -306,14 +303,7 @@
     if (bodiless_) {
         body.clear();
     }
-    if (body.size() <= JoinedBodyBytes) {
-        pendingHead_ += body;
-        body.clear();
-    }
-    auto written = co_await writeOut(std::exchange(pendingHead_, {}));
-    if (written && !body.empty()) {
-        written = co_await writeOut(std::move(body));
-    }
+    auto written = co_await writePiece(std::move(body), false);
     if (written) {
         response_ = ResponseState::Complete;
     }
@@ -340,18 +330,7 @@
     if (chunk.empty() || bodiless_) {
         co_return boost::outcome_v2::success();
     }
-    std::string data = std::exchange(pendingHead_, {});
-    if (!remaining_) {
-        data += writeChunk(chunk);
-    } else if (chunk.size() <= JoinedBodyBytes) {
-        data += chunk;
-    } else {
-        if (auto written = co_await writeOut(std::move(data)); !written) {
-            co_return written;
-        }
-        data = std::move(chunk);
-    }
-    co_return co_await writeOut(std::move(data));
+    co_return co_await writePiece(std::move(chunk), !remaining_);
 }
 
 asio::awaitable<Result<void>> HttpServerConnection::endResponse()
@@ -371,6 +350,17 @@
     co_return written;
 }
 
+/// Writes a piece of the body, with the head before it if that has not left yet.
+asio::awaitable<Result<void>> HttpServerConnection::writePiece(std::string content, bool chunked)
+{
+    BodyWrites writes = joinBodyPiece(std::exchange(pendingHead_, {}), std::move(content), chunked);
+    auto written = co_await writeOut(std::move(writes.first));
+    if (written && !writes.second.empty()) {
+        written = co_await writeOut(std::move(writes.second));
+    }
+    co_return written;
+}
+
 asio::awaitable<Result<void>> HttpServerConnection::writeOut(std::string data)
 {
     if (callerGone_ || !socket_.is_open()) {
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -64,6 +64,7 @@
     [[nodiscard]] boost::asio::awaitable<void> answerProblem(MessageProblem problem);
     [[nodiscard]] boost::asio::awaitable<void> answerRefusal(std::uint16_t status, std::string detail);
     [[nodiscard]] boost::asio::awaitable<void> closeGently();
+    [[nodiscard]] boost::asio::awaitable<Result<void>> writePiece(std::string content, bool chunked);
     [[nodiscard]] boost::asio::awaitable<Result<void>> writeOut(std::string data);
     [[nodiscard]] boost::asio::awaitable<Result<void>> sendContinue();
     [[nodiscard]] Result<std::string> bodyFailure(MessageProblem problem);
--- a/src/http/messagewriter.cpp
+++ b/src/http/messagewriter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -142,6 +143,19 @@
     return boost::beast::buffers_to_string(http::make_chunk(boost::asio::buffer(content.data(), content.size())));
 }
 
+BodyWrites joinBodyPiece(std::string pending, std::string content, bool chunked)
+{
+    constexpr std::size_t JoinedBodyBytes = std::size_t{16} * 1024;
+    if (!chunked && pending.empty()) {
+        return {std::move(content), {}};
+    }
+    if (!chunked && content.size() > JoinedBodyBytes) {
+        return {std::move(pending), std::move(content)};
+    }
+    pending += chunked ? writeChunk(content) : content;
+    return {std::move(pending), {}};
+}
+
 std::string writeLastChunk()
 {
     return boost::beast::buffers_to_string(http::make_chunk_last());
--- a/src/http/messagewriter.h
+++ b/src/http/messagewriter.h
@@ -29,6 +29,17 @@
 
 /// One chunk of a chunked body. Precondition: @p content is not empty. Thread safety: safe.
 [[nodiscard]] std::string writeChunk(std::string_view content);
+/// A piece of a body in wire form, in one or two writes.
+struct BodyWrites
+{
+    std::string first;
+    /// Empty when all went into the first.
+    std::string second;
+};
+
+/// Joins @p pending, a head that has not left yet, with @p content. A large piece that is not chunked goes into a write
+/// of its own, since copying it would cost more than the second write. Thread safety: safe.
+[[nodiscard]] BodyWrites joinBodyPiece(std::string pending, std::string content, bool chunked);
 /// What ends a chunked body. Thread safety: safe.
 [[nodiscard]] std::string writeLastChunk();
 
