node: a sighting is recorded in one place; one lookup, one receiver, one begin

What an answer says of the node behind it was written twice, for calls and for probes (recordSighting). The owner of a key was looked up twice, the receiver of an answer was made in three forms and for local calls once in vain, and both kinds of call repeated admission and connection. The label of links stood twice.

--- a/src/node/candidateset.cpp
+++ b/src/node/candidateset.cpp
@@ -44,13 +44,4 @@
     return set;
 }
 
-std::optional<Endpoint> nodeOf(const Blackboard &board, const UpstreamName &upstream, TimePoint now)
-{
-    const auto instance = board.membership.instance(upstream, now);
-    if (!instance) {
-        return std::nullopt;
-    }
-    return instance->record->node;
-}
-
 }
--- a/src/node/candidateset.h
+++ b/src/node/candidateset.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <optional>
 #include <vector>
 
 #include "core/clock.h"
@@ -28,7 +27,4 @@
 /// a wrong suspicion must not make a service unreachable. Precondition: a table is in force. Errors: none.
 [[nodiscard]] CandidateSet candidatesOf(const Blackboard &board, const ServiceName &service, TimePoint now);
 
-/// Where the node of @p upstream listens, or nothing if the platform does not list it. Errors: none.
-[[nodiscard]] std::optional<Endpoint> nodeOf(const Blackboard &board, const UpstreamName &upstream, TimePoint now);
-
 }
--- a/src/node/egresscall.cpp
+++ b/src/node/egresscall.cpp
@@ -73,6 +73,15 @@
     releaseSlot(false);
 }
 
+asio::awaitable<std::optional<CallOutcome>> EgressCall::begin(const std::string &body)
+{
+    std::optional<CallOutcome> ended = co_await admit(body);
+    if (!ended) {
+        ended = co_await connect();
+    }
+    co_return ended;
+}
+
 asio::awaitable<std::optional<CallOutcome>> EgressCall::admit(const std::string &body)
 {
     const BeginDecision decision = controller_.guard_.begin(describe(body), arrival_, std::chrono::system_clock::now());
--- a/src/node/egresscall.h
+++ b/src/node/egresscall.h
@@ -14,7 +14,7 @@
 
 /// One call at the egress, from its arrival to its outcome.
 ///
-/// The order is admit(), connect(), then the request and readAnswer(); every way out goes through a method that returns
+/// The order is begin(), then the request and readAnswer(); every way out goes through a method that returns
 /// the CallOutcome. Thread safety: none.
 class EgressCall : public std::enable_shared_from_this<EgressCall>
 {
@@ -25,11 +25,10 @@
     EgressCall(const EgressCall &) = delete;
     EgressCall &operator=(const EgressCall &) = delete;
 
-    /// Passes the guard, the leaving check and the slots. @p body takes part in the fingerprint of the request.
+    /// Passes the guard, the leaving check and the slots and connects to the upstream; after nothing was returned, the
+    /// call counts as handed over. @p body takes part in the fingerprint of the request.
     /// Returns the outcome of a call that goes no further.
-    boost::asio::awaitable<std::optional<CallOutcome>> admit(const std::string &body);
-    /// Connects to the upstream; after nothing was returned, the call counts as handed over.
-    boost::asio::awaitable<std::optional<CallOutcome>> connect();
+    boost::asio::awaitable<std::optional<CallOutcome>> begin(const std::string &body);
 
     boost::asio::awaitable<void> sendWhole(std::string body);
     [[nodiscard]] bool beginStreaming();
@@ -41,6 +40,8 @@
     void cancelUpstream();
 
 private:
+    boost::asio::awaitable<std::optional<CallOutcome>> admit(const std::string &body);
+    boost::asio::awaitable<std::optional<CallOutcome>> connect();
     [[nodiscard]] IncomingCall describe(const std::string &body) const;
     [[nodiscard]] HttpRequestHead upstreamHead() const;
     [[nodiscard]] CallOutcome outcome(std::variant<Failure, WholeAnswer, StreamedAnswer> result) const;
--- a/src/node/egresscontroller.cpp
+++ b/src/node/egresscontroller.cpp
@@ -44,10 +44,7 @@
                                                     std::shared_ptr<Cancellation> cancellation)
 {
     const auto work = std::make_shared<EgressCall>(*this, std::move(head), std::move(answer), std::move(cancellation));
-    if (auto ended = co_await work->admit(body)) {
-        co_return std::move(*ended);
-    }
-    if (auto ended = co_await work->connect()) {
+    if (auto ended = co_await work->begin(body)) {
         co_return std::move(*ended);
     }
     co_await work->sendWhole(std::move(body));
@@ -58,10 +55,7 @@
                                                                  std::shared_ptr<Cancellation> cancellation)
 {
     auto work = std::make_shared<EgressCall>(*this, std::move(head), std::move(answer), std::move(cancellation));
-    if (auto ended = co_await work->admit({})) {
-        co_return std::move(*ended);
-    }
-    if (auto ended = co_await work->connect()) {
+    if (auto ended = co_await work->begin(std::string())) {
         co_return std::move(*ended);
     }
     co_return std::make_shared<EgressUpload>(std::move(work));
--- a/src/node/egressupload.h
+++ b/src/node/egressupload.h
@@ -15,7 +15,7 @@
 class EgressUpload final : public UploadReceiver
 {
 public:
-    /// Precondition: @p call was admitted and is connected.
+    /// Precondition: begin() of @p call returned nothing.
     explicit EgressUpload(std::shared_ptr<EgressCall> call);
 
     boost::asio::awaitable<bool> write(std::string chunk) override;
--- a/src/node/healthcontroller.cpp
+++ b/src/node/healthcontroller.cpp
@@ -63,7 +63,8 @@
     if (!body) {
         co_return std::nullopt;
     }
-    co_return head.value().status == ServiceUnavailable &&body.value().find(DrainingWord) != std::string::npos;
+    const bool saysDraining = body.value().find(DrainingWord) != std::string::npos;
+    co_return saysDraining &&head.value().status == ServiceUnavailable;
 }
 
 void HealthController::take(bool draining)
--- a/src/node/ingresscall.cpp
+++ b/src/node/ingresscall.cpp
@@ -259,18 +259,16 @@
     if (!owner) {
         return owner.error();
     }
-    const auto node = nodeOf(board_, owner.value().upstream, currentTime());
-    if (!node) {
+    const auto instance = board_.membership.instance(owner.value().upstream, currentTime());
+    if (!instance) {
         return mayHaveRun(Reason::KeyOutOfMemory, "the owner of the key is not listed", DefaultRetryAfter);
     }
     decisions_.owner(owner.value());
     TryTarget target;
     target.upstream = owner.value().upstream;
-    target.node = *node;
+    target.node = instance->record->node;
     target.incarnation = owner.value().incarnation.value_or(Incarnation());
-    if (const auto instance = board_.membership.instance(target.upstream, currentTime())) {
-        target.link = linkBetween(board_.location, instance->record->location);
-    }
+    target.link = linkBetween(board_.location, instance->record->location);
     return target;
 }
 
@@ -298,12 +296,11 @@
     if (!bodyWhole_) {
         co_return co_await sendUpload(std::move(target), std::move(head), number);
     }
-    auto receiver =
-        std::make_shared<CallerAnswer>(weak_from_this(), number, NodeIdentity{target.upstream, target.incarnation});
     if (target.upstream == board_.self.upstream) {
         co_return co_await sendLocally(std::move(head), number);
     }
-    co_return co_await controller_.peers_.call(target.node, std::move(head), firstPiece_, std::move(receiver),
+    const NodeIdentity answerer{target.upstream, target.incarnation};
+    co_return co_await controller_.peers_.call(target.node, std::move(head), firstPiece_, receiver(number, answerer),
                                                permitFor(target.upstream, number), deadline_, cancellation_);
 }
 
@@ -312,27 +309,27 @@
     if (!permitFor(board_.self.upstream, number)(head)) {
         co_return notRun(Reason::Cancelled, "ended before the call was sent");
     }
-    auto receiver = std::make_shared<CallerAnswer>(weak_from_this(), number, board_.self);
-    co_return co_await controller_.egress_.call(std::move(head), firstPiece_, std::move(receiver), cancellation_);
+    co_return co_await controller_.egress_.call(std::move(head), firstPiece_, receiver(number, board_.self),
+                                                cancellation_);
 }
 
 asio::awaitable<Result<CallOutcome>> IngressCall::sendUpload(TryTarget target, CallHead head, TryNumber number)
 {
-    auto receiver =
-        std::make_shared<CallerAnswer>(weak_from_this(), number, NodeIdentity{target.upstream, target.incarnation});
+    const NodeIdentity answerer{target.upstream, target.incarnation};
     std::shared_ptr<UploadSender> sender;
     if (target.upstream == board_.self.upstream) {
         if (!permitFor(target.upstream, number)(head)) {
             co_return notRun(Reason::Cancelled, "ended before the call was sent");
         }
-        auto admission = co_await controller_.egress_.upload(std::move(head), std::move(receiver), cancellation_);
+        auto admission =
+            co_await controller_.egress_.upload(std::move(head), receiver(number, answerer), cancellation_);
         if (auto *refusal = std::get_if<CallOutcome>(&admission)) {
             co_return std::move(*refusal);
         }
         sender = std::make_shared<LocalUpload>(std::get<std::shared_ptr<UploadReceiver>>(std::move(admission)));
     } else {
         auto admission =
-            co_await controller_.peers_.upload(target.node, std::move(head), std::move(receiver),
+            co_await controller_.peers_.upload(target.node, std::move(head), receiver(number, answerer),
                                                permitFor(target.upstream, number), deadline_, cancellation_);
         if (!admission) {
             co_return admission.error();
@@ -382,6 +379,11 @@
     }
 }
 
+std::shared_ptr<AnswerReceiver> IngressCall::receiver(TryNumber number, const NodeIdentity &answerer)
+{
+    return std::make_shared<CallerAnswer>(weak_from_this(), number, answerer);
+}
+
 CallHead IngressCall::makeHead(const TryTarget &target, TryNumber number) const
 {
     const HttpRequestHead &request = exchange_.head();
--- a/src/node/ingresscall.h
+++ b/src/node/ingresscall.h
@@ -58,6 +58,7 @@
     boost::asio::awaitable<Result<CallOutcome>> sendUpload(TryTarget target, CallHead head, TryNumber number);
     boost::asio::awaitable<void> pumpBody(std::shared_ptr<UploadSender> sender, std::shared_ptr<IngressCall> self);
     boost::asio::awaitable<void> waitForPump();
+    [[nodiscard]] std::shared_ptr<AnswerReceiver> receiver(TryNumber number, const NodeIdentity &answerer);
     [[nodiscard]] CallHead makeHead(const TryTarget &target, TryNumber number) const;
     [[nodiscard]] PeerClient::SendPermit permitFor(const UpstreamName &upstream, TryNumber number);
 
--- a/src/node/probecontroller.cpp
+++ b/src/node/probecontroller.cpp
@@ -10,6 +10,7 @@
 
 #include "node/candidateset.h"
 #include "node/currenttime.h"
+#include "node/sighting.h"
 
 namespace Egretpath
 {
@@ -105,14 +106,8 @@
     if (!answer || answer.value().identity.upstream != upstream) {
         co_return;
     }
-    const LoadReport &report = answer.value().report;
-    if (report.leaving) {
-        board_.membership.refusedDraining(upstream, answer.value().identity.incarnation, sentAt, now);
-    } else {
-        board_.membership.answered(upstream, answer.value().identity.incarnation, sentAt, now);
-    }
-    board_.load.onReplaced(upstream, answer.value().identity.incarnation, now);
-    board_.load.onProbe(upstream, report, now);
+    recordSighting(board_, answer.value().identity, answer.value().report, sentAt, now);
+    board_.load.onProbe(upstream, answer.value().report, now);
 }
 
 }
--- a/src/node/statuspage.cpp
+++ b/src/node/statuspage.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "node/currenttime.h"
+#include "node/linklabel.h"
 
 namespace Egretpath
 {
@@ -111,8 +112,7 @@
     metrics.set("egretpath_log_decisions_dropped", "", static_cast<double>(board_.log.droppedDecisions()));
     metrics.set("egretpath_membership_bytes", "", static_cast<double>(board_.membership.memoryBytes()));
     for (const LinkKind link : Links) {
-        std::string labels = "link=\"";
-        labels.append(toString(link)).append("\"");
+        const std::string labels = linkLabel(link);
         metrics.set("egretpath_probe_bytes", labels, static_cast<double>(probes_.budget().count(link).bytes.value()));
         metrics.set("egretpath_probes_denied", labels, static_cast<double>(probes_.budget().count(link).denied));
     }
--- a/src/node/tryevidence.cpp
+++ b/src/node/tryevidence.cpp
@@ -1,6 +1,7 @@
 #include "node/tryevidence.h"
 
-#include <string>
+#include "node/linklabel.h"
+#include "node/sighting.h"
 
 #include "node/currenttime.h"
 
@@ -14,13 +15,6 @@
 /// Of a load report on the wire: 24 bytes of data and a pointer.
 constexpr std::uint64_t ReportBytes = 32;
 
-std::string linkLabel(LinkKind link)
-{
-    std::string label = "link=\"";
-    label.append(toString(link)).append("\"");
-    return label;
-}
-
 }
 
 TryEvidence::TryEvidence(Blackboard &board)
@@ -37,7 +31,8 @@
         // Another node listens at the address: the platform's list is behind.
         board_.load.onFailed(target.upstream, Reason::WrongIncarnation, now);
     } else {
-        takeIdentity(target, outcome.value(), sentAt, now);
+        countReport(target, outcome.value());
+        recordSighting(board_, outcome.value().identity, outcome.value().report, sentAt, now);
         takeResult(target.upstream, outcome.value(), sentAt, now);
     }
 }
@@ -56,18 +51,11 @@
     }
 }
 
-void TryEvidence::takeIdentity(const TryTarget &target, const CallOutcome &ended, TimePoint sentAt, TimePoint now)
+void TryEvidence::countReport(const TryTarget &target, const CallOutcome &ended)
 {
-    const Incarnation incarnation = ended.identity.incarnation;
     if (ended.report) {
         board_.metrics.count("egretpath_report_bytes_total", linkLabel(target.link), ReportBytes);
     }
-    if (ended.report && ended.report->leaving) {
-        board_.membership.refusedDraining(target.upstream, incarnation, sentAt, now);
-    } else {
-        board_.membership.answered(target.upstream, incarnation, sentAt, now);
-    }
-    board_.load.onReplaced(target.upstream, incarnation, now);
 }
 
 void TryEvidence::takeResult(const UpstreamName &upstream, const CallOutcome &ended, TimePoint sentAt, TimePoint now)
--- a/src/node/tryevidence.h
+++ b/src/node/tryevidence.h
@@ -22,7 +22,7 @@
 
 private:
     void takeFailure(const UpstreamName &upstream, Reason reason, bool wasSent, TimePoint now);
-    void takeIdentity(const TryTarget &target, const CallOutcome &ended, TimePoint sentAt, TimePoint now);
+    void countReport(const TryTarget &target, const CallOutcome &ended);
     void takeResult(const UpstreamName &upstream, const CallOutcome &ended, TimePoint sentAt, TimePoint now);
 
     Blackboard &board_;
