node: a reader takes a new table by its changed parts

Cause: on each change a reader made all parts again from the table held and put the whole table together, though TablePublication::update() takes changed parts alone; nothing but tests and a bench called it. Now the head of the table held tells which parts differ, and update() does the rest; its checks are the same.

--- a/src/node/tablecontroller.cpp
+++ b/src/node/tablecontroller.cpp
@@ -40,6 +40,19 @@
     return settings;
 }
 
+/// The head under which @p table is published; it tells which parts of a newer one differ.
+std::optional<TableHead> headOf(const TablePointer &table)
+{
+    if (!table) {
+        return std::nullopt;
+    }
+    auto split = TablePublication::split(*table);
+    if (!split) {
+        return std::nullopt;
+    }
+    return std::move(split).value().head;
+}
+
 }
 
 TableController::TableController(asio::any_io_executor executor, Blackboard &board, PeerClient &peers,
@@ -166,20 +179,15 @@
 {
     SourceReading reading;
     reading.version = head.version;
-    const auto held = store_.currentVersion();
-    if (held && head.version <= *held) {
+    const TablePointer held = store_.held();
+    if (held && head.version <= held->version()) {
         co_return reading;
     }
     const std::string &prefix = board_.settings.platform.tablePrefix;
+    const std::optional<TableHead> base = headOf(held);
     TableParts parts;
-    if (store_.held()) {
-        // Parts that did not change are made again from the table held instead of read.
-        auto split = TablePublication::split(*store_.held());
-        if (split) {
-            parts = std::move(split).value().parts;
-        }
-    }
-    for (const Digest &part : TablePublication::missingParts(head, parts)) {
+    for (const Digest &part :
+         base ? TablePublication::changedParts(*base, head) : TablePublication::missingParts(head, parts)) {
         const auto value = co_await platform_.read(PlatformKey(TablePublication::partKey(prefix, part)));
         if (!value) {
             reading.failure = value.error();
@@ -187,7 +195,8 @@
         }
         parts.emplace(part, value.value().value);
     }
-    auto table = TablePublication::assemble(head, parts, prefix);
+    auto table = base ? TablePublication::update(*held, *base, head, parts, prefix)
+                      : TablePublication::assemble(head, parts, prefix);
     if (!table) {
         refuse(toString(table.error()));
         co_return reading;
