--- a/src/daemons/egretpath-node.cpp
+++ b/src/daemons/egretpath-node.cpp
@@ -16,10 +16,10 @@
 constexpr int ExitBadUsage = 2;
 constexpr int ExitCannotStart = 1;
 
-int runNode(Egretpath::NodeSettings settings)
+int runNode(const Egretpath::NodeSettings &settings)
 {
     Egretpath::AsioEventPort loop;
-    Egretpath::Node node(loop.context(), std::move(settings));
+    Egretpath::Node node(loop.context(), settings);
     if (const auto started = node.start(); !started) {
         std::cerr << "egretpath-node: cannot listen: " << started.error().detail << '\n';
         return ExitCannotStart;
@@ -53,5 +53,5 @@
         std::cerr << toString(settings.error()) << '\n';
         return ExitBadUsage;
     }
-    return checkOnly ? EXIT_SUCCESS : runNode(std::move(settings).value());
+    return checkOnly ? EXIT_SUCCESS : runNode(settings.value());
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -81,10 +81,10 @@
 class Node::Implementation
 {
 public:
-    Implementation(asio::io_context &context, NodeSettings settings)
+    Implementation(asio::io_context &context, const NodeSettings &settings)
         : context_(context)
         , executor_(context.get_executor())
-        , board_(std::move(settings), drawIncarnation(), systemSeed())
+        , board_(settings, drawIncarnation(), settings.random.seed.value_or(systemSeed()))
         , peers_(context, board_.self)
         , platform_(executor_, board_.settings.platform.address)
         , egress_(executor_, board_)
@@ -266,8 +266,8 @@
     TablePointer lastTable_;
 };
 
-Node::Node(asio::io_context &context, NodeSettings settings)
-    : implementation_(std::make_unique<Implementation>(context, std::move(settings)))
+Node::Node(asio::io_context &context, const NodeSettings &settings)
+    : implementation_(std::make_unique<Implementation>(context, settings))
 {
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -16,7 +16,7 @@
 class Node
 {
 public:
-    Node(boost::asio::io_context &context, NodeSettings settings);
+    Node(boost::asio::io_context &context, const NodeSettings &settings);
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
