--- a/src/settings/nodesettings.h
+++ b/src/settings/nodesettings.h
@@ -56,7 +56,7 @@
 {
     Bytes header{16384};
     std::uint32_t connections = 2000;
-    /// Calls that run at the same time on one connection between nodes.
+    /// Calls that run at the same time on one connection between nodes. No node acts on it yet.
     std::uint32_t streams = 256;
     Milliseconds idle{60000};
 };
@@ -95,6 +95,7 @@
 struct StartSettings
 {
     std::uint32_t quorumSample = 8;
+    /// No node acts on it yet: the gate stays shut until it has its answers.
     Milliseconds gateLimit{10000};
 };
 
