--- /dev/null
+++ b/src/admission/servicetimes.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <unordered_map>
+
+#include "core/clock.h"
+#include "routes/routetable.h"
+
+namespace Egretpath
+{
+
+/// How long one upstream works on the requests of each route when its VM runs at its usual pace.
+///
+/// What it measured is divided by the pace of that time, so that a spell of slowness is not taken for longer work.
+/// Thread safety: none; one owner. Errors: none.
+class ServiceTimes
+{
+public:
+    /// A request of @p route took @p duration while work took @p pace times as long as usual. Precondition: pace > 0.
+    void record(const RouteName &route, Duration duration, double pace);
+    /// The mean of @p route; of all routes for one that was not seen; a default before any was.
+    [[nodiscard]] Duration usual(const RouteName &route) const;
+
+private:
+    std::unordered_map<RouteName, double> microseconds_;
+    double overallMicroseconds_ = 0.0;
+};
+
+}
--- /dev/null
+++ b/src/admission/workqueue.cpp
@@ -0,0 +1,224 @@
+#include "admission/workqueue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace Egretpath
+{
+
+namespace
+{
+
+constexpr double UsualPace = 100.0;
+/// A running call that already took its usual time is taken to need this share of it again.
+constexpr double OverdueShare = 0.3;
+/// A failure is told as if work took so many times longer: its sender has to begin again elsewhere, or loses it.
+constexpr double FailureFactor = 4.0;
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+double paceFactor(std::uint16_t percent)
+{
+    return percent == 0 ? 1.0 : percent / UsualPace;
+}
+
+std::uint32_t asMicroseconds(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<Microseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::clamp<Microseconds::rep>(count, 0, UINT32_MAX));
+}
+
+}
+
+WorkQueue::WorkQueue(WorkQueueSettings settings)
+    : settings_(settings)
+{
+}
+
+std::vector<CallId> WorkQueue::setSlots(std::uint32_t slots, TimePoint now)
+{
+    slots_ = std::max(slots, 1U);
+    return startQueued(now);
+}
+
+std::uint32_t WorkQueue::limit() const
+{
+    // The largest count that stays below the fill from which the upstream slows itself.
+    const double fill = settings_.comfortableFill * slots_;
+    return std::max(1U, static_cast<std::uint32_t>(std::ceil(fill)) - 1);
+}
+
+OfferOutcome WorkQueue::offer(const WorkOffer &offer, TimePoint now)
+{
+    if (offer.deadline <= now) {
+        return Refused{refusal(Reason::DeadlinePassed, now)};
+    }
+    if (offer.acceptable > Duration{0} && expected(offer.route, now) > offer.acceptable) {
+        return Refused{refusal(Reason::Declined, now)};
+    }
+    if (running_.size() < limit() && queue_.empty()) {
+        start(offer, now);
+        return Admitted{};
+    }
+    if (now + expectedWait(now) > latestStart(offer)) {
+        return Refused{refusal(Reason::Overloaded, now)};
+    }
+    queue_.push_back(offer);
+    return Queued{};
+}
+
+std::vector<CallId> WorkQueue::finish(CallId call, bool answered, TimePoint now)
+{
+    const auto place = running_.find(call);
+    if (place == running_.end()) {
+        return {};
+    }
+    const Running &running = place->second;
+    if (answered) {
+        // Work that began in a slow spell and ended in a good one took a mixture of both.
+        const double pace = (paceFactor(running.pace) + paceFactor(pace_)) / 2;
+        times_.record(running.route, now - running.start, pace);
+    }
+    running_.erase(place);
+    return startQueued(now);
+}
+
+CancelOutcome WorkQueue::cancel(CallId call)
+{
+    if (running_.contains(call)) {
+        return CancelOutcome::InFlight;
+    }
+    const auto erased = std::erase_if(queue_, [call](const WorkOffer &waiting) { return waiting.call == call; });
+    return erased > 0 ? CancelOutcome::WasQueued : CancelOutcome::Unknown;
+}
+
+std::vector<ExpiredCall> WorkQueue::expire(TimePoint now)
+{
+    std::vector<ExpiredCall> expired;
+    for (auto place = queue_.begin(); place != queue_.end();) {
+        if (latestStart(*place) > now) {
+            ++place;
+            continue;
+        }
+        expired.push_back({place->call, refusal(Reason::Overloaded, now)});
+        place = queue_.erase(place);
+    }
+    return expired;
+}
+
+std::optional<TimePoint> WorkQueue::nextExpiry() const
+{
+    std::optional<TimePoint> next;
+    for (const WorkOffer &waiting : queue_) {
+        const TimePoint latest = latestStart(waiting);
+        next = next ? std::min(*next, latest) : latest;
+    }
+    return next;
+}
+
+LoadReport WorkQueue::report(const RouteName &route, TimePoint now) const
+{
+    LoadReport report;
+    report.inFlight = static_cast<std::uint32_t>(running_.size());
+    report.queued = static_cast<std::uint32_t>(queue_.size());
+    report.slots = limit();
+    report.serviceTimeMicroseconds = asMicroseconds(times_.usual(route));
+    report.pacePercent = pace_;
+    report.expectedMicroseconds = asMicroseconds(expected(route, now));
+    return report;
+}
+
+Duration WorkQueue::expected(const RouteName &route, TimePoint now) const
+{
+    const double failures = 1.0 + FailureFactor * failureShare_;
+    return scaled(expectedWait(now) + serviceTime(route), failures);
+}
+
+Duration WorkQueue::serviceTime(const RouteName &route) const
+{
+    return scaled(times_.usual(route), paceFactor(pace_));
+}
+
+/// When the upstream would begin a request that comes now: the slots are freed one by one and taken by those that wait.
+Duration WorkQueue::expectedWait(TimePoint now) const
+{
+    if (running_.size() < limit() && queue_.empty()) {
+        return Duration{0};
+    }
+    std::vector<Duration> freeAfter;
+    for (const auto &[call, running] : running_) {
+        const Duration usual = serviceTime(running.route);
+        freeAfter.push_back(std::max(usual - (now - running.start), scaled(usual, OverdueShare)));
+    }
+    freeAfter.resize(std::max<std::size_t>(freeAfter.size(), limit()), Duration{0});
+    std::sort(freeAfter.begin(), freeAfter.end());
+    // Calls above a limit that was lowered free no slot.
+    freeAfter.erase(freeAfter.begin(), freeAfter.begin() + static_cast<std::ptrdiff_t>(freeAfter.size() - limit()));
+    for (const WorkOffer &waiting : queue_) {
+        const auto soonest = std::min_element(freeAfter.begin(), freeAfter.end());
+        *soonest += serviceTime(waiting.route);
+    }
+    return *std::min_element(freeAfter.begin(), freeAfter.end());
+}
+
+TimePoint WorkQueue::latestStart(const WorkOffer &offer) const
+{
+    return offer.deadline - scaled(times_.usual(offer.route), settings_.leastServiceShare);
+}
+
+std::vector<CallId> WorkQueue::startQueued(TimePoint now)
+{
+    std::vector<CallId> started;
+    while (running_.size() < limit()) {
+        const auto place = next(now);
+        if (place == queue_.end()) {
+            break;
+        }
+        start(*place, now);
+        started.push_back(place->call);
+        queue_.erase(place);
+    }
+    return started;
+}
+
+/// Those that can still meet their target come first, by rank; then the others, by rank. The sooner time decides
+/// between equals.
+std::vector<WorkOffer>::iterator WorkQueue::next(TimePoint now)
+{
+    const auto urgency = [this, now](const WorkOffer &waiting) {
+        const bool late = now + serviceTime(waiting.route) > waiting.target;
+        return std::tuple(late, waiting.priority, late ? waiting.deadline : waiting.target);
+    };
+    auto best = queue_.end();
+    for (auto place = queue_.begin(); place != queue_.end(); ++place) {
+        // One that is too late stays for expire(), which has a failure to give it.
+        if (latestStart(*place) > now && (best == queue_.end() || urgency(*place) < urgency(*best))) {
+            best = place;
+        }
+    }
+    return best;
+}
+
+Failure WorkQueue::refusal(Reason reason, TimePoint now) const
+{
+    const auto wait = std::max(std::chrono::ceil<Milliseconds>(expectedWait(now)), Milliseconds{1});
+    switch (reason) {
+    case Reason::Declined:
+        return notRun(reason, "another upstream is thought to be quicker");
+    case Reason::DeadlinePassed:
+        return notRun(reason, "the deadline passed before the request could start", wait);
+    default:
+        return notRun(Reason::Overloaded, "no slot before the deadline", wait);
+    }
+}
+
+void WorkQueue::start(const WorkOffer &offer, TimePoint now)
+{
+    running_.emplace(offer.call, Running{offer.route, now, pace_});
+}
+
+}
--- /dev/null
+++ b/src/admission/workqueue.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "admission/admission.h"
+#include "admission/servicetimes.h"
+#include "core/clock.h"
+#include "core/identity.h"
+#include "core/verdict.h"
+#include "routes/routetable.h"
+
+namespace Egretpath
+{
+
+/// A request that asks for a slot of the upstream.
+struct WorkOffer
+{
+    CallId call;
+    RouteName route;
+    /// 0 is the most urgent.
+    std::uint8_t priority = 0;
+    TimePoint deadline;
+    /// Later than this an answer is worth little.
+    TimePoint target;
+    /// It goes elsewhere if it is expected to take longer here; zero: it stays if its deadline can be met.
+    Duration acceptable{0};
+};
+
+/// Constants of WorkQueue.
+struct WorkQueueSettings
+{
+    /// Share of its slots from which an upstream slows itself. Upstreams don't tell it; on those measured it lies at
+    /// four fifths, and work beyond takes 1.7 times as long: six slots at once finish less than four do.
+    double comfortableFill = 0.8;
+    /// A call is refused, or given up while it waits, when less than this share of its usual time would be left.
+    double leastServiceShare = 0.6;
+};
+
+/// Decides at the egress which requests the upstream works on, which wait and in which order, and which go elsewhere.
+///
+/// The load that it answers: bursts of one and a half to twice the usual for seconds, on VMs that turn four times
+/// slower for some tenths of a second at a time. Requests wait here and not at the upstream, whose queue can be neither
+/// ordered nor taken back; the upstream is kept below the fill from which it slows itself. First come those that can
+/// still meet their target, by rank, then those that can meet their deadline.
+///
+/// Each offered call ends exactly once: by Refused, by an ExpiredCall, by cancel() out of the queue, or by finish().
+/// Thread safety: none; one owner. Call expire() after each event, and at nextExpiry().
+class WorkQueue
+{
+public:
+    explicit WorkQueue(WorkQueueSettings settings = {});
+
+    /// Requests that the upstream works on at the same time.
+    [[nodiscard]] std::vector<CallId> setSlots(std::uint32_t slots, TimePoint now);
+    /// How long work takes on the VM now, in percent of the usual.
+    void setPace(std::uint16_t percent) { pace_ = percent; }
+    /// A share of the upstream's answers that were failures lately, 0 to 1.
+    void setFailureShare(double share) { failureShare_ = share; }
+
+    /// A request arrives. Precondition: its call was not offered before. Errors: Refused carries NotRun with Overloaded
+    /// or DeadlinePassed and when to come back, or with Declined.
+    [[nodiscard]] OfferOutcome offer(const WorkOffer &offer, TimePoint now);
+    /// The upstream is rid of @p call. @p answered: its duration tells the service time. Returns the queued calls that
+    /// go to the upstream now, in this order.
+    [[nodiscard]] std::vector<CallId> finish(CallId call, bool answered, TimePoint now);
+    CancelOutcome cancel(CallId call);
+    /// Removes and returns the queued calls that can no longer meet their deadline. They provably did not run.
+    [[nodiscard]] std::vector<ExpiredCall> expire(TimePoint now);
+    [[nodiscard]] std::optional<TimePoint> nextExpiry() const;
+
+    /// What to tell the sender of a request of @p route.
+    [[nodiscard]] LoadReport report(const RouteName &route, TimePoint now) const;
+    /// From now to the answer of a request of @p route that comes now, behind all that wait.
+    [[nodiscard]] Duration expected(const RouteName &route, TimePoint now) const;
+
+    [[nodiscard]] std::size_t running() const { return running_.size(); }
+    [[nodiscard]] std::size_t queued() const { return queue_.size(); }
+    [[nodiscard]] bool isIdle() const { return running_.empty() && queue_.empty(); }
+    /// Requests handed to the upstream at most.
+    [[nodiscard]] std::uint32_t limit() const;
+
+private:
+    struct Running
+    {
+        RouteName route;
+        TimePoint start;
+        /// The pace at the start, in percent.
+        std::uint16_t pace = 0;
+    };
+
+    [[nodiscard]] Duration serviceTime(const RouteName &route) const;
+    [[nodiscard]] Duration expectedWait(TimePoint now) const;
+    [[nodiscard]] TimePoint latestStart(const WorkOffer &offer) const;
+    [[nodiscard]] std::vector<CallId> startQueued(TimePoint now);
+    [[nodiscard]] std::vector<WorkOffer>::iterator next(TimePoint now);
+    [[nodiscard]] Failure refusal(Reason reason, TimePoint now) const;
+    void start(const WorkOffer &offer, TimePoint now);
+
+    WorkQueueSettings settings_;
+    ServiceTimes times_;
+    std::unordered_map<CallId, Running> running_;
+    /// In the order of arrival; a few dozen at most, so that each decision looks at all of them.
+    std::vector<WorkOffer> queue_;
+    std::uint32_t slots_ = 1;
+    std::uint16_t pace_ = 100;
+    double failureShare_ = 0.0;
+};
+
+}
--- /dev/null
+++ b/src/daemons/egretpath-sidecar.cpp
@@ -0,0 +1,112 @@
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <string>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "platform/platformdialect.h"
+#include "platform/storewatcher.h"
+#include "rpc/asioeventport.h"
+#include "settings/sidecarsettings.h"
+#include "sidecar/sidecar.h"
+
+namespace
+{
+
+constexpr int ExitBadUsage = 2;
+constexpr int ExitCannotStart = 1;
+/// Where the platform says that a process finds its settings.
+constexpr const char *SettingsVariable = "EGRETPATH_CONFIG";
+
+std::uint16_t portOf(const Egretpath::Endpoint &endpoint)
+{
+    const std::string &text = endpoint.value();
+    return static_cast<std::uint16_t>(std::stoul(text.substr(text.rfind(':') + 1)));
+}
+
+Egretpath::SidecarPlatform makePlatform(boost::asio::io_context &context, const Egretpath::SidecarSettings &settings)
+{
+    Egretpath::Platform::InstancePlaces places;
+    places.zones = settings.zones;
+    places.nodePort = portOf(settings.peers);
+    Egretpath::SidecarPlatform platform;
+    platform.callers = std::make_unique<Egretpath::Platform::PlatformCallerDialect>();
+    platform.upstreams = std::make_unique<Egretpath::Platform::PlatformUpstreamDialect>();
+    platform.catalog = std::make_unique<Egretpath::Platform::StoreWatcher>(
+        context.get_executor(), settings.store, std::move(places), Egretpath::Random(std::random_device{}()));
+    return platform;
+}
+
+void reload(Egretpath::Sidecar &sidecar, const std::string &file)
+{
+    const auto settings = Egretpath::readSidecarSettingsFile(file);
+    if (settings) {
+        sidecar.reload(settings.value());
+    } else {
+        sidecar.reloadRefused(settings.error());
+    }
+}
+
+/// Calls @p action each time that one of @p signals comes.
+void onSignal(boost::asio::signal_set &signals, const std::function<void()> &action)
+{
+    signals.async_wait([&signals, action](const boost::system::error_code &error, int) {
+        if (!error) {
+            action();
+            onSignal(signals, action);
+        }
+    });
+}
+
+int runSidecar(const Egretpath::SidecarSettings &settings, const std::string &file)
+{
+    Egretpath::AsioEventPort loop;
+    Egretpath::Sidecar sidecar(loop.context(), settings, makePlatform(loop.context(), settings));
+    if (const auto started = sidecar.start(); !started) {
+        std::cerr << "egretpath-sidecar: cannot listen: " << started.error().detail << '\n';
+        return ExitCannotStart;
+    }
+    boost::asio::signal_set stopSignals(loop.context(), SIGTERM, SIGINT);
+    onSignal(stopSignals, [&sidecar] { sidecar.stop(); });
+    boost::asio::signal_set reloadSignal(loop.context(), SIGHUP);
+    onSignal(reloadSignal, [&sidecar, file] { reload(sidecar, file); });
+    loop.context().run();
+    return EXIT_SUCCESS;
+}
+
+std::string settingsFromEnvironment()
+{
+    const char *path = std::getenv(SettingsVariable);
+    return path == nullptr ? std::string() : std::string(path);
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    CLI::App app{"Egretpath beside an upstream on the platform: takes requests, chooses upstreams, guards its own."};
+    std::string file = settingsFromEnvironment();
+    bool checkOnly = false;
+    app.add_option("--settings", file, "the settings file, TOML; by default the one that EGRETPATH_CONFIG names");
+    app.add_flag("--check", checkOnly, "check the settings and exit");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        return app.exit(error) == 0 ? EXIT_SUCCESS : ExitBadUsage;
+    }
+    if (file.empty()) {
+        std::cerr << "egretpath-sidecar: no settings: give --settings FILE or set " << SettingsVariable << '\n';
+        return ExitBadUsage;
+    }
+    const auto settings = Egretpath::readSidecarSettingsFile(file);
+    if (!settings) {
+        std::cerr << toString(settings.error()) << '\n';
+        return ExitBadUsage;
+    }
+    return checkOnly ? EXIT_SUCCESS : runSidecar(settings.value(), file);
+}
--- /dev/null
+++ b/src/dialect/callerdialect.cpp
@@ -0,0 +1,41 @@
+#include "dialect/callerdialect.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Egretpath
+{
+
+namespace
+{
+
+constexpr std::uint16_t UnavailableStatus = 503;
+constexpr std::uint16_t BadGatewayStatus = 502;
+constexpr std::uint16_t GatewayTimeoutStatus = 504;
+
+/// Refusals for what callers did; all others follow from the verdict.
+struct ReasonStatus
+{
+    Reason reason;
+    std::uint16_t status;
+};
+
+constexpr std::array<ReasonStatus, 3> ReasonStatuses{{
+    {Reason::BadRequest, 400},
+    {Reason::NoRoute, 404},
+    {Reason::TooLarge, 413},
+}};
+
+}
+
+std::uint16_t statusOfRefusal(const Failure &failure)
+{
+    if (failure.verdict != Verdict::NotRun) {
+        return failure.reason == Reason::DeadlinePassed ? GatewayTimeoutStatus : BadGatewayStatus;
+    }
+    const auto *entry = std::find_if(ReasonStatuses.begin(), ReasonStatuses.end(),
+                                     [&failure](const ReasonStatus &item) { return item.reason == failure.reason; });
+    return entry == ReasonStatuses.end() ? UnavailableStatus : entry->status;
+}
+
+}
--- /dev/null
+++ b/src/egress/egressrole.cpp
@@ -0,0 +1,136 @@
+#include "egress/egressrole.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "egress/upstreamrequest.h"
+
+namespace Egretpath
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr Bytes ProbeAnswerLimit{4096};
+
+HttpPoolLimits poolLimits(const EgressSettings &settings)
+{
+    HttpPoolLimits limits;
+    limits.idleTime = settings.idleTime;
+    return limits;
+}
+
+}
+
+EgressRole::EgressRole(asio::any_io_executor executor, EgressSettings settings, NodeIdentity self,
+                       const UpstreamDialect &dialect, EventLog &log, Metrics &metrics)
+    : executor_(std::move(executor))
+    , settings_(std::move(settings))
+    , self_(std::move(self))
+    , dialect_(dialect)
+    , log_(log)
+    , metrics_(metrics)
+    , slots_(executor_)
+    , pool_(executor_, poolLimits(settings_))
+    , probed_(executor_, asio::steady_timer::time_point::max())
+{
+}
+
+EgressRole::~EgressRole() = default;
+
+asio::awaitable<CallOutcome> EgressRole::call(CallHead head, std::string body, std::shared_ptr<AnswerReceiver> answer,
+                                              std::shared_ptr<Cancellation> cancellation)
+{
+    const auto request = std::make_shared<UpstreamRequest>(*this, std::move(head), std::move(body), std::move(answer),
+                                                           std::move(cancellation));
+    co_return co_await request->run();
+}
+
+void EgressRole::setSlots(std::uint32_t slots)
+{
+    slots_.setSlots(slots);
+}
+
+void EgressRole::setConnectionCap(std::uint32_t cap)
+{
+    pool_.setConnectionCap(cap);
+}
+
+LoadReport EgressRole::report(const RouteName &route) const
+{
+    LoadReport report = slots_.queue().report(route, std::chrono::steady_clock::now());
+    report.leaving = leaving_;
+    return report;
+}
+
+asio::awaitable<void> EgressRole::freshenPace()
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (now - paceTime_ < settings_.paceMaxAge) {
+        co_return;
+    }
+    if (!std::exchange(probing_, true)) {
+        asio::co_spawn(executor_, probe(), asio::detached);
+    }
+    asio::steady_timer limit(executor_, settings_.probeLimit);
+    limit.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            probed_.cancel();
+        }
+    });
+    boost::system::error_code ignored;
+    co_await probed_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> EgressRole::probe()
+{
+    // Much longer than its askers wait: the answer still tells the next ones.
+    const TimePoint deadline = std::chrono::steady_clock::now() + Milliseconds(500);
+    metrics_.count("egretpath_upstream_probes_total");
+    auto opened = co_await pool_.open(settings_.upstream, deadline);
+    if (opened) {
+        HttpClientCall &call = *opened.value();
+        const HttpRequestHead head("GET", settings_.healthPath);
+        if (co_await call.sendRequest(head, std::string())) {
+            const auto answer = co_await call.readHead();
+            const auto body = co_await call.readWholeBody(ProbeAnswerLimit);
+            const std::optional<UpstreamLoadSample> sample =
+                answer && body ? dialect_.read(answer.value()).load : std::nullopt;
+            if (sample) {
+                take(*sample);
+            }
+        }
+    }
+    probing_ = false;
+    probed_.cancel();
+}
+
+void EgressRole::take(const UpstreamLoadSample &sample)
+{
+    if (sample.slots > 0) {
+        slots_.setSlots(sample.slots);
+    }
+    if (sample.pacePercent > 0) {
+        slots_.setPace(sample.pacePercent);
+        paceTime_ = std::chrono::steady_clock::now();
+    }
+}
+
+void EgressRole::recordAnswer(bool failed)
+{
+    health_.record(failed, std::chrono::steady_clock::now());
+    recordHealth();
+}
+
+void EgressRole::recordHealth()
+{
+    slots_.setFailureShare(health_.failureShare(std::chrono::steady_clock::now()));
+}
+
+}
--- /dev/null
+++ b/src/egress/egressrole.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "dialect/upstreamdialect.h"
+#include "egress/upstreamhealth.h"
+#include "egress/workslots.h"
+#include "http/httpconnectionpool.h"
+#include "idempotency/latenessguard.h"
+#include "rpc/peerservice.h"
+#include "telemetry/eventlog.h"
+#include "telemetry/metrics.h"
+
+namespace Egretpath
+{
+
+/// Where the upstream is and how it is asked.
+struct EgressSettings
+{
+    Endpoint upstream;
+    std::string healthPath = "/health";
+    /// What is known of the VM's pace is asked for again, before a request is taken, when it is older than this. Spells
+    /// of slowness last .3 s at the median.
+    Milliseconds paceMaxAge{60};
+    /// How long that question may take; work is taken on old knowledge after it.
+    Milliseconds probeLimit{12};
+    /// Idle connections to the upstream are closed after this time. Upstreams close theirs after 5 s or more.
+    Milliseconds idleTime{3000};
+};
+
+/// The egress role: the only way to the upstream beside this node.
+///
+/// Up to the moment at which a request is handed over every refusal is a proved not-run; from there on only a whole
+/// answer, or the upstream's word that it did not run the request, ends the doubt.
+///
+/// Preconditions: references outlive the role and its requests. Thread safety: none.
+class EgressRole
+{
+public:
+    EgressRole(boost::asio::any_io_executor executor, EgressSettings settings, NodeIdentity self,
+               const UpstreamDialect &dialect, EventLog &log, Metrics &metrics);
+    ~EgressRole();
+    EgressRole(const EgressRole &) = delete;
+    EgressRole &operator=(const EgressRole &) = delete;
+
+    /// See CallService::call().
+    boost::asio::awaitable<CallOutcome> call(CallHead head, std::string body, std::shared_ptr<AnswerReceiver> answer,
+                                             std::shared_ptr<Cancellation> cancellation);
+
+    /// What the platform says of the upstream's slots.
+    void setSlots(std::uint32_t slots);
+    void setHealthPath(std::string path) { settings_.healthPath = std::move(path); }
+    void setConnectionCap(std::uint32_t cap);
+    /// Refuses new requests from now on, or no longer.
+    void setLeaving(bool leaving) { leaving_ = leaving; }
+    [[nodiscard]] LoadReport report(const RouteName &route) const;
+    /// No request waits or runs here.
+    [[nodiscard]] bool isIdle() const { return slots_.queue().isIdle(); }
+
+private:
+    friend class UpstreamRequest;
+
+    [[nodiscard]] CallId nextCallId() { return CallId(++lastCallId_); }
+    /// Asks the upstream for its pace when what is known is old; returns after a short time in any case.
+    boost::asio::awaitable<void> freshenPace();
+    boost::asio::awaitable<void> probe();
+    void take(const UpstreamLoadSample &sample);
+    void recordAnswer(bool failed);
+    /// Tells the queue how much of the evidence of failures is left.
+    void recordHealth();
+
+    boost::asio::any_io_executor executor_;
+    EgressSettings settings_;
+    NodeIdentity self_;
+    const UpstreamDialect &dialect_;
+    EventLog &log_;
+    Metrics &metrics_;
+    WorkSlots slots_;
+    HttpConnectionPool pool_;
+    LatenessGuard lateness_;
+    UpstreamHealth health_;
+    std::uint64_t lastCallId_ = 0;
+    TimePoint paceTime_;
+    bool leaving_ = false;
+    bool probing_ = false;
+    /// Never expires; cancelled when a probe has ended.
+    boost::asio::steady_timer probed_;
+};
+
+}
--- /dev/null
+++ b/src/egress/upstreamrequest.cpp
@@ -0,0 +1,312 @@
+#include "egress/upstreamrequest.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "core/bootclock.h"
+
+namespace Egretpath
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Answers up to this size travel in one message; beyond it, in pieces.
+constexpr std::size_t WholeAnswerLimit = std::size_t{1024} * 1024;
+constexpr Milliseconds LeavingRetryAfter{50};
+constexpr std::uint16_t FirstServerError = 500;
+constexpr std::uint16_t GatewayTimeoutStatus = 504;
+
+TimePoint now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+}
+
+UpstreamRequest::UpstreamRequest(EgressRole &role, CallHead head, std::string body,
+                                 std::shared_ptr<AnswerReceiver> answer, std::shared_ptr<Cancellation> cancellation)
+    : role_(role)
+    , head_(std::move(head))
+    , body_(std::move(body))
+    , answer_(std::move(answer))
+    , cancellation_(std::move(cancellation))
+    , slot_(role.nextCallId())
+    , arrival_(now())
+    , written_(role.executor_, asio::steady_timer::time_point::max())
+{
+}
+
+UpstreamRequest::~UpstreamRequest()
+{
+    releaseSlot(false);
+}
+
+asio::awaitable<CallOutcome> UpstreamRequest::run()
+{
+    const auto self = shared_from_this();
+    if (auto refusal = co_await admit()) {
+        CallOutcome ended = outcome(std::move(*refusal));
+        logEnd(ended);
+        co_return ended;
+    }
+    Result<CallOutcome> result =
+        co_await attempt(head_.repeatable ? HttpConnectionChoice::Pooled : HttpConnectionChoice::Fresh);
+    if (!result && mayAskAgain(result.error())) {
+        // The upstream dropped the idle connection just as the request was sent. Nothing came back, and the request may
+        // run again; a new connection does not meet that.
+        result = co_await attempt(HttpConnectionChoice::Fresh);
+        if (!result) {
+            Failure failure = result.error();
+            failure.verdict = Verdict::MayHaveRun;
+            result = std::move(failure);
+        }
+    }
+    cancellation_->clearAction();
+    CallOutcome ended = result ? std::move(result).value() : outcome(result.error());
+    const auto *failure = std::get_if<Failure>(&ended.result);
+    releaseSlot(failure == nullptr);
+    logEnd(ended);
+    co_return ended;
+}
+
+asio::awaitable<std::optional<Failure>> UpstreamRequest::admit()
+{
+    // A request that waited in a stalled link or a paused process has less time left than its sender wrote.
+    const TimePoint bootNow{std::chrono::duration_cast<Duration>(timeSinceBoot())};
+    const Duration late = role_.lateness_.observe(head_.ingress.incarnation, head_.sentAt, bootNow);
+    deadline_ = arrival_ + head_.remaining - late;
+    if (deadline_ <= arrival_) {
+        co_return notRun(Reason::DeadlinePassed, "the request was too long on its way");
+    }
+    if (role_.leaving_) {
+        co_return notRun(Reason::Draining, "the node beside the upstream stops", LeavingRetryAfter);
+    }
+    if (head_.acceptable > Microseconds{0}) {
+        co_await role_.freshenPace();
+    }
+    role_.recordHealth();
+    WorkOffer offer;
+    offer.call = slot_;
+    offer.route = head_.route;
+    offer.priority = head_.priority;
+    offer.deadline = deadline_;
+    offer.target = arrival_ + head_.targetLatencyLeft - late;
+    offer.acceptable = head_.acceptable;
+    if (auto failure = co_await role_.slots_.acquire(offer, cancellation_)) {
+        co_return failure;
+    }
+    holdsSlot_ = true;
+    co_return std::nullopt;
+}
+
+asio::awaitable<Result<CallOutcome>> UpstreamRequest::attempt(HttpConnectionChoice choice)
+{
+    // Not one conditional expression: g++ 12 destroys the temporaries of a co_await in one of its branches twice.
+    if (auto unreached = co_await connect(choice)) {
+        co_return std::move(*unreached);
+    }
+    co_return co_await exchange();
+}
+
+asio::awaitable<std::optional<Failure>> UpstreamRequest::connect(HttpConnectionChoice choice)
+{
+    // A request that may run once never goes over a connection that the upstream may be closing just now: the failure
+    // would leave it unknown whether it ran.
+    upstream_.reset();
+    auto opened = co_await role_.pool_.open(role_.settings_.upstream, deadline_, choice);
+    if (!opened) {
+        co_return opened.error();
+    }
+    if (cancellation_->isCancelled()) {
+        co_return notRun(Reason::Cancelled, "cancelled before it was handed over");
+    }
+    // A process that was paused here wakes with the deadline behind it and must not hand the request over.
+    if (now() >= deadline_) {
+        co_return notRun(Reason::DeadlinePassed, "deadline passed before it was handed over");
+    }
+    upstream_ = std::move(opened).value();
+    cancellation_->setAction([weak = weak_from_this()] {
+        const auto request = weak.lock();
+        if (request && request->upstream_) {
+            request->upstream_->cancel();
+        }
+    });
+    handedOver_ = now();
+    co_return std::nullopt;
+}
+
+asio::awaitable<Result<CallOutcome>> UpstreamRequest::exchange()
+{
+    writing_ = true;
+    asio::co_spawn(role_.executor_, write(shared_from_this()), asio::detached);
+    Result<CallOutcome> result = co_await readAnswer();
+    co_await stopWriting();
+    co_return result;
+}
+
+/// Runs beside readAnswer(): an upstream may answer before it has read a long body.
+asio::awaitable<void> UpstreamRequest::write(std::shared_ptr<UpstreamRequest> /*self*/)
+{
+    // A failure shows again when the answer is read, with what the upstream may have answered before it closed.
+    [[maybe_unused]] const Result<void> sent = co_await upstream_->sendRequest(upstreamHead(), body_);
+    writing_ = false;
+    written_.cancel();
+}
+
+/// After an early answer the rest of the body is not sent on: the connection is closed instead, so that the upstream
+/// never takes other bytes for it.
+asio::awaitable<void> UpstreamRequest::stopWriting()
+{
+    if (writing_) {
+        upstream_->cancel();
+    }
+    while (writing_) {
+        boost::system::error_code ignored;
+        co_await written_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<Result<CallOutcome>> UpstreamRequest::readAnswer()
+{
+    while (true) {
+        Result<HttpResponseHead> head = co_await upstream_->readHead();
+        if (!head) {
+            co_return head.error();
+        }
+        const UpstreamRemarks remarks = role_.dialect_.read(head.value());
+        std::string body;
+        while (true) {
+            Result<std::string> piece = co_await upstream_->readBody();
+            if (!piece) {
+                co_return piece.error();
+            }
+            if (piece.value().empty()) {
+                break;
+            }
+            body += piece.value();
+            if (body.size() > WholeAnswerLimit) {
+                co_return co_await stream(std::move(head).value(), std::move(body));
+            }
+        }
+        // A faulty upstream may answer an earlier request twice; the second answer stands where this one's should be.
+        if (remarks.request.value().empty() || remarks.request == head_.requestId) {
+            co_return judge(std::move(head).value(), std::move(body), remarks);
+        }
+        role_.metrics_.count("egretpath_stray_answers_total");
+    }
+}
+
+asio::awaitable<Result<CallOutcome>> UpstreamRequest::stream(HttpResponseHead head, std::string first)
+{
+    const Failure callerGone = mayHaveRun(Reason::Cancelled, "the ingress takes no more of the answer");
+    head.headers.removeHopByHop();
+    AnswerHead answerHead{head.status, std::move(head.headers)};
+    if (!co_await answer_->begin(std::move(answerHead)) || !co_await answer_->write(std::move(first))) {
+        co_return callerGone;
+    }
+    while (true) {
+        Result<std::string> piece = co_await upstream_->readBody();
+        if (!piece) {
+            co_return piece.error();
+        }
+        if (piece.value().empty()) {
+            break;
+        }
+        if (!co_await answer_->write(std::move(piece).value())) {
+            co_return callerGone;
+        }
+    }
+    if (!co_await answer_->end()) {
+        co_return callerGone;
+    }
+    role_.recordAnswer(false);
+    co_return outcome(StreamedAnswer{});
+}
+
+Result<CallOutcome> UpstreamRequest::judge(HttpResponseHead head, std::string body, const UpstreamRemarks &remarks)
+{
+    if (remarks.load) {
+        role_.take(*remarks.load);
+    }
+    if (remarks.wrongUpstream) {
+        return notRun(Reason::WrongIncarnation, "another upstream has the address");
+    }
+    if (remarks.notRun) {
+        role_.recordAnswer(true);
+        return notRun(Reason::Shed, "the upstream refused it with status " + std::to_string(head.status));
+    }
+    if (!remarks.isWhole) {
+        role_.recordAnswer(true);
+        return mayHaveRun(Reason::BadAnswer, "the answer lacks what proves that it is the upstream's");
+    }
+    role_.recordAnswer(head.status >= FirstServerError && head.status != GatewayTimeoutStatus);
+    head.headers.removeHopByHop();
+    return outcome(WholeAnswer{AnswerHead{head.status, std::move(head.headers)}, std::move(body), false});
+}
+
+bool UpstreamRequest::mayAskAgain(const Failure &failure) const
+{
+    return head_.repeatable && failure.reason == Reason::ConnectionLost && upstream_ && upstream_->reused()
+        && !cancellation_->isCancelled();
+}
+
+HttpRequestHead UpstreamRequest::upstreamHead() const
+{
+    HttpRequestHead head(head_.method, head_.target);
+    head.headers = head_.headers;
+    UpstreamTerms terms;
+    terms.left = std::max(std::chrono::duration_cast<Milliseconds>(deadline_ - now()), Milliseconds{1});
+    terms.target = head_.targetUpstream;
+    terms.callerService = head_.callerService;
+    role_.dialect_.decorate(head.headers, terms);
+    return head;
+}
+
+CallOutcome UpstreamRequest::outcome(std::variant<Failure, WholeAnswer, StreamedAnswer> result) const
+{
+    return {role_.self_, role_.report(head_.route), std::move(result)};
+}
+
+void UpstreamRequest::releaseSlot(bool answered)
+{
+    if (std::exchange(holdsSlot_, false)) {
+        role_.slots_.release(slot_, answered);
+    }
+}
+
+void UpstreamRequest::logEnd(const CallOutcome &ended) const
+{
+    const TimePoint end = now();
+    if (!role_.log_.admitsDecision(end)) {
+        return;
+    }
+    const auto *failure = std::get_if<Failure>(&ended.result);
+    const auto *whole = std::get_if<WholeAnswer>(&ended.result);
+    StructuredLine line("egress");
+    line.add("request", head_.requestId.value()).add("try", std::uint64_t{head_.attempt});
+    line.add("upstream", head_.targetUpstream.value()).add("route", head_.route.value());
+    line.add("running", std::uint64_t{ended.report->inFlight}).add("queued", std::uint64_t{ended.report->queued});
+    line.add("limit", std::uint64_t{ended.report->slots}).add("pace", std::uint64_t{ended.report->pacePercent});
+    line.add("left_ms", std::chrono::duration_cast<Milliseconds>(deadline_ - end).count());
+    line.add("took_ms", std::chrono::duration_cast<Milliseconds>(end - arrival_).count());
+    if (handedOver_ != TimePoint{}) {
+        line.add("waited_ms", std::chrono::duration_cast<Milliseconds>(handedOver_ - arrival_).count());
+    }
+    if (failure != nullptr) {
+        line.add("verdict", toString(failure->verdict)).add("reason", toString(failure->reason));
+        line.add("detail", failure->detail);
+    } else if (whole != nullptr) {
+        line.add("status", std::uint64_t{whole->head.status});
+    }
+    role_.log_.decision(line);
+}
+
+}
--- /dev/null
+++ b/src/egress/upstreamrequest.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "egress/egressrole.h"
+#include "http/httpclientcall.h"
+
+namespace Egretpath
+{
+
+/// One request at the egress, from its arrival to its outcome.
+///
+/// Thread safety: none. Precondition: the role outlives it.
+class UpstreamRequest : public std::enable_shared_from_this<UpstreamRequest>
+{
+public:
+    UpstreamRequest(EgressRole &role, CallHead head, std::string body, std::shared_ptr<AnswerReceiver> answer,
+                    std::shared_ptr<Cancellation> cancellation);
+    ~UpstreamRequest();
+    UpstreamRequest(const UpstreamRequest &) = delete;
+    UpstreamRequest &operator=(const UpstreamRequest &) = delete;
+
+    boost::asio::awaitable<CallOutcome> run();
+
+private:
+    /// Takes a slot. Returns why the request goes no further, or nothing.
+    boost::asio::awaitable<std::optional<Failure>> admit();
+    /// Connects and exchanges.
+    boost::asio::awaitable<Result<CallOutcome>> attempt(HttpConnectionChoice choice);
+    boost::asio::awaitable<std::optional<Failure>> connect(HttpConnectionChoice choice);
+    /// Sends the request and reads its answer on one connection.
+    boost::asio::awaitable<Result<CallOutcome>> exchange();
+    boost::asio::awaitable<Result<CallOutcome>> readAnswer();
+    boost::asio::awaitable<Result<CallOutcome>> stream(HttpResponseHead head, std::string first);
+    boost::asio::awaitable<void> write(std::shared_ptr<UpstreamRequest> self);
+    boost::asio::awaitable<void> stopWriting();
+    [[nodiscard]] Result<CallOutcome> judge(HttpResponseHead head, std::string body, const UpstreamRemarks &remarks);
+    [[nodiscard]] bool mayAskAgain(const Failure &failure) const;
+
+    [[nodiscard]] HttpRequestHead upstreamHead() const;
+    [[nodiscard]] CallOutcome outcome(std::variant<Failure, WholeAnswer, StreamedAnswer> result) const;
+    void releaseSlot(bool answered);
+    void logEnd(const CallOutcome &ended) const;
+
+    EgressRole &role_;
+    CallHead head_;
+    std::string body_;
+    std::shared_ptr<AnswerReceiver> answer_;
+    std::shared_ptr<Cancellation> cancellation_;
+    CallId slot_;
+    TimePoint arrival_;
+    TimePoint deadline_;
+    TimePoint handedOver_;
+    std::unique_ptr<HttpClientCall> upstream_;
+    /// Never expires; cancelled when the request was written or its writing failed.
+    boost::asio::steady_timer written_;
+    bool holdsSlot_ = false;
+    bool writing_ = false;
+};
+
+}
--- /dev/null
+++ b/src/egress/workslots.cpp
@@ -0,0 +1,111 @@
+#include "egress/workslots.h"
+
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Egretpath
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+TimePoint now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+}
+
+WorkSlots::WorkSlots(asio::any_io_executor executor)
+    : executor_(std::move(executor))
+    , expiry_(executor_)
+{
+}
+
+asio::awaitable<std::optional<Failure>> WorkSlots::acquire(WorkOffer offer, std::shared_ptr<Cancellation> cancellation)
+{
+    const OfferOutcome outcome = queue_.offer(offer, now());
+    if (const auto *refused = std::get_if<Refused>(&outcome)) {
+        co_return refused->failure;
+    }
+    if (std::holds_alternative<Admitted>(outcome)) {
+        co_return std::nullopt;
+    }
+    co_return co_await waitForTurn(offer.call, std::move(cancellation));
+}
+
+asio::awaitable<std::optional<Failure>> WorkSlots::waitForTurn(CallId call, std::shared_ptr<Cancellation> cancellation)
+{
+    const auto waiter = std::make_shared<Waiter>(executor_);
+    waiters_.emplace(call, waiter);
+    armExpiry();
+    cancellation->setAction([this, call] { cancelQueued(call); });
+    boost::system::error_code ignored;
+    co_await waiter->wakeUp.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    cancellation->clearAction();
+    co_return waiter->failure;
+}
+
+void WorkSlots::release(CallId call, bool answered)
+{
+    start(queue_.finish(call, answered, now()));
+    expire();
+}
+
+void WorkSlots::setSlots(std::uint32_t slots)
+{
+    start(queue_.setSlots(slots, now()));
+}
+
+void WorkSlots::start(const std::vector<CallId> &calls)
+{
+    for (const CallId call : calls) {
+        if (const auto found = waiters_.extract(call)) {
+            found.mapped()->wakeUp.cancel();
+        }
+    }
+}
+
+void WorkSlots::end(CallId call, Failure failure)
+{
+    if (const auto found = waiters_.extract(call)) {
+        found.mapped()->failure = std::move(failure);
+        found.mapped()->wakeUp.cancel();
+    }
+}
+
+void WorkSlots::cancelQueued(CallId call)
+{
+    if (queue_.cancel(call) == CancelOutcome::WasQueued) {
+        end(call, notRun(Reason::Cancelled, "cancelled while it waited for a slot"));
+    }
+}
+
+void WorkSlots::expire()
+{
+    for (ExpiredCall &expired : queue_.expire(now())) {
+        end(expired.call, std::move(expired.failure));
+    }
+    armExpiry();
+}
+
+void WorkSlots::armExpiry()
+{
+    const std::optional<TimePoint> next = queue_.nextExpiry();
+    if (!next) {
+        expiry_.cancel();
+        return;
+    }
+    expiry_.expires_at(*next);
+    expiry_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            expire();
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/src/ingress/proxiedrequest.cpp
@@ -0,0 +1,502 @@
+#include "ingress/proxiedrequest.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "core/bootclock.h"
+#include "ingress/streamedanswerrelay.h"
+
+namespace Egretpath
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// How often a request may be declined before an upstream has to take it: each question costs a crossing, and the
+/// answers of three upstreams are news of most of what is near.
+constexpr std::uint32_t MostQuestions = 3;
+/// A node declines only when the alternative is better by this factor, so that equals don't pass requests around.
+constexpr double DeclineMargin = 1.1;
+/// Sendings of one request in all, declined ones included: more than any service has near candidates.
+constexpr std::uint32_t SendingsCap = 64;
+/// Return times when nothing tells a better one; spread by a factor of up to two.
+constexpr Milliseconds DefaultRetryAfter{150};
+/// How long nothing is sent to an upstream that leaves or has been replaced; the platform's list says more by then.
+constexpr Milliseconds LeavingHold{1000};
+/// Callers honour return times up to a third of the time that they have left.
+constexpr int LeftOverRetryAfter = 3;
+constexpr std::uint16_t FirstServerError = 500;
+
+TimePoint now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+Milliseconds sinceMilliseconds(TimePoint start)
+{
+    return std::chrono::duration_cast<Milliseconds>(now() - start);
+}
+
+std::optional<LoadReport> reportOf(const Result<CallOutcome> &outcome)
+{
+    return outcome ? outcome.value().report : std::nullopt;
+}
+
+const Failure *failureOf(const Result<CallOutcome> &outcome)
+{
+    return outcome ? std::get_if<Failure>(&outcome.value().result) : &outcome.error();
+}
+
+}
+
+ProxiedRequest::ProxiedRequest(IngressRole &role, HttpExchange &exchange)
+    : role_(role)
+    , exchange_(exchange)
+    , routes_(role.sources_.routes)
+    , arrival_(now())
+    , sequence_(++role.lastSequence_)
+    , wakeUp_(role.executor_)
+{
+    ++role_.openRequests_;
+}
+
+ProxiedRequest::~ProxiedRequest()
+{
+    --role_.openRequests_;
+}
+
+asio::awaitable<void> ProxiedRequest::run()
+{
+    const auto self = shared_from_this();
+    if (auto failure = co_await prepare()) {
+        co_await respond(std::move(*failure));
+        co_return;
+    }
+    exchange_.onCallerGone([weak = weak_from_this()] {
+        if (const auto request = weak.lock()) {
+            request->callerGone_ = true;
+            request->wakeUp_.cancel();
+        }
+    });
+    role_.budget_.onFirstTry(service_);
+    co_await tryUntilEnded();
+    cancelTries();
+}
+
+asio::awaitable<std::optional<Failure>> ProxiedRequest::prepare()
+{
+    if (auto failure = readTerms()) {
+        co_return failure;
+    }
+    if (auto failure = co_await readBody()) {
+        co_return failure;
+    }
+    if (route_->kind != RequestKind::Safe) {
+        co_await exchange_.waitForTurn();
+    }
+    if (exchange_.callerGone()) {
+        co_return notRun(Reason::Cancelled, "the caller went away");
+    }
+    service_ = role_.split_.next(*route_);
+    const bool safe = route_->kind == RequestKind::Safe;
+    const IngressCallId id{role_.place_.self.incarnation, CallSequence(sequence_)};
+    state_.emplace(id, safe ? Repetition::Repeatable : Repetition::Once, SendingsCap, deadline_);
+    co_return std::nullopt;
+}
+
+std::optional<Failure> ProxiedRequest::readTerms()
+{
+    const HttpRequestHead &head = exchange_.head();
+    Result<CallerTerms> terms = role_.dialect_.read(head.headers);
+    if (!terms) {
+        return terms.error();
+    }
+    terms_ = std::move(terms).value();
+    if (!routes_) {
+        return notRun(Reason::NoTable, "no routes are in force yet", DefaultRetryAfter);
+    }
+    route_ = routes_->match(head.headers.find("Host").value_or(std::string_view()), head.target);
+    if (route_ == nullptr) {
+        return notRun(Reason::NoRoute, "no route takes this host and path");
+    }
+    deadline_ = arrival_ + std::min(terms_.patience.value_or(route_->timeout), route_->timeout);
+    return std::nullopt;
+}
+
+asio::awaitable<std::optional<Failure>> ProxiedRequest::readBody()
+{
+    while (true) {
+        Result<std::string> piece = co_await exchange_.readBody();
+        if (!piece) {
+            co_return piece.error();
+        }
+        if (piece.value().empty()) {
+            co_return std::nullopt;
+        }
+        body_ += piece.value();
+    }
+}
+
+asio::awaitable<void> ProxiedRequest::tryUntilEnded()
+{
+    while (true) {
+        if (callerGone_) {
+            logEnd(0, toString(Verdict::MayHaveRun), toString(Reason::Cancelled), "the caller went away");
+            co_return;
+        }
+        if (!ended_.empty()) {
+            TryEnd ended = std::move(ended_.front());
+            ended_.pop_front();
+            if (co_await evaluate(std::move(ended))) {
+                co_return;
+            }
+            continue;
+        }
+        if (now() >= deadline_) {
+            co_await giveUp(notRun(Reason::DeadlinePassed, "no answer before the timeout"));
+            co_return;
+        }
+        if (underWay_.empty()) {
+            if (auto failure = startTry()) {
+                co_await giveUp(std::move(*failure));
+                co_return;
+            }
+        }
+        co_await waitForTry();
+    }
+}
+
+asio::awaitable<void> ProxiedRequest::waitForTry()
+{
+    if (!ended_.empty() || callerGone_) {
+        co_return;
+    }
+    wakeUp_.expires_at(deadline_);
+    boost::system::error_code ignored;
+    co_await wakeUp_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+std::optional<Failure> ProxiedRequest::startTry()
+{
+    std::vector<PlacementCandidate> all = candidates();
+    const std::optional<PlacementChoice> choice = choose(all);
+    if (!choice) {
+        return notRun(Reason::NoUpstream, all.empty() ? "no upstream is listed" : "no upstream is left to ask",
+                      DefaultRetryAfter);
+    }
+    const PlacementCandidate &chosen = all[choice->candidate];
+    const InstanceRecord *record = role_.sources_.directory.find(chosen.upstream);
+    const Result<TryId> tryId = state_->startTry(NodeIdentity{chosen.upstream, Incarnation()}, now());
+    if (!tryId || record == nullptr) {
+        return tryId ? notRun(Reason::NoUpstream, "the upstream left the list") : tryId.error();
+    }
+    const auto which = std::make_shared<Try>();
+    which->number = tryId.value().number;
+    which->upstream = chosen.upstream;
+    which->node = record->node;
+    which->link = choice->link;
+    which->cancellation = std::make_shared<Cancellation>();
+    if (asked_ < MostQuestions && choice->alternative > Duration{0}) {
+        which->acceptable = std::chrono::duration_cast<Duration>(choice->alternative * DeclineMargin);
+    }
+    ++asked_;
+    underWay_.push_back(which);
+    logPlacement(*which, *choice, all.size());
+    asio::co_spawn(role_.executor_, send(which, shared_from_this()), asio::detached);
+    return std::nullopt;
+}
+
+/// Those that declined are asked again when no other is left: one of them has to take the request.
+std::optional<PlacementChoice> ProxiedRequest::choose(std::vector<PlacementCandidate> &candidates)
+{
+    PlacementRequest request;
+    request.candidates = candidates;
+    request.usualTime = role_.usualTime(*route_);
+    request.now = now();
+    std::vector<UpstreamName> excluded = reached_;
+    const bool asksOn = asked_ < MostQuestions;
+    if (asksOn) {
+        excluded.insert(excluded.end(), declined_.begin(), declined_.end());
+    }
+    request.excluded = excluded;
+    auto choice = role_.placement_.choose(request);
+    if (!choice && asksOn) {
+        asked_ = MostQuestions;
+        request.excluded = reached_;
+        choice = role_.placement_.choose(request);
+    }
+    return choice;
+}
+
+std::vector<PlacementCandidate> ProxiedRequest::candidates() const
+{
+    std::vector<PlacementCandidate> all;
+    for (const InstanceRecord *record : role_.sources_.directory.ready(service_)) {
+        all.push_back({record->id, record->location, record->warmUp.count() > 0});
+    }
+    return all;
+}
+
+asio::awaitable<void> ProxiedRequest::send(TryPointer which, std::shared_ptr<ProxiedRequest> /*self*/)
+{
+    CallHead head = makeHead(*which);
+    auto relay = std::make_shared<StreamedAnswerRelay>(weak_from_this(), which->number);
+    std::optional<Result<CallOutcome>> outcome;
+    role_.view_.onSent(which->upstream);
+    if (which->node == role_.place_.node) {
+        if (permitSending(*which, head)) {
+            outcome = co_await role_.egress_.call(std::move(head), body_, std::move(relay), which->cancellation);
+        } else {
+            outcome = notRun(Reason::Cancelled, "ended before it was sent");
+        }
+    } else {
+        const auto permit = [this, which](CallHead &sent) { return permitSending(*which, sent); };
+        outcome = co_await role_.peers_.call(which->node, std::move(head), body_, std::move(relay), permit, deadline_,
+                                             which->cancellation);
+    }
+    role_.view_.onEnded(which->upstream);
+    learn(*which, *outcome);
+    std::erase(underWay_, which);
+    ended_.push_back({which, std::move(*outcome)});
+    wakeUp_.cancel();
+}
+
+bool ProxiedRequest::permitSending(Try &which, CallHead &head)
+{
+    const TimePoint sentAt = now();
+    if (!state_->permitSending(which.number, sentAt)) {
+        return false;
+    }
+    head.remaining = std::chrono::duration_cast<Microseconds>(deadline_ - sentAt);
+    head.targetLatencyLeft = std::chrono::duration_cast<Microseconds>(arrival_ + route_->targetLatency - sentAt);
+    head.sentAt = timeSinceBoot();
+    which.sent = true;
+    return true;
+}
+
+CallHead ProxiedRequest::makeHead(const Try &which) const
+{
+    const HttpRequestHead &request = exchange_.head();
+    CallHead head;
+    head.requestId = terms_.request;
+    head.attempt = which.number.value();
+    head.ingress = role_.place_.self;
+    head.sequence = sequence_;
+    head.service = service_;
+    head.method = request.method;
+    head.target = request.target;
+    head.headers = request.headers;
+    head.headers.removeHopByHop();
+    head.contentLength = static_cast<std::int64_t>(body_.size());
+    head.repeatable = route_->kind == RequestKind::Safe;
+    head.wantsReport = true;
+    head.targetUpstream = which.upstream;
+    head.callerService = role_.place_.service;
+    head.route = route_->name;
+    head.priority = static_cast<std::uint8_t>(std::min<std::uint32_t>(route_->priority, UINT8_MAX));
+    head.acceptable = std::chrono::duration_cast<Microseconds>(which.acceptable);
+    return head;
+}
+
+void ProxiedRequest::learn(const Try &which, const Result<CallOutcome> &outcome)
+{
+    const TimePoint at = now();
+    if (const auto report = reportOf(outcome)) {
+        role_.view_.onReached(which.upstream);
+        role_.view_.onReport(which.upstream, *report, at);
+        role_.recordUsualTime(route_->name, *report);
+        if (report->leaving) {
+            role_.view_.onClosed(which.upstream, LeavingHold, at);
+        }
+    }
+    if (const Failure *failure = failureOf(outcome)) {
+        learnFailure(which, *failure);
+    }
+}
+
+void ProxiedRequest::learnFailure(const Try &which, const Failure &failure)
+{
+    const TimePoint at = now();
+    switch (failure.reason) {
+    case Reason::ConnectFailed:
+        role_.view_.onUnreachable(which.upstream, at);
+        break;
+    case Reason::WrongIncarnation:
+        role_.view_.onClosed(which.upstream, LeavingHold, at);
+        break;
+    case Reason::Declined:
+    case Reason::Overloaded:
+    case Reason::Draining:
+    case Reason::Cancelled:
+        break;
+    default:
+        role_.view_.onFailed(which.upstream, at);
+        break;
+    }
+}
+
+/// Whether the upstream itself may have got the request, which then counts as a sending to it.
+bool ProxiedRequest::reachedUpstream(const Try &which, const Failure &failure) const
+{
+    const bool refusedByUpstream = failure.reason == Reason::Shed || failure.reason == Reason::WrongIncarnation;
+    return refusedByUpstream || (failure.verdict != Verdict::NotRun && which.sent);
+}
+
+asio::awaitable<bool> ProxiedRequest::evaluate(TryEnd ended)
+{
+    const Try &which = *ended.which;
+    if (streamed_) {
+        const bool whole = ended.outcome && std::holds_alternative<StreamedAnswer>(ended.outcome.value().result);
+        if (!whole) {
+            // A part of the answer is with the caller; only a dropped connection tells that the rest is missing.
+            exchange_.abort();
+        }
+        logEnd(0, toString(Verdict::Answered), whole ? "none" : toString(Reason::BadAnswer), "sent in pieces");
+        co_return true;
+    }
+    const Failure *failure = failureOf(ended.outcome);
+    if (failure == nullptr && !mayReplace(ended.outcome.value())) {
+        co_await deliver(which, std::move(ended.outcome).value());
+        co_return true;
+    }
+    const Failure shown = failure != nullptr ? *failure : mayHaveRun(Reason::BadAnswer, "the upstream failed it");
+    std::vector<UpstreamName> &list = reachedUpstream(which, shown) ? reached_ : declined_;
+    list.push_back(which.upstream);
+    const NextStep step = state_->tryFailed(which.number, shown);
+    if (step == NextStep::MayTryAgain && mayRepeat(which, shown)) {
+        co_return false;
+    }
+    if (failure == nullptr) {
+        co_await deliver(which, std::move(ended.outcome).value());
+        co_return true;
+    }
+    if (step == NextStep::Ignore || step == NextStep::Wait) {
+        co_return false;
+    }
+    co_await giveUp(shown);
+    co_return true;
+}
+
+/// Whether another try may follow one that failed; takes from the budget what it costs.
+bool ProxiedRequest::mayRepeat(const Try &which, const Failure &failure)
+{
+    if (failure.reason == Reason::Cancelled || failure.reason == Reason::DeadlinePassed) {
+        return false;
+    }
+    if (!reachedUpstream(which, failure)) {
+        // The best of all that were asked can't take it in time: the others can't either.
+        return !(failure.reason == Reason::Overloaded && asked_ > MostQuestions);
+    }
+    return reached_.size() < route_->maxAttempts && role_.budget_.spend(service_);
+}
+
+/// Whether another upstream may still give a better answer than this one.
+bool ProxiedRequest::mayReplace(const CallOutcome &answer)
+{
+    const auto *whole = std::get_if<WholeAnswer>(&answer.result);
+    return whole != nullptr && whole->head.status >= FirstServerError && route_->kind == RequestKind::Safe
+        && reached_.size() + 1 < route_->maxAttempts && role_.budget_.canSpend(service_);
+}
+
+asio::awaitable<void> ProxiedRequest::deliver(const Try &which, CallOutcome outcome)
+{
+    // After a failed try whose answer is delivered for want of a better one, the try has ended already.
+    [[maybe_unused]] const bool first = state_->answered(which.number);
+    auto *whole = std::get_if<WholeAnswer>(&outcome.result);
+    if (whole == nullptr) {
+        co_return;
+    }
+    HttpResponseHead head(whole->head.status);
+    head.headers = std::move(whole->head.headers);
+    logEnd(head.status, toString(Verdict::Answered), toString(Reason::None), which.upstream.value());
+    [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), std::move(whole->body));
+}
+
+asio::awaitable<void> ProxiedRequest::giveUp(Failure failure)
+{
+    const auto shown = state_->giveUp(failure.reason, retryAfter(failure.retryAfter), failure.detail);
+    if (shown) {
+        cancelTries();
+        co_await respond(*shown);
+    }
+}
+
+asio::awaitable<void> ProxiedRequest::respond(Failure failure)
+{
+    if (exchange_.callerGone()) {
+        logEnd(0, toString(failure.verdict), toString(failure.reason), failure.detail);
+        co_return;
+    }
+    HttpResponseHead head = role_.dialect_.refusal(failure, terms_.request);
+    logEnd(head.status, toString(failure.verdict), toString(failure.reason), failure.detail);
+    [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), failure.detail + "\n");
+}
+
+void ProxiedRequest::cancelTries()
+{
+    // Copied: a cancelled try may end at once.
+    const std::vector<TryPointer> underWay = underWay_;
+    for (const TryPointer &which : underWay) {
+        which->cancellation->cancel();
+    }
+}
+
+/// Spread, so that those who were refused together don't return together; never so late that the caller gives up.
+Milliseconds ProxiedRequest::retryAfter(Milliseconds wanted)
+{
+    const double base = static_cast<double>(wanted.count() > 0 ? wanted.count() : DefaultRetryAfter.count());
+    const double spread = std::uniform_real_distribution<double>(1.0, 2.0)(role_.random_);
+    const auto left =
+        std::chrono::duration_cast<Milliseconds>(arrival_ + terms_.patience.value_or(route_->timeout) - now());
+    const auto most = std::max(left / LeftOverRetryAfter, Milliseconds{1});
+    return std::min(Milliseconds(static_cast<Milliseconds::rep>(base * spread)), most);
+}
+
+void ProxiedRequest::logPlacement(const Try &which, const PlacementChoice &choice, std::size_t candidateCount) const
+{
+    if (!role_.log_.admitsDecision(now())) {
+        return;
+    }
+    const auto milliseconds = [](Duration duration) {
+        return std::chrono::duration_cast<Milliseconds>(duration).count();
+    };
+    StructuredLine line("place");
+    line.add("request", terms_.request.value()).add("try", std::uint64_t{which.number.value()});
+    line.add("route", route_->name.value()).add("service", service_.value());
+    line.add("upstream", which.upstream.value()).add("link", toString(which.link));
+    line.add("candidates", std::uint64_t{candidateCount}).add("expected_ms", milliseconds(choice.expected));
+    line.add("alternative_ms", milliseconds(choice.alternative)).add("slowdown", choice.slowdown);
+    line.add("routes", routes_->version().value()).add("list", role_.sources_.directory.revision().value());
+    role_.log_.decision(line);
+}
+
+void ProxiedRequest::logEnd(std::uint16_t status, std::string_view verdict, std::string_view reason,
+                            std::string_view detail)
+{
+    std::string labels = "route=\"";
+    labels.append(route_ == nullptr ? "none" : route_->name.value());
+    labels.append("\",verdict=\"").append(verdict).append("\",reason=\"").append(reason).append("\"");
+    role_.metrics_.count("egretpath_requests_total", labels);
+    role_.metrics_.record("egretpath_request_seconds", "", now() - arrival_);
+    if (!role_.log_.admitsDecision(now())) {
+        return;
+    }
+    StructuredLine line("end");
+    line.add("request", terms_.request.value()).add("route", route_ == nullptr ? "" : route_->name.value());
+    line.add("service", service_.value()).add("status", std::uint64_t{status});
+    line.add("verdict", verdict).add("reason", reason).add("detail", detail);
+    line.add("sent", std::uint64_t{asked_}).add("reached", std::uint64_t{reached_.size()});
+    line.add("took_ms", sinceMilliseconds(arrival_).count());
+    line.add("routes", routes_ ? routes_->version().value() : 0);
+    role_.log_.decision(line);
+}
+
+}
--- /dev/null
+++ b/src/ingress/streamedanswerrelay.cpp
@@ -0,0 +1,49 @@
+#include "ingress/streamedanswerrelay.h"
+
+#include <utility>
+
+namespace Egretpath
+{
+
+namespace asio = boost::asio;
+
+StreamedAnswerRelay::StreamedAnswerRelay(std::weak_ptr<ProxiedRequest> request, TryNumber number)
+    : request_(std::move(request))
+    , number_(number)
+{
+}
+
+asio::awaitable<bool> StreamedAnswerRelay::begin(AnswerHead head)
+{
+    const auto request = request_.lock();
+    if (!request || !request->state_->answered(number_)) {
+        co_return false;
+    }
+    request->streamed_ = true;
+    HttpResponseHead response(head.status);
+    response.headers = std::move(head.headers);
+    const Result<void> begun = co_await request->exchange_.beginResponse(std::move(response), std::nullopt);
+    co_return begun.has_value();
+}
+
+asio::awaitable<bool> StreamedAnswerRelay::write(std::string chunk)
+{
+    const auto request = request_.lock();
+    if (!request || !request->streamed_) {
+        co_return false;
+    }
+    const Result<void> written = co_await request->exchange_.writeBody(std::move(chunk));
+    co_return written.has_value();
+}
+
+asio::awaitable<bool> StreamedAnswerRelay::end()
+{
+    const auto request = request_.lock();
+    if (!request || !request->streamed_) {
+        co_return false;
+    }
+    const Result<void> ended = co_await request->exchange_.endResponse();
+    co_return ended.has_value();
+}
+
+}
--- /dev/null
+++ b/src/ingress/streamedanswerrelay.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <memory>
+
+#include "ingress/proxiedrequest.h"
+
+namespace Egretpath
+{
+
+/// Passes an answer that is too large for one message on to the caller, piece by piece. Thread safety: none.
+class StreamedAnswerRelay final : public AnswerReceiver
+{
+public:
+    StreamedAnswerRelay(std::weak_ptr<ProxiedRequest> request, TryNumber number);
+
+    boost::asio::awaitable<bool> begin(AnswerHead head) override;
+    boost::asio::awaitable<bool> write(std::string chunk) override;
+    boost::asio::awaitable<bool> end() override;
+
+private:
+    std::weak_ptr<ProxiedRequest> request_;
+    TryNumber number_;
+};
+
+}
--- /dev/null
+++ b/src/routing/placement.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/identity.h"
+#include "core/random.h"
+#include "core/strongtype.h"
+#include "routing/link.h"
+#include "routing/placementview.h"
+
+namespace Egretpath
+{
+
+/// An upstream that a request may go to.
+struct PlacementCandidate
+{
+    UpstreamName upstream;
+    Location location;
+    /// It started a short time ago and is still slow.
+    bool warmingUp = false;
+};
+
+/// One decision to make. The spans stay valid during Placement::choose().
+struct PlacementRequest
+{
+    std::span<const PlacementCandidate> candidates;
+    /// Upstreams that this request was sent to, or that declined it.
+    std::span<const UpstreamName> excluded;
+    /// What a request of its route takes when nothing is in the way.
+    Duration usualTime{0};
+    TimePoint now;
+};
+
+/// Where a request goes.
+struct PlacementChoice
+{
+    /// Index in PlacementRequest::candidates.
+    std::size_t candidate = 0;
+    /// From now to the answer, crossings included.
+    Duration expected{0};
+    /// What the next best would take, the way back from the first included; zero if there is no other.
+    Duration alternative{0};
+    double slowdown = 1.0;
+    LinkKind link = LinkKind::InZone;
+};
+
+/// Constants of Placement.
+struct PlacementSettings
+{
+    /// There and back between zones of a region, measured between the VMs.
+    Duration zoneCrossing = Microseconds{2800};
+    Duration regionCrossing = Milliseconds{17};
+    /// Expected times are varied by up to this share, so that nodes with the same old news don't all choose the same
+    /// upstream.
+    double jitter = 0.15;
+    /// How much longer work takes at an upstream that is warming up.
+    double warmUpFactor = 1.5;
+};
+
+/// Picks the upstream with the shortest expected time, wherever it stands.
+///
+/// The load that it answers: VMs turn four times slower for some tenths of a second at a time, which costs far more
+/// than crossing a region, and whatever is known of them is nearly as old as that. So a choice is a guess that the node
+/// beside the upstream, which knows, may decline when the alternative looks better. Thread safety: none.
+class Placement
+{
+public:
+    Placement(Location own, const PlacementView &view, Random random, PlacementSettings settings = {});
+
+    /// Nothing if all candidates are excluded. Upstreams that are shut are taken only when no other is left, since a
+    /// wrong suspicion must not make a service unreachable.
+    [[nodiscard]] std::optional<PlacementChoice> choose(const PlacementRequest &request);
+
+private:
+    struct Rated
+    {
+        std::size_t candidate = 0;
+        double seconds = 0.0;
+        double slowdown = 1.0;
+        bool shut = false;
+    };
+
+    [[nodiscard]] Rated rate(const PlacementRequest &request, std::size_t candidate);
+
+    Location own_;
+    const PlacementView &view_;
+    Random random_;
+    PlacementSettings settings_;
+    std::vector<Rated> rated_;
+};
+
+}
--- /dev/null
+++ b/src/routing/placementview.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+#include "core/clock.h"
+#include "core/identity.h"
+#include "core/strongtype.h"
+
+namespace Egretpath
+{
+
+/// Constants of PlacementView.
+struct PlacementViewSettings
+{
+    /// Age at which a report counts 1/e against what is typical: slow spells of the VMs last .3 s at the median.
+    Duration reportMemory = Milliseconds{300};
+    /// Weight of the newest report in the typical slowdown.
+    double typicalGain = 0.03;
+    /// What is assumed to be typical before any report.
+    double typicalSlowdown = 1.7;
+    /// Time in which evidence of failures falls to 1/e.
+    Duration failureMemory = std::chrono::seconds{3};
+    /// Slowdown added for each recent failure; it keeps quick errors from attracting requests.
+    double failurePenalty = 2.0;
+    /// Slowdown added for each own request that is under way and not yet in a report, as a share of the slots.
+    double ownRequestPenalty = 0.5;
+    /// No request goes to an upstream whose node can't be reached for so long; each further failure doubles it.
+    Duration unreachableBase = Milliseconds{150};
+    Duration unreachableLimit = std::chrono::seconds{3};
+};
+
+/// What one ingress knows of the upstreams' load, as factors by which they take longer than usual.
+///
+/// Factors, not times: one report speaks for requests of all routes. Thread safety: none; one owner. Errors: none.
+class PlacementView
+{
+public:
+    explicit PlacementView(PlacementViewSettings settings = {});
+
+    /// A request left for @p upstream; exactly one onEnded() follows.
+    void onSent(const UpstreamName &upstream);
+    void onEnded(const UpstreamName &upstream);
+    /// The node beside @p upstream told of its load.
+    void onReport(const UpstreamName &upstream, const LoadReport &report, TimePoint now);
+    /// The upstream failed a request: an error answer, a broken one, or none.
+    void onFailed(const UpstreamName &upstream, TimePoint now);
+    /// The node beside the upstream could not be reached.
+    void onUnreachable(const UpstreamName &upstream, TimePoint now);
+    /// It was reached.
+    void onReached(const UpstreamName &upstream);
+    /// It takes no new work for @p hold.
+    void onClosed(const UpstreamName &upstream, Duration hold, TimePoint now);
+    void forget(const UpstreamName &upstream) { records_.erase(upstream); }
+
+    /// By which factor a request takes longer there than usual; above one when it waits or the VM is slow.
+    [[nodiscard]] double slowdown(const UpstreamName &upstream, TimePoint now) const;
+    /// Whether nothing should be sent there now.
+    [[nodiscard]] bool isShut(const UpstreamName &upstream, TimePoint now) const;
+    /// Whether no report ever came from there.
+    [[nodiscard]] bool isUnknown(const UpstreamName &upstream) const;
+    [[nodiscard]] double typicalSlowdown() const { return typicalSlowdown_; }
+    [[nodiscard]] std::size_t size() const { return records_.size(); }
+
+private:
+    struct Record
+    {
+        double slowdown = 0.0;
+        double slots = 1.0;
+        TimePoint reportTime;
+        bool hasReport = false;
+        std::uint32_t inFlight = 0;
+        std::uint32_t inFlightAtReport = 0;
+        double failures = 0.0;
+        TimePoint failureTime;
+        std::uint32_t unreachable = 0;
+        TimePoint shutUntil;
+    };
+
+    [[nodiscard]] double failuresOf(const Record &record, TimePoint now) const;
+
+    PlacementViewSettings settings_;
+    std::unordered_map<UpstreamName, Record> records_;
+    double typicalSlowdown_;
+};
+
+}
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -29,6 +29,9 @@
 public:
     explicit RetryBudget(RetryBudgetSettings settings = {});
 
+    /// Changes what is earned and saved from now on.
+    void setSettings(const RetryBudgetSettings &settings) { settings_ = settings; }
+
     /// A first try of a call of @p service starts.
     void onFirstTry(const ServiceName &service);
 
--- /dev/null
+++ b/src/settings/sidecarsettings.cpp
@@ -0,0 +1,248 @@
+#include "settings/sidecarsettings.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include <toml++/toml.h>
+
+#include "settings/durationtext.h"
+
+namespace Egretpath
+{
+
+namespace
+{
+
+constexpr std::string_view AllowedName = "a text of 1 to 200 characters";
+constexpr std::string_view AllowedEndpoint = "an IP address and port such as \"10.0.0.7:8080\"";
+constexpr std::string_view AllowedDuration = "a time such as \"1500ms\" or \"2.5s\", from 0 to 1 hour";
+constexpr std::string_view AllowedNumber = "a number from 0 to 1000000";
+constexpr std::string_view AllowedLevel = "one of trace, debug, info, warn, error";
+constexpr std::size_t NameCap = 200;
+constexpr double NumberCap = 1e6;
+constexpr Milliseconds DurationCap{3'600'000};
+constexpr std::array<std::string_view, 5> Levels{"trace", "debug", "info", "warn", "error"};
+
+bool isEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return false;
+    }
+    std::uint16_t port = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    return parsed.ec == std::errc{} && parsed.ptr == end && port != 0;
+}
+
+enum class Presence : std::uint8_t { Required, Optional };
+
+/// Reads known keys of one parsed file and collects what is wrong.
+class Reader
+{
+public:
+    Reader(const toml::table &root, std::string_view file)
+        : root_(root)
+        , file_(file)
+    {
+    }
+
+    SettingsResult<SidecarSettings> read()
+    {
+        SidecarSettings settings;
+        readText("node", "name", settings.name);
+        readName("node", "service", settings.service);
+        readName("node", "region", settings.region);
+        readName("node", "zone", settings.zone);
+        readEndpoint("listen", "callers", settings.callers, Presence::Required);
+        readEndpoint("listen", "ready", settings.ready, Presence::Required);
+        readEndpoint("listen", "peers", settings.peers, Presence::Required);
+        readEndpoint("listen", "starters", settings.starters, Presence::Optional);
+        readEndpoint("listen", "metrics", settings.metrics, Presence::Optional);
+        readEndpoint("upstream", "address", settings.upstream, Presence::Required);
+        readEndpoint("platform", "store", settings.store, Presence::Required);
+        readSeeds(settings.seeds);
+        readZones(settings.zones);
+        readNumber("repeats", "ratio", settings.repeatRatio);
+        readNumber("repeats", "slack", settings.repeatSlack);
+        readDuration("stop", "grace", settings.grace);
+        readLog(settings);
+        if (!problems_.empty()) {
+            return std::move(problems_);
+        }
+        return settings;
+    }
+
+private:
+    using Node = toml::node;
+
+    void refuse(const Node *node, std::string_view group, std::string_view key, std::string_view allowed)
+    {
+        std::ostringstream value;
+        if (node != nullptr) {
+            node->visit([&value](const auto &item) { value << item; });
+        }
+        const std::size_t line = node == nullptr ? 0 : node->source().begin.line;
+        problems_.push_back(
+            {file_, line, std::string(group) + "." + std::string(key), value.str(), std::string(allowed)});
+    }
+
+    [[nodiscard]] const Node *find(std::string_view group, std::string_view key) const
+    {
+        return root_[group][key].node();
+    }
+
+    void readText(std::string_view group, std::string_view key, std::string &target)
+    {
+        const Node *node = find(group, key);
+        const auto text = node == nullptr ? std::nullopt : node->value_exact<std::string>();
+        if (!text || text->empty() || text->size() > NameCap) {
+            refuse(node, group, key, AllowedName);
+            return;
+        }
+        target = *text;
+    }
+
+    template<typename Type>
+    void readName(std::string_view group, std::string_view key, Type &target)
+    {
+        std::string text;
+        readText(group, key, text);
+        target = Type(std::move(text));
+    }
+
+    void readEndpoint(std::string_view group, std::string_view key, Endpoint &target, Presence presence)
+    {
+        const Node *node = find(group, key);
+        const auto text = node == nullptr ? std::nullopt : node->value_exact<std::string>();
+        const bool absent = node == nullptr || (text && text->empty());
+        if (absent && presence == Presence::Optional) {
+            return;
+        }
+        if (!text || !isEndpoint(*text)) {
+            refuse(node, group, key, AllowedEndpoint);
+            return;
+        }
+        target = Endpoint(*text);
+    }
+
+    void readSeeds(std::vector<Endpoint> &seeds)
+    {
+        const Node *node = find("peers", "seeds");
+        if (node == nullptr) {
+            return;
+        }
+        const toml::array *array = node->as_array();
+        if (array == nullptr) {
+            refuse(node, "peers", "seeds", "a list of addresses");
+            return;
+        }
+        for (const Node &item : *array) {
+            const auto text = item.value_exact<std::string>();
+            if (!text || !isEndpoint(*text)) {
+                refuse(&item, "peers", "seeds", AllowedEndpoint);
+                continue;
+            }
+            seeds.emplace_back(*text);
+        }
+    }
+
+    void readZones(std::vector<ZonePlace> &zones)
+    {
+        const toml::table *table = root_["zones"].as_table();
+        if (table == nullptr) {
+            return;
+        }
+        for (const auto &[zone, node] : *table) {
+            const auto region = node.value_exact<std::string>();
+            if (!region || region->empty()) {
+                refuse(&node, "zones", zone.str(), AllowedName);
+                continue;
+            }
+            zones.push_back({ZoneName(std::string(zone.str())), RegionName(*region)});
+        }
+    }
+
+    void readNumber(std::string_view group, std::string_view key, double &target)
+    {
+        const Node *node = find(group, key);
+        if (node == nullptr) {
+            return;
+        }
+        const auto number = node->value<double>();
+        if (!number || !(*number >= 0.0 && *number <= NumberCap)) {
+            refuse(node, group, key, AllowedNumber);
+            return;
+        }
+        target = *number;
+    }
+
+    void readDuration(std::string_view group, std::string_view key, Milliseconds &target)
+    {
+        const Node *node = find(group, key);
+        if (node == nullptr) {
+            return;
+        }
+        const auto text = node->value_exact<std::string>();
+        const auto duration = text ? durationFromText(*text) : std::nullopt;
+        if (!duration || *duration > DurationCap) {
+            refuse(node, group, key, AllowedDuration);
+            return;
+        }
+        target = *duration;
+    }
+
+    void readLog(SidecarSettings &settings)
+    {
+        double decisions = settings.decisionsPerSecond;
+        readNumber("log", "decisions_per_second", decisions);
+        settings.decisionsPerSecond = static_cast<std::uint32_t>(decisions);
+        const Node *node = find("log", "level");
+        if (node == nullptr) {
+            return;
+        }
+        const auto text = node->value_exact<std::string>();
+        const auto *level = std::find(Levels.begin(), Levels.end(), text.value_or(std::string()));
+        if (level == Levels.end()) {
+            refuse(node, "log", "level", AllowedLevel);
+            return;
+        }
+        settings.logLevel = static_cast<LogLevel>(level - Levels.begin());
+    }
+
+    const toml::table &root_;
+    std::string file_;
+    SettingsProblems problems_;
+};
+
+}
+
+SettingsResult<SidecarSettings> readSidecarSettings(std::string_view text, std::string_view file)
+{
+    try {
+        const toml::table root = toml::parse(text, file);
+        return Reader(root, file).read();
+    } catch (const toml::parse_error &error) {
+        return SettingsProblems{
+            {std::string(file), error.source().begin.line, {}, std::string(error.description()), "TOML"}};
+    }
+}
+
+SettingsResult<SidecarSettings> readSidecarSettingsFile(const std::string &path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    // Inserting nothing at all sets the fail bit, so an empty file counts as unreadable; it lacks keys anyway.
+    if (!stream.is_open() || !text) {
+        return SettingsProblems{{path, 0, {}, "unreadable", "a file that can be read and isn't empty"}};
+    }
+    return readSidecarSettings(std::move(text).str(), path);
+}
+
+}
--- /dev/null
+++ b/src/sidecar/catalogsource.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "instances/instancedirectory.h"
+#include "routes/routetable.h"
+
+namespace Egretpath
+{
+
+/// Routes as the platform published them, with what they say.
+struct PublishedRoutes
+{
+    RouteTablePointer table;
+    /// For other nodes, which read it themselves.
+    std::string text;
+};
+
+/// Takes what a CatalogSource reads. Thread safety: none.
+class CatalogSink
+{
+public:
+    virtual ~CatalogSink() = default;
+
+    virtual void routesRead(PublishedRoutes routes) = 0;
+    virtual void listRead(const InstanceSnapshot &snapshot) = 0;
+    /// @p reached: all changes up to this revision are in @p changes or were told before.
+    virtual void changesRead(const std::vector<InstanceChange> &changes, StoreRevision reached) = 0;
+    /// The platform can't be read. Called once for each loss.
+    virtual void sourceLost(std::string_view why) = 0;
+    /// It answers again.
+    virtual void sourceBack() = 0;
+    /// Something that was read can't be used; what was in force stays.
+    virtual void entryRefused(std::string_view key, std::string_view why) = 0;
+};
+
+/// Reads routes and the list of upstreams from a platform. One implementation for each platform.
+/// Thread safety: none.
+class CatalogSource
+{
+public:
+    virtual ~CatalogSource() = default;
+
+    /// Begins to read and to tell @p sink, which outlives the source.
+    virtual void start(CatalogSink &sink) = 0;
+    /// Routes that another node read from the platform. Errors: why they can't be used.
+    [[nodiscard]] virtual Result<PublishedRoutes> readRoutes(std::string text) const = 0;
+};
+
+}
--- /dev/null
+++ b/src/sidecar/sidecar.cpp
@@ -0,0 +1,323 @@
+#include "sidecar/sidecar.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
+
+#include "egress/egressrole.h"
+#include "http/httpserver.h"
+#include "ingress/ingressrole.h"
+#include "rpc/peerclient.h"
+#include "rpc/peerserver.h"
+#include "sidecar/catalogcontroller.h"
+#include "sidecar/sidecarstate.h"
+
+namespace Egretpath
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Descriptors are few on the smallest VMs; callers come with dozens of connections each.
+constexpr std::size_t CallerConnections = 1500;
+constexpr std::size_t PeerConnections = 1500;
+constexpr std::size_t ProbeConnections = 64;
+constexpr Milliseconds IdleSweep{10'000};
+constexpr Milliseconds PeerIdleTime{60'000};
+/// Callers reuse connections that were idle for up to four fifths of the published time; this much more keeps a request
+/// from crossing the close.
+constexpr double IdleTimeMargin = 1.25;
+
+/// The platform stops sending callers here two checks, a second apart, after a node is not ready any more.
+constexpr Milliseconds LeastStopTime{2600};
+/// Nobody sends anything more when nothing came for so long.
+constexpr Milliseconds QuietBeforeEnd{500};
+/// From here to the end of the grace time the process ends by itself; SIGKILL would cut what it still writes.
+constexpr Milliseconds EndBeforeGrace{250};
+/// So long before its end the node takes no more requests from other nodes: the last ones still finish.
+constexpr Milliseconds RefusePeersBefore{1500};
+constexpr Milliseconds StopStep{50};
+constexpr Milliseconds FlushTime{100};
+
+std::uint64_t systemSeed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+Incarnation drawIncarnation()
+{
+    return Incarnation(std::max<std::uint64_t>(1, systemSeed()));
+}
+
+TimePoint now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+HttpLimits callerLimits(const CallerLimits &limits)
+{
+    HttpLimits http;
+    http.headerBytes = static_cast<std::uint32_t>(limits.headerBytes.value());
+    http.bodyBytes = limits.bodyBytes.value();
+    http.connections = CallerConnections;
+    http.headerReadTime = limits.headerTime;
+    http.idleTime = std::chrono::duration_cast<Duration>(limits.idleTime * IdleTimeMargin);
+    return http;
+}
+
+HttpLimits probeLimits()
+{
+    HttpLimits http;
+    http.connections = ProbeConnections;
+    http.bodyBytes = 0;
+    return http;
+}
+
+EgressSettings egressSettings(const SidecarSettings &settings)
+{
+    EgressSettings egress;
+    egress.upstream = settings.upstream;
+    return egress;
+}
+
+IngressPlace ingressPlace(const SidecarState &state)
+{
+    return {state.self, state.location, state.settings.service, state.settings.peers};
+}
+
+}
+
+class Sidecar::Implementation final : public CallService
+{
+public:
+    Implementation(asio::io_context &context, const SidecarSettings &settings, SidecarPlatform platform)
+        : context_(context)
+        , executor_(context.get_executor())
+        , platform_(std::move(platform))
+        , state_(settings, drawIncarnation(), systemSeed())
+        , peers_(context, state_.self)
+        , egress_(executor_, egressSettings(settings), state_.self, *platform_.upstreams, state_.log, state_.metrics)
+        , ingress_(executor_, ingressPlace(state_), IngressSources{state_.routes, state_.directory}, *platform_.callers,
+                   egress_, peers_, state_.log, state_.metrics, Random(state_.random()))
+        , catalog_(executor_, state_, *platform_.catalog, peers_, [this] { catalogChanged(); })
+        , peerServer_(context, static_cast<CallService &>(*this), PeerConnections)
+        , callers_(executor_, callerLimits(CallerLimits()),
+                   [this](HttpExchange &exchange) { return ingress_.serve(exchange); })
+        , ready_(executor_, probeLimits(), [this](HttpExchange &exchange) { return serveReadiness(exchange); })
+        , operators_(executor_, probeLimits(), [this](HttpExchange &exchange) { return serveMetrics(exchange); })
+    {
+        setRepeatLimits();
+    }
+
+    Result<void> start()
+    {
+        if (auto listening = listenForPeers(); !listening) {
+            return listening.error();
+        }
+        if (auto listening = callers_.listen(state_.settings.callers); !listening) {
+            return listening.error();
+        }
+        if (auto listening = ready_.listen(state_.settings.ready); !listening) {
+            return listening.error();
+        }
+        if (!state_.settings.metrics.value().empty()) {
+            if (auto listening = operators_.listen(state_.settings.metrics); !listening) {
+                return listening.error();
+            }
+        }
+        logStart();
+        catalog_.start();
+        asio::co_spawn(executor_, sweepIdle(), asio::detached);
+        return boost::outcome_v2::success();
+    }
+
+    void reload(const SidecarSettings &settings)
+    {
+        state_.settings.seeds = settings.seeds;
+        state_.settings.repeatRatio = settings.repeatRatio;
+        state_.settings.repeatSlack = settings.repeatSlack;
+        state_.settings.grace = settings.grace;
+        setRepeatLimits();
+        state_.log.info(StructuredLine("reload").add("seeds", std::uint64_t{settings.seeds.size()}));
+    }
+
+    void reloadRefused(const SettingsProblems &problems)
+    {
+        for (const SettingsProblem &problem : problems) {
+            state_.log.error(StructuredLine("reload-refused").add("problem", toString(problem)));
+        }
+    }
+
+    void stop()
+    {
+        if (std::exchange(state_.stopping, true)) {
+            return;
+        }
+        state_.log.info(StructuredLine("stop").add("state", "requested"));
+        callers_.leaveCallers();
+        asio::co_spawn(executor_, drain(), asio::detached);
+    }
+
+    // CallService
+    [[nodiscard]] NodeIdentity identity() const override { return state_.self; }
+    void hello(NodeIdentity /*peer*/, std::uint64_t /*nextSequence*/) override { }
+    asio::awaitable<CallOutcome> call(CallHead head, std::string body, std::shared_ptr<AnswerReceiver> answer,
+                                      std::shared_ptr<Cancellation> cancellation) override
+    {
+        return egress_.call(std::move(head), std::move(body), std::move(answer), std::move(cancellation));
+    }
+    PeerProbe probe() override { return {state_.self, egress_.report(RouteName())}; }
+    Catalog catalog(CatalogRequest request) override { return catalog_.answer(request); }
+
+private:
+    Result<void> listenForPeers()
+    {
+        try {
+            peerServer_.listen(state_.settings.peers);
+            if (!state_.settings.starters.value().empty()) {
+                peerServer_.listen(state_.settings.starters);
+            }
+        } catch (const boost::system::system_error &error) {
+            return notRun(Reason::ConnectFailed, state_.settings.peers.value() + ": " + error.what());
+        }
+        return boost::outcome_v2::success();
+    }
+
+    void logStart()
+    {
+        StructuredLine line("start");
+        line.add("node", state_.settings.name).add("incarnation", state_.self.incarnation.value());
+        line.add("service", state_.settings.service.value()).add("zone", state_.location.zone.value());
+        line.add("callers", state_.settings.callers.value()).add("peers", state_.settings.peers.value());
+        line.add("upstream", state_.settings.upstream.value());
+        state_.log.info(line);
+    }
+
+    void setRepeatLimits() { ingress_.setRepeatLimits({state_.settings.repeatRatio, state_.settings.repeatSlack}); }
+
+    void catalogChanged()
+    {
+        if (state_.routes) {
+            callers_.setLimits(callerLimits(state_.routes->limits()));
+            if (const ServiceEntry *service = state_.routes->service(state_.settings.service)) {
+                egress_.setHealthPath(service->healthPath);
+                egress_.setConnectionCap(service->connectionCap);
+            }
+        }
+        if (const InstanceRecord *own = state_.directory.findByAddress(state_.settings.upstream)) {
+            egress_.setSlots(own->slots);
+        }
+        ingress_.catalogChanged();
+    }
+
+    asio::awaitable<void> serveReadiness(HttpExchange &exchange)
+    {
+        const bool known = exchange.head().target == platform_.callers->readinessPath();
+        const HttpResponseHead head(!known ? 404 : state_.isReady() ? 200 : 503);
+        [[maybe_unused]] const Result<void> sent = co_await exchange.respond(head, std::string());
+    }
+
+    asio::awaitable<void> serveMetrics(HttpExchange &exchange)
+    {
+        HttpResponseHead head;
+        head.headers.add("Content-Type", "text/plain; version=0.0.4");
+        state_.metrics.set("egretpath_requests_open", {}, static_cast<double>(ingress_.openRequests()));
+        state_.metrics.set("egretpath_upstreams", {}, static_cast<double>(state_.directory.size()));
+        const LoadReport report = egress_.report(RouteName());
+        state_.metrics.set("egretpath_upstream_running", {}, report.inFlight);
+        state_.metrics.set("egretpath_upstream_queued", {}, report.queued);
+        state_.metrics.set("egretpath_log_lines_dropped", {}, static_cast<double>(state_.log.droppedDecisions()));
+        [[maybe_unused]] const Result<void> sent = co_await exchange.respond(std::move(head), state_.metrics.text());
+    }
+
+    asio::awaitable<void> sweepIdle()
+    {
+        asio::steady_timer timer(executor_);
+        while (true) {
+            timer.expires_after(IdleSweep);
+            co_await timer.async_wait(asio::use_awaitable);
+            peers_.closeIdle(now(), PeerIdleTime);
+        }
+    }
+
+    asio::awaitable<void> drain()
+    {
+        const TimePoint begun = now();
+        const TimePoint end = begun + std::max<Duration>(state_.settings.grace - EndBeforeGrace, Duration{0});
+        const TimePoint least = std::min<TimePoint>(begun + LeastStopTime, end);
+        TimePoint lastBusy = begun;
+        asio::steady_timer timer(executor_);
+        while (now() < end && (now() < least || now() - lastBusy < QuietBeforeEnd)) {
+            if (ingress_.openRequests() > 0) {
+                lastBusy = now();
+            }
+            // Others are refused in time for what they sent before to finish.
+            egress_.setLeaving(now() >= std::max<TimePoint>(least, end - RefusePeersBefore) || now() >= least);
+            timer.expires_after(StopStep);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        egress_.setLeaving(true);
+        while (now() < end && !(egress_.isIdle() && ingress_.openRequests() == 0)) {
+            timer.expires_after(StopStep);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        callers_.stopAccepting();
+        // The last answers are with the kernel; a process that ended now could reset connections under them.
+        timer.expires_after(FlushTime);
+        co_await timer.async_wait(asio::use_awaitable);
+        const bool idle = egress_.isIdle() && ingress_.openRequests() == 0;
+        state_.log.info(StructuredLine("stop").add("state", idle ? "drained" : "grace-over"));
+        context_.stop();
+    }
+
+    asio::io_context &context_;
+    asio::any_io_executor executor_;
+    SidecarPlatform platform_;
+    SidecarState state_;
+    PeerClient peers_;
+    EgressRole egress_;
+    IngressRole ingress_;
+    CatalogController catalog_;
+    PeerServer peerServer_;
+    HttpServer callers_;
+    HttpServer ready_;
+    HttpServer operators_;
+};
+
+Sidecar::Sidecar(asio::io_context &context, const SidecarSettings &settings, SidecarPlatform platform)
+    : implementation_(std::make_unique<Implementation>(context, settings, std::move(platform)))
+{
+}
+
+Sidecar::~Sidecar() = default;
+
+Result<void> Sidecar::start()
+{
+    return implementation_->start();
+}
+
+void Sidecar::reload(const SidecarSettings &settings)
+{
+    implementation_->reload(settings);
+}
+
+void Sidecar::reloadRefused(const SettingsProblems &problems)
+{
+    implementation_->reloadRefused(problems);
+}
+
+void Sidecar::stop()
+{
+    implementation_->stop();
+}
+
+}
--- /dev/null
+++ b/src/sidecar/sidecarstate.cpp
@@ -0,0 +1,33 @@
+#include "sidecar/sidecarstate.h"
+
+#include <utility>
+
+#include "settings/nodesettingsreader.h"
+
+namespace Egretpath
+{
+
+namespace
+{
+
+EventLogSettings logSettings(const SidecarSettings &settings)
+{
+    EventLogSettings log;
+    log.file = EventLogSettings::StandardOutput;
+    log.level = std::string(toString(settings.logLevel));
+    log.decisionsPerSecond = settings.decisionsPerSecond;
+    return log;
+}
+
+}
+
+SidecarState::SidecarState(SidecarSettings nodeSettings, Incarnation incarnation, std::uint64_t seed)
+    : settings(std::move(nodeSettings))
+    , self{UpstreamName(settings.name), incarnation}
+    , location{settings.region, settings.zone}
+    , random(seed)
+    , log(logSettings(settings))
+{
+}
+
+}
--- a/src/telemetry/eventlog.cpp
+++ b/src/telemetry/eventlog.cpp
@@ -18,6 +18,9 @@
 log4cxx::AppenderPtr makeAppender(const EventLogSettings &settings)
 {
     auto layout = std::make_shared<log4cxx::PatternLayout>(Pattern);
+    if (settings.file == EventLogSettings::StandardOutput) {
+        return std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.out"));
+    }
     if (settings.file != "-") {
         return std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
     }
--- a/src/telemetry/eventlog.h
+++ b/src/telemetry/eventlog.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "core/clock.h"
 #include "telemetry/structuredline.h"
@@ -13,7 +14,10 @@
 /// Where and how much an EventLog writes.
 struct EventLogSettings
 {
-    /// A file, or "-" for standard error. The VMs keep no disk, so standard error is the usual choice.
+    /// For `file`: standard output.
+    static constexpr std::string_view StandardOutput = "stdout";
+
+    /// A file, "-" for standard error, or StandardOutput. The VMs keep no disk, so a stream is the usual choice.
     std::string file = "-";
     /// trace, debug, info, warn, error or off.
     std::string level = "info";
