--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -71,6 +71,8 @@
     void setRepeatLimits(const RepeatLimits &limits);
     /// Call it after a change of the routes or the directory.
     void catalogChanged();
+    /// Refuses new requests, since the process ends before they could.
+    void setClosing(bool closing) { closing_ = closing; }
     /// Requests that have not ended.
     [[nodiscard]] std::size_t openRequests() const { return openRequests_; }
 
@@ -99,6 +101,7 @@
     std::unordered_map<RouteName, double> usualMicroseconds_;
     std::uint64_t lastSequence_ = 0;
     std::size_t openRequests_ = 0;
+    bool closing_ = false;
 };
 
 }
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -29,6 +29,8 @@
 constexpr std::uint32_t SendingsCap = 64;
 /// Return times when nothing tells a better one; spread by a factor of up to two.
 constexpr Milliseconds DefaultRetryAfter{150};
+/// A process that ended is started again within about a second.
+constexpr Milliseconds ClosingRetryAfter{1000};
 /// How long nothing is sent to an upstream that leaves or has been replaced; the platform's list says more by then.
 constexpr Milliseconds LeavingHold{1000};
 /// Callers honour return times up to a third of the time that they have left.
@@ -120,6 +122,9 @@
         return terms.error();
     }
     terms_ = std::move(terms).value();
+    if (role_.closing_) {
+        return notRun(Reason::Draining, "the node is about to end", ClosingRetryAfter);
+    }
     if (!routes_) {
         return notRun(Reason::NoTable, "no routes are in force yet", DefaultRetryAfter);
     }
--- a/src/instances/instancedirectory.cpp
+++ b/src/instances/instancedirectory.cpp
@@ -33,7 +33,8 @@
     for (auto place = records_.begin(); place != records_.end();) {
         const auto current = place++;
         const bool newer = current->second.record.revision > snapshot.revision;
-        if (!listed.contains(current->first) && !newer && !current->second.heldUntil) {
+        const bool held = current->second.heldUntil && holdsRemovals(now);
+        if (!listed.contains(current->first) && !newer && !held) {
             remove(current, now);
         }
     }
@@ -83,7 +84,7 @@
     if (!std::exchange(storeLost_, false)) {
         return;
     }
-    holdUntil_ = now + settings_.lapseHold;
+    holdUntil_ = std::exchange(othersReadStore_, false) ? now : now + settings_.lapseHold;
     for (auto &[id, entry] : records_) {
         if (entry.heldUntil) {
             entry.heldUntil = holdUntil_;
--- a/src/instances/instancedirectory.h
+++ b/src/instances/instancedirectory.h
@@ -52,8 +52,11 @@
     /// All changes up to @p revision were told.
     void reached(StoreRevision revision);
 
-    /// The store can't be read, since @p now or earlier.
+    /// This node can't read the store.
     void storeLost();
+    /// Whether another node could read the store meanwhile, so that only this node's way to it was cut. The other
+    /// upstreams did not lapse then, and what the store no longer lists when it is back is gone.
+    void storeSeenInOrder(bool inOrder) { othersReadStore_ = inOrder; }
     /// The store answers again.
     void storeBack(TimePoint now);
     /// Drops held records whose time is over. Returns whether any was.
@@ -67,6 +70,8 @@
     [[nodiscard]] const InstanceRecord *findByAddress(const Endpoint &address) const;
     [[nodiscard]] InstanceSnapshot snapshot() const;
     [[nodiscard]] StoreRevision revision() const { return revision_; }
+    /// Whether a removal that is told now would be held back.
+    [[nodiscard]] bool holdsRemovals(TimePoint now) const;
     [[nodiscard]] std::size_t size() const { return records_.size(); }
     /// Whether a list was ever taken.
     [[nodiscard]] bool hasList() const { return hasList_; }
@@ -82,7 +87,6 @@
     };
 
     void remove(std::map<UpstreamName, Entry>::iterator place, TimePoint now);
-    [[nodiscard]] bool holdsRemovals(TimePoint now) const;
 
     DirectorySettings settings_;
     std::map<UpstreamName, Entry> records_;
@@ -91,6 +95,7 @@
     StoreRevision revision_;
     bool hasList_ = false;
     bool storeLost_ = false;
+    bool othersReadStore_ = false;
     TimePoint holdUntil_;
     std::uint64_t changeCount_ = 0;
 };
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -188,6 +188,8 @@
   revision @3 :UInt64;
   instances @4 :List(InstanceRecord);
   # Empty unless hasList and the asker's revision is older.
+  inOrder @5 :Bool;
+  # The sender reads the platform's store, and nothing may have lapsed from its list.
 }
 
 interface Node {
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -109,6 +109,8 @@
     std::string routes;
     /// Nothing if the asker's list is as new.
     std::optional<InstanceSnapshot> instances;
+    /// The sender reads the platform's store, and nothing may have lapsed from its list.
+    bool storeInOrder = false;
 };
 
 /// What a probe brings.
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -243,6 +243,7 @@
 {
     wire.setRoutesVersion(catalog.routesVersion.value());
     wire.setRoutes(asData(catalog.routes));
+    wire.setInOrder(catalog.storeInOrder);
     wire.setHasList(catalog.instances.has_value());
     if (!catalog.instances) {
         return;
@@ -261,6 +262,7 @@
     Catalog catalog;
     catalog.routesVersion = RouteVersion(wire.getRoutesVersion());
     catalog.routes = readBytes(wire.getRoutes());
+    catalog.storeInOrder = wire.getInOrder();
     if (wire.getHasList()) {
         InstanceSnapshot &snapshot = catalog.instances.emplace();
         snapshot.revision = StoreRevision(wire.getRevision());
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -62,6 +62,7 @@
     if (state_.directory.hasList() && request.revision < state_.directory.revision()) {
         catalog.instances = state_.directory.snapshot();
     }
+    catalog.storeInOrder = !lostSince_ && state_.directory.hasList() && !state_.directory.holdsRemovals(now());
     return catalog;
 }
 
@@ -197,6 +198,7 @@
             entryRefused(peer.value(), routes.error().detail);
         }
     }
+    state_.directory.storeSeenInOrder(catalog.storeInOrder);
     if (catalog.instances && state_.directory.applySnapshot(*catalog.instances, now())) {
         logList(peer.value(), "whole");
         changed_();
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -37,15 +37,15 @@
 constexpr double IdleTimeMargin = 1.25;
 
 /// The platform stops sending callers here two checks, a second apart, after a node is not ready any more.
-constexpr Milliseconds LeastStopTime{2600};
-/// Nobody sends anything more when nothing came for so long.
-constexpr Milliseconds QuietBeforeEnd{500};
+constexpr Milliseconds LeastStopTime{2400};
+/// Nobody sends anything more when nothing was under way for so long. The calls of an upstream that runs on beside the
+/// node never quite end, so that a longer silence may not come.
+constexpr Milliseconds QuietBeforeEnd{120};
 /// From here to the end of the grace time the process ends by itself; SIGKILL would cut what it still writes.
 constexpr Milliseconds EndBeforeGrace{250};
-/// So long before its end the node takes no more requests from other nodes: the last ones still finish.
-constexpr Milliseconds RefusePeersBefore{1500};
+/// So long before its end the node takes nothing more: what it took still finishes within the usual time-outs.
+constexpr Milliseconds RefuseBeforeEnd{1600};
 constexpr Milliseconds StopStep{50};
-constexpr Milliseconds FlushTime{100};
 
 std::uint64_t systemSeed()
 {
@@ -249,33 +249,35 @@
         }
     }
 
+    [[nodiscard]] bool isIdle() const { return egress_.isIdle() && ingress_.openRequests() == 0; }
+
     asio::awaitable<void> drain()
     {
         const TimePoint begun = now();
         const TimePoint end = begun + std::max<Duration>(state_.settings.grace - EndBeforeGrace, Duration{0});
-        const TimePoint least = std::min<TimePoint>(begun + LeastStopTime, end);
+        const TimePoint refusing = std::max<TimePoint>(begun, end - RefuseBeforeEnd);
+        const TimePoint least = std::min<TimePoint>(begun + LeastStopTime, refusing);
         TimePoint lastBusy = begun;
         asio::steady_timer timer(executor_);
         while (now() < end && (now() < least || now() - lastBusy < QuietBeforeEnd)) {
-            if (ingress_.openRequests() > 0) {
+            if (!isIdle()) {
                 lastBusy = now();
             }
-            // Others are refused in time for what they sent before to finish.
-            egress_.setLeaving(now() >= std::max<TimePoint>(least, end - RefusePeersBefore) || now() >= least);
+            egress_.setLeaving(now() >= least);
+            // A request that is taken now could be cut by the end of the process; its caller is told at once that it
+            // has not run, and when another process will be here.
+            ingress_.setClosing(now() >= refusing);
             timer.expires_after(StopStep);
             co_await timer.async_wait(asio::use_awaitable);
         }
-        egress_.setLeaving(true);
-        while (now() < end && !(egress_.isIdle() && ingress_.openRequests() == 0)) {
+        // What arrives on connections that are just being closed is refused and not taken.
+        ingress_.setClosing(true);
+        callers_.stopAccepting();
+        while (now() < end && !(isIdle() && callers_.connectionCount() == 0)) {
             timer.expires_after(StopStep);
             co_await timer.async_wait(asio::use_awaitable);
         }
-        callers_.stopAccepting();
-        // The last answers are with the kernel; a process that ended now could reset connections under them.
-        timer.expires_after(FlushTime);
-        co_await timer.async_wait(asio::use_awaitable);
-        const bool idle = egress_.isIdle() && ingress_.openRequests() == 0;
-        state_.log.info(StructuredLine("stop").add("state", idle ? "drained" : "grace-over"));
+        state_.log.info(StructuredLine("stop").add("state", isIdle() ? "drained" : "grace-over"));
         context_.stop();
     }
 
