--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -103,7 +103,8 @@
         rated.slowdown *= settings_.warmUpFactor;
     }
     addLink(rated, linkBetween(own_, item.location), request.payload);
-    const double varied = 1.0 + settings_.jitter * drawUnit(random_);
+    const double jitter = settings_.jitter * view_.staleness(item.upstream, request.now);
+    const double varied = 1.0 + jitter * drawUnit(random_);
     rated.seconds = rated.crossingSeconds + seconds(request.usualTime) * rated.slowdown * varied;
     const double target = seconds(std::max(request.targetLeft, LeastTarget));
     rated.cost = rated.linkCost + costOfWaiting(rated.seconds / target);
--- a/src/routing/placementview.cpp
+++ b/src/routing/placementview.cpp
@@ -108,6 +108,15 @@
     return found == records_.end() || !found->second.hasReport;
 }
 
+double PlacementView::staleness(const UpstreamName &upstream, TimePoint now) const
+{
+    const auto found = records_.find(upstream);
+    if (found == records_.end() || !found->second.hasReport) {
+        return 1.0;
+    }
+    return 1.0 - freshness(found->second.reportTime, settings_.reportMemory, now);
+}
+
 double PlacementView::failuresOf(const Record &record, TimePoint now) const
 {
     return record.failures == 0.0 ? 0.0 : record.failures * freshness(record.failureTime, settings_.failureMemory, now);
--- a/src/routing/placementview.h
+++ b/src/routing/placementview.h
@@ -58,6 +58,8 @@
     [[nodiscard]] double slowdown(const UpstreamName &upstream, TimePoint now) const;
     /// Whether nothing should be sent there now.
     [[nodiscard]] bool isShut(const UpstreamName &upstream, TimePoint now) const;
+    /// How little is known of the present: 0 for a report of this moment, 1 without any.
+    [[nodiscard]] double staleness(const UpstreamName &upstream, TimePoint now) const;
     /// Whether no report ever came from there.
     [[nodiscard]] bool isUnknown(const UpstreamName &upstream) const;
     [[nodiscard]] double typicalSlowdown() const { return typicalSlowdown_; }
--- /dev/null
+++ b/tests/adapter/instanceentrytest.cpp
@@ -0,0 +1,104 @@
+#include "platform/instanceentry.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "platform/base64.h"
+
+using namespace Egretpath;
+using namespace Egretpath::Platform;
+
+namespace
+{
+
+const std::string Entry = R"({"service":"statements","address":"10.128.0.9:8080","zone":"north-a","version":"v1",
+"slots":6,"state":"ready","warmup_remaining":"2.5s","sequence":4,"born":1765000000000})";
+
+StoreItem itemWith(std::string value)
+{
+    StoreItem item;
+    item.key = StoreKey("servers/i-7f3a91c2");
+    item.revision = StoreRevision(17);
+    item.value = std::move(value);
+    return item;
+}
+
+InstancePlaces places()
+{
+    return {{{ZoneName("north-a"), RegionName("north")}}, 7620};
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+}
+
+TEST_CASE("an entry becomes a record, with the node beside the upstream at its own address")
+{
+    const auto record = instanceFromItem(itemWith(Entry), places());
+    REQUIRE(record);
+    CHECK(record.value().id == UpstreamName("i-7f3a91c2"));
+    CHECK(record.value().service == ServiceName("statements"));
+    CHECK(record.value().address == Endpoint("10.128.0.9:8080"));
+    CHECK(record.value().node == Endpoint("10.128.0.9:7620"));
+    CHECK(record.value().location == Location{RegionName("north"), ZoneName("north-a")});
+    CHECK(record.value().slots == 6);
+    CHECK(record.value().state == InstanceState::Ready);
+    CHECK(record.value().warmUp == Milliseconds(2500));
+    CHECK(record.value().revision == StoreRevision(17));
+    const auto draining = instanceFromItem(itemWith(replaced(Entry, "\"ready\"", "\"draining\"")), places());
+    REQUIRE(draining);
+    CHECK(draining.value().state == InstanceState::Draining);
+}
+
+// Another program writes among the entries. Its bytes took the whole list down with them, and with it every service.
+TEST_CASE("entries of other writers are refused one by one")
+{
+    for (const std::string &text : {
+             std::string(),
+             std::string("\xff\xfe"),
+             std::string("[1,2]"),
+             replaced(Entry, "\"ready\"", "\"asleep\""),
+             replaced(Entry, "\"ready\"", "7"),
+             replaced(Entry, "\"slots\":6", "\"slots\":\"six\""),
+             replaced(Entry, "\"slots\":6", "\"slots\":-6"),
+             replaced(Entry, "\"service\":\"statements\",", ""),
+             replaced(Entry, "10.128.0.9:8080", "somewhere"),
+             replaced(Entry, "\"north-a\"", "\"\""),
+         }) {
+        INFO(text);
+        CHECK_FALSE(instanceFromItem(itemWith(text), places()));
+    }
+    StoreItem undecoded = itemWith({});
+    undecoded.value.reset();
+    CHECK_FALSE(instanceFromItem(undecoded, places()));
+}
+
+TEST_CASE("an upstream in a zone that the settings don't name is far from all others")
+{
+    const auto record = instanceFromItem(itemWith(replaced(Entry, "north-a", "new-zone")), places());
+    REQUIRE(record);
+    CHECK(record.value().location.region == RegionName("new-zone"));
+}
+
+TEST_CASE("only keys of upstreams have an id")
+{
+    CHECK(instanceIdOf(StoreKey("servers/i-1")) == UpstreamName("i-1"));
+    CHECK(instanceIdOf(StoreKey("op/config")).value().empty());
+}
+
+TEST_CASE("base64 is standard and padded, or refused")
+{
+    CHECK(decodeBase64("bm9kZS0x") == std::string("node-1"));
+    CHECK(decodeBase64("YQ==") == std::string("a"));
+    CHECK(decodeBase64("YWI=") == std::string("ab"));
+    CHECK(decodeBase64("") == std::string());
+    CHECK(decodeBase64("AAEC/w==") == std::string("\0\1\2\xff", 4));
+    for (const char *bad : {"YQ", "YQ=", "Y===", "====", "Y=Q=", "YQ-_", "Y Q="}) {
+        INFO(bad);
+        CHECK_FALSE(decodeBase64(bad));
+    }
+}
--- /dev/null
+++ b/tests/adapter/platformdialecttest.cpp
@@ -0,0 +1,103 @@
+#include "platform/platformdialect.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace Egretpath;
+using namespace Egretpath::Platform;
+
+namespace
+{
+
+HttpResponseHead answerWith(std::uint16_t status, std::initializer_list<HttpHeader> headers)
+{
+    HttpResponseHead head(status);
+    head.headers = HttpHeaders(headers);
+    return head;
+}
+
+}
+
+TEST_CASE("a caller's id and patience are read; a patience that is no number is none")
+{
+    const PlatformCallerDialect dialect;
+    const auto terms = dialect.read({{"X-Egretpath-Attempt-Id", "9c41"}, {"X-Egretpath-Deadline-Ms", "2500"}});
+    REQUIRE(terms);
+    CHECK(terms.value().request == RequestId("9c41"));
+    CHECK(terms.value().patience == Milliseconds(2500));
+    for (const char *text : {"soon", "-5", "nan", ""}) {
+        INFO(text);
+        const auto odd = dialect.read({{"X-Egretpath-Deadline-Ms", text}});
+        REQUIRE(odd);
+        CHECK_FALSE(odd.value().patience);
+    }
+}
+
+TEST_CASE("only a proved not-run is answered with a status that promises it")
+{
+    const PlatformCallerDialect dialect;
+    const RequestId id("9c41");
+    const HttpResponseHead refused = dialect.refusal(notRun(Reason::Overloaded, "", Milliseconds(150)), id);
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.find("Retry-After") == std::string_view("0.150"));
+    CHECK(refused.headers.find("X-Egretpath-Attempt-Id") == std::string_view("9c41"));
+    CHECK(dialect.refusal(notRun(Reason::NoTable), id).status == 503);
+    CHECK(dialect.refusal(notRun(Reason::DeadlinePassed), id).status == 503);
+    CHECK(dialect.refusal(notRun(Reason::NoRoute), id).status == 404);
+    CHECK(dialect.refusal(notRun(Reason::TooLarge), id).status == 413);
+    CHECK(dialect.refusal(mayHaveRun(Reason::DeadlinePassed), id).status == 504);
+    CHECK(dialect.refusal(mayHaveRun(Reason::ConnectionLost), id).status == 502);
+    const HttpResponseHead unknown = dialect.refusal(mayHaveRun(Reason::Overloaded, "", Milliseconds(150)), id);
+    CHECK(unknown.status == 502);
+    CHECK_FALSE(unknown.headers.contains("Retry-After"));
+}
+
+// A caller named a service of its own choice in the field that tells upstreams where a request comes from.
+TEST_CASE("what the system sets itself replaces what a caller sent")
+{
+    const PlatformUpstreamDialect dialect;
+    HttpHeaders headers{{"X-Egretpath-Caller-Service", "bank"},
+                        {"x-egretpath-caller-service", "other"},
+                        {"X-Egretpath-Target-Instance", "i-0"},
+                        {"X-Egretpath-Deadline-Ms", "9999999"},
+                        {"X-Egretpath-Attempt-Id", "9c41"}};
+    dialect.decorate(headers, {Milliseconds(120), UpstreamName("i-1"), ServiceName("statements")});
+    CHECK(headers.size() == 4);
+    CHECK(headers.find("X-Egretpath-Caller-Service") == std::string_view("statements"));
+    CHECK(headers.find("X-Egretpath-Target-Instance") == std::string_view("i-1"));
+    CHECK(headers.find("X-Egretpath-Deadline-Ms") == std::string_view("120"));
+    CHECK(headers.find("X-Egretpath-Attempt-Id") == std::string_view("9c41"));
+}
+
+TEST_CASE("an upstream's remarks are read from its answer")
+{
+    const PlatformUpstreamDialect dialect;
+    const UpstreamRemarks good = dialect.read(answerWith(200,
+                                                         {{"X-Egretpath-Attempt-Id", "9c41"},
+                                                          {"X-Egretpath-Server-Signature", "3e1b"},
+                                                          {"X-Egretpath-Instance-Load", "3,1,6,400"}}));
+    CHECK(good.isWhole);
+    CHECK_FALSE(good.notRun);
+    CHECK(good.request == RequestId("9c41"));
+    REQUIRE(good.load);
+    CHECK(good.load->running == 3);
+    CHECK(good.load->waiting == 1);
+    CHECK(good.load->slots == 6);
+    CHECK(good.load->pacePercent == 400);
+    CHECK(dialect.read(answerWith(200, {{"X-Egretpath-Instance-Load", "3,1,6"}})).load->pacePercent == 0);
+    CHECK_FALSE(dialect.read(answerWith(200, {{"X-Egretpath-Instance-Load", "3,x"}})).load);
+    CHECK(dialect.read(answerWith(503, {{"X-Egretpath-Not-Executed", "1"}})).notRun);
+    CHECK(dialect.read(answerWith(421, {})).wrongUpstream);
+    CHECK(dialect.read(answerWith(500, {})).isWhole);
+}
+
+// A proxy in between compresses an answer, or something else listens at the address: a success without the upstream's
+// own digest must not reach a caller as one.
+TEST_CASE("a success that does not bear the upstream's digest is not whole")
+{
+    const PlatformUpstreamDialect dialect;
+    CHECK_FALSE(dialect.read(answerWith(200, {})).isWhole);
+    CHECK_FALSE(dialect.read(answerWith(200, {{"X-Egretpath-Server-Signature", "3e1b"}, {"Content-Encoding", "gzip"}}))
+                    .isWhole);
+}
--- /dev/null
+++ b/tests/admission/workqueuetest.cpp
@@ -0,0 +1,195 @@
+#include "admission/workqueue.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace Egretpath;
+
+namespace
+{
+
+const RouteName Read("read");
+const RouteName Payment("payment");
+
+TimePoint at(int milliseconds)
+{
+    return TimePoint(std::chrono::seconds(1000)) + Milliseconds(milliseconds);
+}
+
+/// A request that comes at @p now, wants its answer in 300 ms and is given up after a second.
+WorkOffer offerOf(std::uint64_t call, int now, std::uint8_t priority = 1)
+{
+    WorkOffer offer;
+    offer.call = CallId(call);
+    offer.route = Read;
+    offer.priority = priority;
+    offer.target = at(now + 300);
+    offer.deadline = at(now + 1000);
+    return offer;
+}
+
+/// A queue with six slots that knows a read to take 100 ms.
+WorkQueue trainedQueue()
+{
+    WorkQueue queue;
+    (void)queue.setSlots(6, at(-1000));
+    const OfferOutcome outcome = queue.offer(offerOf(999, -500), at(-500));
+    REQUIRE(std::holds_alternative<Admitted>(outcome));
+    (void)queue.finish(CallId(999), true, at(-400));
+    return queue;
+}
+
+Reason reasonOf(const OfferOutcome &outcome)
+{
+    const auto *refused = std::get_if<Refused>(&outcome);
+    return refused == nullptr ? Reason::None : refused->failure.reason;
+}
+
+void fill(WorkQueue &queue, int now)
+{
+    for (std::uint64_t call = 1; call <= queue.limit(); ++call) {
+        REQUIRE(std::holds_alternative<Admitted>(queue.offer(offerOf(call, now), at(now))));
+    }
+}
+
+}
+
+// Six slots, all taken: the upstream slows itself when it is four fifths full, and each request takes 1.7 times as
+// long. Six at once finish 3.5 in the time of one request, four finish four.
+TEST_CASE("the upstream is kept below the fill from which it slows itself")
+{
+    WorkQueue queue;
+    (void)queue.setSlots(6, at(0));
+    CHECK(queue.limit() == 4);
+    (void)queue.setSlots(9, at(0));
+    CHECK(queue.limit() == 7);
+    (void)queue.setSlots(5, at(0));
+    CHECK(queue.limit() == 3);
+    (void)queue.setSlots(1, at(0));
+    CHECK(queue.limit() == 1);
+}
+
+// A burst doubles the load for some seconds. In the order of arrival a payment that came late was late itself, behind
+// reads that had missed their target long before.
+TEST_CASE("what can still meet its target comes first, by rank, then the rest")
+{
+    WorkQueue queue = trainedQueue();
+    fill(queue, 0);
+    WorkOffer late = offerOf(10, 1, 0);
+    late.target = at(90);
+    REQUIRE(std::holds_alternative<Queued>(queue.offer(late, at(1))));
+    REQUIRE(std::holds_alternative<Queued>(queue.offer(offerOf(11, 2, 2), at(2))));
+    REQUIRE(std::holds_alternative<Queued>(queue.offer(offerOf(12, 3, 1), at(3))));
+    CHECK(queue.finish(CallId(1), true, at(50)) == std::vector<CallId>{CallId(12)});
+    CHECK(queue.finish(CallId(2), true, at(60)) == std::vector<CallId>{CallId(11)});
+    CHECK(queue.finish(CallId(3), true, at(70)) == std::vector<CallId>{CallId(10)});
+}
+
+// A VM turns four times slower for some tenths of a second. Its node knows, the senders don't yet: a read of 100 ms
+// with a target of 300 ms was lost there while the next upstream stood idle.
+TEST_CASE("a request goes elsewhere when the VM is slow now and the sender knows a better place")
+{
+    WorkQueue queue = trainedQueue();
+    WorkOffer offer = offerOf(1, 0);
+    offer.acceptable = Milliseconds(180);
+    queue.setPace(400);
+    CHECK(reasonOf(queue.offer(offer, at(0))) == Reason::Declined);
+    CHECK(queue.isIdle());
+    queue.setPace(100);
+    CHECK(std::holds_alternative<Admitted>(queue.offer(offer, at(1))));
+    offer.call = CallId(2);
+    offer.acceptable = Duration{0};
+    queue.setPace(400);
+    CHECK(std::holds_alternative<Admitted>(queue.offer(offer, at(2))));
+}
+
+// An upstream that fails two of five requests answers quickly, and quick answers drew more requests to it.
+TEST_CASE("an upstream that fails is taken for a slow one")
+{
+    WorkQueue queue = trainedQueue();
+    const Duration sound = queue.expected(Read, at(0));
+    queue.setFailureShare(0.4);
+    CHECK(queue.expected(Read, at(0)) > 2 * sound);
+}
+
+TEST_CASE("a request that can't be served in time is refused at once, with a time to come back")
+{
+    WorkQueue queue = trainedQueue();
+    fill(queue, 0);
+    WorkOffer hopeless = offerOf(10, 0);
+    hopeless.deadline = at(120);
+    const OfferOutcome outcome = queue.offer(hopeless, at(0));
+    REQUIRE(reasonOf(outcome) == Reason::Overloaded);
+    CHECK(std::get<Refused>(outcome).failure.verdict == Verdict::NotRun);
+    CHECK(std::get<Refused>(outcome).failure.retryAfter >= Milliseconds(50));
+    CHECK(std::get<Refused>(outcome).failure.retryAfter <= Milliseconds(200));
+    CHECK(reasonOf(queue.offer(offerOf(11, -2000), at(0))) == Reason::DeadlinePassed);
+}
+
+TEST_CASE("a queued request that became hopeless is handed back, and never started")
+{
+    WorkQueue queue = trainedQueue();
+    fill(queue, 0);
+    WorkOffer offer = offerOf(10, 0);
+    offer.deadline = at(250);
+    REQUIRE(std::holds_alternative<Queued>(queue.offer(offer, at(0))));
+    REQUIRE(queue.nextExpiry());
+    CHECK(*queue.nextExpiry() == at(190));
+    CHECK(queue.expire(at(180)).empty());
+    CHECK(queue.finish(CallId(1), true, at(195)).empty());
+    const std::vector<ExpiredCall> expired = queue.expire(at(195));
+    REQUIRE(expired.size() == 1);
+    CHECK(expired.front().call == CallId(10));
+    CHECK(expired.front().failure.verdict == Verdict::NotRun);
+    CHECK(queue.queued() == 0);
+}
+
+TEST_CASE("the expected time counts the work under way and the work that waits")
+{
+    WorkQueue queue = trainedQueue();
+    const auto expected = [&queue](int now) {
+        return std::chrono::duration_cast<Milliseconds>(queue.expected(Read, at(now))).count();
+    };
+    CHECK(expected(0) == 100);
+    fill(queue, 0);
+    CHECK(expected(0) == 200);
+    CHECK(expected(40) == 160);
+    for (std::uint64_t call = 10; call < 14; ++call) {
+        REQUIRE(std::holds_alternative<Queued>(queue.offer(offerOf(call, 40), at(40))));
+    }
+    CHECK(expected(40) == 260);
+    queue.setPace(200);
+    CHECK(expected(40) > 450);
+}
+
+// Work that began in a slow spell took four times as long. Taken for the usual time of its route it would have turned
+// the requests of the next seconds away.
+TEST_CASE("slow spells are not taken for longer work")
+{
+    WorkQueue queue = trainedQueue();
+    queue.setPace(400);
+    for (std::uint64_t call = 1; call <= 20; ++call) {
+        const int begin = static_cast<int>(call) * 500;
+        WorkOffer offer = offerOf(call, begin);
+        REQUIRE(std::holds_alternative<Admitted>(queue.offer(offer, at(begin))));
+        (void)queue.finish(CallId(call), true, at(begin + 400));
+    }
+    const LoadReport report = queue.report(Read, at(20'000));
+    CHECK(report.serviceTimeMicroseconds == 100'000);
+    CHECK(report.expectedMicroseconds == 400'000);
+    CHECK(report.pacePercent == 400);
+}
+
+TEST_CASE("a cancelled request leaves the queue; one at the upstream keeps its slot")
+{
+    WorkQueue queue = trainedQueue();
+    fill(queue, 0);
+    REQUIRE(std::holds_alternative<Queued>(queue.offer(offerOf(10, 0), at(0))));
+    CHECK(queue.cancel(CallId(10)) == CancelOutcome::WasQueued);
+    CHECK(queue.cancel(CallId(10)) == CancelOutcome::Unknown);
+    CHECK(queue.cancel(CallId(1)) == CancelOutcome::InFlight);
+    CHECK(queue.running() == 4);
+    CHECK(queue.finish(CallId(77), true, at(1)).empty());
+}
--- /dev/null
+++ b/tests/routing/placementtest.cpp
@@ -0,0 +1,185 @@
+#include "routing/placement.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace Egretpath;
+
+namespace
+{
+
+const Location Here{RegionName("north"), ZoneName("north-a")};
+const Location NextZone{RegionName("north"), ZoneName("north-b")};
+const Location FarAway{RegionName("south"), ZoneName("south-a")};
+
+TimePoint at(int milliseconds)
+{
+    return TimePoint(std::chrono::seconds(1000)) + Milliseconds(milliseconds);
+}
+
+LoadReport reportOf(double slowdown)
+{
+    LoadReport report;
+    report.serviceTimeMicroseconds = 100'000;
+    report.expectedMicroseconds = static_cast<std::uint32_t>(100'000 * slowdown);
+    report.slots = 4;
+    return report;
+}
+
+/// Three upstreams: beside the caller, in the next zone, in another region.
+struct Fixture
+{
+    Fixture()
+        : candidates{{UpstreamName("near"), Here}, {UpstreamName("next"), NextZone}, {UpstreamName("far"), FarAway}}
+    {
+    }
+
+    std::optional<PlacementChoice> choose(std::size_t bytes = 1000, std::vector<UpstreamName> excluded = {})
+    {
+        Placement placement(Here, view, Random(5));
+        PlacementRequest request;
+        request.candidates = candidates;
+        request.excluded = excluded;
+        request.usualTime = Milliseconds(100);
+        request.targetLeft = Milliseconds(300);
+        request.payload = Bytes(bytes);
+        request.now = at(10);
+        return placement.choose(request);
+    }
+
+    std::string nameOf(const std::optional<PlacementChoice> &choice) const
+    {
+        return choice ? candidates[choice->candidate].upstream.value() : "none";
+    }
+
+    void report(const std::string &upstream, double slowdown, int time = 0)
+    {
+        view.onReport(UpstreamName(upstream), reportOf(slowdown), at(time));
+    }
+
+    PlacementView view;
+    std::vector<PlacementCandidate> candidates;
+};
+
+}
+
+TEST_CASE("with equal news the nearest upstream is taken")
+{
+    Fixture fixture;
+    for (const char *name : {"near", "next", "far"}) {
+        fixture.report(name, 1.0);
+    }
+    const auto choice = fixture.choose();
+    CHECK(fixture.nameOf(choice) == "near");
+    CHECK(choice->acceptable > Milliseconds(100));
+}
+
+// Both upstreams of the region are in a slow spell. A read of 100 ms would take 400 of its 300; another region costs
+// 17 ms and two kilobytes on a paid link.
+TEST_CASE("another region is used when the target is at risk, not to save a few milliseconds")
+{
+    Fixture fixture;
+    fixture.report("near", 4.0);
+    fixture.report("next", 4.0);
+    fixture.report("far", 1.0);
+    CHECK(fixture.nameOf(fixture.choose()) == "far");
+    fixture.report("near", 1.3);
+    CHECK(fixture.nameOf(fixture.choose()) == "near");
+}
+
+// A scanned ledger of 60 KB went to another region to save some tens of milliseconds, and cost more on the paid link
+// than its answer in time was worth.
+TEST_CASE("a large body stays in its region unless nothing there can take it")
+{
+    Fixture fixture;
+    fixture.report("near", 4.0);
+    fixture.report("next", 4.0);
+    fixture.report("far", 1.0);
+    CHECK(fixture.nameOf(fixture.choose(60'000)) != "far");
+    fixture.view.onUnreachable(UpstreamName("near"), at(9));
+    fixture.view.onUnreachable(UpstreamName("next"), at(9));
+    CHECK(fixture.nameOf(fixture.choose(60'000)) == "far");
+}
+
+TEST_CASE("old reports count less than new ones")
+{
+    Fixture fixture;
+    fixture.report("near", 4.0, -3000);
+    fixture.report("next", 2.4, 0);
+    CHECK(fixture.nameOf(fixture.choose()) == "near");
+}
+
+TEST_CASE("failures keep requests away, and fade")
+{
+    Fixture fixture;
+    fixture.report("near", 1.0);
+    fixture.report("next", 1.3);
+    fixture.view.onFailed(UpstreamName("near"), at(5));
+    CHECK(fixture.nameOf(fixture.choose()) == "next");
+    const double now = fixture.view.slowdown(UpstreamName("near"), at(10));
+    const double later = fixture.view.slowdown(UpstreamName("near"), at(12'000));
+    CHECK(now > later + 0.5);
+}
+
+// The only upstream could not be reached once. Left out altogether, its service was unreachable although it had come
+// back.
+TEST_CASE("a shut upstream is taken when no other is left")
+{
+    Fixture fixture;
+    for (const char *name : {"near", "next", "far"}) {
+        fixture.view.onUnreachable(UpstreamName(name), at(9));
+    }
+    CHECK(fixture.nameOf(fixture.choose()) != "none");
+    const std::vector<UpstreamName> all{UpstreamName("near"), UpstreamName("next"), UpstreamName("far")};
+    CHECK(fixture.nameOf(fixture.choose(1000, all)) == "none");
+}
+
+TEST_CASE("an upstream that can't be reached is left alone for longer each time, up to a limit")
+{
+    PlacementView view;
+    const UpstreamName name("near");
+    view.onUnreachable(name, at(0));
+    CHECK(view.isShut(name, at(140)));
+    CHECK_FALSE(view.isShut(name, at(160)));
+    view.onUnreachable(name, at(160));
+    CHECK(view.isShut(name, at(450)));
+    for (int count = 0; count < 40; ++count) {
+        view.onUnreachable(name, at(1000));
+    }
+    CHECK(view.isShut(name, at(3900)));
+    CHECK_FALSE(view.isShut(name, at(4100)));
+    view.onReached(name);
+    view.onUnreachable(name, at(9000));
+    CHECK_FALSE(view.isShut(name, at(9200)));
+}
+
+TEST_CASE("requests under way that no report counts yet make an upstream look busier")
+{
+    PlacementView view;
+    const UpstreamName name("near");
+    view.onReport(name, reportOf(1.0), at(0));
+    const double idle = view.slowdown(name, at(0));
+    view.onSent(name);
+    view.onSent(name);
+    CHECK(view.slowdown(name, at(0)) > idle);
+    view.onReport(name, reportOf(1.0), at(0));
+    CHECK(view.slowdown(name, at(0)) == Approx(idle));
+    view.onEnded(name);
+    view.onEnded(name);
+    view.onEnded(name);
+    CHECK(view.slowdown(name, at(0)) == Approx(idle));
+}
+
+TEST_CASE("the cost of waiting rises with the time, and can be read backwards")
+{
+    double last = 0.0;
+    for (double share = 0.05; share < 3.0; share += 0.05) {
+        const double cost = costOfWaiting(share);
+        CHECK(cost > last);
+        CHECK(shareOfTargetAt(cost) == Approx(share));
+        last = cost;
+    }
+    CHECK(shareOfTargetAt(-1.0) == 0.0);
+}
