admission: four of five slots are within the fill from which an upstream slows itself

Ruled out: placement (busiest/mean 1.08). Change: the limit is the largest count that does not exceed four fifths. Conclusion: the slowing begins above the fill, not at it.

--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr double UsualPace = 100.0;
+/// Four fifths of five slots are four, though not in binary fractions.
+constexpr double Rounding = 1e-9;
 /// A running call that already took its usual time is taken to need this share of it again.
 constexpr double OverdueShare = 0.3;
 /// A failure is told as if work took so many times longer: its sender has to begin again elsewhere, or loses it.
@@ -47,9 +49,8 @@
 
 std::uint32_t WorkQueue::limit() const
 {
-    // The largest count that stays below the fill from which the upstream slows itself.
-    const double fill = settings_.comfortableFill * slots_;
-    return std::max(1U, static_cast<std::uint32_t>(std::ceil(fill)) - 1);
+    // The largest count that does not exceed the fill beyond which the upstream slows itself.
+    return std::max(1U, static_cast<std::uint32_t>(std::floor(settings_.comfortableFill * slots_ + Rounding)));
 }
 
 OfferOutcome WorkQueue::offer(const WorkOffer &offer, TimePoint now)
