--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -13,6 +13,8 @@
 constexpr double UsualPace = 100.0;
 /// Four fifths of five slots are four, though not in binary fractions.
 constexpr double Rounding = 1e-9;
+/// A call that comes late already waits at least so long for a slot: about the time in which one is freed.
+constexpr Milliseconds LeastLateWait{60};
 /// A running call that already took its usual time is taken to need this share of it again.
 constexpr double OverdueShare = 0.3;
 /// A failure is told as if work took so many times longer: its sender has to begin again elsewhere, or loses it.
@@ -53,22 +55,34 @@
     return std::max(1U, static_cast<std::uint32_t>(std::floor(settings_.comfortableFill * slots_ + Rounding)));
 }
 
-OfferOutcome WorkQueue::offer(const WorkOffer &offer, TimePoint now)
+std::optional<Failure> WorkQueue::objection(const WorkOffer &offer, TimePoint now) const
 {
     if (offer.deadline <= now) {
-        return Refused{refusal(Reason::DeadlinePassed, now)};
+        return refusal(Reason::DeadlinePassed, now);
     }
     if (offer.acceptable > Duration{0} && expected(offer.route, now) > offer.acceptable) {
-        return Refused{refusal(Reason::Declined, now)};
+        return refusal(Reason::Declined, now);
+    }
+    if (hasRoom()) {
+        return std::nullopt;
+    }
+    const TimePoint begin = now + expectedWait(now);
+    if (begin > latestStart(offer) || (isLate(offer, begin) && !takesLateOnes(begin))) {
+        return refusal(Reason::Overloaded, now);
     }
-    if (running_.size() < limit() && queue_.empty()) {
+    return std::nullopt;
+}
+
+OfferOutcome WorkQueue::offer(const WorkOffer &offer, TimePoint now)
+{
+    if (auto failure = objection(offer, now)) {
+        return Refused{std::move(*failure)};
+    }
+    if (hasRoom()) {
         start(offer, now);
         return Admitted{};
     }
-    if (now + expectedWait(now) > latestStart(offer)) {
-        return Refused{refusal(Reason::Overloaded, now)};
-    }
-    queue_.push_back(offer);
+    queue_.push_back({offer, now});
     return Queued{};
 }
 
@@ -93,7 +107,7 @@
     if (running_.contains(call)) {
         return CancelOutcome::InFlight;
     }
-    const auto erased = std::erase_if(queue_, [call](const WorkOffer &waiting) { return waiting.call == call; });
+    const auto erased = std::erase_if(queue_, [call](const Waiting &waiting) { return waiting.offer.call == call; });
     return erased > 0 ? CancelOutcome::WasQueued : CancelOutcome::Unknown;
 }
 
@@ -101,11 +115,11 @@
 {
     std::vector<ExpiredCall> expired;
     for (auto place = queue_.begin(); place != queue_.end();) {
-        if (latestStart(*place) > now) {
+        if (giveUpTime(*place) > now) {
             ++place;
             continue;
         }
-        expired.push_back({place->call, refusal(Reason::Overloaded, now)});
+        expired.push_back({place->offer.call, refusal(Reason::Overloaded, now)});
         place = queue_.erase(place);
     }
     return expired;
@@ -114,9 +128,9 @@
 std::optional<TimePoint> WorkQueue::nextExpiry() const
 {
     std::optional<TimePoint> next;
-    for (const WorkOffer &waiting : queue_) {
-        const TimePoint latest = latestStart(waiting);
-        next = next ? std::min(*next, latest) : latest;
+    for (const Waiting &waiting : queue_) {
+        const TimePoint time = giveUpTime(waiting);
+        next = next ? std::min(*next, time) : time;
     }
     return next;
 }
@@ -147,7 +161,7 @@
 /// When the upstream would begin a request that comes now: the slots are freed one by one and taken by those that wait.
 Duration WorkQueue::expectedWait(TimePoint now) const
 {
-    if (running_.size() < limit() && queue_.empty()) {
+    if (hasRoom()) {
         return Duration{0};
     }
     std::vector<Duration> freeAfter;
@@ -159,16 +173,37 @@
     std::sort(freeAfter.begin(), freeAfter.end());
     // Calls above a limit that was lowered free no slot.
     freeAfter.erase(freeAfter.begin(), freeAfter.begin() + static_cast<std::ptrdiff_t>(freeAfter.size() - limit()));
-    for (const WorkOffer &waiting : queue_) {
+    for (const Waiting &waiting : queue_) {
         const auto soonest = std::min_element(freeAfter.begin(), freeAfter.end());
-        *soonest += serviceTime(waiting.route);
+        *soonest += serviceTime(waiting.offer.route);
     }
     return *std::min_element(freeAfter.begin(), freeAfter.end());
 }
 
 TimePoint WorkQueue::latestStart(const WorkOffer &offer) const
 {
-    return offer.deadline - scaled(times_.usual(offer.route), settings_.leastServiceShare);
+    const Duration needed = scaled(serviceTime(offer.route), settings_.leastServiceShare);
+    return offer.deadline - std::max<Duration>(needed, settings_.refusalLead);
+}
+
+TimePoint WorkQueue::giveUpTime(const Waiting &waiting) const
+{
+    const Duration targetLength = std::max(waiting.offer.target - waiting.arrival, Duration{0});
+    const TimePoint lateSince = std::max(waiting.offer.target - serviceTime(waiting.offer.route), waiting.arrival);
+    const Duration patience = std::max(scaled(targetLength, settings_.lateWait), Duration{LeastLateWait});
+    return std::min(latestStart(waiting.offer), lateSince + patience);
+}
+
+bool WorkQueue::isLate(const WorkOffer &offer, TimePoint start) const
+{
+    return start + serviceTime(offer.route) > offer.target;
+}
+
+bool WorkQueue::takesLateOnes(TimePoint now) const
+{
+    const auto late = std::count_if(queue_.begin(), queue_.end(),
+                                    [this, now](const Waiting &waiting) { return isLate(waiting.offer, now); });
+    return static_cast<double>(late) < settings_.lateBacklog * limit();
 }
 
 std::vector<CallId> WorkQueue::startQueued(TimePoint now)
@@ -179,25 +214,27 @@
         if (place == queue_.end()) {
             break;
         }
-        start(*place, now);
-        started.push_back(place->call);
+        start(place->offer, now);
+        started.push_back(place->offer.call);
         queue_.erase(place);
     }
     return started;
 }
 
-/// Those that can still meet their target come first, by rank; then the others, by rank. The sooner time decides
-/// between equals.
-std::vector<WorkOffer>::iterator WorkQueue::next(TimePoint now)
+/// Those that can still meet their target come first, by rank and then by target; then the others, by rank, those with
+/// the most time left first: the ones whose deadline is near would be cut before they are done.
+std::vector<WorkQueue::Waiting>::iterator WorkQueue::next(TimePoint now)
 {
-    const auto urgency = [this, now](const WorkOffer &waiting) {
-        const bool late = now + serviceTime(waiting.route) > waiting.target;
-        return std::tuple(late, waiting.priority, late ? waiting.deadline : waiting.target);
+    const auto urgency = [this, now](const Waiting &waiting) {
+        const bool late = isLate(waiting.offer, now);
+        const Duration order = late ? now - waiting.offer.deadline : waiting.offer.target - now;
+        return std::tuple(late, waiting.offer.priority, order);
     };
     auto best = queue_.end();
     for (auto place = queue_.begin(); place != queue_.end(); ++place) {
         // One that is too late stays for expire(), which has a failure to give it.
-        if (latestStart(*place) > now && (best == queue_.end() || urgency(*place) < urgency(*best))) {
+        const bool inTime = latestStart(place->offer) > now;
+        if (inTime && (best == queue_.end() || urgency(*place) < urgency(*best))) {
             best = place;
         }
     }
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -35,8 +35,16 @@
     /// Share of its slots from which an upstream slows itself. Upstreams don't tell it; on those measured it lies at
     /// four fifths, and work beyond takes 1.7 times as long: six slots at once finish less than four do.
     double comfortableFill = 0.8;
-    /// A call is refused, or given up while it waits, when less than this share of its usual time would be left.
-    double leastServiceShare = 0.6;
+    /// A call is refused, or given up while it waits, when less than this share of the time that it takes at the VM's
+    /// present pace would be left: work that is cut at its deadline takes a slot for nothing.
+    double leastServiceShare = 0.9;
+    /// The answer to a refusal has to reach the sender before the deadline; else it can't say that nothing ran.
+    Milliseconds refusalLead{25};
+    /// Calls that have missed their target and still wait, as a share of the limit. Beyond it they are refused at once:
+    /// while the load lasts they would wait behind all that can still be in time, and hear of it only at their deadline.
+    double lateBacklog = 1.0;
+    /// A call that has missed its target is refused when it has waited this share of its target's length besides.
+    double lateWait = 0.5;
 };
 
 /// Decides at the egress which requests the upstream works on, which wait and in which order, and which go elsewhere.
@@ -63,6 +71,8 @@
     /// A request arrives. Precondition: its call was not offered before. Errors: Refused carries NotRun with Overloaded
     /// or DeadlinePassed and when to come back, or with Declined.
     [[nodiscard]] OfferOutcome offer(const WorkOffer &offer, TimePoint now);
+    /// Why offer() would refuse @p offer now; nothing if it would take it. Changes nothing.
+    [[nodiscard]] std::optional<Failure> objection(const WorkOffer &offer, TimePoint now) const;
     /// The upstream is rid of @p call. @p answered: its duration tells the service time. Returns the queued calls that
     /// go to the upstream now, in this order.
     [[nodiscard]] std::vector<CallId> finish(CallId call, bool answered, TimePoint now);
@@ -91,11 +101,22 @@
         std::uint16_t pace = 0;
     };
 
+    struct Waiting
+    {
+        WorkOffer offer;
+        TimePoint arrival;
+    };
+
+    [[nodiscard]] bool hasRoom() const { return running_.size() < limit() && queue_.empty(); }
     [[nodiscard]] Duration serviceTime(const RouteName &route) const;
     [[nodiscard]] Duration expectedWait(TimePoint now) const;
     [[nodiscard]] TimePoint latestStart(const WorkOffer &offer) const;
+    /// When a queued call is refused.
+    [[nodiscard]] TimePoint giveUpTime(const Waiting &waiting) const;
+    [[nodiscard]] bool isLate(const WorkOffer &offer, TimePoint start) const;
+    [[nodiscard]] bool takesLateOnes(TimePoint now) const;
     [[nodiscard]] std::vector<CallId> startQueued(TimePoint now);
-    [[nodiscard]] std::vector<WorkOffer>::iterator next(TimePoint now);
+    [[nodiscard]] std::vector<Waiting>::iterator next(TimePoint now);
     [[nodiscard]] Failure refusal(Reason reason, TimePoint now) const;
     void start(const WorkOffer &offer, TimePoint now);
 
@@ -103,7 +124,7 @@
     ServiceTimes times_;
     std::unordered_map<CallId, Running> running_;
     /// In the order of arrival; a few dozen at most, so that each decision looks at all of them.
-    std::vector<WorkOffer> queue_;
+    std::vector<Waiting> queue_;
     std::uint32_t slots_ = 1;
     std::uint16_t pace_ = 100;
     double failureShare_ = 0.0;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -86,6 +86,7 @@
     if (deadline_ <= arrival_) {
         co_return notRun(Reason::DeadlinePassed, "the request was too long on its way");
     }
+    target_ = arrival_ + head_.targetLatencyLeft - late;
     if (role_.leaving_) {
         co_return notRun(Reason::Draining, "the node beside the upstream stops", LeavingRetryAfter);
     }
@@ -93,18 +94,27 @@
         co_await role_.freshenPace();
     }
     role_.recordHealth();
+    const WorkOffer offer = makeOffer();
+    if (head_.question) {
+        co_return role_.slots_.queue().objection(offer, now()).value_or(notRun(Reason::None, "it would be taken"));
+    }
+    if (auto failure = co_await role_.slots_.acquire(offer, cancellation_)) {
+        co_return failure;
+    }
+    holdsSlot_ = true;
+    co_return std::nullopt;
+}
+
+WorkOffer UpstreamRequest::makeOffer() const
+{
     WorkOffer offer;
     offer.call = slot_;
     offer.route = head_.route;
     offer.priority = head_.priority;
     offer.deadline = deadline_;
-    offer.target = arrival_ + head_.targetLatencyLeft - late;
+    offer.target = target_;
     offer.acceptable = head_.acceptable;
-    if (auto failure = co_await role_.slots_.acquire(offer, cancellation_)) {
-        co_return failure;
-    }
-    holdsSlot_ = true;
-    co_return std::nullopt;
+    return offer;
 }
 
 asio::awaitable<Result<CallOutcome>> UpstreamRequest::attempt(HttpConnectionChoice choice)
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -28,6 +28,8 @@
     boost::asio::awaitable<CallOutcome> run();
 
 private:
+    /// What the request asks of the upstream's slots.
+    [[nodiscard]] WorkOffer makeOffer() const;
     /// Takes a slot. Returns why the request goes no further, or nothing.
     boost::asio::awaitable<std::optional<Failure>> admit();
     /// Connects and exchanges.
@@ -55,6 +57,7 @@
     CallId slot_;
     TimePoint arrival_;
     TimePoint deadline_;
+    TimePoint target_;
     TimePoint handedOver_;
     std::unique_ptr<HttpClientCall> upstream_;
     /// Never expires; cancelled when the request was written or its writing failed.
--- a/src/ingress/ingressrole.cpp
+++ b/src/ingress/ingressrole.cpp
@@ -61,6 +61,7 @@
 void IngressRole::catalogChanged()
 {
     split_.clear();
+    patience_.clear();
     shareRepeatLimits();
 }
 
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -11,6 +11,7 @@
 #include "dialect/callerdialect.h"
 #include "egress/egressrole.h"
 #include "http/httpexchange.h"
+#include "ingress/callerpatience.h"
 #include "instances/instancedirectory.h"
 #include "routes/routetable.h"
 #include "routes/trafficsplit.h"
@@ -97,6 +98,7 @@
     PlacementView view_;
     Placement placement_;
     RetryBudget budget_;
+    CallerPatience patience_;
     RepeatLimits repeatLimits_;
     std::unordered_map<RouteName, double> usualMicroseconds_;
     std::uint64_t lastSequence_ = 0;
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -36,6 +36,11 @@
 /// Callers honour return times up to a third of the time that they have left.
 constexpr int LeftOverRetryAfter = 3;
 constexpr std::uint16_t FirstServerError = 500;
+/// Callers that wait at most this many times the target depend on the answer for their own work, and fail without it.
+constexpr int PatienceOfDependents = 3;
+/// A larger body is sent only to a node that said it would take the request: bodies that are declined take up links of
+/// 12 Mbit/s, on which short calls then wait for tenths of a second.
+constexpr std::size_t BodyToAskFor = std::size_t{12} * 1024;
 /// Heads both ways, the answer's body and the framing between nodes, about; bodies of answers are short.
 constexpr std::size_t EnvelopeBytes = 2500;
 
@@ -135,9 +140,24 @@
         return notRun(Reason::NoRoute, "no route takes this host and path");
     }
     deadline_ = arrival_ + std::min(terms_.patience.value_or(route_->timeout), route_->timeout);
+    target_ = findTarget();
     return std::nullopt;
 }
 
+TimePoint ProxiedRequest::findTarget()
+{
+    if (!terms_.patience) {
+        return arrival_ + route_->targetLatency;
+    }
+    const Milliseconds tried = role_.patience_.record(route_->name, *terms_.patience);
+    const Milliseconds usual = role_.patience_.usual(route_->name);
+    if (usual.count() > 0 && usual <= route_->targetLatency * PatienceOfDependents) {
+        // Its caller fails soon after the target: there is no time in which a late answer is better than none.
+        return deadline_;
+    }
+    return arrival_ + route_->targetLatency - tried;
+}
+
 asio::awaitable<std::optional<Failure>> ProxiedRequest::readBody()
 {
     while (true) {
@@ -228,7 +248,7 @@
     request.candidates = candidates;
     request.usualTime = role_.usualTime(*route_);
     request.now = now();
-    request.targetLeft = arrival_ + route_->targetLatency - request.now;
+    request.targetLeft = target_ - request.now;
     request.payload = Bytes(body_.size() + EnvelopeBytes);
     std::vector<UpstreamName> excluded = reached_;
     const bool asksOn = asked_ < MostQuestions;
@@ -257,19 +277,15 @@
 asio::awaitable<void> ProxiedRequest::send(TryPointer which, std::shared_ptr<ProxiedRequest> /*self*/)
 {
     CallHead head = makeHead(*which);
-    auto relay = std::make_shared<StreamedAnswerRelay>(weak_from_this(), which->number);
     std::optional<Result<CallOutcome>> outcome;
     role_.view_.onSent(which->upstream);
-    if (which->node == role_.place_.node) {
-        if (permitSending(*which, head)) {
-            outcome = co_await role_.egress_.call(std::move(head), body_, std::move(relay), which->cancellation);
-        } else {
-            outcome = notRun(Reason::Cancelled, "ended before it was sent");
-        }
+    if (which->node != role_.place_.node) {
+        outcome = co_await sendToPeer(which, std::move(head));
+    } else if (permitSending(*which, head)) {
+        auto relay = std::make_shared<StreamedAnswerRelay>(weak_from_this(), which->number);
+        outcome = co_await role_.egress_.call(std::move(head), body_, std::move(relay), which->cancellation);
     } else {
-        const auto permit = [this, which](CallHead &sent) { return permitSending(*which, sent); };
-        outcome = co_await role_.peers_.call(which->node, std::move(head), body_, std::move(relay), permit, deadline_,
-                                             which->cancellation);
+        outcome = notRun(Reason::Cancelled, "ended before it was sent");
     }
     role_.view_.onEnded(which->upstream);
     learn(*which, *outcome);
@@ -278,19 +294,54 @@
     wakeUp_.cancel();
 }
 
+asio::awaitable<Result<CallOutcome>> ProxiedRequest::sendToPeer(TryPointer which, CallHead head)
+{
+    auto relay = std::make_shared<StreamedAnswerRelay>(weak_from_this(), which->number);
+    if (body_.size() > BodyToAskFor && head.acceptable > Microseconds{0}) {
+        CallHead question = head;
+        question.question = true;
+        const auto permit = [this](CallHead &asked) {
+            stamp(asked);
+            return true;
+        };
+        auto asked = co_await role_.peers_.call(which->node, std::move(question), std::string(), relay, permit,
+                                                deadline_, which->cancellation);
+        const Failure *objection = failureOf(asked);
+        if (objection != nullptr && objection->reason != Reason::None) {
+            Failure failure = *objection;
+            // Whatever became of the question, the request itself was not sent.
+            failure.verdict = Verdict::NotRun;
+            if (asked) {
+                asked.value().result = std::move(failure);
+                co_return asked;
+            }
+            co_return failure;
+        }
+        head.acceptable = Microseconds{0};
+    }
+    const auto permit = [this, which](CallHead &sent) { return permitSending(*which, sent); };
+    co_return co_await role_.peers_.call(which->node, std::move(head), body_, std::move(relay), permit, deadline_,
+                                         which->cancellation);
+}
+
 bool ProxiedRequest::permitSending(Try &which, CallHead &head)
 {
-    const TimePoint sentAt = now();
-    if (!state_->permitSending(which.number, sentAt)) {
+    if (!state_->permitSending(which.number, now())) {
         return false;
     }
-    head.remaining = std::chrono::duration_cast<Microseconds>(deadline_ - sentAt);
-    head.targetLatencyLeft = std::chrono::duration_cast<Microseconds>(arrival_ + route_->targetLatency - sentAt);
-    head.sentAt = timeSinceBoot();
+    stamp(head);
     which.sent = true;
     return true;
 }
 
+void ProxiedRequest::stamp(CallHead &head) const
+{
+    const TimePoint sentAt = now();
+    head.remaining = std::chrono::duration_cast<Microseconds>(deadline_ - sentAt);
+    head.targetLatencyLeft = std::chrono::duration_cast<Microseconds>(target_ - sentAt);
+    head.sentAt = timeSinceBoot();
+}
+
 CallHead ProxiedRequest::makeHead(const Try &which) const
 {
     const HttpRequestHead &request = exchange_.head();
@@ -480,7 +531,7 @@
     StructuredLine line("place");
     line.add("request", terms_.request.value()).add("try", std::uint64_t{which.number.value()});
     line.add("route", route_->name.value()).add("service", service_.value());
-    line.add("kind", toString(route_->kind)).add("priority", std::uint64_t{route_->priority});
+    line.add("from", exchange_.remoteEndpoint().value()).add("kind", toString(route_->kind)).add("priority", std::uint64_t{route_->priority});
     line.add("left_ms", milliseconds(deadline_ - now()));
     line.add("upstream", which.upstream.value()).add("link", toString(which.link));
     line.add("candidates", std::uint64_t{candidateCount}).add("expected_ms", milliseconds(choice.expected));
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -59,6 +59,7 @@
     /// Reads head and body. Returns why the request can't be sent, or nothing.
     boost::asio::awaitable<std::optional<Failure>> prepare();
     [[nodiscard]] std::optional<Failure> readTerms();
+    [[nodiscard]] TimePoint findTarget();
     boost::asio::awaitable<std::optional<Failure>> readBody();
     boost::asio::awaitable<void> tryUntilEnded();
     /// Returns whether the caller has its answer.
@@ -70,7 +71,10 @@
     [[nodiscard]] std::optional<PlacementChoice> choose(std::vector<PlacementCandidate> &candidates);
     [[nodiscard]] std::vector<PlacementCandidate> candidates() const;
     boost::asio::awaitable<void> send(TryPointer which, std::shared_ptr<ProxiedRequest> self);
+    /// Sends to another node; a large body only after the node said that it would take the request.
+    boost::asio::awaitable<Result<CallOutcome>> sendToPeer(TryPointer which, CallHead head);
     [[nodiscard]] bool permitSending(Try &which, CallHead &head);
+    void stamp(CallHead &head) const;
     [[nodiscard]] CallHead makeHead(const Try &which) const;
 
     void learn(const Try &which, const Result<CallOutcome> &outcome);
@@ -97,6 +101,8 @@
     std::string body_;
     TimePoint arrival_;
     TimePoint deadline_;
+    /// Later than this an answer is worth little.
+    TimePoint target_;
     std::optional<CallState> state_;
     std::uint64_t sequence_;
 
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -61,6 +61,8 @@
   acceptable @21 :UInt64;
   # The egress declines a call that it expects to take longer than this, since another upstream is thought to be
   # quicker. Zero: it takes the call whenever the deadline can be met.
+  question @22 :Bool;
+  # The body is not here, and nothing is to be run: would the egress take the call now?
 }
 
 struct Failure {
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -1,6 +1,7 @@
 #include "rpc/peerclient.h"
 
 #include <algorithm>
+#include <map>
 #include <unordered_map>
 #include <utility>
 
@@ -65,6 +66,23 @@
     std::shared_ptr<AnswerReceiver> receiver_;
 };
 
+/// A body beyond this size goes over the connection for such bodies.
+constexpr std::size_t BulkBytes = std::size_t{16} * 1024;
+
+/// Which of the connections to a peer a call takes.
+///
+/// Messages of one connection arrive in their order: a scanned ledger of 360 KB takes a quarter of a second on a VM's
+/// link of 12 Mbit/s, and a short call behind it would wait for all of it.
+enum class Lane : std::uint8_t { Calls, Bulk };
+
+struct PeerAddress
+{
+    Endpoint peer;
+    Lane lane = Lane::Calls;
+
+    friend auto operator<=>(const PeerAddress &, const PeerAddress &) = default;
+};
+
 /// One connection to a peer with its RPC state.
 struct PeerConnection
 {
@@ -231,9 +249,11 @@
     [[nodiscard]] const asio::any_io_executor &executor() const { return executor_; }
     [[nodiscard]] const std::string &selfName() const { return self_.upstream.value(); }
 
-    asio::awaitable<Result<std::shared_ptr<PeerConnection>>> connection(const Endpoint &peer, TimePoint deadline)
+    asio::awaitable<Result<std::shared_ptr<PeerConnection>>> connection(Endpoint peer, TimePoint deadline,
+                                                                        Lane lane = Lane::Calls)
     {
-        if (auto open = findOpen(peer)) {
+        const PeerAddress address{peer, lane};
+        if (auto open = findOpen(address)) {
             co_return open;
         }
         tcp::socket socket(executor_);
@@ -242,10 +262,10 @@
             co_return failure;
         }
         // Another call may have connected meanwhile; one connection is enough.
-        if (auto open = findOpen(peer)) {
+        if (auto open = findOpen(address)) {
             co_return open;
         }
-        co_return adopt(peer, std::move(socket));
+        co_return adopt(address, std::move(socket));
     }
 
     void noteSequence(const Endpoint &peer, std::uint64_t sequence)
@@ -279,9 +299,9 @@
     }
 
 private:
-    std::shared_ptr<PeerConnection> findOpen(const Endpoint &peer)
+    std::shared_ptr<PeerConnection> findOpen(const PeerAddress &address)
     {
-        const auto found = connections_.find(peer);
+        const auto found = connections_.find(address);
         if (found == connections_.end() || found->second->lost) {
             return nullptr;
         }
@@ -310,7 +330,7 @@
         co_return Failure{};
     }
 
-    std::shared_ptr<PeerConnection> adopt(const Endpoint &peer, tcp::socket socket)
+    std::shared_ptr<PeerConnection> adopt(const PeerAddress &address, tcp::socket socket)
     {
         auto connection = std::make_shared<PeerConnection>(std::move(socket));
         connection->lastUse = std::chrono::steady_clock::now();
@@ -322,11 +342,11 @@
         connection->disconnected = connection->network.onDisconnect()
                                        .then([markLost] { markLost(); }, [markLost](kj::Exception &&) { markLost(); })
                                        .eagerlyEvaluate(nullptr);
-        introduce(*connection, peer);
-        if (const auto old = connections_.find(peer); old != connections_.end()) {
+        introduce(*connection, address.peer);
+        if (const auto old = connections_.find(address); old != connections_.end()) {
             bytesOfClosed_ += old->second->stream.bytesTransferred();
         }
-        connections_.insert_or_assign(peer, connection);
+        connections_.insert_or_assign(address, connection);
         return connection;
     }
 
@@ -344,7 +364,7 @@
     NodeIdentity self_;
     /// Of the calls sent to each peer so far.
     std::unordered_map<Endpoint, std::uint64_t> largestSequences_;
-    std::unordered_map<Endpoint, std::shared_ptr<PeerConnection>> connections_;
+    std::map<PeerAddress, std::shared_ptr<PeerConnection>> connections_;
     std::uint64_t bytesOfClosed_ = 0;
 };
 
@@ -379,7 +399,8 @@
                                                       TimePoint deadline, std::shared_ptr<Cancellation> cancellation)
 {
     const auto implementation = implementation_;
-    auto connection = co_await implementation->connection(peer, deadline);
+    const Lane lane = body.size() > BulkBytes ? Lane::Bulk : Lane::Calls;
+    auto connection = co_await implementation->connection(peer, deadline, lane);
     if (!connection) {
         co_return connection.error();
     }
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -62,6 +62,9 @@
     Microseconds targetLatencyLeft{0};
     /// The egress declines a call that it expects to take longer; zero: it takes what can meet its deadline.
     Microseconds acceptable{0};
+    /// The body is not here, and nothing is to be run: would the egress take the call now? Its outcome is a failure in
+    /// any case, with the reason None if it would.
+    bool question = false;
 };
 
 /// Status and header fields of an answer.
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -163,6 +163,7 @@
     wire.setRoute(head.route.value());
     wire.setPriority(head.priority);
     wire.setTargetLatency(head.targetLatencyLeft.count());
+    wire.setQuestion(head.question);
     wire.setAcceptable(static_cast<std::uint64_t>(std::max<Microseconds::rep>(0, head.acceptable.count())));
 }
 
@@ -192,6 +193,7 @@
     head.priority = wire.getPriority();
     head.targetLatencyLeft = Microseconds(wire.getTargetLatency());
     head.acceptable = Microseconds(wire.getAcceptable());
+    head.question = wire.getQuestion();
     return head;
 }
 
