--- a/src/admission/servicetimes.cpp
+++ b/src/admission/servicetimes.cpp
@@ -39,6 +39,11 @@
     if (found != microseconds_.end()) {
         return fromMicroseconds(found->second);
     }
+    return overall();
+}
+
+Duration ServiceTimes::overall() const
+{
     return fromMicroseconds(overallMicroseconds_ > 0.0 ? overallMicroseconds_ : DefaultMicroseconds);
 }
 
--- a/src/admission/servicetimes.h
+++ b/src/admission/servicetimes.h
@@ -19,6 +19,8 @@
     void record(const RouteName &route, Duration duration, double pace);
     /// The mean of @p route; of all routes for one that was not seen; a default before any was.
     [[nodiscard]] Duration usual(const RouteName &route) const;
+    /// The mean over all routes; the same default.
+    [[nodiscard]] Duration overall() const;
 
 private:
     std::unordered_map<RouteName, double> microseconds_;
--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -58,17 +58,17 @@
 std::optional<Failure> WorkQueue::objection(const WorkOffer &offer, TimePoint now) const
 {
     if (offer.deadline <= now) {
-        return refusal(Reason::DeadlinePassed, now);
+        return refusal(Reason::DeadlinePassed, offer, now);
     }
-    if (offer.acceptable > Duration{0} && expected(offer.route, now) > offer.acceptable) {
-        return refusal(Reason::Declined, now);
+    if (offer.acceptable > Duration{0} && expected(offer, now) > offer.acceptable) {
+        return refusal(Reason::Declined, offer, now);
     }
     if (hasRoom()) {
         return std::nullopt;
     }
-    const TimePoint begin = now + expectedWait(now);
+    const TimePoint begin = now + expectedWait(offer, now);
     if (begin > latestStart(offer) || (isLate(offer, begin) && !takesLateOnes(begin))) {
-        return refusal(Reason::Overloaded, now);
+        return refusal(Reason::Overloaded, offer, now);
     }
     return std::nullopt;
 }
@@ -119,7 +119,7 @@
             ++place;
             continue;
         }
-        expired.push_back({place->offer.call, refusal(Reason::Overloaded, now)});
+        expired.push_back({place->offer.call, refusal(Reason::Overloaded, place->offer, now)});
         place = queue_.erase(place);
     }
     return expired;
@@ -135,7 +135,7 @@
     return next;
 }
 
-LoadReport WorkQueue::report(const RouteName &route, TimePoint now) const
+LoadReport WorkQueue::report(const RouteName &route) const
 {
     LoadReport report;
     report.inFlight = static_cast<std::uint32_t>(running_.size());
@@ -143,14 +143,15 @@
     report.slots = limit();
     report.serviceTimeMicroseconds = asMicroseconds(times_.usual(route));
     report.pacePercent = pace_;
-    report.expectedMicroseconds = asMicroseconds(expected(route, now));
+    report.meanServiceMicroseconds = asMicroseconds(times_.overall());
+    report.failurePercent = static_cast<std::uint8_t>(std::clamp(failureShare_, 0.0, 1.0) * UsualPace);
     return report;
 }
 
-Duration WorkQueue::expected(const RouteName &route, TimePoint now) const
+Duration WorkQueue::expected(const WorkOffer &offer, TimePoint now) const
 {
     const double failures = 1.0 + FailureFactor * failureShare_;
-    return scaled(expectedWait(now) + serviceTime(route), failures);
+    return scaled(expectedWait(offer, now) + serviceTime(offer.route), failures);
 }
 
 Duration WorkQueue::serviceTime(const RouteName &route) const
@@ -158,8 +159,8 @@
     return scaled(times_.usual(route), paceFactor(pace_));
 }
 
-/// When the upstream would begin a request that comes now: the slots are freed one by one and taken by those that wait.
-Duration WorkQueue::expectedWait(TimePoint now) const
+/// When the upstream would begin a request that comes now: the slots are freed one by one and taken by those before it.
+Duration WorkQueue::expectedWait(const WorkOffer &offer, TimePoint now) const
 {
     if (hasRoom()) {
         return Duration{0};
@@ -174,6 +175,9 @@
     // Calls above a limit that was lowered free no slot.
     freeAfter.erase(freeAfter.begin(), freeAfter.begin() + static_cast<std::ptrdiff_t>(freeAfter.size() - limit()));
     for (const Waiting &waiting : queue_) {
+        if (goesBefore(offer, waiting.offer, now)) {
+            continue;
+        }
         const auto soonest = std::min_element(freeAfter.begin(), freeAfter.end());
         *soonest += serviceTime(waiting.offer.route);
     }
@@ -223,27 +227,31 @@
 
 /// Those that can still meet their target come first, by rank and then by target; then the others, by rank, those with
 /// the most time left first: the ones whose deadline is near would be cut before they are done.
-std::vector<WorkQueue::Waiting>::iterator WorkQueue::next(TimePoint now)
+bool WorkQueue::goesBefore(const WorkOffer &one, const WorkOffer &other, TimePoint now) const
 {
-    const auto urgency = [this, now](const Waiting &waiting) {
-        const bool late = isLate(waiting.offer, now);
-        const Duration order = late ? now - waiting.offer.deadline : waiting.offer.target - now;
-        return std::tuple(late, waiting.offer.priority, order);
+    const auto urgency = [this, now](const WorkOffer &offer) {
+        const bool late = isLate(offer, now);
+        return std::tuple(late, offer.priority, late ? now - offer.deadline : offer.target - now);
     };
+    return urgency(one) < urgency(other);
+}
+
+std::vector<WorkQueue::Waiting>::iterator WorkQueue::next(TimePoint now)
+{
     auto best = queue_.end();
     for (auto place = queue_.begin(); place != queue_.end(); ++place) {
         // One that is too late stays for expire(), which has a failure to give it.
         const bool inTime = latestStart(place->offer) > now;
-        if (inTime && (best == queue_.end() || urgency(*place) < urgency(*best))) {
+        if (inTime && (best == queue_.end() || goesBefore(place->offer, best->offer, now))) {
             best = place;
         }
     }
     return best;
 }
 
-Failure WorkQueue::refusal(Reason reason, TimePoint now) const
+Failure WorkQueue::refusal(Reason reason, const WorkOffer &offer, TimePoint now) const
 {
-    const auto wait = std::max(std::chrono::ceil<Milliseconds>(expectedWait(now)), Milliseconds{1});
+    const auto wait = std::max(std::chrono::ceil<Milliseconds>(expectedWait(offer, now)), Milliseconds{1});
     switch (reason) {
     case Reason::Declined:
         return notRun(reason, "another upstream is thought to be quicker");
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -82,9 +82,9 @@
     [[nodiscard]] std::optional<TimePoint> nextExpiry() const;
 
     /// What to tell the sender of a request of @p route.
-    [[nodiscard]] LoadReport report(const RouteName &route, TimePoint now) const;
-    /// From now to the answer of a request of @p route that comes now, behind all that wait.
-    [[nodiscard]] Duration expected(const RouteName &route, TimePoint now) const;
+    [[nodiscard]] LoadReport report(const RouteName &route) const;
+    /// From now to the answer of @p offer if it comes now, behind those that wait and go before it.
+    [[nodiscard]] Duration expected(const WorkOffer &offer, TimePoint now) const;
 
     [[nodiscard]] std::size_t running() const { return running_.size(); }
     [[nodiscard]] std::size_t queued() const { return queue_.size(); }
@@ -109,7 +109,9 @@
 
     [[nodiscard]] bool hasRoom() const { return running_.size() < limit() && queue_.empty(); }
     [[nodiscard]] Duration serviceTime(const RouteName &route) const;
-    [[nodiscard]] Duration expectedWait(TimePoint now) const;
+    /// How long @p offer would wait.
+    [[nodiscard]] Duration expectedWait(const WorkOffer &offer, TimePoint now) const;
+    [[nodiscard]] bool goesBefore(const WorkOffer &one, const WorkOffer &other, TimePoint now) const;
     [[nodiscard]] TimePoint latestStart(const WorkOffer &offer) const;
     /// When a queued call is refused.
     [[nodiscard]] TimePoint giveUpTime(const Waiting &waiting) const;
@@ -117,7 +119,7 @@
     [[nodiscard]] bool takesLateOnes(TimePoint now) const;
     [[nodiscard]] std::vector<CallId> startQueued(TimePoint now);
     [[nodiscard]] std::vector<Waiting>::iterator next(TimePoint now);
-    [[nodiscard]] Failure refusal(Reason reason, TimePoint now) const;
+    [[nodiscard]] Failure refusal(Reason reason, const WorkOffer &offer, TimePoint now) const;
     void start(const WorkOffer &offer, TimePoint now);
 
     WorkQueueSettings settings_;
--- a/src/core/identity.h
+++ b/src/core/identity.h
@@ -40,8 +40,10 @@
     bool leaving = false;
     /// How long work takes on the VM at this moment, in percent of the usual; zero if unknown.
     std::uint16_t pacePercent = 0;
-    /// From now to the answer of a call like the one that the report came with, in microseconds; zero if unknown.
-    std::uint32_t expectedMicroseconds = 0;
+    /// Smoothed time for a call of any kind at the VM's usual pace, in microseconds; zero if unknown.
+    std::uint32_t meanServiceMicroseconds = 0;
+    /// Failures among the upstream's latest answers, in percent.
+    std::uint8_t failurePercent = 0;
 };
 
 }
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -64,7 +64,7 @@
 
 LoadReport EgressRole::report(const RouteName &route) const
 {
-    LoadReport report = slots_.queue().report(route, std::chrono::steady_clock::now());
+    LoadReport report = slots_.queue().report(route);
     report.leaving = leaving_;
     return report;
 }
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -246,7 +246,8 @@
 {
     PlacementRequest request;
     request.candidates = candidates;
-    request.usualTime = role_.usualTime(*route_);
+    request.demand.usualTime = role_.usualTime(*route_);
+    request.demand.urgent = target_ == deadline_;
     request.now = now();
     request.targetLeft = target_ - request.now;
     request.payload = Bytes(body_.size() + EnvelopeBytes);
@@ -535,7 +536,7 @@
     line.add("left_ms", milliseconds(deadline_ - now()));
     line.add("upstream", which.upstream.value()).add("link", toString(which.link));
     line.add("candidates", std::uint64_t{candidateCount}).add("expected_ms", milliseconds(choice.expected));
-    line.add("acceptable_ms", milliseconds(choice.acceptable)).add("slowdown", choice.slowdown);
+    line.add("acceptable_ms", milliseconds(choice.acceptable));
     line.add("routes", routes_->version().value()).add("list", role_.sources_.directory.revision().value());
     role_.log_.decision(line);
 }
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -81,7 +81,6 @@
     PlacementChoice choice;
     choice.candidate = best.candidate;
     choice.expected = fromSeconds(best.seconds);
-    choice.slowdown = best.slowdown;
     choice.link = linkBetween(own_, request.candidates[best.candidate].location);
     if (compared > 1 && !rated_[1].shut) {
         // Its node sees the time without the crossing, and turning to the other one costs that crossing as well.
@@ -98,14 +97,14 @@
     Rated rated;
     rated.candidate = candidate;
     rated.shut = view_.isShut(item.upstream, request.now);
-    rated.slowdown = view_.slowdown(item.upstream, request.now);
+    double there = seconds(view_.expected(item.upstream, request.demand, request.now));
     if (item.warmingUp && view_.isUnknown(item.upstream)) {
-        rated.slowdown *= settings_.warmUpFactor;
+        there *= settings_.warmUpFactor;
     }
     addLink(rated, linkBetween(own_, item.location), request.payload);
     const double jitter = settings_.jitter * view_.staleness(item.upstream, request.now);
     const double varied = 1.0 + jitter * drawUnit(random_);
-    rated.seconds = rated.crossingSeconds + seconds(request.usualTime) * rated.slowdown * varied;
+    rated.seconds = rated.crossingSeconds + there * varied;
     const double target = seconds(std::max(request.targetLeft, LeastTarget));
     rated.cost = rated.linkCost + costOfWaiting(rated.seconds / target);
     return rated;
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -29,8 +29,7 @@
     std::span<const PlacementCandidate> candidates;
     /// Upstreams that this request was sent to, or that declined it.
     std::span<const UpstreamName> excluded;
-    /// What a request of its route takes when nothing is in the way.
-    Duration usualTime{0};
+    PlacementDemand demand;
     /// From now until an answer loses most of its worth.
     Duration targetLeft{0};
     /// Bytes that cross the link both ways, headers included.
@@ -48,7 +47,6 @@
     /// If the answer takes longer than this from the chosen upstream's node on, the next best is the better choice;
     /// zero if there is no other.
     Duration acceptable{0};
-    double slowdown = 1.0;
     LinkKind link = LinkKind::InZone;
 };
 
@@ -101,7 +99,6 @@
         double linkCost = 0.0;
         /// Time and bytes together.
         double cost = 0.0;
-        double slowdown = 1.0;
         bool shut = false;
     };
 
--- a/src/routing/placementview.cpp
+++ b/src/routing/placementview.cpp
@@ -16,15 +16,24 @@
     return std::exp(-age / std::chrono::duration<double>(memory));
 }
 
-/// A report of a queue of seconds should not outweigh everything for long.
-constexpr double LargestSlowdown = 30.0;
+constexpr double Percent = 100.0;
+
+double mix(double share, double one, double other)
+{
+    return share * one + (1.0 - share) * other;
+}
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
 
 }
 
 PlacementView::PlacementView(PlacementViewSettings settings)
     : settings_(settings)
-    , typicalSlowdown_(settings.typicalSlowdown)
 {
+    typical_.pace = settings_.typicalPace;
 }
 
 void PlacementView::onSent(const UpstreamName &upstream)
@@ -43,11 +52,16 @@
 void PlacementView::onReport(const UpstreamName &upstream, const LoadReport &report, TimePoint now)
 {
     Record &record = records_[upstream];
-    if (report.serviceTimeMicroseconds > 0) {
-        const double factor = static_cast<double>(report.expectedMicroseconds) / report.serviceTimeMicroseconds;
-        record.slowdown = std::min(factor, LargestSlowdown);
-        record.hasReport = true;
-        typicalSlowdown_ += settings_.typicalGain * (record.slowdown - typicalSlowdown_);
+    record.load = loadIn(report);
+    record.hasReport = true;
+    const double gain = settings_.typicalGain;
+    typical_.pace = mix(gain, record.load.pace, typical_.pace);
+    typical_.urgentWait = mix(gain, record.load.urgentWait, typical_.urgentWait);
+    typical_.wait = mix(gain, record.load.wait, typical_.wait);
+    typical_.failureShare = mix(gain, record.load.failureShare, typical_.failureShare);
+    if (report.meanServiceMicroseconds > 0) {
+        const double mean = seconds(Microseconds(report.meanServiceMicroseconds));
+        meanServiceSeconds_ = meanServiceSeconds_ > 0.0 ? mix(gain, mean, meanServiceSeconds_) : mean;
     }
     record.slots = std::max(report.slots, 1U);
     record.reportTime = now;
@@ -82,18 +96,44 @@
     record.shutUntil = std::max(record.shutUntil, now + hold);
 }
 
-double PlacementView::slowdown(const UpstreamName &upstream, TimePoint now) const
+PlacementView::Load PlacementView::loadIn(const LoadReport &report)
+{
+    const double slots = std::max(report.slots, 1U);
+    const bool full = report.inFlight >= report.slots;
+    Load load;
+    load.pace = report.pacePercent > 0 ? report.pacePercent / Percent : 1.0;
+    load.urgentWait = full ? 1.0 / slots : 0.0;
+    load.wait = full ? (1.0 + report.queued) / slots : 0.0;
+    load.failureShare = report.failurePercent / Percent;
+    return load;
+}
+
+PlacementView::Load PlacementView::loadOf(const Record &record, TimePoint now) const
 {
-    const auto found = records_.find(upstream);
-    if (found == records_.end()) {
-        return typicalSlowdown_;
-    }
-    const Record &record = found->second;
     const double fresh = record.hasReport ? freshness(record.reportTime, settings_.reportMemory, now) : 0.0;
-    const double reported = fresh * record.slowdown + (1.0 - fresh) * typicalSlowdown_;
+    Load load;
+    load.pace = mix(fresh, record.load.pace, typical_.pace);
+    load.urgentWait = mix(fresh, record.load.urgentWait, typical_.urgentWait);
+    load.wait = mix(fresh, record.load.wait, typical_.wait);
+    load.failureShare = mix(fresh, record.load.failureShare, typical_.failureShare);
     const double sinceReport = std::max(0.0, static_cast<double>(record.inFlight) - record.inFlightAtReport);
-    return reported + settings_.ownRequestPenalty * sinceReport / record.slots
-        + settings_.failurePenalty * failuresOf(record, now);
+    load.wait += settings_.ownRequestWeight * sinceReport / record.slots;
+    load.urgentWait += settings_.ownRequestWeight * sinceReport / record.slots;
+    return load;
+}
+
+Duration PlacementView::expected(const UpstreamName &upstream, const PlacementDemand &demand, TimePoint now) const
+{
+    const auto found = records_.find(upstream);
+    const Load load = found == records_.end() ? typical_ : loadOf(found->second, now);
+    const double failures = found == records_.end() ? 0.0 : failuresOf(found->second, now);
+    const double usual = seconds(demand.usualTime);
+    const double ahead = meanServiceSeconds_ > 0.0 ? meanServiceSeconds_ : usual;
+    const double wait = ahead * load.pace * (demand.urgent ? load.urgentWait : load.wait);
+    const double penalty =
+        1.0 + settings_.failureShareFactor * load.failureShare + settings_.failurePenalty * failures;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>((wait + usual * load.pace) * penalty));
 }
 
 bool PlacementView::isShut(const UpstreamName &upstream, TimePoint now) const
--- a/src/routing/placementview.h
+++ b/src/routing/placementview.h
@@ -16,24 +16,35 @@
 {
     /// Age at which a report counts 1/e against what is typical: slow spells of the VMs last .3 s at the median.
     Duration reportMemory = Milliseconds{300};
-    /// Weight of the newest report in the typical slowdown.
+    /// Weight of the newest report in what is typical.
     double typicalGain = 0.03;
-    /// What is assumed to be typical before any report.
-    double typicalSlowdown = 1.7;
+    /// What is assumed to be typical before any report: a quarter of the VMs four times slower.
+    double typicalPace = 1.7;
     /// Time in which evidence of failures falls to 1/e.
     Duration failureMemory = std::chrono::seconds{3};
-    /// Slowdown added for each recent failure; it keeps quick errors from attracting requests.
+    /// How many times longer a request is taken to need for each recent failure seen here, and for a share of one of
+    /// failures among the latest answers; it keeps quick errors from attracting requests.
     double failurePenalty = 2.0;
-    /// Slowdown added for each own request that is under way and not yet in a report, as a share of the slots.
-    double ownRequestPenalty = 0.5;
+    double failureShareFactor = 4.0;
+    /// Calls ahead for each own request that is under way and not yet in a report.
+    double ownRequestWeight = 0.5;
     /// No request goes to an upstream whose node can't be reached for so long; each further failure doubles it.
     Duration unreachableBase = Milliseconds{150};
     Duration unreachableLimit = std::chrono::seconds{3};
 };
 
-/// What one ingress knows of the upstreams' load, as factors by which they take longer than usual.
+/// A request whose time at an upstream is to be foretold.
+struct PlacementDemand
+{
+    /// What it takes when nothing is in the way.
+    Duration usualTime{0};
+    /// It goes before all that waits.
+    bool urgent = false;
+};
+
+/// What one ingress knows of the upstreams' load: their VMs' pace, and the calls that run and wait.
 ///
-/// Factors, not times: one report speaks for requests of all routes. Thread safety: none; one owner. Errors: none.
+/// Kept apart, so that a report that came with one request speaks for requests of all routes and ranks. Thread safety: none; one owner. Errors: none.
 class PlacementView
 {
 public:
@@ -54,21 +65,31 @@
     void onClosed(const UpstreamName &upstream, Duration hold, TimePoint now);
     void forget(const UpstreamName &upstream) { records_.erase(upstream); }
 
-    /// By which factor a request takes longer there than usual; above one when it waits or the VM is slow.
-    [[nodiscard]] double slowdown(const UpstreamName &upstream, TimePoint now) const;
+    /// From the arrival of a request there to its answer.
+    [[nodiscard]] Duration expected(const UpstreamName &upstream, const PlacementDemand &demand, TimePoint now) const;
     /// Whether nothing should be sent there now.
     [[nodiscard]] bool isShut(const UpstreamName &upstream, TimePoint now) const;
     /// How little is known of the present: 0 for a report of this moment, 1 without any.
     [[nodiscard]] double staleness(const UpstreamName &upstream, TimePoint now) const;
     /// Whether no report ever came from there.
     [[nodiscard]] bool isUnknown(const UpstreamName &upstream) const;
-    [[nodiscard]] double typicalSlowdown() const { return typicalSlowdown_; }
     [[nodiscard]] std::size_t size() const { return records_.size(); }
 
 private:
+    /// What decides how long a request takes.
+    struct Load
+    {
+        /// How many times longer than usual work takes.
+        double pace = 1.0;
+        /// Calls before a request that goes before all that waits, and before one that goes behind, for each slot.
+        double urgentWait = 0.0;
+        double wait = 0.0;
+        double failureShare = 0.0;
+    };
+
     struct Record
     {
-        double slowdown = 0.0;
+        Load load;
         double slots = 1.0;
         TimePoint reportTime;
         bool hasReport = false;
@@ -81,10 +102,13 @@
     };
 
     [[nodiscard]] double failuresOf(const Record &record, TimePoint now) const;
+    [[nodiscard]] Load loadOf(const Record &record, TimePoint now) const;
+    [[nodiscard]] static Load loadIn(const LoadReport &report);
 
     PlacementViewSettings settings_;
     std::unordered_map<UpstreamName, Record> records_;
-    double typicalSlowdown_;
+    Load typical_;
+    double meanServiceSeconds_ = 0.0;
 };
 
 }
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -22,8 +22,10 @@
   leaving @4 :Bool;
   pacePercent @5 :UInt16;
   # How long work takes on the VM at this moment; 100 is usual, 0 unknown.
-  expected @6 :UInt32;
-  # From now to the answer of a call like the one that this report came with.
+  meanService @6 :UInt32;
+  # Of calls of all kinds, at the VM's usual pace.
+  failurePercent @7 :UInt8;
+  # Of the upstream's latest answers.
 }
 
 struct CallHead {
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -131,13 +131,22 @@
     wire.setServiceTime(report.serviceTimeMicroseconds);
     wire.setLeaving(report.leaving);
     wire.setPacePercent(report.pacePercent);
-    wire.setExpected(report.expectedMicroseconds);
+    wire.setMeanService(report.meanServiceMicroseconds);
+    wire.setFailurePercent(report.failurePercent);
 }
 
 LoadReport read(Wire::LoadReport::Reader wire)
 {
-    return {wire.getInFlight(), wire.getQueued(),      wire.getSlots(),   wire.getServiceTime(),
-            wire.getLeaving(),  wire.getPacePercent(), wire.getExpected()};
+    LoadReport report;
+    report.inFlight = wire.getInFlight();
+    report.queued = wire.getQueued();
+    report.slots = wire.getSlots();
+    report.serviceTimeMicroseconds = wire.getServiceTime();
+    report.leaving = wire.getLeaving();
+    report.pacePercent = wire.getPacePercent();
+    report.meanServiceMicroseconds = wire.getMeanService();
+    report.failurePercent = wire.getFailurePercent();
+    return report;
 }
 
 void write(Wire::CallHead::Builder wire, const CallHead &head)
