--- a/src/core/identity.h
+++ b/src/core/identity.h
@@ -42,6 +42,8 @@
     std::uint16_t pacePercent = 0;
     /// Smoothed time for a call of any kind at the VM's usual pace, in microseconds; zero if unknown.
     std::uint32_t meanServiceMicroseconds = 0;
+    /// Smoothed time by which calls reach the node later than on a free link, in microseconds.
+    std::uint32_t arrivalDelayMicroseconds = 0;
     /// Failures among the upstream's latest answers, in percent.
     std::uint8_t failurePercent = 0;
 };
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -1,5 +1,6 @@
 #include "egress/egressrole.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -18,6 +19,10 @@
 {
 
 constexpr Bytes ProbeAnswerLimit{4096};
+/// Of the newest call in the smoothed delay: about the last ten, some tenths of a second on a busy node.
+constexpr double ArrivalDelayGain = 0.1;
+/// A call that was held up by a cut link says nothing of the next one.
+constexpr Milliseconds LongestDelay{500};
 
 HttpPoolLimits poolLimits(const EgressSettings &settings)
 {
@@ -66,6 +71,7 @@
 {
     LoadReport report = slots_.queue().report(route);
     report.leaving = leaving_;
+    report.arrivalDelayMicroseconds = static_cast<std::uint32_t>(arrivalDelayMicroseconds_);
     return report;
 }
 
@@ -122,6 +128,12 @@
     }
 }
 
+void EgressRole::recordArrival(Duration delay)
+{
+    const double sample = std::chrono::duration<double, std::micro>(std::min<Duration>(delay, LongestDelay)).count();
+    arrivalDelayMicroseconds_ += ArrivalDelayGain * (sample - arrivalDelayMicroseconds_);
+}
+
 void EgressRole::recordAnswer(bool failed)
 {
     health_.record(failed, std::chrono::steady_clock::now());
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -71,6 +71,7 @@
     boost::asio::awaitable<void> freshenPace();
     boost::asio::awaitable<void> probe();
     void take(const UpstreamLoadSample &sample);
+    void recordArrival(Duration delay);
     void recordAnswer(bool failed);
     /// Tells the queue how much of the evidence of failures is left.
     void recordHealth();
@@ -87,6 +88,7 @@
     UpstreamHealth health_;
     std::uint64_t lastCallId_ = 0;
     TimePoint paceTime_;
+    double arrivalDelayMicroseconds_ = 0.0;
     bool leaving_ = false;
     bool probing_ = false;
     /// Never expires; cancelled when a probe has ended.
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -82,6 +82,7 @@
     // A request that waited in a stalled link or a paused process has less time left than its sender wrote.
     const TimePoint bootNow{std::chrono::duration_cast<Duration>(timeSinceBoot())};
     const Duration late = role_.lateness_.observe(head_.ingress.incarnation, head_.sentAt, bootNow);
+    role_.recordArrival(late);
     deadline_ = arrival_ + head_.remaining - late;
     if (deadline_ <= arrival_) {
         co_return notRun(Reason::DeadlinePassed, "the request was too long on its way");
--- a/src/routing/placementview.cpp
+++ b/src/routing/placementview.cpp
@@ -59,6 +59,7 @@
     typical_.urgentWait = mix(gain, record.load.urgentWait, typical_.urgentWait);
     typical_.wait = mix(gain, record.load.wait, typical_.wait);
     typical_.failureShare = mix(gain, record.load.failureShare, typical_.failureShare);
+    typical_.delaySeconds = mix(gain, record.load.delaySeconds, typical_.delaySeconds);
     if (report.meanServiceMicroseconds > 0) {
         const double mean = seconds(Microseconds(report.meanServiceMicroseconds));
         meanServiceSeconds_ = meanServiceSeconds_ > 0.0 ? mix(gain, mean, meanServiceSeconds_) : mean;
@@ -105,6 +106,7 @@
     load.urgentWait = full ? 1.0 / slots : 0.0;
     load.wait = full ? (1.0 + report.queued) / slots : 0.0;
     load.failureShare = report.failurePercent / Percent;
+    load.delaySeconds = seconds(Microseconds(report.arrivalDelayMicroseconds));
     return load;
 }
 
@@ -116,6 +118,8 @@
     load.urgentWait = mix(fresh, record.load.urgentWait, typical_.urgentWait);
     load.wait = mix(fresh, record.load.wait, typical_.wait);
     load.failureShare = mix(fresh, record.load.failureShare, typical_.failureShare);
+    // Links and processors of nodes differ for good, so that an old delay still says more than the others' do.
+    load.delaySeconds = record.hasReport ? record.load.delaySeconds : typical_.delaySeconds;
     const double sinceReport = std::max(0.0, static_cast<double>(record.inFlight) - record.inFlightAtReport);
     load.wait += settings_.ownRequestWeight * sinceReport / record.slots;
     load.urgentWait += settings_.ownRequestWeight * sinceReport / record.slots;
@@ -133,7 +137,7 @@
     const double penalty =
         1.0 + settings_.failureShareFactor * load.failureShare + settings_.failurePenalty * failures;
     return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>((wait + usual * load.pace) * penalty));
+        std::chrono::duration<double>(load.delaySeconds + (wait + usual * load.pace) * penalty));
 }
 
 bool PlacementView::isShut(const UpstreamName &upstream, TimePoint now) const
--- a/src/routing/placementview.h
+++ b/src/routing/placementview.h
@@ -85,6 +85,8 @@
         double urgentWait = 0.0;
         double wait = 0.0;
         double failureShare = 0.0;
+        /// By which requests reach its node late.
+        double delaySeconds = 0.0;
     };
 
     struct Record
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -26,6 +26,8 @@
   # Of calls of all kinds, at the VM's usual pace.
   failurePercent @7 :UInt8;
   # Of the upstream's latest answers.
+  arrivalDelay @8 :UInt32;
+  # By which calls reach the node later than on a free link.
 }
 
 struct CallHead {
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -133,6 +133,7 @@
     wire.setPacePercent(report.pacePercent);
     wire.setMeanService(report.meanServiceMicroseconds);
     wire.setFailurePercent(report.failurePercent);
+    wire.setArrivalDelay(report.arrivalDelayMicroseconds);
 }
 
 LoadReport read(Wire::LoadReport::Reader wire)
@@ -146,6 +147,7 @@
     report.pacePercent = wire.getPacePercent();
     report.meanServiceMicroseconds = wire.getMeanService();
     report.failurePercent = wire.getFailurePercent();
+    report.arrivalDelayMicroseconds = wire.getArrivalDelay();
     return report;
 }
 
