--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -41,7 +41,8 @@
     /// The answer to a refusal has to reach the sender before the deadline; else it can't say that nothing ran.
     Milliseconds refusalLead{25};
     /// Calls that have missed their target and still wait, as a share of the limit. Beyond it they are refused at once:
-    /// while the load lasts they would wait behind all that can still be in time, and hear of it only at their deadline.
+    /// while the load lasts they would wait behind all that can still be in time, and hear of it only at their
+    /// deadline.
     double lateBacklog = 1.0;
     /// A call that has missed its target is refused when it has waited this share of its target's length besides.
     double lateWait = 0.5;
--- a/src/ingress/callerpatience.cpp
+++ b/src/ingress/callerpatience.cpp
@@ -25,9 +25,8 @@
     }
     counts[patience] += 1.0;
     if (counts.size() > ValuesCap) {
-        counts.erase(std::min_element(counts.begin(), counts.end(), [](const auto &left, const auto &right) {
-            return left.second < right.second;
-        }));
+        counts.erase(std::min_element(counts.begin(), counts.end(),
+                                      [](const auto &left, const auto &right) { return left.second < right.second; }));
     }
     return std::max(usual(route) - patience, Milliseconds{0});
 }
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -532,7 +532,9 @@
     StructuredLine line("place");
     line.add("request", terms_.request.value()).add("try", std::uint64_t{which.number.value()});
     line.add("route", route_->name.value()).add("service", service_.value());
-    line.add("from", exchange_.remoteEndpoint().value()).add("kind", toString(route_->kind)).add("priority", std::uint64_t{route_->priority});
+    line.add("from", exchange_.remoteEndpoint().value())
+        .add("kind", toString(route_->kind))
+        .add("priority", std::uint64_t{route_->priority});
     line.add("left_ms", milliseconds(deadline_ - now()));
     line.add("upstream", which.upstream.value()).add("link", toString(which.link));
     line.add("candidates", std::uint64_t{candidateCount}).add("expected_ms", milliseconds(choice.expected));
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -56,8 +56,8 @@
     /// There and back between zones of a region, measured between the VMs.
     Duration zoneCrossing = Microseconds{2800};
     Duration regionCrossing = Milliseconds{17};
-    /// Expected times are varied by up to this share, less where the news is fresh, so that nodes with the same old news
-    /// don't all choose the same upstream.
+    /// Expected times are varied by up to this share, less where the news is fresh, so that nodes with the same old
+    /// news don't all choose the same upstream.
     double jitter = 0.15;
     /// How much longer work takes at an upstream that is warming up.
     double warmUpFactor = 1.5;
--- a/src/routing/placementview.cpp
+++ b/src/routing/placementview.cpp
@@ -134,8 +134,7 @@
     const double usual = seconds(demand.usualTime);
     const double ahead = meanServiceSeconds_ > 0.0 ? meanServiceSeconds_ : usual;
     const double wait = ahead * load.pace * (demand.urgent ? load.urgentWait : load.wait);
-    const double penalty =
-        1.0 + settings_.failureShareFactor * load.failureShare + settings_.failurePenalty * failures;
+    const double penalty = 1.0 + settings_.failureShareFactor * load.failureShare + settings_.failurePenalty * failures;
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(load.delaySeconds + (wait + usual * load.pace) * penalty));
 }
--- a/src/routing/placementview.h
+++ b/src/routing/placementview.h
@@ -44,7 +44,8 @@
 
 /// What one ingress knows of the upstreams' load: their VMs' pace, and the calls that run and wait.
 ///
-/// Kept apart, so that a report that came with one request speaks for requests of all routes and ranks. Thread safety: none; one owner. Errors: none.
+/// Kept apart, so that a report that came with one request speaks for requests of all routes and ranks. Thread safety:
+/// none; one owner. Errors: none.
 class PlacementView
 {
 public:
--- /dev/null
+++ b/tests/sidecar/sidecarfixture.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "http/httpconnectionpool.h"
+#include "http/httpserver.h"
+#include "rpc/asioeventport.h"
+#include "sidecar/sidecar.h"
+
+namespace Egretpath
+{
+
+/// A service's own program: answers by path, counts what it ran, and says what upstreams say on the platform.
+class FakeUpstream
+{
+public:
+    FakeUpstream(boost::asio::any_io_executor executor, std::string id);
+
+    [[nodiscard]] const std::string &id() const { return id_; }
+    [[nodiscard]] const Endpoint &address() const { return address_; }
+    /// How often the request with this id was run.
+    [[nodiscard]] int runs(const std::string &request) const;
+    [[nodiscard]] int totalRuns() const;
+    /// Fields of the last request.
+    [[nodiscard]] std::string lastField(const std::string &name) const;
+    [[nodiscard]] int cancelled() const { return cancelled_; }
+
+    /// Status of the answers; 503 is a refusal before anything ran.
+    std::uint16_t status = 200;
+    /// Time that a run takes.
+    Milliseconds work{5};
+    /// The connection breaks once the request has run.
+    bool breaks = false;
+    /// Answers lack what proves that they are the upstream's.
+    bool unsigned_ = false;
+    std::uint16_t pace = 100;
+
+private:
+    boost::asio::awaitable<void> serve(HttpExchange &exchange);
+
+    std::string id_;
+    std::map<std::string, int> runs_;
+    HttpHeaders lastHeaders_;
+    int cancelled_ = 0;
+    HttpServer server_;
+    Endpoint address_;
+};
+
+/// Routes and a list that a test publishes, or does not.
+class FakeCatalog
+{
+public:
+    void publishRoutes(std::uint64_t version);
+    void publishList();
+    void add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service);
+    void remove(const std::string &id);
+    void lose();
+    void comeBack();
+    /// The platform's side of a new node.
+    [[nodiscard]] std::unique_ptr<CatalogSource> makeSource();
+    /// Nodes made from now on can't read it.
+    bool unreachable = false;
+
+private:
+    friend class FakeSource;
+
+    [[nodiscard]] InstanceSnapshot snapshot() const;
+    [[nodiscard]] std::string routesText() const;
+    void tell(const std::function<void(CatalogSink &)> &what);
+
+    std::vector<CatalogSink *> sinks_;
+    std::map<std::string, InstanceRecord> records_;
+    std::uint64_t version_ = 0;
+    std::uint64_t revision_ = 0;
+    bool listed_ = false;
+};
+
+/// What a caller got.
+struct Reply
+{
+    std::uint16_t status = 0;
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// One node of a deployment in this process.
+struct FakeNode
+{
+    Endpoint callers;
+    Endpoint ready;
+    Endpoint peers;
+    std::unique_ptr<Sidecar> sidecar;
+};
+
+/// A deployment in one process: upstreams, the nodes beside them, and a catalog.
+class SidecarFixture
+{
+public:
+    SidecarFixture();
+    ~SidecarFixture();
+    SidecarFixture(const SidecarFixture &) = delete;
+    SidecarFixture &operator=(const SidecarFixture &) = delete;
+
+    FakeUpstream &addUpstream(const std::string &id);
+    /// A node beside @p upstream, listed under @p service.
+    FakeNode &addNode(const FakeUpstream &upstream, const std::string &service,
+                      const std::vector<Endpoint> &seeds = {});
+    void run(const std::function<boost::asio::awaitable<void>()> &scenario);
+    [[nodiscard]] boost::asio::awaitable<void> sleep(Milliseconds duration);
+    [[nodiscard]] boost::asio::awaitable<bool> until(std::function<bool()> condition);
+    [[nodiscard]] boost::asio::awaitable<Reply> send(Endpoint node, std::string method, std::string target,
+                                                     std::string request, Milliseconds patience = Milliseconds(1000),
+                                                     std::string body = {});
+    [[nodiscard]] boost::asio::awaitable<std::uint16_t> readiness(Endpoint ready);
+
+    FakeCatalog catalog;
+
+private:
+    AsioEventPort loop_;
+    HttpConnectionPool pool_;
+    std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
+    std::vector<std::unique_ptr<FakeNode>> nodes_;
+};
+
+}
--- /dev/null
+++ b/tests/sidecar/sidecartest.cpp
@@ -0,0 +1,301 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include "sidecarfixture.h"
+
+using namespace Egretpath;
+namespace asio = boost::asio;
+
+namespace
+{
+
+// No co_await stands inside CHECK: g++ 12 destroys temporaries of such expressions twice.
+
+void checkStatus(const Reply &reply, std::uint16_t wanted)
+{
+    CHECK(reply.status == wanted);
+}
+
+void checkReadiness(std::uint16_t status, std::uint16_t wanted)
+{
+    CHECK(status == wanted);
+}
+
+void checkHappened(bool happened)
+{
+    CHECK(happened);
+}
+
+/// Two upstreams of one service with their nodes, and everything published.
+struct Deployment : SidecarFixture
+{
+    Deployment()
+        : one(addUpstream("i-1"))
+        , two(addUpstream("i-2"))
+        , first(addNode(one, "statements"))
+        , second(addNode(two, "statements"))
+    {
+        catalog.publishRoutes(10);
+        catalog.publishList();
+    }
+
+    [[nodiscard]] int runs(const std::string &request) const { return one.runs(request) + two.runs(request); }
+
+    FakeUpstream &one;
+    FakeUpstream &two;
+    FakeNode &first;
+    FakeNode &second;
+};
+
+}
+
+TEST_CASE("a request goes from its caller over two nodes to an upstream, and the answer comes back unchanged")
+{
+    Deployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        for (int count = 0; count < 20; ++count) {
+            const std::string id = "r" + std::to_string(count);
+            const Reply reply = co_await deployment.send(deployment.first.callers, "POST", "/pay/7?x=1", id,
+                                                         Milliseconds(700), "amount=5");
+            CHECK(reply.status == 200);
+            CHECK(reply.body.ends_with(":POST:/pay/7?x=1:amount=5"));
+            CHECK(reply.headers.find("X-Egretpath-Server-Signature") == std::string_view("3e1b." + id));
+            CHECK(deployment.runs(id) == 1);
+        }
+    });
+    const FakeUpstream &used = deployment.one.totalRuns() > 0 ? deployment.one : deployment.two;
+    CHECK(used.lastField("X-Egretpath-Caller-Service") == "statements");
+    CHECK(used.lastField("X-Egretpath-Target-Instance") == used.id());
+    CHECK(std::stoi(used.lastField("X-Egretpath-Deadline-Ms")) <= 700);
+    CHECK(std::stoi(used.lastField("X-Egretpath-Deadline-Ms")) > 500);
+}
+
+TEST_CASE("paths without a route are 404, and nothing is refused that a route takes")
+{
+    Deployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkStatus(co_await deployment.send(deployment.first.callers, "GET", "/none/1", "a"), 404);
+        checkStatus(co_await deployment.send(deployment.first.callers, "GET", "/read/1", "b"), 200);
+    });
+}
+
+// A node starts while the platform's store is away. It answered 404 to every request, and callers took their routes for
+// gone and did not come back.
+TEST_CASE("a node without routes is not ready, and says that nothing ran")
+{
+    SidecarFixture fixture;
+    FakeUpstream &upstream = fixture.addUpstream("i-1");
+    FakeNode &node = fixture.addNode(upstream, "statements");
+    fixture.run([&]() -> asio::awaitable<void> {
+        checkReadiness(co_await fixture.readiness(node.ready), 503);
+        const Reply reply = co_await fixture.send(node.callers, "GET", "/read/1", "a");
+        CHECK(reply.status == 503);
+        CHECK(reply.headers.contains("Retry-After"));
+        fixture.catalog.publishRoutes(3);
+        checkReadiness(co_await fixture.readiness(node.ready), 503);
+        fixture.catalog.publishList();
+        checkReadiness(co_await fixture.readiness(node.ready), 200);
+        checkStatus(co_await fixture.send(node.callers, "GET", "/read/1", "b"), 200);
+    });
+}
+
+// An upstream runs a payment and its connection breaks before the answer. The node sent the payment to the next
+// upstream, and the household was charged twice.
+TEST_CASE("a payment that may have run is not sent again, and its caller is not told that it did not run")
+{
+    Deployment deployment;
+    deployment.one.breaks = true;
+    deployment.two.breaks = true;
+    deployment.run([&]() -> asio::awaitable<void> {
+        const Reply reply = co_await deployment.send(deployment.first.callers, "POST", "/pay/1", "p");
+        CHECK(reply.status == 502);
+        CHECK_FALSE(reply.headers.contains("Retry-After"));
+    });
+    CHECK(deployment.runs("p") == 1);
+}
+
+TEST_CASE("a read that failed on the way is repeated at another upstream")
+{
+    Deployment deployment;
+    deployment.one.breaks = true;
+    deployment.run([&]() -> asio::awaitable<void> {
+        int served = 0;
+        for (int count = 0; count < 10; ++count) {
+            const Reply reply =
+                co_await deployment.send(deployment.first.callers, "GET", "/read/1", "r" + std::to_string(count));
+            served += reply.status == 200 ? 1 : 0;
+        }
+        CHECK(served >= 9);
+    });
+}
+
+TEST_CASE("what an upstream refused before it ran goes to another one, payments as well")
+{
+    Deployment deployment;
+    deployment.one.status = 503;
+    deployment.run([&]() -> asio::awaitable<void> {
+        for (int count = 0; count < 8; ++count) {
+            const std::string id = "p" + std::to_string(count);
+            const Reply reply = co_await deployment.send(deployment.first.callers, "POST", "/pay/1", id);
+            // The shared budget of repeats may be used up; then the refusal is a true one.
+            CHECK((reply.status == 200 || reply.status == 503));
+            CHECK(deployment.runs(id) == (reply.status == 200 ? 1 : 0));
+        }
+    });
+    CHECK(deployment.two.totalRuns() >= 6);
+}
+
+// Something else answers at the upstream's address, or a proxy in between: its success is not the upstream's.
+TEST_CASE("a success that is not the upstream's own does not reach a caller as one")
+{
+    Deployment deployment;
+    deployment.one.unsigned_ = true;
+    deployment.two.unsigned_ = true;
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkStatus(co_await deployment.send(deployment.first.callers, "POST", "/pay/1", "p"), 502);
+    });
+}
+
+// The VM beside the caller is four times slower for the moment. Its node knows, and passes reads on to the next one.
+TEST_CASE("a slow VM's node declines while another upstream is quicker")
+{
+    Deployment deployment;
+    deployment.one.pace = 400;
+    deployment.one.work = Milliseconds(80);
+    deployment.two.work = Milliseconds(20);
+    deployment.run([&]() -> asio::awaitable<void> {
+        for (int count = 0; count < 12; ++count) {
+            const Reply reply =
+                co_await deployment.send(deployment.first.callers, "GET", "/read/1", "r" + std::to_string(count));
+            CHECK(reply.status == 200);
+        }
+    });
+    CHECK(deployment.two.totalRuns() >= 10);
+}
+
+// A caller leaves after 50 ms. The upstream worked on for nobody, and its slot was missing to those who still waited.
+TEST_CASE("a caller that leaves ends the work for it, also behind another node")
+{
+    Deployment deployment;
+    deployment.one.work = Milliseconds(600);
+    deployment.two.work = Milliseconds(600);
+    deployment.run([&]() -> asio::awaitable<void> {
+        HttpConnectionPool pool(co_await asio::this_coro::executor, HttpPoolLimits());
+        for (int count = 0; count < 4; ++count) {
+            auto opened =
+                co_await pool.open(deployment.first.callers, std::chrono::steady_clock::now() + std::chrono::seconds(2),
+                                   HttpConnectionChoice::Fresh);
+            REQUIRE(opened);
+            HttpRequestHead head("GET", "/read/1");
+            head.headers.add("Host", "h");
+            head.headers.add("X-Egretpath-Attempt-Id", "gone" + std::to_string(count));
+            (void)co_await opened.value()->sendRequest(std::move(head), "");
+            co_await deployment.sleep(Milliseconds(50));
+            opened.value()->cancel();
+        }
+        checkHappened(
+            co_await deployment.until([&] { return deployment.one.cancelled() + deployment.two.cancelled() == 4; }));
+    });
+}
+
+TEST_CASE("a request that lasts longer than its route allows gets an answer in time")
+{
+    Deployment deployment;
+    deployment.one.work = Milliseconds(3000);
+    deployment.two.work = Milliseconds(3000);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const TimePoint begun = std::chrono::steady_clock::now();
+        const Reply reply =
+            co_await deployment.send(deployment.first.callers, "POST", "/pay/1", "p", Milliseconds(2500));
+        const auto took = std::chrono::steady_clock::now() - begun;
+        CHECK(reply.status == 504);
+        CHECK(took >= Milliseconds(750));
+        CHECK(took < Milliseconds(1100));
+    });
+}
+
+TEST_CASE("an upstream that is gone from the list gets nothing more")
+{
+    Deployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        deployment.catalog.remove("i-1");
+        for (int count = 0; count < 6; ++count) {
+            const Reply reply =
+                co_await deployment.send(deployment.first.callers, "GET", "/read/1", "r" + std::to_string(count));
+            CHECK(reply.status == 200);
+        }
+    });
+    CHECK(deployment.one.totalRuns() == 0);
+}
+
+// The store comes back with an older copy, or a peer that was cut off passes its routes on.
+TEST_CASE("routes never go back to an older version")
+{
+    Deployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        deployment.catalog.publishRoutes(12);
+        checkStatus(co_await deployment.send(deployment.first.callers, "GET", "/v12/1", "a"), 200);
+        deployment.catalog.publishRoutes(11);
+        checkStatus(co_await deployment.send(deployment.first.callers, "GET", "/v12/1", "b"), 200);
+        checkStatus(co_await deployment.send(deployment.first.callers, "GET", "/v11/1", "c"), 404);
+    });
+}
+
+// The store turns one machine away, and its node is restarted meanwhile. The others have routes and list.
+TEST_CASE("a node that starts without the store learns routes and upstreams from its seeds")
+{
+    Deployment deployment;
+    FakeUpstream &upstream = deployment.addUpstream("i-3");
+    deployment.catalog.unreachable = true;
+    FakeNode &late = deployment.addNode(upstream, "statements", {deployment.first.peers});
+    deployment.run([&]() -> asio::awaitable<void> {
+        std::uint16_t ready = 0;
+        for (int attempt = 0; attempt < 40 && ready != 200; ++attempt) {
+            ready = co_await deployment.readiness(late.ready);
+            co_await deployment.sleep(Milliseconds(50));
+        }
+        CHECK(ready == 200);
+        checkStatus(co_await deployment.send(late.callers, "GET", "/read/1", "a"), 200);
+        deployment.catalog.publishRoutes(14);
+        Reply reply;
+        for (int attempt = 0; attempt < 40 && reply.status != 200; ++attempt) {
+            reply = co_await deployment.send(late.callers, "GET", "/v14/1", "b" + std::to_string(attempt));
+            co_await deployment.sleep(Milliseconds(50));
+        }
+        CHECK(reply.status == 200);
+    });
+}
+
+// A planned stop cut the requests that were under way, and those that came before the platform had noticed.
+TEST_CASE("a node that stops is not ready at once, finishes what it has and serves on for a while")
+{
+    Deployment deployment;
+    deployment.one.work = Milliseconds(150);
+    deployment.two.work = Milliseconds(150);
+    deployment.run([&]() -> asio::awaitable<void> {
+        int answered = 0;
+        int asked = 0;
+        const auto ask = [&]() -> asio::awaitable<void> {
+            const std::string id = "r" + std::to_string(asked);
+            const Reply reply = co_await deployment.send(deployment.first.callers, "POST", "/pay/1", id);
+            answered += reply.status == 200 || reply.status == 503 ? 1 : 0;
+        };
+        const auto executor = co_await asio::this_coro::executor;
+        ++asked;
+        asio::co_spawn(executor, ask, asio::detached);
+        co_await deployment.sleep(Milliseconds(30));
+        deployment.first.sidecar->stop();
+        checkReadiness(co_await deployment.readiness(deployment.first.ready), 503);
+        for (int count = 0; count < 5; ++count) {
+            ++asked;
+            asio::co_spawn(executor, ask, asio::detached);
+            co_await deployment.sleep(Milliseconds(40));
+        }
+        checkHappened(co_await deployment.until([&] { return answered == asked; }));
+    });
+}
