admission: an upstream that answers nobody in time is slow, not idle

Ruled out: placement (it followed the reports), the restarts of nodes in turn (before). Change: requests given up after their usual time, and those under way far beyond it, count as evidence of slowness, which fades in 2.5 s and is told with the pace.

--- a/src/admission/servicetimes.cpp
+++ b/src/admission/servicetimes.cpp
@@ -1,6 +1,7 @@
 #include "admission/servicetimes.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Egretpath
 {
@@ -8,12 +9,25 @@
 namespace
 {
 
-/// Weight of the newest duration: the mean of about ten, so that a change of the work shows within a second or two at
-/// ten requests a second, and one long request does not turn others away.
-constexpr double Gain = 0.1;
+/// Weight of the newest duration: the mean of about twenty, some seconds at ten requests a second.
+constexpr double Gain = 0.05;
 /// Before anything was measured; of the order of a request to a database.
 constexpr double DefaultMicroseconds = 80'000.0;
 
+/// Of the newest request in the slowness: work varies by a third, so that about three long ones in a row say something.
+constexpr double SlownessGain = 0.2;
+/// Time in which slowness falls to 1/e without a request: an upstream that was eight times slower is tried again after
+/// about five seconds.
+constexpr std::chrono::duration<double> SlownessMemory{2.5};
+constexpr double LargestRatio = 10.0;
+/// A sample counts at most so many times the mean.
+constexpr double LargestSample = 3.0;
+
+double microseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::micro>(duration).count();
+}
+
 Duration fromMicroseconds(double count)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::micro>(count));
@@ -26,11 +40,39 @@
 
 }
 
-void ServiceTimes::record(const RouteName &route, Duration duration, double pace)
+void ServiceTimes::record(const RouteName &route, Duration duration, double pace, TimePoint now)
+{
+    const double sample = std::max(microseconds(duration) / pace, 1.0);
+    const bool known = microseconds_.contains(route);
+    const double before = microseconds(usual(route));
+    if (known) {
+        recordSlowness(sample / before, now);
+    }
+    // An upstream that turned slow must not look usual to itself after a few requests.
+    const double bounded = known ? std::min(sample, LargestSample * before) : sample;
+    blend(microseconds_[route], bounded);
+    blend(overallMicroseconds_, bounded);
+}
+
+void ServiceTimes::recordUnfinished(const RouteName &route, Duration duration, double pace, TimePoint now)
+{
+    const double ratio = microseconds(duration) / pace / microseconds(usual(route));
+    if (ratio > 1.0 && microseconds_.contains(route)) {
+        recordSlowness(ratio, now);
+    }
+}
+
+double ServiceTimes::slowness(TimePoint now) const
+{
+    const std::chrono::duration<double> age = std::max(now - slownessTime_, Duration{0});
+    return 1.0 + excess_ * std::exp(-age / SlownessMemory);
+}
+
+void ServiceTimes::recordSlowness(double ratio, TimePoint now)
 {
-    const double sample = std::chrono::duration<double, std::micro>(duration).count() / pace;
-    blend(microseconds_[route], std::max(sample, 1.0));
-    blend(overallMicroseconds_, std::max(sample, 1.0));
+    const double current = slowness(now);
+    excess_ = std::max(0.0, current + SlownessGain * (std::min(ratio, LargestRatio) - current) - 1.0);
+    slownessTime_ = now;
 }
 
 Duration ServiceTimes::usual(const RouteName &route) const
--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -15,6 +15,9 @@
 constexpr double Rounding = 1e-9;
 /// A call that comes late already waits at least so long for a slot: about the time in which one is freed.
 constexpr Milliseconds LeastLateWait{60};
+/// Running calls beyond this many times their usual time show that the upstream is slow or stands still.
+constexpr double OverdueFactor = 2.5;
+constexpr double LargestPace = 5000.0;
 /// A running call that already took its usual time is taken to need this share of it again.
 constexpr double OverdueShare = 0.3;
 /// A failure is told as if work took so many times longer: its sender has to begin again elsewhere, or loses it.
@@ -93,10 +96,14 @@
         return {};
     }
     const Running &running = place->second;
+    // Work that began in a slow spell and ended in a good one took a mixture of both.
+    const double pace = (paceFactor(running.pace) + paceFactor(pace_)) / 2;
     if (answered) {
-        // Work that began in a slow spell and ended in a good one took a mixture of both.
-        const double pace = (paceFactor(running.pace) + paceFactor(pace_)) / 2;
-        times_.record(running.route, now - running.start, pace);
+        times_.record(running.route, now - running.start, pace, now);
+    } else {
+        // Guards against an upstream that answers so late that all its callers have given up: no answer would ever
+        // show that it is slow, and it would look idle and get more.
+        times_.recordUnfinished(running.route, now - running.start, pace, now);
     }
     running_.erase(place);
     return startQueued(now);
@@ -135,14 +142,15 @@
     return next;
 }
 
-LoadReport WorkQueue::report(const RouteName &route) const
+LoadReport WorkQueue::report(const RouteName &route, TimePoint now) const
 {
     LoadReport report;
     report.inFlight = static_cast<std::uint32_t>(running_.size());
     report.queued = static_cast<std::uint32_t>(queue_.size());
     report.slots = limit();
     report.serviceTimeMicroseconds = asMicroseconds(times_.usual(route));
-    report.pacePercent = pace_;
+    const double pace = std::min(pace_ * slowness(now), LargestPace);
+    report.pacePercent = static_cast<std::uint16_t>(pace);
     report.meanServiceMicroseconds = asMicroseconds(times_.overall());
     report.failurePercent = static_cast<std::uint8_t>(std::clamp(failureShare_, 0.0, 1.0) * UsualPace);
     return report;
@@ -151,7 +159,7 @@
 Duration WorkQueue::expected(const WorkOffer &offer, TimePoint now) const
 {
     const double failures = 1.0 + FailureFactor * failureShare_;
-    return scaled(expectedWait(offer, now) + serviceTime(offer.route), failures);
+    return scaled(expectedWait(offer, now) + serviceTime(offer.route), failures * slowness(now));
 }
 
 Duration WorkQueue::serviceTime(const RouteName &route) const
@@ -159,6 +167,17 @@
     return scaled(times_.usual(route), paceFactor(pace_));
 }
 
+double WorkQueue::slowness(TimePoint now) const
+{
+    double underWay = 0.0;
+    for (const auto &[call, running] : running_) {
+        const Duration usual = scaled(serviceTime(running.route), OverdueFactor);
+        underWay += std::max(1.0, std::chrono::duration<double>(now - running.start) / usual);
+    }
+    const double mean = running_.empty() ? 1.0 : underWay / static_cast<double>(running_.size());
+    return std::max(times_.slowness(now), mean);
+}
+
 /// When the upstream would begin a request that comes now: the slots are freed one by one and taken by those before it.
 Duration WorkQueue::expectedWait(const WorkOffer &offer, TimePoint now) const
 {
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -74,7 +74,8 @@
     [[nodiscard]] OfferOutcome offer(const WorkOffer &offer, TimePoint now);
     /// Why offer() would refuse @p offer now; nothing if it would take it. Changes nothing.
     [[nodiscard]] std::optional<Failure> objection(const WorkOffer &offer, TimePoint now) const;
-    /// The upstream is rid of @p call. @p answered: its duration tells the service time. Returns the queued calls that
+    /// The upstream is rid of @p call. @p answered: its duration tells the service time; else it would have been longer.
+    /// Returns the queued calls that
     /// go to the upstream now, in this order.
     [[nodiscard]] std::vector<CallId> finish(CallId call, bool answered, TimePoint now);
     CancelOutcome cancel(CallId call);
@@ -83,7 +84,7 @@
     [[nodiscard]] std::optional<TimePoint> nextExpiry() const;
 
     /// What to tell the sender of a request of @p route.
-    [[nodiscard]] LoadReport report(const RouteName &route) const;
+    [[nodiscard]] LoadReport report(const RouteName &route, TimePoint now) const;
     /// From now to the answer of @p offer if it comes now, behind those that wait and go before it.
     [[nodiscard]] Duration expected(const WorkOffer &offer, TimePoint now) const;
 
@@ -110,6 +111,8 @@
 
     [[nodiscard]] bool hasRoom() const { return running_.size() < limit() && queue_.empty(); }
     [[nodiscard]] Duration serviceTime(const RouteName &route) const;
+    /// How many times longer than usual the upstream takes, as its answers and the requests under way show.
+    [[nodiscard]] double slowness(TimePoint now) const;
     /// How long @p offer would wait.
     [[nodiscard]] Duration expectedWait(const WorkOffer &offer, TimePoint now) const;
     [[nodiscard]] bool goesBefore(const WorkOffer &one, const WorkOffer &other, TimePoint now) const;
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -69,7 +69,7 @@
 
 LoadReport EgressRole::report(const RouteName &route) const
 {
-    LoadReport report = slots_.queue().report(route);
+    LoadReport report = slots_.queue().report(route, std::chrono::steady_clock::now());
     report.leaving = leaving_;
     report.arrivalDelayMicroseconds = static_cast<std::uint32_t>(arrivalDelayMicroseconds_);
     return report;
--- a/tests/admission/workqueuetest.cpp
+++ b/tests/admission/workqueuetest.cpp
@@ -114,7 +114,7 @@
     const Duration sound = queue.expected(offerOf(1, 0), at(0));
     queue.setFailureShare(0.4);
     CHECK(queue.expected(offerOf(1, 0), at(0)) > 2 * sound);
-    CHECK(queue.report(Read).failurePercent == 40);
+    CHECK(queue.report(Read, at(0)).failurePercent == 40);
 }
 
 TEST_CASE("a request that can't be served in time is refused at once, with a time to come back")
@@ -182,7 +182,7 @@
         REQUIRE(std::holds_alternative<Admitted>(queue.offer(offer, at(begin))));
         (void)queue.finish(CallId(call), true, at(begin + 400));
     }
-    const LoadReport report = queue.report(Read);
+    const LoadReport report = queue.report(Read, at(20'000));
     CHECK(report.serviceTimeMicroseconds == 100'000);
     CHECK(report.meanServiceMicroseconds == 100'000);
     CHECK(report.pacePercent == 400);
@@ -258,6 +258,44 @@
     CHECK(begunInVain == 0);
 }
 
+// Three upstreams of a service work twelve times slower for nine seconds, their VMs at their usual pace. No request
+// there ended before its caller gave up, so that no answer told how long it takes: they looked idle, and a third of all
+// reads was late.
+TEST_CASE("an upstream that answers nobody in time is left alone, and tried again later")
+{
+    WorkQueue queue = trainedQueue();
+    WorkOffer offer = offerOf(1, 0);
+    offer.acceptable = Milliseconds(180);
+    REQUIRE(std::holds_alternative<Admitted>(queue.offer(offer, at(0))));
+    offer = offerOf(2, 100);
+    offer.acceptable = Milliseconds(180);
+    REQUIRE(std::holds_alternative<Admitted>(queue.offer(offer, at(100))));
+    // While they run: far beyond their usual time.
+    offer = offerOf(3, 700);
+    offer.acceptable = Milliseconds(180);
+    CHECK(reasonOf(queue.offer(offer, at(700))) == Reason::Declined);
+    CHECK(queue.report(Read, at(700)).pacePercent > 200);
+    // And after both were given up.
+    (void)queue.finish(CallId(1), false, at(800));
+    (void)queue.finish(CallId(2), false, at(900));
+    offer = offerOf(4, 950);
+    offer.acceptable = Milliseconds(180);
+    CHECK(reasonOf(queue.offer(offer, at(950))) == Reason::Declined);
+    offer = offerOf(5, 8000);
+    offer.acceptable = Milliseconds(180);
+    CHECK(std::holds_alternative<Admitted>(queue.offer(offer, at(8000))));
+}
+
+TEST_CASE("a caller that gives up early says nothing of the upstream")
+{
+    WorkQueue queue = trainedQueue();
+    for (std::uint64_t call = 1; call < 10; ++call) {
+        REQUIRE(std::holds_alternative<Admitted>(queue.offer(offerOf(call, 0), at(0))));
+        (void)queue.finish(CallId(call), false, at(40));
+    }
+    CHECK(queue.expected(offerOf(20, 50), at(50)) == Milliseconds(100));
+}
+
 TEST_CASE("a cancelled request leaves the queue; one at the upstream keeps its slot")
 {
     WorkQueue queue = trainedQueue();
