--- a/src/daemons/egretpath-sidecar.cpp
+++ b/src/daemons/egretpath-sidecar.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -63,6 +64,21 @@
     });
 }
 
+/// Guards against an error that one request raised and nothing caught: it would end the process, and with it all
+/// requests of its VM. The request's own coroutine has ended; the loop goes on with the others.
+void runLoop(boost::asio::io_context &context, Egretpath::Sidecar &sidecar)
+{
+    bool runs = true;
+    while (runs) {
+        try {
+            context.run();
+            runs = false;
+        } catch (const std::exception &error) {
+            sidecar.noteEscapedError(error.what());
+        }
+    }
+}
+
 int runSidecar(const Egretpath::SidecarSettings &settings, const std::string &file)
 {
     Egretpath::AsioEventPort loop;
@@ -75,7 +91,7 @@
     onSignal(stopSignals, [&sidecar] { sidecar.stop(); });
     boost::asio::signal_set reloadSignal(loop.context(), SIGHUP);
     onSignal(reloadSignal, [&sidecar, file] { reload(sidecar, file); });
-    loop.context().run();
+    runLoop(loop.context(), sidecar);
     return EXIT_SUCCESS;
 }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -157,6 +157,12 @@
         }
     }
 
+    void noteEscapedError(std::string_view what)
+    {
+        state_.metrics.count("egretpath_escaped_errors_total");
+        state_.log.error(StructuredLine("escaped-error").add("what", what));
+    }
+
     void stop()
     {
         if (std::exchange(state_.stopping, true)) {
@@ -317,6 +323,11 @@
     implementation_->reloadRefused(problems);
 }
 
+void Sidecar::noteEscapedError(std::string_view what)
+{
+    implementation_->noteEscapedError(what);
+}
+
 void Sidecar::stop()
 {
     implementation_->stop();
