ingress: a try's head is made before its coroutine starts; settings: one reader of files, tests

By reading: a try that starts after its caller left would read the exchange, and a streamed answer would be written to it. Change: both closed.

--- a/src/admission/servicetimes.h
+++ b/src/admission/servicetimes.h
@@ -11,9 +11,8 @@
 /// How long one upstream works on the requests of each route when its VM runs at its usual pace.
 ///
 /// What it measured is divided by the pace of that time, so that a spell of slowness is not taken for longer work.
-/// Beside the usual times it keeps by how much the upstream itself is slower lately. That fades without new evidence, so
-/// that an upstream which was left alone because of it is tried again.
-/// Thread safety: none; one owner. Errors: none.
+/// Beside the usual times it keeps by how much the upstream itself is slower lately. That fades without new evidence,
+/// so that an upstream which was left alone because of it is tried again. Thread safety: none; one owner. Errors: none.
 class ServiceTimes
 {
 public:
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -74,9 +74,8 @@
     [[nodiscard]] OfferOutcome offer(const WorkOffer &offer, TimePoint now);
     /// Why offer() would refuse @p offer now; nothing if it would take it. Changes nothing.
     [[nodiscard]] std::optional<Failure> objection(const WorkOffer &offer, TimePoint now) const;
-    /// The upstream is rid of @p call. @p answered: its duration tells the service time; else it would have been longer.
-    /// Returns the queued calls that
-    /// go to the upstream now, in this order.
+    /// The upstream is rid of @p call. @p answered: its duration tells the service time; else it would have been
+    /// longer. Returns the queued calls that go to the upstream now, in this order.
     [[nodiscard]] std::vector<CallId> finish(CallId call, bool answered, TimePoint now);
     CancelOutcome cancel(CallId call);
     /// Removes and returns the queued calls that can no longer meet their deadline. They provably did not run.
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -176,6 +176,8 @@
 {
     while (true) {
         if (callerGone_) {
+            // Ended, so that no answer that still comes is written to the exchange, which is gone as well.
+            [[maybe_unused]] const auto nobody = state_->giveUp(Reason::Cancelled);
             logEnd(0, toString(Verdict::MayHaveRun), toString(Reason::Cancelled), "the caller went away");
             co_return;
         }
@@ -237,7 +239,8 @@
     ++asked_;
     underWay_.push_back(which);
     logPlacement(*which, *choice, all.size());
-    asio::co_spawn(role_.executor_, send(which, shared_from_this()), asio::detached);
+    // The head is made here: when the caller leaves, the exchange ends before a try that was only just begun.
+    asio::co_spawn(role_.executor_, send(which, makeHead(*which), shared_from_this()), asio::detached);
     return std::nullopt;
 }
 
@@ -275,9 +278,8 @@
     return all;
 }
 
-asio::awaitable<void> ProxiedRequest::send(TryPointer which, std::shared_ptr<ProxiedRequest> /*self*/)
+asio::awaitable<void> ProxiedRequest::send(TryPointer which, CallHead head, std::shared_ptr<ProxiedRequest> /*self*/)
 {
-    CallHead head = makeHead(*which);
     std::optional<Result<CallOutcome>> outcome;
     role_.view_.onSent(which->upstream);
     if (which->node != role_.place_.node) {
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -70,7 +70,7 @@
     [[nodiscard]] std::optional<Failure> startTry();
     [[nodiscard]] std::optional<PlacementChoice> choose(std::vector<PlacementCandidate> &candidates);
     [[nodiscard]] std::vector<PlacementCandidate> candidates() const;
-    boost::asio::awaitable<void> send(TryPointer which, std::shared_ptr<ProxiedRequest> self);
+    boost::asio::awaitable<void> send(TryPointer which, CallHead head, std::shared_ptr<ProxiedRequest> self);
     /// Sends to another node; a large body only after the node said that it would take the request.
     boost::asio::awaitable<Result<CallOutcome>> sendToPeer(TryPointer which, CallHead head);
     [[nodiscard]] bool permitSending(Try &which, CallHead &head);
--- a/src/settings/nodesettingsreader.cpp
+++ b/src/settings/nodesettingsreader.cpp
@@ -1,15 +1,14 @@
 #include "settings/nodesettingsreader.h"
 
 #include <algorithm>
-#include <fstream>
 #include <optional>
-#include <sstream>
 #include <type_traits>
 #include <utility>
 #include <vector>
 
 #include <toml++/toml.h>
 
+#include "settings/settingsfile.h"
 #include "settings/settingskeys.h"
 
 namespace Egretpath
@@ -18,16 +17,6 @@
 namespace
 {
 
-std::string shown(const toml::node &node)
-{
-    if (const auto text = node.value_exact<std::string>()) {
-        return *text;
-    }
-    std::ostringstream stream;
-    node.visit([&stream](const auto &item) { stream << item; });
-    return std::move(stream).str();
-}
-
 std::string fullName(std::string_view group, std::string_view key)
 {
     return std::string(group) + "." + std::string(key);
@@ -76,7 +65,7 @@
         }
         const bool accepted = std::visit([this, node](const auto &form) { return store(form, *node); }, key.form);
         if (!accepted) {
-            addProblem(node->source().begin.line, fullName(key.group, key.key), shown(*node), allowedFor(key));
+            addProblem(node->source().begin.line, fullName(key.group, key.key), shownValue(*node), allowedFor(key));
         }
     }
 
@@ -129,7 +118,7 @@
             if (!known) {
                 addProblem(name.source().begin.line, std::string(group), std::string(group), "a known group");
             } else if (table == nullptr) {
-                addProblem(name.source().begin.line, std::string(group), shown(node),
+                addProblem(name.source().begin.line, std::string(group), shownValue(node),
                            "a group, written as [" + std::string(group) + "]");
             } else {
                 findUnknownKeys(group, *table);
@@ -202,21 +191,17 @@
         const toml::table root = toml::parse(text, file);
         return TableReader(root, file).read();
     } catch (const toml::parse_error &error) {
-        return SettingsProblems{
-            {std::string(file), error.source().begin.line, {}, std::string(error.description()), "TOML"}};
+        return syntaxProblem(error, file);
     }
 }
 
 SettingsResult<NodeSettings> NodeSettingsReader::readFile(const std::string &path)
 {
-    std::ifstream stream(path, std::ios::binary);
-    std::ostringstream text;
-    text << stream.rdbuf();
-    // Inserting nothing at all sets the fail bit, so an empty file counts as unreadable; it lacks keys anyway.
-    if (!stream.is_open() || !text) {
-        return SettingsProblems{{path, 0, {}, "unreadable", "a file that can be read and isn't empty"}};
+    const SettingsResult<std::string> text = readSettingsFile(path);
+    if (!text) {
+        return text.error();
     }
-    return read(std::move(text).str(), path);
+    return read(text.value(), path);
 }
 
 std::string_view toString(LogLevel level)
--- /dev/null
+++ b/src/settings/settingsfile.cpp
@@ -0,0 +1,37 @@
+#include "settings/settingsfile.h"
+
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace Egretpath
+{
+
+SettingsResult<std::string> readSettingsFile(const std::string &path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    // Inserting nothing at all sets the fail bit, so an empty file counts as unreadable; it lacks keys anyway.
+    if (!stream.is_open() || !text) {
+        return SettingsProblems{{path, 0, {}, "unreadable", "a file that can be read and isn't empty"}};
+    }
+    return std::move(text).str();
+}
+
+std::string shownValue(const toml::node &node)
+{
+    if (const auto text = node.value_exact<std::string>()) {
+        return *text;
+    }
+    std::ostringstream stream;
+    node.visit([&stream](const auto &item) { stream << item; });
+    return std::move(stream).str();
+}
+
+SettingsProblems syntaxProblem(const toml::parse_error &error, std::string_view file)
+{
+    return {{std::string(file), error.source().begin.line, {}, std::string(error.description()), "TOML"}};
+}
+
+}
--- a/src/settings/sidecarsettings.cpp
+++ b/src/settings/sidecarsettings.cpp
@@ -3,14 +3,13 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <fstream>
 #include <optional>
-#include <sstream>
 #include <utility>
 
 #include <toml++/toml.h>
 
 #include "settings/durationtext.h"
+#include "settings/settingsfile.h"
 
 namespace Egretpath
 {
@@ -83,13 +82,10 @@
 
     void refuse(const Node *node, std::string_view group, std::string_view key, std::string_view allowed)
     {
-        std::ostringstream value;
-        if (node != nullptr) {
-            node->visit([&value](const auto &item) { value << item; });
-        }
+        std::string value = node == nullptr ? std::string() : shownValue(*node);
         const std::size_t line = node == nullptr ? 0 : node->source().begin.line;
         problems_.push_back(
-            {file_, line, std::string(group) + "." + std::string(key), value.str(), std::string(allowed)});
+            {file_, line, std::string(group) + "." + std::string(key), std::move(value), std::string(allowed)});
     }
 
     [[nodiscard]] const Node *find(std::string_view group, std::string_view key) const
@@ -228,21 +224,17 @@
         const toml::table root = toml::parse(text, file);
         return Reader(root, file).read();
     } catch (const toml::parse_error &error) {
-        return SettingsProblems{
-            {std::string(file), error.source().begin.line, {}, std::string(error.description()), "TOML"}};
+        return syntaxProblem(error, file);
     }
 }
 
 SettingsResult<SidecarSettings> readSidecarSettingsFile(const std::string &path)
 {
-    std::ifstream stream(path, std::ios::binary);
-    std::ostringstream text;
-    text << stream.rdbuf();
-    // Inserting nothing at all sets the fail bit, so an empty file counts as unreadable; it lacks keys anyway.
-    if (!stream.is_open() || !text) {
-        return SettingsProblems{{path, 0, {}, "unreadable", "a file that can be read and isn't empty"}};
+    const SettingsResult<std::string> text = readSettingsFile(path);
+    if (!text) {
+        return text.error();
     }
-    return readSidecarSettings(std::move(text).str(), path);
+    return readSidecarSettings(text.value(), path);
 }
 
 }
--- /dev/null
+++ b/tests/settings/sidecarsettingstest.cpp
@@ -0,0 +1,101 @@
+#include "settings/sidecarsettings.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+#include "settings/durationtext.h"
+
+using namespace Egretpath;
+
+namespace
+{
+
+const std::string Good = R"([node]
+name = "sidecar-1"
+service = "statements"
+region = "north"
+zone = "north-a"
+[listen]
+callers = "10.1.0.8:8304"
+ready = "10.1.0.8:8302"
+peers = "10.1.0.8:7620"
+starters = ""
+[upstream]
+address = "10.1.0.8:8301"
+[platform]
+store = "10.200.1.7:8309"
+[peers]
+seeds = ["10.2.0.1:8303", "10.3.0.1:8303"]
+[zones]
+"north-a" = "north"
+"south-a" = "south"
+[repeats]
+ratio = 0.2
+slack = 56
+[stop]
+grace = "6s"
+)";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+std::string keysOf(const SettingsProblems &problems)
+{
+    std::string keys;
+    for (const SettingsProblem &problem : problems) {
+        keys += problem.key + " ";
+    }
+    return keys;
+}
+
+}
+
+TEST_CASE("settings are read whole")
+{
+    const auto settings = readSidecarSettings(Good, "sidecar.toml");
+    REQUIRE(settings);
+    CHECK(settings.value().service == ServiceName("statements"));
+    CHECK(settings.value().peers == Endpoint("10.1.0.8:7620"));
+    CHECK(settings.value().starters.value().empty());
+    CHECK(settings.value().seeds.size() == 2);
+    CHECK(settings.value().zones.size() == 2);
+    CHECK(settings.value().repeatSlack == 56.0);
+    CHECK(settings.value().grace == Milliseconds(6000));
+}
+
+TEST_CASE("all that is wrong is told at once, with line, key and what is allowed")
+{
+    std::string text = replaced(Good, "zone = \"north-a\"\n", "");
+    text = replaced(text, "10.1.0.8:8304", "everywhere");
+    text = replaced(text, "\"6s\"", "\"6 minutes\"");
+    text = replaced(text, "ratio = 0.2", "ratio = -1");
+    text = replaced(text, "10.3.0.1:8303", "10.3.0.1:0");
+    const auto settings = readSidecarSettings(text, "sidecar.toml");
+    REQUIRE_FALSE(settings);
+    CHECK(keysOf(settings.error()) == "node.zone listen.callers peers.seeds repeats.ratio stop.grace ");
+    CHECK(toString(settings.error()[1])
+          == "sidecar.toml: line 6, key listen.callers: \"everywhere\" is not allowed; allowed: an IP address and port "
+             "such as \"10.0.0.7:8080\"");
+}
+
+TEST_CASE("text that is no TOML and a file that is not there are problems as well")
+{
+    CHECK_FALSE(readSidecarSettings("[node", "sidecar.toml"));
+    CHECK_FALSE(readSidecarSettings("", "sidecar.toml"));
+    CHECK_FALSE(readSidecarSettingsFile("/nowhere/sidecar.toml"));
+}
+
+TEST_CASE("times are a number and its unit")
+{
+    CHECK(durationFromText("1500ms") == Milliseconds(1500));
+    CHECK(durationFromText("2.5s") == Milliseconds(2500));
+    CHECK(durationFromText("0s") == Milliseconds(0));
+    for (const char *bad : {"", "5", "s", "-1s", "1 s", "1h", "1e99s", "nan s", "2.5 sec"}) {
+        INFO(bad);
+        CHECK_FALSE(durationFromText(bad));
+    }
+}
