--- a/src/instances/instancedirectory.cpp
+++ b/src/instances/instancedirectory.cpp
@@ -103,15 +103,25 @@
     return erased > 0;
 }
 
-std::vector<const InstanceRecord *> InstanceDirectory::ready(const ServiceName &service) const
+const std::vector<const InstanceRecord *> &InstanceDirectory::ready(const ServiceName &service) const
 {
-    std::vector<const InstanceRecord *> found;
+    static const std::vector<const InstanceRecord *> None;
+    if (indexedAt_ != changeCount_) {
+        buildIndex();
+    }
+    const auto found = readyByService_.find(service);
+    return found == readyByService_.end() ? None : found->second;
+}
+
+void InstanceDirectory::buildIndex() const
+{
+    readyByService_.clear();
     for (const auto &[id, entry] : records_) {
-        if (entry.record.service == service && entry.record.state == InstanceState::Ready) {
-            found.push_back(&entry.record);
+        if (entry.record.state == InstanceState::Ready) {
+            readyByService_[entry.record.service].push_back(&entry.record);
         }
     }
-    return found;
+    indexedAt_ = changeCount_;
 }
 
 const InstanceRecord *InstanceDirectory::find(const UpstreamName &id) const
--- a/src/instances/instancedirectory.h
+++ b/src/instances/instancedirectory.h
@@ -62,8 +62,9 @@
     /// Drops held records whose time is over. Returns whether any was.
     bool expire(TimePoint now);
 
-    /// Upstreams of @p service that may be sent new work, in the order of their ids. Valid until the next change.
-    [[nodiscard]] std::vector<const InstanceRecord *> ready(const ServiceName &service) const;
+    /// Upstreams of @p service that may be sent new work, in the order of their ids. Valid until the next change. Costs
+    /// one lookup, but for the first call after a change, which goes over the whole list.
+    [[nodiscard]] const std::vector<const InstanceRecord *> &ready(const ServiceName &service) const;
     /// Null if it is not listed.
     [[nodiscard]] const InstanceRecord *find(const UpstreamName &id) const;
     /// The record with this address, or null.
@@ -87,6 +88,7 @@
     };
 
     void remove(std::map<UpstreamName, Entry>::iterator place, TimePoint now);
+    void buildIndex() const;
 
     DirectorySettings settings_;
     std::map<UpstreamName, Entry> records_;
@@ -98,6 +100,9 @@
     bool othersReadStore_ = false;
     TimePoint holdUntil_;
     std::uint64_t changeCount_ = 0;
+    /// Those that are ready, by service, as of indexedAt_.
+    mutable std::unordered_map<ServiceName, std::vector<const InstanceRecord *>> readyByService_;
+    mutable std::uint64_t indexedAt_ = 0;
 };
 
 }
