instances: records of the dead are not used once another upstream has their address

Ruled out: slow restart of the nodes (ready within .2 s), cold upstreams alone. Change: of records with one address only the latest is used; a node that knows from its upstream's answers that another one listens refuses without asking it.

--- a/src/dialect/upstreamdialect.h
+++ b/src/dialect/upstreamdialect.h
@@ -43,6 +43,8 @@
     /// The id of the request that is answered; empty if the answer names none.
     RequestId request;
     std::optional<UpstreamLoadSample> load;
+    /// Who answered; empty if it does not say.
+    UpstreamName upstream;
 };
 
 /// The header fields that this system and its upstreams exchange. One implementation for each interface.
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -106,10 +106,8 @@
         if (co_await call.sendRequest(head, std::string())) {
             const auto answer = co_await call.readHead();
             const auto body = co_await call.readWholeBody(ProbeAnswerLimit);
-            const std::optional<UpstreamLoadSample> sample =
-                answer && body ? dialect_.read(answer.value()).load : std::nullopt;
-            if (sample) {
-                take(*sample);
+            if (answer && body) {
+                take(dialect_.read(answer.value()));
             }
         }
     }
@@ -117,17 +115,28 @@
     probed_.cancel();
 }
 
-void EgressRole::take(const UpstreamLoadSample &sample)
+void EgressRole::take(const UpstreamRemarks &remarks)
 {
-    if (sample.slots > 0) {
-        slots_.setSlots(sample.slots);
+    if (!remarks.upstream.value().empty()) {
+        present_ = remarks.upstream;
     }
-    if (sample.pacePercent > 0) {
-        slots_.setPace(sample.pacePercent);
+    if (!remarks.load) {
+        return;
+    }
+    if (remarks.load->slots > 0) {
+        slots_.setSlots(remarks.load->slots);
+    }
+    if (remarks.load->pacePercent > 0) {
+        slots_.setPace(remarks.load->pacePercent);
         paceTime_ = std::chrono::steady_clock::now();
     }
 }
 
+bool EgressRole::isAnother(const UpstreamName &wanted) const
+{
+    return !present_.value().empty() && !wanted.value().empty() && present_ != wanted;
+}
+
 void EgressRole::recordArrival(Duration delay)
 {
     const double sample = std::chrono::duration<double, std::micro>(std::min<Duration>(delay, LongestDelay)).count();
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -70,7 +70,9 @@
     /// Asks the upstream for its pace when what is known is old; returns after a short time in any case.
     boost::asio::awaitable<void> freshenPace();
     boost::asio::awaitable<void> probe();
-    void take(const UpstreamLoadSample &sample);
+    void take(const UpstreamRemarks &remarks);
+    /// Whether the upstream here is known to be another one than @p wanted.
+    [[nodiscard]] bool isAnother(const UpstreamName &wanted) const;
     void recordArrival(Duration delay);
     void recordAnswer(bool failed);
     /// Tells the queue how much of the evidence of failures is left.
@@ -88,6 +90,8 @@
     UpstreamHealth health_;
     std::uint64_t lastCallId_ = 0;
     TimePoint paceTime_;
+    /// Who last said that it listens at the upstream's address; empty until one did.
+    UpstreamName present_;
     double arrivalDelayMicroseconds_ = 0.0;
     bool leaving_ = false;
     bool probing_ = false;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -94,6 +94,11 @@
     if (head_.acceptable > Microseconds{0}) {
         co_await role_.freshenPace();
     }
+    // A replacement has started at the address, and its predecessor is still listed. The upstream would refuse the
+    // request too, but each request that reaches it counts as a repeat when it goes on to another.
+    if (role_.isAnother(head_.targetUpstream)) {
+        co_return notRun(Reason::NoUpstream, "another upstream has started at the address");
+    }
     role_.recordHealth();
     const WorkOffer offer = makeOffer();
     if (head_.question) {
@@ -244,9 +249,7 @@
 
 Result<CallOutcome> UpstreamRequest::judge(HttpResponseHead head, std::string body, const UpstreamRemarks &remarks)
 {
-    if (remarks.load) {
-        role_.take(*remarks.load);
-    }
+    role_.take(remarks);
     if (remarks.wrongUpstream) {
         return notRun(Reason::WrongIncarnation, "another upstream has the address");
     }
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -393,6 +393,7 @@
         role_.view_.onUnreachable(which.upstream, at);
         break;
     case Reason::WrongIncarnation:
+    case Reason::NoUpstream:
         role_.view_.onClosed(which.upstream, LeavingHold, at);
         break;
     case Reason::Declined:
--- a/src/instances/instancedirectory.cpp
+++ b/src/instances/instancedirectory.cpp
@@ -116,8 +116,14 @@
 void InstanceDirectory::buildIndex() const
 {
     readyByService_.clear();
+    std::unordered_map<Endpoint, StoreRevision> latest;
     for (const auto &[id, entry] : records_) {
-        if (entry.record.state == InstanceState::Ready) {
+        StoreRevision &revision = latest[entry.record.address];
+        revision = std::max(revision, entry.record.revision);
+    }
+    for (const auto &[id, entry] : records_) {
+        const bool superseded = entry.record.revision < latest[entry.record.address];
+        if (entry.record.state == InstanceState::Ready && !superseded) {
             readyByService_[entry.record.service].push_back(&entry.record);
         }
     }
--- a/src/instances/instancedirectory.h
+++ b/src/instances/instancedirectory.h
@@ -37,6 +37,8 @@
 /// The upstreams that can be sent work, from what the platform lists and from what other nodes know of it.
 ///
 /// Never goes back: a change or a snapshot that is older than what is known is ignored.
+/// Guards against records of the dead: an upstream that crashed is listed until its lease has run out, seconds after
+/// another one has started at its address. Of the records with one address only the one written last is used.
 /// Guards against a mass lapse: leases run out while the store is away, so the first list after its return lacks
 /// upstreams that are alive. Removals seen in that time are held back; an upstream that said it drains is not held.
 /// Thread safety: none; one owner. Errors: none.
--- a/tests/adapter/platformdialecttest.cpp
+++ b/tests/adapter/platformdialecttest.cpp
@@ -89,6 +89,7 @@
     CHECK_FALSE(dialect.read(answerWith(200, {{"X-Egretpath-Instance-Load", "3,x"}})).load);
     CHECK(dialect.read(answerWith(503, {{"X-Egretpath-Not-Executed", "1"}})).notRun);
     CHECK(dialect.read(answerWith(421, {})).wrongUpstream);
+    CHECK(dialect.read(answerWith(421, {{"X-Egretpath-Instance-Id", "i-2"}})).upstream == UpstreamName("i-2"));
     CHECK(dialect.read(answerWith(500, {})).isWhole);
 }
 
--- a/tests/instances/instancedirectorytest.cpp
+++ b/tests/instances/instancedirectorytest.cpp
@@ -130,6 +130,20 @@
     CHECK(readyIn(directory).empty());
 }
 
+// All VMs lose power and start again. For four seconds the list holds the dead beside their successors, and every other
+// request went to a dead one first.
+TEST_CASE("an upstream whose address another one has taken is not used any more")
+{
+    InstanceDirectory directory;
+    InstanceRecord dead = recordOf("1", 4);
+    InstanceRecord successor = recordOf("2", 9);
+    successor.address = dead.address;
+    REQUIRE(directory.applySnapshot(listOf(9, {dead, successor, recordOf("3", 5)}), at(0)));
+    CHECK(readyIn(directory) == "2 3 ");
+    REQUIRE(directory.applyChange(removalOf("2", 10), at(1)));
+    CHECK(readyIn(directory) == "1 3 ");
+}
+
 TEST_CASE("of two records with one address the later one counts")
 {
     InstanceDirectory directory;
