--- a/src/daemons/egretpath-sidecar.cpp
+++ b/src/daemons/egretpath-sidecar.cpp
@@ -13,6 +13,7 @@
 #include "platform/platformdialect.h"
 #include "platform/storewatcher.h"
 #include "rpc/asioeventport.h"
+#include "settings/endpointtext.h"
 #include "settings/sidecarsettings.h"
 #include "sidecar/sidecar.h"
 
@@ -24,17 +25,11 @@
 /// Where the platform says that a process finds its settings.
 constexpr const char *SettingsVariable = "EGRETPATH_CONFIG";
 
-std::uint16_t portOf(const Egretpath::Endpoint &endpoint)
-{
-    const std::string &text = endpoint.value();
-    return static_cast<std::uint16_t>(std::stoul(text.substr(text.rfind(':') + 1)));
-}
-
 Egretpath::SidecarPlatform makePlatform(boost::asio::io_context &context, const Egretpath::SidecarSettings &settings)
 {
     Egretpath::Platform::InstancePlaces places;
     places.zones = settings.zones;
-    places.nodePort = portOf(settings.peers);
+    places.nodePort = Egretpath::portOfEndpoint(settings.peers.value()).value_or(0);
     Egretpath::SidecarPlatform platform;
     platform.callers = std::make_unique<Egretpath::Platform::PlatformCallerDialect>();
     platform.upstreams = std::make_unique<Egretpath::Platform::PlatformUpstreamDialect>();
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/currenttime.h"
 #include "egress/upstreamrequest.h"
 
 namespace Egretpath
@@ -69,7 +70,7 @@
 
 LoadReport EgressRole::report(const RouteName &route) const
 {
-    LoadReport report = slots_.queue().report(route, std::chrono::steady_clock::now());
+    LoadReport report = slots_.queue().report(route, currentTime());
     report.leaving = leaving_;
     report.arrivalDelayMicroseconds = static_cast<std::uint32_t>(arrivalDelayMicroseconds_);
     return report;
@@ -77,7 +78,7 @@
 
 asio::awaitable<void> EgressRole::freshenPace()
 {
-    const TimePoint now = std::chrono::steady_clock::now();
+    const TimePoint now = currentTime();
     if (now - paceTime_ < settings_.paceMaxAge) {
         co_return;
     }
@@ -97,7 +98,7 @@
 asio::awaitable<void> EgressRole::probe()
 {
     // Much longer than its askers wait: the answer still tells the next ones.
-    const TimePoint deadline = std::chrono::steady_clock::now() + Milliseconds(500);
+    const TimePoint deadline = currentTime() + Milliseconds(500);
     metrics_.count("egretpath_upstream_probes_total");
     auto opened = co_await pool_.open(settings_.upstream, deadline);
     if (opened) {
@@ -128,7 +129,7 @@
     }
     if (remarks.load->pacePercent > 0) {
         slots_.setPace(remarks.load->pacePercent);
-        paceTime_ = std::chrono::steady_clock::now();
+        paceTime_ = currentTime();
     }
 }
 
@@ -145,13 +146,13 @@
 
 void EgressRole::recordAnswer(bool failed)
 {
-    health_.record(failed, std::chrono::steady_clock::now());
+    health_.record(failed, currentTime());
     recordHealth();
 }
 
 void EgressRole::recordHealth()
 {
-    slots_.setFailureShare(health_.failureShare(std::chrono::steady_clock::now()));
+    slots_.setFailureShare(health_.failureShare(currentTime()));
 }
 
 }
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/bootclock.h"
+#include "core/currenttime.h"
 
 namespace Egretpath
 {
@@ -24,11 +25,6 @@
 constexpr std::uint16_t FirstServerError = 500;
 constexpr std::uint16_t GatewayTimeoutStatus = 504;
 
-TimePoint now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 }
 
 UpstreamRequest::UpstreamRequest(EgressRole &role, CallHead head, std::string body,
@@ -39,7 +35,7 @@
     , answer_(std::move(answer))
     , cancellation_(std::move(cancellation))
     , slot_(role.nextCallId())
-    , arrival_(now())
+    , arrival_(currentTime())
     , written_(role.executor_, asio::steady_timer::time_point::max())
 {
 }
@@ -102,7 +98,9 @@
     role_.recordHealth();
     const WorkOffer offer = makeOffer();
     if (head_.question) {
-        co_return role_.slots_.queue().objection(offer, now()).value_or(notRun(Reason::None, "it would be taken"));
+        co_return role_.slots_.queue()
+            .objection(offer, currentTime())
+            .value_or(notRun(Reason::None, "it would be taken"));
     }
     if (auto failure = co_await role_.slots_.acquire(offer, cancellation_)) {
         co_return failure;
@@ -145,7 +143,7 @@
         co_return notRun(Reason::Cancelled, "cancelled before it was handed over");
     }
     // A process that was paused here wakes with the deadline behind it and must not hand the request over.
-    if (now() >= deadline_) {
+    if (currentTime() >= deadline_) {
         co_return notRun(Reason::DeadlinePassed, "deadline passed before it was handed over");
     }
     upstream_ = std::move(opened).value();
@@ -155,7 +153,7 @@
             request->upstream_->cancel();
         }
     });
-    handedOver_ = now();
+    handedOver_ = currentTime();
     co_return std::nullopt;
 }
 
@@ -277,7 +275,7 @@
     HttpRequestHead head(head_.method, head_.target);
     head.headers = head_.headers;
     UpstreamTerms terms;
-    terms.left = std::max(std::chrono::duration_cast<Milliseconds>(deadline_ - now()), Milliseconds{1});
+    terms.left = std::max(std::chrono::duration_cast<Milliseconds>(deadline_ - currentTime()), Milliseconds{1});
     terms.target = head_.targetUpstream;
     terms.callerService = head_.callerService;
     role_.dialect_.decorate(head.headers, terms);
@@ -298,7 +296,7 @@
 
 void UpstreamRequest::logEnd(const CallOutcome &ended) const
 {
-    const TimePoint end = now();
+    const TimePoint end = currentTime();
     if (!role_.log_.admitsDecision(end)) {
         return;
     }
--- a/src/egress/workslots.cpp
+++ b/src/egress/workslots.cpp
@@ -5,21 +5,13 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/currenttime.h"
+
 namespace Egretpath
 {
 
 namespace asio = boost::asio;
 
-namespace
-{
-
-TimePoint now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-}
-
 WorkSlots::WorkSlots(asio::any_io_executor executor)
     : executor_(std::move(executor))
     , expiry_(executor_)
@@ -28,7 +20,7 @@
 
 asio::awaitable<std::optional<Failure>> WorkSlots::acquire(WorkOffer offer, std::shared_ptr<Cancellation> cancellation)
 {
-    const OfferOutcome outcome = queue_.offer(offer, now());
+    const OfferOutcome outcome = queue_.offer(offer, currentTime());
     if (const auto *refused = std::get_if<Refused>(&outcome)) {
         co_return refused->failure;
     }
@@ -52,13 +44,13 @@
 
 void WorkSlots::release(CallId call, bool answered)
 {
-    start(queue_.finish(call, answered, now()));
+    start(queue_.finish(call, answered, currentTime()));
     expire();
 }
 
 void WorkSlots::setSlots(std::uint32_t slots)
 {
-    start(queue_.setSlots(slots, now()));
+    start(queue_.setSlots(slots, currentTime()));
 }
 
 void WorkSlots::start(const std::vector<CallId> &calls)
@@ -87,7 +79,7 @@
 
 void WorkSlots::expire()
 {
-    for (ExpiredCall &expired : queue_.expire(now())) {
+    for (ExpiredCall &expired : queue_.expire(currentTime())) {
         end(expired.call, std::move(expired.failure));
     }
     armExpiry();
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/bootclock.h"
+#include "core/currenttime.h"
 #include "ingress/streamedanswerrelay.h"
 
 namespace Egretpath
@@ -44,14 +45,9 @@
 /// Heads both ways, the answer's body and the framing between nodes, about; bodies of answers are short.
 constexpr std::size_t EnvelopeBytes = 2500;
 
-TimePoint now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 Milliseconds sinceMilliseconds(TimePoint start)
 {
-    return std::chrono::duration_cast<Milliseconds>(now() - start);
+    return std::chrono::duration_cast<Milliseconds>(currentTime() - start);
 }
 
 std::optional<LoadReport> reportOf(const Result<CallOutcome> &outcome)
@@ -70,7 +66,7 @@
     : role_(role)
     , exchange_(exchange)
     , routes_(role.sources_.routes)
-    , arrival_(now())
+    , arrival_(currentTime())
     , sequence_(++role.lastSequence_)
     , wakeUp_(role.executor_)
 {
@@ -189,7 +185,7 @@
             }
             continue;
         }
-        if (now() >= deadline_) {
+        if (currentTime() >= deadline_) {
             co_await giveUp(notRun(Reason::DeadlinePassed, "no answer before the timeout"));
             co_return;
         }
@@ -223,7 +219,7 @@
     }
     const PlacementCandidate &chosen = all[choice->candidate];
     const InstanceRecord *record = role_.sources_.directory.find(chosen.upstream);
-    const Result<TryId> tryId = state_->startTry(NodeIdentity{chosen.upstream, Incarnation()}, now());
+    const Result<TryId> tryId = state_->startTry(NodeIdentity{chosen.upstream, Incarnation()}, currentTime());
     if (!tryId || record == nullptr) {
         return tryId ? notRun(Reason::NoUpstream, "the upstream left the list") : tryId.error();
     }
@@ -251,7 +247,7 @@
     request.candidates = candidates;
     request.demand.usualTime = role_.usualTime(*route_);
     request.demand.urgent = target_ == deadline_;
-    request.now = now();
+    request.now = currentTime();
     request.targetLeft = target_ - request.now;
     request.payload = Bytes(body_.size() + EnvelopeBytes);
     std::vector<UpstreamName> excluded = reached_;
@@ -329,7 +325,7 @@
 
 bool ProxiedRequest::permitSending(Try &which, CallHead &head)
 {
-    if (!state_->permitSending(which.number, now())) {
+    if (!state_->permitSending(which.number, currentTime())) {
         return false;
     }
     stamp(head);
@@ -339,7 +335,7 @@
 
 void ProxiedRequest::stamp(CallHead &head) const
 {
-    const TimePoint sentAt = now();
+    const TimePoint sentAt = currentTime();
     head.remaining = std::chrono::duration_cast<Microseconds>(deadline_ - sentAt);
     head.targetLatencyLeft = std::chrono::duration_cast<Microseconds>(target_ - sentAt);
     head.sentAt = timeSinceBoot();
@@ -371,7 +367,7 @@
 
 void ProxiedRequest::learn(const Try &which, const Result<CallOutcome> &outcome)
 {
-    const TimePoint at = now();
+    const TimePoint at = currentTime();
     if (const auto report = reportOf(outcome)) {
         role_.view_.onReached(which.upstream);
         role_.view_.onReport(which.upstream, *report, at);
@@ -387,7 +383,7 @@
 
 void ProxiedRequest::learnFailure(const Try &which, const Failure &failure)
 {
-    const TimePoint at = now();
+    const TimePoint at = currentTime();
     switch (failure.reason) {
     case Reason::ConnectFailed:
         role_.view_.onUnreachable(which.upstream, at);
@@ -519,14 +515,14 @@
     const double base = static_cast<double>(wanted.count() > 0 ? wanted.count() : DefaultRetryAfter.count());
     const double spread = std::uniform_real_distribution<double>(1.0, 2.0)(role_.random_);
     const auto left =
-        std::chrono::duration_cast<Milliseconds>(arrival_ + terms_.patience.value_or(route_->timeout) - now());
+        std::chrono::duration_cast<Milliseconds>(arrival_ + terms_.patience.value_or(route_->timeout) - currentTime());
     const auto most = std::max(left / LeftOverRetryAfter, Milliseconds{1});
     return std::min(Milliseconds(static_cast<Milliseconds::rep>(base * spread)), most);
 }
 
 void ProxiedRequest::logPlacement(const Try &which, const PlacementChoice &choice, std::size_t candidateCount) const
 {
-    if (!role_.log_.admitsDecision(now())) {
+    if (!role_.log_.admitsDecision(currentTime())) {
         return;
     }
     const auto milliseconds = [](Duration duration) {
@@ -538,7 +534,7 @@
     line.add("from", exchange_.remoteEndpoint().value())
         .add("kind", toString(route_->kind))
         .add("priority", std::uint64_t{route_->priority});
-    line.add("left_ms", milliseconds(deadline_ - now()));
+    line.add("left_ms", milliseconds(deadline_ - currentTime()));
     line.add("upstream", which.upstream.value()).add("link", toString(which.link));
     line.add("candidates", std::uint64_t{candidateCount}).add("expected_ms", milliseconds(choice.expected));
     line.add("acceptable_ms", milliseconds(choice.acceptable));
@@ -553,8 +549,8 @@
     labels.append(route_ == nullptr ? "none" : route_->name.value());
     labels.append("\",verdict=\"").append(verdict).append("\",reason=\"").append(reason).append("\"");
     role_.metrics_.count("egretpath_requests_total", labels);
-    role_.metrics_.record("egretpath_request_seconds", "", now() - arrival_);
-    if (!role_.log_.admitsDecision(now())) {
+    role_.metrics_.record("egretpath_request_seconds", "", currentTime() - arrival_);
+    if (!role_.log_.admitsDecision(currentTime())) {
         return;
     }
     StructuredLine line("end");
--- a/src/node/egresscall.cpp
+++ b/src/node/egresscall.cpp
@@ -2,8 +2,8 @@
 
 #include <utility>
 
+#include "core/currenttime.h"
 #include "node/callclassification.h"
-#include "node/currenttime.h"
 #include "node/headernames.h"
 
 namespace Egretpath
--- a/src/node/egressslots.cpp
+++ b/src/node/egressslots.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "node/currenttime.h"
+#include "core/currenttime.h"
 
 namespace Egretpath
 {
--- a/src/node/exchangedriver.cpp
+++ b/src/node/exchangedriver.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "node/currenttime.h"
+#include "core/currenttime.h"
 
 namespace Egretpath
 {
--- a/src/node/ingresscall.cpp
+++ b/src/node/ingresscall.cpp
@@ -9,10 +9,10 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/currenttime.h"
 #include "node/callclassification.h"
 #include "node/calleranswer.h"
 #include "node/callerresponse.h"
-#include "node/currenttime.h"
 #include "node/headernames.h"
 #include "node/localupload.h"
 #include "node/requesttarget.h"
--- a/src/node/keyissuer.cpp
+++ b/src/node/keyissuer.cpp
@@ -2,9 +2,9 @@
 
 #include <utility>
 
+#include "core/currenttime.h"
 #include "idempotency/idempotencykey.h"
 #include "node/candidateset.h"
-#include "node/currenttime.h"
 
 namespace Egretpath
 {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,10 +10,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 
+#include "core/currenttime.h"
 #include "http/httpserver.h"
 #include "node/blackboard.h"
 #include "node/callerresponse.h"
-#include "node/currenttime.h"
 #include "node/healthcontroller.h"
 #include "node/ingresscontroller.h"
 #include "node/membershipcontroller.h"
--- a/src/node/probecontroller.cpp
+++ b/src/node/probecontroller.cpp
@@ -8,8 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/currenttime.h"
 #include "node/candidateset.h"
-#include "node/currenttime.h"
 #include "node/sighting.h"
 
 namespace Egretpath
--- a/src/node/routelog.cpp
+++ b/src/node/routelog.cpp
@@ -3,7 +3,7 @@
 #include <string>
 #include <utility>
 
-#include "node/currenttime.h"
+#include "core/currenttime.h"
 
 namespace Egretpath
 {
--- a/src/node/statuspage.cpp
+++ b/src/node/statuspage.cpp
@@ -4,7 +4,7 @@
 
 #include <boost/json.hpp>
 
-#include "node/currenttime.h"
+#include "core/currenttime.h"
 #include "node/linklabel.h"
 
 namespace Egretpath
--- a/src/node/tablecontroller.cpp
+++ b/src/node/tablecontroller.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "node/currenttime.h"
+#include "core/currenttime.h"
 
 namespace Egretpath
 {
--- a/src/node/tryevidence.cpp
+++ b/src/node/tryevidence.cpp
@@ -3,7 +3,7 @@
 #include "node/linklabel.h"
 #include "node/sighting.h"
 
-#include "node/currenttime.h"
+#include "core/currenttime.h"
 
 namespace Egretpath
 {
--- a/src/node/vmlistcontroller.cpp
+++ b/src/node/vmlistcontroller.cpp
@@ -8,8 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/currenttime.h"
 #include "distribution/vmlistsettings.h"
-#include "node/currenttime.h"
 
 namespace Egretpath
 {
--- /dev/null
+++ b/src/settings/endpointtext.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace Egretpath
+{
+
+/// The port of an "ip:port" or "[ipv6]:port" text; nothing for any other text. Thread safety: safe. Errors: none.
+[[nodiscard]] std::optional<std::uint16_t> portOfEndpoint(std::string_view text);
+
+}
--- a/src/settings/settingskeys.cpp
+++ b/src/settings/settingskeys.cpp
@@ -2,13 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <optional>
 #include <type_traits>
 #include <utility>
 
-#include <boost/asio/ip/address.hpp>
-
+#include "settings/endpointtext.h"
 #include "table/tablename.h"
 
 namespace Egretpath
@@ -55,38 +53,14 @@
     return !text.empty() && text.size() <= FilePathCap && text.find('\0') == std::string_view::npos;
 }
 
-/// The port of an "ip:port" or "[ipv6]:port" text; nothing for any other text.
-std::optional<std::uint16_t> portOf(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return std::nullopt;
-    }
-    std::string address(text.substr(0, colon));
-    const bool inBrackets = address.size() > 2 && address.front() == '[' && address.back() == ']';
-    if (inBrackets) {
-        address = address.substr(1, address.size() - 2);
-    }
-    boost::system::error_code error;
-    const auto parsed = boost::asio::ip::make_address(address, error);
-    if (error || parsed.is_v6() != inBrackets) {
-        return std::nullopt;
-    }
-    std::uint16_t port = 0;
-    const char *end = text.data() + text.size();
-    const auto result = std::from_chars(text.data() + colon + 1, end, port);
-    const bool whole = result.ec == std::errc{} && result.ptr == end;
-    return whole ? std::optional(port) : std::nullopt;
-}
-
 bool isListenEndpoint(std::string_view text)
 {
-    return portOf(text).has_value();
+    return portOfEndpoint(text).has_value();
 }
 
 bool isRemoteEndpoint(std::string_view text)
 {
-    return portOf(text).value_or(0) != 0;
+    return portOfEndpoint(text).value_or(0) != 0;
 }
 
 bool isStrategy(std::string_view text)
--- a/src/settings/sidecarsettings.cpp
+++ b/src/settings/sidecarsettings.cpp
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <optional>
 #include <utility>
 
 #include <toml++/toml.h>
 
 #include "settings/durationtext.h"
+#include "settings/endpointtext.h"
 #include "settings/settingsfile.h"
 
 namespace Egretpath
@@ -29,14 +29,7 @@
 
 bool isEndpoint(std::string_view text)
 {
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos || colon == 0) {
-        return false;
-    }
-    std::uint16_t port = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    return parsed.ec == std::errc{} && parsed.ptr == end && port != 0;
+    return portOfEndpoint(text).value_or(0) != 0;
 }
 
 enum class Presence : std::uint8_t { Required, Optional };
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/currenttime.h"
+
 namespace Egretpath
 {
 
@@ -26,11 +28,6 @@
 /// Peers asked in one round. One may be cut off itself; with two the news passes through a fleet in a few rounds.
 constexpr std::size_t PeersInRound = 2;
 
-TimePoint now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 }
 
 CatalogController::CatalogController(asio::any_io_executor executor, SidecarState &state, CatalogSource &source,
@@ -40,7 +37,7 @@
     , source_(source)
     , peers_(peers)
     , changed_(std::move(changed))
-    , started_(now())
+    , started_(currentTime())
 {
 }
 
@@ -62,7 +59,7 @@
     if (state_.directory.hasList() && request.revision < state_.directory.revision()) {
         catalog.instances = state_.directory.snapshot();
     }
-    catalog.storeInOrder = !lostSince_ && state_.directory.hasList() && !state_.directory.holdsRemovals(now());
+    catalog.storeInOrder = !lostSince_ && state_.directory.hasList() && !state_.directory.holdsRemovals(currentTime());
     return catalog;
 }
 
@@ -85,7 +82,7 @@
 
 void CatalogController::listRead(const InstanceSnapshot &snapshot)
 {
-    if (state_.directory.applySnapshot(snapshot, now())) {
+    if (state_.directory.applySnapshot(snapshot, currentTime())) {
         logList("platform", "whole");
         changed_();
     }
@@ -95,7 +92,7 @@
 {
     bool any = false;
     for (const InstanceChange &change : changes) {
-        any = state_.directory.applyChange(change, now()) || any;
+        any = state_.directory.applyChange(change, currentTime()) || any;
         StructuredLine line("upstream");
         line.add("id", change.id.value()).add("revision", change.revision.value());
         line.add("state",
@@ -112,16 +109,16 @@
 
 void CatalogController::sourceLost(std::string_view why)
 {
-    lostSince_ = now();
+    lostSince_ = currentTime();
     state_.directory.storeLost();
     state_.log.warning(StructuredLine("platform").add("state", "lost").add("why", why));
 }
 
 void CatalogController::sourceBack()
 {
-    const Duration away = lostSince_ ? now() - *lostSince_ : Duration{0};
+    const Duration away = lostSince_ ? currentTime() - *lostSince_ : Duration{0};
     lostSince_.reset();
-    state_.directory.storeBack(now());
+    state_.directory.storeBack(currentTime());
     StructuredLine line("platform");
     line.add("state", "back").add("away_ms", std::chrono::duration_cast<Milliseconds>(away).count());
     state_.log.info(line);
@@ -139,7 +136,7 @@
     while (true) {
         timer.expires_after(Round);
         co_await timer.async_wait(asio::use_awaitable);
-        if (state_.directory.expire(now())) {
+        if (state_.directory.expire(currentTime())) {
             logList("platform", "lapsed");
             changed_();
         }
@@ -152,10 +149,10 @@
 bool CatalogController::needsPeers() const
 {
     if (lostSince_) {
-        return now() - *lostSince_ >= LossBeforeAsking;
+        return currentTime() - *lostSince_ >= LossBeforeAsking;
     }
     // A store that does not answer at all has not failed yet.
-    return !state_.isReady() && !state_.stopping && now() - started_ >= LossBeforeAsking;
+    return !state_.isReady() && !state_.stopping && currentTime() - started_ >= LossBeforeAsking;
 }
 
 asio::awaitable<void> CatalogController::askPeers()
@@ -164,7 +161,7 @@
         CatalogRequest request;
         request.routes = state_.routes ? state_.routes->version() : RouteVersion();
         request.revision = state_.directory.revision();
-        const Result<Catalog> catalog = co_await peers_.catalog(peer, request, now() + PeerLimit);
+        const Result<Catalog> catalog = co_await peers_.catalog(peer, request, currentTime() + PeerLimit);
         if (catalog) {
             take(peer, catalog.value());
         }
@@ -199,7 +196,7 @@
         }
     }
     state_.directory.storeSeenInOrder(catalog.storeInOrder);
-    if (catalog.instances && state_.directory.applySnapshot(*catalog.instances, now())) {
+    if (catalog.instances && state_.directory.applySnapshot(*catalog.instances, currentTime())) {
         logList(peer.value(), "whole");
         changed_();
     }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 
+#include "core/currenttime.h"
 #include "egress/egressrole.h"
 #include "http/httpserver.h"
 #include "ingress/ingressrole.h"
@@ -58,11 +59,6 @@
     return Incarnation(std::max<std::uint64_t>(1, systemSeed()));
 }
 
-TimePoint now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 HttpLimits callerLimits(const CallerLimits &limits)
 {
     HttpLimits http;
@@ -251,7 +247,7 @@
         while (true) {
             timer.expires_after(IdleSweep);
             co_await timer.async_wait(asio::use_awaitable);
-            peers_.closeIdle(now(), PeerIdleTime);
+            peers_.closeIdle(currentTime(), PeerIdleTime);
         }
     }
 
@@ -259,27 +255,27 @@
 
     asio::awaitable<void> drain()
     {
-        const TimePoint begun = now();
+        const TimePoint begun = currentTime();
         const TimePoint end = begun + std::max<Duration>(state_.settings.grace - EndBeforeGrace, Duration{0});
         const TimePoint refusing = std::max<TimePoint>(begun, end - RefuseBeforeEnd);
         const TimePoint least = std::min<TimePoint>(begun + LeastStopTime, refusing);
         TimePoint lastBusy = begun;
         asio::steady_timer timer(executor_);
-        while (now() < end && (now() < least || now() - lastBusy < QuietBeforeEnd)) {
+        while (currentTime() < end && (currentTime() < least || currentTime() - lastBusy < QuietBeforeEnd)) {
             if (!isIdle()) {
-                lastBusy = now();
+                lastBusy = currentTime();
             }
-            egress_.setLeaving(now() >= least);
+            egress_.setLeaving(currentTime() >= least);
             // A request that is taken now could be cut by the end of the process; its caller is told at once that it
             // has not run, and when another process will be here.
-            ingress_.setClosing(now() >= refusing);
+            ingress_.setClosing(currentTime() >= refusing);
             timer.expires_after(StopStep);
             co_await timer.async_wait(asio::use_awaitable);
         }
         // What arrives on connections that are just being closed is refused and not taken.
         ingress_.setClosing(true);
         callers_.stopAccepting();
-        while (now() < end && !(isIdle() && callers_.connectionCount() == 0)) {
+        while (currentTime() < end && !(isIdle() && callers_.connectionCount() == 0)) {
             timer.expires_after(StopStep);
             co_await timer.async_wait(asio::use_awaitable);
         }
