--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -64,7 +64,7 @@
         return refusal(Reason::DeadlinePassed, offer, now);
     }
     if (offer.acceptable > Duration{0} && expected(offer, now) > offer.acceptable) {
-        return refusal(Reason::Declined, offer, now);
+        return notRun(Reason::Declined, "another upstream is thought to be quicker");
     }
     if (hasRoom()) {
         return std::nullopt;
@@ -271,14 +271,9 @@
 Failure WorkQueue::refusal(Reason reason, const WorkOffer &offer, TimePoint now) const
 {
     const auto wait = std::max(std::chrono::ceil<Milliseconds>(expectedWait(offer, now)), Milliseconds{1});
-    switch (reason) {
-    case Reason::Declined:
-        return notRun(reason, "another upstream is thought to be quicker");
-    case Reason::DeadlinePassed:
-        return notRun(reason, "the deadline passed before the request could start", wait);
-    default:
-        return notRun(Reason::Overloaded, "no slot before the deadline", wait);
-    }
+    const bool passed = reason == Reason::DeadlinePassed;
+    return notRun(reason, passed ? "the deadline passed before the request could start" : "no slot before the deadline",
+                  wait);
 }
 
 void WorkQueue::start(const WorkOffer &offer, TimePoint now)
--- a/src/daemons/egretpath-sidecar.cpp
+++ b/src/daemons/egretpath-sidecar.cpp
@@ -4,12 +4,12 @@
 #include <functional>
 #include <iostream>
 #include <memory>
-#include <random>
 #include <string>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "core/systemseed.h"
 #include "platform/platformdialect.h"
 #include "platform/storewatcher.h"
 #include "rpc/asioeventport.h"
@@ -34,7 +34,7 @@
     platform.callers = std::make_unique<Egretpath::Platform::PlatformCallerDialect>();
     platform.upstreams = std::make_unique<Egretpath::Platform::PlatformUpstreamDialect>();
     platform.catalog = std::make_unique<Egretpath::Platform::StoreWatcher>(
-        context.get_executor(), settings.store, std::move(places), Egretpath::Random(std::random_device{}()));
+        context.get_executor(), settings.store, std::move(places), Egretpath::Random(Egretpath::systemSeed()));
     return platform;
 }
 
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -206,11 +206,14 @@
     completed_.cancel();
 }
 
-/// The connection ends after a response; what callers sent behind it counts as not read.
+/// Nothing more is read, and nobody waits for the responses that are still due: the caller has gone, or the connection
+/// ends after a response, and what was sent behind that one counts as not read.
 void HttpServerConnection::stopReading()
 {
     reading_ = false;
-    for (const auto &exchange : exchanges_) {
+    // Copied: a callback may complete an exchange.
+    const auto exchanges = exchanges_;
+    for (const auto &exchange : exchanges) {
         exchange->noteCallerGone();
     }
     error_code ignored;
@@ -323,14 +326,7 @@
 void HttpServerConnection::noteCallerGone()
 {
     callerGone_ = true;
-    reading_ = false;
-    // Copied: a callback may complete an exchange.
-    const auto exchanges = exchanges_;
-    for (const auto &exchange : exchanges) {
-        exchange->noteCallerGone();
-    }
-    error_code ignored;
-    socket_.cancel(ignored);
+    stopReading();
 }
 
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,7 +1,6 @@
 #include "node/node.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,6 +10,7 @@
 #include <boost/system/system_error.hpp>
 
 #include "core/currenttime.h"
+#include "core/systemseed.h"
 #include "http/httpserver.h"
 #include "node/blackboard.h"
 #include "node/callerresponse.h"
@@ -41,18 +41,6 @@
 constexpr Milliseconds IdleSweep{10'000};
 constexpr Milliseconds PeerIdleTime{60'000};
 
-std::uint64_t systemSeed()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
-Incarnation drawIncarnation()
-{
-    // Never from the seed of the settings: two runs with the same seed are still two incarnations.
-    return Incarnation(std::max<std::uint64_t>(1, systemSeed()));
-}
-
 HttpLimits callerLimits(const LimitSettings &settings)
 {
     HttpLimits limits;
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -62,8 +62,8 @@
     /// How much longer work takes at an upstream that is warming up.
     double warmUpFactor = 1.5;
     /// What a KiB costs on a link, as a share of what an answer in time is worth. Links between regions are paid for by
-    /// volume: by the prices of the users' bench, a KiB costs about a fortieth of a request between regions, and a
-    /// seventh of that between zones.
+    /// volume: at the users' prices a KiB costs about a fortieth of a request between regions, and a seventh of that
+    /// between zones.
     double zoneCostPerKiB = 0.003;
     double regionCostPerKiB = 0.022;
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,7 +1,6 @@
 #include "sidecar/sidecar.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,6 +10,7 @@
 #include <boost/system/system_error.hpp>
 
 #include "core/currenttime.h"
+#include "core/systemseed.h"
 #include "egress/egressrole.h"
 #include "http/httpserver.h"
 #include "ingress/ingressrole.h"
@@ -48,17 +48,6 @@
 constexpr Milliseconds RefuseBeforeEnd{1600};
 constexpr Milliseconds StopStep{50};
 
-std::uint64_t systemSeed()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
-Incarnation drawIncarnation()
-{
-    return Incarnation(std::max<std::uint64_t>(1, systemSeed()));
-}
-
 HttpLimits callerLimits(const CallerLimits &limits)
 {
     HttpLimits http;
@@ -105,7 +94,7 @@
         , ingress_(executor_, ingressPlace(state_), IngressSources{state_.routes, state_.directory}, *platform_.callers,
                    egress_, peers_, state_.log, state_.metrics, Random(state_.random()))
         , catalog_(executor_, state_, *platform_.catalog, peers_, [this] { catalogChanged(); })
-        , peerServer_(context, static_cast<CallService &>(*this), PeerConnections)
+        , peerServer_(context, *this, PeerConnections)
         , callers_(executor_, callerLimits(CallerLimits()),
                    [this](HttpExchange &exchange) { return ingress_.serve(exchange); })
         , ready_(executor_, probeLimits(), [this](HttpExchange &exchange) { return serveReadiness(exchange); })
