soak: nodes as processes under seeded faults, with stand-ins that speak the platform's calls

Change: egretpath-soak starts egretpath-sidecar processes, a store (kv-range, kv-watch), upstreams with slots, relays on the ways between nodes and to the store, callers, and thirty-one kinds of fault drawn by a seed. A checker holds what callers and upstreams saw against the promises.

--- /dev/null
+++ b/tests/soak/faultplan.cpp
@@ -0,0 +1,99 @@
+#include "soak/faultplan.h"
+
+#include <algorithm>
+#include <random>
+
+namespace Egretpath
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, FaultKindCount> Names{
+    "node-kill",
+    "node-pause",
+    "node-stop",
+    "node-reload",
+    "nodes-killed-together",
+    "link-delay",
+    "link-reset",
+    "link-one-way",
+    "link-cut",
+    "link-silence",
+    "store-link-cut",
+    "store-link-reset",
+    "store-link-silence",
+    "store-down",
+    "store-busy",
+    "store-slow",
+    "store-answers-lost",
+    "store-compact",
+    "upstream-slow",
+    "upstream-failing",
+    "upstream-answers-lost",
+    "upstream-cuts-answers",
+    "upstream-unsigned",
+    "upstream-refusing",
+    "upstream-replaced",
+    "upstream-crash",
+    "caller-burst",
+    "callers-leave",
+    "routes-change",
+    "routes-storm",
+    "routes-grow",
+};
+
+/// Lasting 0.3 to 4 s: shorter and longer than the time-outs between nodes, and than what a planned stop takes.
+constexpr Milliseconds ShortestFault{300};
+constexpr Milliseconds LongestFault{4000};
+constexpr double SeriesShare = 0.2;
+constexpr double SameNodeShare = 0.5;
+
+FaultKind drawKind(const FaultPlanOptions &options, Random &random)
+{
+    if (options.kinds.empty()) {
+        return static_cast<FaultKind>(std::uniform_int_distribution<std::size_t>(0, FaultKindCount - 1)(random));
+    }
+    return options.kinds[std::uniform_int_distribution<std::size_t>(0, options.kinds.size() - 1)(random)];
+}
+
+}
+
+std::string_view toString(FaultKind kind)
+{
+    return Names.at(static_cast<std::size_t>(kind));
+}
+
+std::optional<FaultKind> faultKindFromString(std::string_view name)
+{
+    const auto *const found = std::find(Names.begin(), Names.end(), name);
+    return found == Names.end() ? std::nullopt : std::optional(static_cast<FaultKind>(found - Names.begin()));
+}
+
+std::vector<PlannedFault> drawFaults(const FaultPlanOptions &options, Random random)
+{
+    const auto between = [&random](Milliseconds least, Milliseconds most) {
+        return Milliseconds(std::uniform_int_distribution<Milliseconds::rep>(least.count(), most.count())(random));
+    };
+    const auto node = [&random, &options] {
+        return std::uniform_int_distribution<NodeNumber>(0, options.nodes - 1)(random);
+    };
+    std::vector<PlannedFault> plan;
+    const Milliseconds end = options.length - options.quietEnd;
+    for (Milliseconds at = between(Milliseconds{0}, options.gap); at < end;
+         at += between(options.gap / 2, options.gap * 2)) {
+        PlannedFault fault{at, drawKind(options, random), node(), between(ShortestFault, LongestFault)};
+        fault.length = std::min(fault.length, end - at);
+        plan.push_back(fault);
+        if (std::bernoulli_distribution(SeriesShare)(random)) {
+            fault.node = std::bernoulli_distribution(SameNodeShare)(random) ? fault.node : node();
+            fault.at = std::min(at + fault.length + between(Milliseconds{0}, ShortestFault), end);
+            plan.push_back(fault);
+        }
+    }
+    std::stable_sort(plan.begin(), plan.end(),
+                     [](const PlannedFault &left, const PlannedFault &right) { return left.at < right.at; });
+    return plan;
+}
+
+}
--- a/tests/standins/standinrelay.cpp
+++ b/tests/standins/standinrelay.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint16_t OkStatus = 200;
 constexpr std::uint16_t BadRequestStatus = 400;
 
-void reset(const std::shared_ptr<tcp::socket> &socket)
+void resetSocket(const std::shared_ptr<tcp::socket> &socket)
 {
     boost::system::error_code ignored;
     if (socket && socket->is_open()) {
@@ -55,7 +55,7 @@
     for (;;) {
         const auto client = std::make_shared<tcp::socket>(co_await acceptor_.async_accept(asio::use_awaitable));
         if (refusing_) {
-            reset(client);
+            resetSocket(client);
             continue;
         }
         asio::co_spawn(
@@ -69,7 +69,7 @@
     boost::system::error_code error;
     co_await server->async_connect(target_, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        reset(client);
+        resetSocket(client);
         co_return;
     }
     client->set_option(tcp::no_delay(true), error);
@@ -96,13 +96,33 @@
 void StandinRelay::resetAll()
 {
     for (const Connection &connection : connections_) {
-        reset(connection.client.lock());
-        reset(connection.server.lock());
+        resetSocket(connection.client.lock());
+        resetSocket(connection.server.lock());
     }
     wakeAll();
     connections_.clear();
 }
 
+void StandinRelay::setConditions(const RelayConditions &conditions)
+{
+    *conditions_ = conditions;
+    wakeAll();
+}
+
+void StandinRelay::reset(bool refusing)
+{
+    refusing_ = refusing;
+    resetAll();
+}
+
+void StandinRelay::silenceOpen()
+{
+    const RelayConditions usual = *conditions_;
+    conditions_->partitioned = true;
+    wakeAll();
+    conditions_ = std::make_shared<RelayConditions>(usual);
+}
+
 asio::awaitable<void> StandinRelay::control(HttpExchange &exchange)
 {
     const QueryTarget target(exchange.head().target);
--- a/tests/standins/standinrelay.h
+++ b/tests/standins/standinrelay.h
@@ -25,6 +25,13 @@
     /// Listens at @p endpoint and returns where. Throws boost::system::system_error when that fails.
     [[nodiscard]] Endpoint listen(const boost::asio::ip::tcp::endpoint &endpoint);
 
+    /// What happens to the bytes of all connections from now on.
+    void setConditions(const RelayConditions &conditions);
+    /// Resets all connections, and while @p refusing each new one.
+    void reset(bool refusing);
+    /// Connections that are open now carry nothing any more and are not closed; new ones work.
+    void silenceOpen();
+
     /// Serves the control endpoint.
     [[nodiscard]] boost::asio::awaitable<void> control(HttpExchange &exchange);
 
--- /dev/null
+++ b/tests/standins/standinstore.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/clock.h"
+#include "http/httpexchange.h"
+#include "standins/querytarget.h"
+
+namespace Egretpath
+{
+
+/// How the stand-in of the platform's store treats its readers.
+enum class StoreMode : std::uint8_t {
+    Up,
+    /// Connections are dropped.
+    Down,
+    /// Each call gets 503; nothing is done.
+    Busy,
+    /// Answers come late by StandinStore::setDelay().
+    Slow,
+    /// Calls are done and their connections closed without an answer.
+    AnswersLost,
+};
+
+/// The platform's store with its published calls: items with revisions, ranges in pages, watches that wait.
+///
+/// Writing is done by the test itself, as operators and upstreams would. Thread safety: none.
+class StandinStore
+{
+public:
+    explicit StandinStore(boost::asio::any_io_executor executor);
+
+    [[nodiscard]] boost::asio::awaitable<void> handle(HttpExchange &exchange);
+
+    void put(const std::string &key, std::string value);
+    void remove(const std::string &key);
+    [[nodiscard]] bool contains(const std::string &key) const { return items_.contains(key); }
+    void setMode(StoreMode mode);
+    void setDelay(Duration delay) { delay_ = delay; }
+    /// Forgets all history: watches that begin before now are told so.
+    void compact();
+    /// Calls that were answered or refused.
+    [[nodiscard]] std::uint64_t calls() const { return calls_; }
+
+private:
+    struct Item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t createdAt = 0;
+    };
+
+    struct Change
+    {
+        std::uint64_t revision = 0;
+        std::string key;
+        /// Nothing for a removal.
+        std::optional<std::string> value;
+    };
+
+    [[nodiscard]] boost::asio::awaitable<void> range(HttpExchange &exchange, const QueryTarget &target);
+    [[nodiscard]] boost::asio::awaitable<void> watch(HttpExchange &exchange, const QueryTarget &target);
+    [[nodiscard]] boost::asio::awaitable<void> waitForChange(HttpExchange &exchange, std::string prefix,
+                                                             std::uint64_t after, TimePoint end);
+    [[nodiscard]] boost::asio::awaitable<void> answer(HttpExchange &exchange, std::uint16_t status, std::string body);
+    [[nodiscard]] bool hasChange(const std::string &prefix, std::uint64_t after) const;
+    [[nodiscard]] std::string rangeText(const std::string &prefix, const std::string &after) const;
+    [[nodiscard]] std::string changesText(const std::string &prefix, std::uint64_t after) const;
+    void record(Change change);
+
+    boost::asio::any_io_executor executor_;
+    std::map<std::string, Item> items_;
+    std::deque<Change> history_;
+    /// Changes up to this one are no longer in the history.
+    std::uint64_t forgotten_ = 0;
+    std::uint64_t revision_ = 1;
+    std::uint64_t calls_ = 0;
+    StoreMode mode_ = StoreMode::Up;
+    Duration delay_ = Milliseconds(300);
+    /// Never expires; cancelled when something changes.
+    boost::asio::steady_timer changed_;
+};
+
+}
