rpc: a connection's limit can't reach for a socket that is gone

Cause: PeerClient's timer for a connection closed a socket of the attempt's own frame. When the process stood still over the limit, the connection and the timer ended in one round of the event loop; the first ended the attempt and freed the frame, the second wrote into it. Change: SocketTimer, which guards against just that.

--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -12,6 +12,7 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/debug.h>
 
+#include "http/sockettimer.h"
 #include "http/tcpendpoint.h"
 #include "rpc/asiostream.h"
 #include "rpc/kjawait.h"
@@ -314,16 +315,18 @@
         if (!address) {
             co_return notRun(Reason::ConnectFailed, "no address: " + peer.value());
         }
-        asio::steady_timer timer(executor_, std::min(deadline, std::chrono::steady_clock::now() + ConnectLimit));
-        timer.async_wait([&socket](const boost::system::error_code &error) {
-            if (!error) {
-                boost::system::error_code ignored;
-                socket.close(ignored);
-            }
+        const TimePoint limit = std::min(deadline, std::chrono::steady_clock::now() + ConnectLimit);
+        // No plain timer: when the process stood still over the limit, the connection and the timer end in the same
+        // round of the loop, and a handler that is already queued can't be cancelled. It would close a socket that is
+        // gone.
+        SocketTimer timer(executor_, [&socket] {
+            boost::system::error_code ignored;
+            socket.close(ignored);
         });
+        timer.expireAt(limit);
         boost::system::error_code error;
         co_await socket.async_connect(*address, asio::redirect_error(asio::use_awaitable, error));
-        const bool timedOut = timer.cancel() == 0;
+        const bool timedOut = std::chrono::steady_clock::now() >= limit;
         if (error || timedOut) {
             co_return notRun(Reason::ConnectFailed, timedOut ? "connecting took too long" : error.message());
         }
