rpc: a connection between nodes on which nothing arrives is left for a new one

Cause: a device on the way that forgets a connection takes bytes and closes nothing; the system's probes of the connection are answered there. Ruled out: a probe call before each use (a round trip more); ending the calls that wait (a slow peer looks the same, and a payment's answer may still come). Change: after 500 ms with an open call and no byte, new calls open another connection; the old one serves its calls. The new test fails without it.

--- a/src/rpc/asiostream.cpp
+++ b/src/rpc/asiostream.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/error.hpp>
 #include <kj/debug.h>
 
+#include "core/currenttime.h"
 #include "http/socketio.h"
 
 namespace Egretpath
@@ -43,6 +44,7 @@
 
 AsioStream::AsioStream(asio::ip::tcp::socket socket)
     : socket_(std::move(socket))
+    , lastArrival_(currentTime())
 {
     prepareSocket(socket_);
 }
@@ -82,6 +84,7 @@
         }
         alreadyRead += count;
         bytesTransferred_ += count;
+        lastArrival_ = currentTime();
         if (alreadyRead >= minBytes) {
             return alreadyRead;
         }
--- a/src/rpc/asiostream.h
+++ b/src/rpc/asiostream.h
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <kj/async-io.h>
 
+#include "core/clock.h"
+
 namespace Egretpath
 {
 
@@ -33,6 +35,8 @@
 
     /// Bytes read and written so far; they are the cost of what passes here.
     [[nodiscard]] std::uint64_t bytesTransferred() const { return bytesTransferred_; }
+    /// When bytes arrived last; the time of its making before.
+    [[nodiscard]] TimePoint lastArrival() const { return lastArrival_; }
 
 private:
     kj::Promise<void> whenReady(boost::asio::ip::tcp::socket::wait_type kind);
@@ -41,6 +45,7 @@
 
     boost::asio::ip::tcp::socket socket_;
     std::uint64_t bytesTransferred_ = 0;
+    TimePoint lastArrival_;
 };
 
 }
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -67,6 +67,9 @@
     std::shared_ptr<AnswerReceiver> receiver_;
 };
 
+/// Longer than a call takes at a busy upstream on a slow VM, and short against the time-outs of requests.
+constexpr Milliseconds SilenceLimit{500};
+
 /// A body beyond this size goes over the connection for such bodies.
 constexpr std::size_t BulkBytes = std::size_t{16} * 1024;
 
@@ -108,6 +111,19 @@
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
     Wire::Node::Client node;
     kj::Promise<void> disconnected = nullptr;
+    /// Whether a call has waited long while nothing at all arrived.
+    ///
+    /// Guards against a connection that has fallen silent without an error, as when something on the way forgot it: the
+    /// system's own probes may still be answered there, and each call sent on it would wait for its whole deadline. A
+    /// slow peer shows the same for a while, so that the connection is only left, not closed: its answers still count.
+    [[nodiscard]] bool isSilent(TimePoint now) const
+    {
+        if (openSince.empty()) {
+            return false;
+        }
+        return now - std::max(*openSince.begin(), stream.lastArrival()) > SilenceLimit;
+    }
+
     bool lost = false;
     TimePoint lastUse;
     /// When the calls began that have no answer yet.
@@ -253,7 +269,8 @@
     std::shared_ptr<PeerConnection> findOpen(const PeerAddress &address)
     {
         const auto found = connections_.find(address);
-        const bool usable = found != connections_.end() && !found->second->lost;
+        const bool usable = found != connections_.end() && !found->second->lost
+            && !found->second->isSilent(std::chrono::steady_clock::now());
         return usable ? found->second : nullptr;
     }
 
--- a/tests/rpc/peerconnecttest.cpp
+++ b/tests/rpc/peerconnecttest.cpp
@@ -65,3 +65,38 @@
     }
     mallopt(M_PERTURB, 0);
 }
+
+// Uploads to one service fail for all callers of a VM, each at its own time-out, for as long as the node runs; other
+// nodes reach the same upstream. A device on the way has forgotten the connection between the two nodes: it takes
+// bytes, passes nothing on and closes nothing, and the system's own probes of the connection are answered on the way.
+TEST_CASE("a connection on which nothing arrives any more is left for a new one")
+{
+    AsioEventPort loop;
+    asio::ip::tcp::acceptor acceptor(loop.context(), {asio::ip::make_address("127.0.0.1"), 0});
+    const Endpoint peer("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    std::vector<asio::ip::tcp::socket> accepted;
+    std::function<void()> accept = [&] {
+        acceptor.async_accept([&](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+            if (!error) {
+                accepted.push_back(std::move(socket));
+                accept();
+            }
+        });
+    };
+    accept();
+    PeerClient client(loop.context());
+    std::optional<Result<PeerProbe>> first;
+    std::optional<Result<PeerProbe>> soon;
+    std::optional<Result<PeerProbe>> later;
+    asio::co_spawn(loop.context(), ask(client, peer, first), asio::detached);
+    loop.context().run_for(Milliseconds(100));
+    asio::co_spawn(loop.context(), ask(client, peer, soon), asio::detached);
+    loop.context().run_for(Milliseconds(100));
+    CHECK(accepted.size() == 1);
+    loop.context().run_for(Milliseconds(700));
+    asio::co_spawn(loop.context(), ask(client, peer, later), asio::detached);
+    loop.context().run_for(Milliseconds(100));
+    CHECK(accepted.size() == 2);
+    // Those that wait on it go on waiting: a slow peer looks the same for a while.
+    CHECK_FALSE(first.has_value());
+}
