sidecar: a follower that is cut off itself does not drop the upstreams that lapse

Cause: VMs that are cut off from the store can't renew their entries, which vanish from its list. Change: before a removal is taken of an upstream that did not say that it leaves, a follower asks the store one cheap question (a read that may be stale, a tenth of a call); without an answer it holds removals until it has one.

--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -297,10 +297,10 @@
 void UpstreamRequest::logEnd(const CallOutcome &ended) const
 {
     const TimePoint end = currentTime();
-    if (!role_.log_.admitsDecision(end)) {
+    const auto *failure = std::get_if<Failure>(&ended.result);
+    if (!role_.log_.admitsDecision(end, failure != nullptr ? DecisionWeight::Failure : DecisionWeight::Routine)) {
         return;
     }
-    const auto *failure = std::get_if<Failure>(&ended.result);
     const auto *whole = std::get_if<WholeAnswer>(&ended.result);
     StructuredLine line("egress");
     line.add("request", head_.requestId.value()).add("try", std::uint64_t{head_.attempt});
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -522,7 +522,7 @@
 
 void ProxiedRequest::logPlacement(const Try &which, const PlacementChoice &choice, std::size_t candidateCount) const
 {
-    if (!role_.log_.admitsDecision(currentTime())) {
+    if (!role_.log_.admitsDecision(currentTime(), DecisionWeight::Routine)) {
         return;
     }
     const auto milliseconds = [](Duration duration) {
@@ -550,7 +550,8 @@
     labels.append("\",verdict=\"").append(verdict).append("\",reason=\"").append(reason).append("\"");
     role_.metrics_.count("egretpath_requests_total", labels);
     role_.metrics_.record("egretpath_request_seconds", "", currentTime() - arrival_);
-    if (!role_.log_.admitsDecision(currentTime())) {
+    const bool failed = reason != toString(Reason::None);
+    if (!role_.log_.admitsDecision(currentTime(), failed ? DecisionWeight::Failure : DecisionWeight::Routine)) {
         return;
     }
     StructuredLine line("end");
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -38,8 +38,8 @@
 constexpr std::uint8_t MostHops = 3;
 /// Between tries to follow somebody while this node reads for itself.
 constexpr Milliseconds FollowPause{100};
-/// A peer may have more than this node for so long: news reaches the nodes one after the other.
-constexpr Milliseconds AheadBeforeAsking{400};
+/// A peer may have more than this node for so long: readers gather changes for up to .9 s, each in its own rhythm.
+constexpr Milliseconds AheadBeforeAsking{1200};
 
 }
 
@@ -88,7 +88,7 @@
     if (!state_.directory.hasList() || state_.directory.holdsRemovals(currentTime())) {
         return false;
     }
-    return following_ ? currentTime() - heardAt_ < InOrderFor : !lostSince_;
+    return !lostSince_ && (!following_ || currentTime() - heardAt_ < InOrderFor);
 }
 
 asio::awaitable<Catalog> CatalogController::answer(CatalogRequest request)
@@ -256,6 +256,9 @@
 
 bool CatalogController::needsPeers() const
 {
+    if (following_) {
+        return false;
+    }
     if (lostSince_) {
         return currentTime() - *lostSince_ >= LossBeforeAsking;
     }
@@ -298,6 +301,7 @@
     election_.answered(reader);
     heardAt_ = currentTime();
     hops_ = catalog.value().hops;
+    co_await checkOwnWay(catalog.value());
     take(reader, catalog.value());
     if (following_ != reader) {
         beginFollowing(reader, catalog.value().hops);
@@ -307,13 +311,10 @@
 
 void CatalogController::beginFollowing(const Endpoint &reader, std::uint8_t hops)
 {
-    following_ = reader;
-    source_.setReading(false, state_.directory.revision());
-    if (lostSince_) {
-        // The node followed read the store all the while, or has waited for those that lapsed.
-        state_.directory.storeSeenInOrder(true);
-        sourceBack();
+    if (!following_) {
+        source_.suspend();
     }
+    following_ = reader;
     StructuredLine line("follow");
     line.add("reader", reader.value()).add("hops", std::uint64_t{hops});
     state_.log.info(line);
@@ -325,10 +326,37 @@
     line.add("reader", "none").add("was", following_->value()).add("why", why);
     state_.log.info(line);
     following_.reset();
-    source_.setReading(true, state_.directory.revision());
+    source_.resume(state_.directory.revision(), lostSince_.has_value());
     wakeAskers();
 }
 
+/// The upstream is taken off the list, and did not say that it leaves.
+bool CatalogController::lapses(const InstanceChange &change) const
+{
+    const InstanceRecord *known = state_.directory.find(change.id);
+    return !change.record && known != nullptr && known->state == InstanceState::Ready;
+}
+
+/// Guards against taking part in a mass lapse: VMs that are cut off from the store can't renew their entries and vanish
+/// from the list, though they live and reach each other. A node among them that reads the store itself knows that it is
+/// cut off and goes on using them; one that follows a node outside has to find out.
+asio::awaitable<void> CatalogController::checkOwnWay(const Catalog &catalog)
+{
+    const bool removes = std::any_of(catalog.changes.begin(), catalog.changes.end(),
+                                     [this](const InstanceChange &change) { return lapses(change); });
+    if (!removes && !lostSince_) {
+        co_return;
+    }
+    const bool reachable = co_await source_.isReachable();
+    if (!reachable && !lostSince_) {
+        sourceLost("this node can't read the platform, the node that it follows can");
+    } else if (reachable && lostSince_) {
+        // The node followed read the store all the while: what it removed is gone.
+        state_.directory.storeSeenInOrder(true);
+        sourceBack();
+    }
+}
+
 asio::awaitable<Result<Catalog>> CatalogController::ask(Endpoint peer, Milliseconds wait, Milliseconds limit)
 {
     const CatalogRequest request{mark(), wait};
@@ -356,11 +384,9 @@
     }
     state_.metrics.count("egretpath_catalog_catch_ups_total");
     state_.log.warning(StructuredLine("catch-up").add("peer", peer.value()));
-    if (following_) {
-        election_.failed(*following_, currentTime());
-        endFollowing("another node had more");
-    } else if (!lostSince_) {
-        source_.setReading(true, state_.directory.revision());
+    // A follower goes on: its reader learns of the change in the same way.
+    if (!following_ && !lostSince_) {
+        source_.resume(state_.directory.revision(), false);
     }
 }
 
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -60,6 +60,8 @@
     boost::asio::awaitable<void> followOthers();
     /// Asks @p reader for news once. Returns whether it can be followed.
     boost::asio::awaitable<bool> followOnce(Endpoint reader);
+    /// Before changes are taken that remove upstreams which did not say that they leave.
+    boost::asio::awaitable<void> checkOwnWay(const Catalog &catalog);
     boost::asio::awaitable<void> askPeers();
     boost::asio::awaitable<void> catchUp();
     [[nodiscard]] boost::asio::awaitable<Result<Catalog>> ask(Endpoint peer, Milliseconds wait, Milliseconds limit);
@@ -70,6 +72,7 @@
     bool applyChanges(const std::vector<InstanceChange> &changes, StoreRevision reached);
     void beginFollowing(const Endpoint &reader, std::uint8_t hops);
     void endFollowing(std::string_view why);
+    [[nodiscard]] bool lapses(const InstanceChange &change) const;
     [[nodiscard]] bool needsPeers() const;
     [[nodiscard]] bool isBehind(const CatalogMark &mark) const;
     [[nodiscard]] bool isInOrder() const;
--- a/src/sidecar/catalogsource.h
+++ b/src/sidecar/catalogsource.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include <boost/asio/awaitable.hpp>
+
 #include "instances/instancedirectory.h"
 #include "routes/routetable.h"
 
@@ -46,10 +48,14 @@
 
     /// Begins to read and to tell @p sink, which outlives the source.
     virtual void start(CatalogSink &sink) = 0;
-    /// Whether to go on reading. A node that follows another one needs no calls of its own; when it reads again, it
-    /// goes on behind @p listReached. Reading is on after start(). Reading that is on already begins anew: its calls
-    /// may hang on connections that have fallen silent.
-    virtual void setReading(bool reading, StoreRevision listReached) = 0;
+    /// Goes on reading behind @p listReached, and tells the sink when that works again if the source counts as @p lost.
+    /// Reading that is on already begins anew: its calls may hang on connections that have fallen silent. Reading is on
+    /// after start().
+    virtual void resume(StoreRevision listReached, bool lost) = 0;
+    /// Reads no more: a node that follows another one needs no calls of its own.
+    virtual void suspend() = 0;
+    /// Whether this node could read now, by the cheapest call there is.
+    [[nodiscard]] virtual boost::asio::awaitable<bool> isReachable() = 0;
     /// Routes that another node read from the platform. Errors: why they can't be used.
     [[nodiscard]] virtual Result<PublishedRoutes> readRoutes(std::string text) const = 0;
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -261,6 +261,7 @@
         state_.metrics.set("egretpath_upstream_running", {}, report.inFlight);
         state_.metrics.set("egretpath_upstream_queued", {}, report.queued);
         state_.metrics.set("egretpath_log_lines_dropped", {}, static_cast<double>(state_.log.droppedDecisions()));
+        state_.metrics.set("egretpath_log_lines_lost", {}, static_cast<double>(state_.log.linesLost()));
         [[maybe_unused]] const Result<void> sent = co_await exchange.respond(std::move(head), state_.metrics.text());
     }
 
--- a/src/telemetry/eventlog.cpp
+++ b/src/telemetry/eventlog.cpp
@@ -2,11 +2,14 @@
 
 #include <utility>
 
-#include <log4cxx/consoleappender.h>
+#include <unistd.h>
+
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include "telemetry/streamappender.h"
+
 namespace Egretpath
 {
 
@@ -15,16 +18,29 @@
 
 constexpr const char *Pattern = "%d{yyyy-MM-ddTHH:mm:ss.SSSZ}{GMT} %p %m%n";
 
-log4cxx::AppenderPtr makeAppender(const EventLogSettings &settings)
+/// Of the limit, the share that routine decisions may use; the rest is for failures.
+constexpr double RoutineShare = 0.7;
+
+/// Null for a file, which log4cxx writes.
+std::shared_ptr<StreamAppender> makeStream(const EventLogSettings &settings)
 {
-    auto layout = std::make_shared<log4cxx::PatternLayout>(Pattern);
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(Pattern);
     if (settings.file == EventLogSettings::StandardOutput) {
-        return std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.out"));
+        return std::make_shared<StreamAppender>(STDOUT_FILENO, layout);
     }
-    if (settings.file != "-") {
-        return std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
+    if (settings.file == "-") {
+        return std::make_shared<StreamAppender>(STDERR_FILENO, layout);
     }
-    return std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
+    return nullptr;
+}
+
+log4cxx::AppenderPtr makeAppender(const EventLogSettings &settings, const std::shared_ptr<StreamAppender> &stream)
+{
+    if (stream) {
+        return stream;
+    }
+    return std::make_shared<log4cxx::FileAppender>(std::make_shared<log4cxx::PatternLayout>(Pattern), settings.file,
+                                                   true);
 }
 
 }
@@ -33,7 +49,8 @@
 {
 public:
     explicit Implementation(const EventLogSettings &settings)
-        : appender_(makeAppender(settings))
+        : stream_(makeStream(settings))
+        , appender_(makeAppender(settings, stream_))
         , logger_(log4cxx::Logger::getLogger("egretpath"))
     {
         logger_->setAdditivity(false);
@@ -47,7 +64,10 @@
 
     [[nodiscard]] const log4cxx::LoggerPtr &logger() const { return logger_; }
 
+    [[nodiscard]] std::uint64_t linesLost() const { return stream_ ? stream_->dropped() : 0; }
+
 private:
+    std::shared_ptr<StreamAppender> stream_;
     log4cxx::AppenderPtr appender_;
     log4cxx::LoggerPtr logger_;
 };
@@ -60,7 +80,7 @@
 
 EventLog::~EventLog() = default;
 
-bool EventLog::admitsDecision(TimePoint now)
+bool EventLog::admitsDecision(TimePoint now, DecisionWeight weight)
 {
     if (!implementation_->logger()->isInfoEnabled()) {
         return false;
@@ -72,7 +92,9 @@
             warning(StructuredLine("decisions-dropped").add("count", lost));
         }
     }
-    if (writtenInSecond_ >= limit_) {
+    const bool isFailure = weight == DecisionWeight::Failure;
+    const auto limit = isFailure ? limit_ : static_cast<std::uint64_t>(RoutineShare * static_cast<double>(limit_));
+    if (writtenInSecond_ >= limit) {
         ++dropped_;
         ++droppedInSecond_;
         return false;
@@ -81,6 +103,11 @@
     return true;
 }
 
+std::uint64_t EventLog::linesLost() const
+{
+    return implementation_->linesLost();
+}
+
 void EventLog::decision(const StructuredLine &line)
 {
     info(line);
--- a/src/telemetry/eventlog.h
+++ b/src/telemetry/eventlog.h
@@ -25,11 +25,20 @@
     std::uint64_t decisionsPerSecond = 200;
 };
 
+/// Which decisions are kept when there are more than may be written.
+enum class DecisionWeight : std::uint8_t {
+    /// A step on the way, or a request that ended well.
+    Routine,
+    /// A request that failed or was refused; its lines are what an operator looks for.
+    Failure,
+};
+
 /// Writes structured lines through log4cxx: decisions under a rate limit, all other events without one.
 ///
 /// A load spike must not turn into a spike of log writing, so decisions over the limit are dropped and their count is
-/// written with the next second's first line. Preconditions: none. Thread safety: none. Errors: a file that can't be
-/// opened is reported by log4cxx on standard error and nothing is written.
+/// written with the next second's first line. A part of the limit is kept for failures. Standard output and error are
+/// never waited for; see StreamAppender. Preconditions: none. Thread safety: none. Errors: a file that can't be opened
+/// is reported by log4cxx on standard error and nothing is written.
 class EventLog
 {
 public:
@@ -40,7 +49,7 @@
 
     /// Whether a decision written now would pass level and limit. Counts a dropped one if not; ask before building the
     /// line, so that a dropped line costs nothing.
-    [[nodiscard]] bool admitsDecision(TimePoint now);
+    [[nodiscard]] bool admitsDecision(TimePoint now, DecisionWeight weight);
     /// Precondition: admitsDecision() returned true.
     void decision(const StructuredLine &line);
     void info(const StructuredLine &line);
@@ -48,6 +57,8 @@
     void error(const StructuredLine &line);
 
     [[nodiscard]] std::uint64_t droppedDecisions() const { return dropped_; }
+    /// Lines of any kind that found the output full.
+    [[nodiscard]] std::uint64_t linesLost() const;
 
 private:
     class Implementation;
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -152,16 +152,22 @@
         }
     }
 
-    void setReading(bool reading, StoreRevision /*listReached*/) override
+    void resume(StoreRevision /*listReached*/, bool lost) override
     {
         auto &sinks = catalog_.sinks_;
-        if (!reading) {
-            std::erase(sinks, sink_);
-        } else if (reachable_ && std::find(sinks.begin(), sinks.end(), sink_) == sinks.end()) {
-            start(*sink_);
+        if (!reachable_ || std::find(sinks.begin(), sinks.end(), sink_) != sinks.end()) {
+            return;
+        }
+        if (lost) {
+            sink_->sourceBack();
         }
+        start(*sink_);
     }
 
+    void suspend() override { std::erase(catalog_.sinks_, sink_); }
+
+    boost::asio::awaitable<bool> isReachable() override { co_return reachable_ && !catalog_.cutOff; }
+
     ~FakeSource() override { std::erase(catalog_.sinks_, sink_); }
     FakeSource(const FakeSource &) = delete;
     FakeSource &operator=(const FakeSource &) = delete;
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -73,6 +73,8 @@
     void silence(std::size_t node) { silent_.insert(node); }
     /// Publishes routes that only this node gets, whether it reads or not.
     void tellOnly(std::size_t node, std::uint64_t version);
+    /// Nodes that do not read it would find that they can't.
+    bool cutOff = false;
     /// Nodes made from now on can't read it.
     bool unreachable = false;
 
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -352,7 +352,7 @@
         deployment.catalog.tellOnly(firstReads ? 1 : 0, 20);
         // Requests at the reader go on to the other node, whose answers say what it has.
         own.status = 503;
-        for (int number = 0; number < 12; ++number) {
+        for (int number = 0; number < 20; ++number) {
             (void)co_await deployment.send(reader.callers, "GET", "/read/1", "c-" + std::to_string(number));
             co_await deployment.sleep(Milliseconds(100));
         }
@@ -360,3 +360,29 @@
         checkStatus(co_await deployment.send(reader.callers, "GET", "/v20/1", "late"), 200);
     });
 }
+
+// A third of the VMs is cut off from the store, and after some seconds their upstreams vanish from its list, though
+// they live. Their callers get refusals for overload, since all nodes crowd on the upstreams that are left. Nodes in
+// there that read the store know that they are cut off and go on using the lapsed ones; those that follow a node
+// outside do not.
+TEST_CASE("a follower that is cut off from the store itself does not drop upstreams that lapse")
+{
+    Deployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.until([&] { return deployment.catalog.readers() == 1; }));
+        const bool firstReads = deployment.catalog.reads(0);
+        FakeNode &reader = firstReads ? deployment.first : deployment.second;
+        FakeNode &follower = firstReads ? deployment.second : deployment.first;
+        const std::string lapsed = firstReads ? "i-2" : "i-1";
+        const std::string left = firstReads ? "i-1" : "i-2";
+        deployment.catalog.cutOff = true;
+        deployment.catalog.remove(lapsed);
+        co_await deployment.sleep(Milliseconds(300));
+        const Reply outside = co_await deployment.send(reader.callers, "GET", "/read/1", "outside");
+        CHECK(outside.body.starts_with(left + ":"));
+        for (int number = 0; number < 20; ++number) {
+            (void)co_await deployment.send(follower.callers, "GET", "/read/1", "inside-" + std::to_string(number));
+        }
+        CHECK((firstReads ? deployment.two : deployment.one).totalRuns() > 0);
+    });
+}
--- /dev/null
+++ b/tests/soak/promisecheckertest.cpp
@@ -0,0 +1,166 @@
+#include "soak/promisechecker.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/currenttime.h"
+
+using namespace Egretpath;
+
+namespace
+{
+
+const UpstreamName Upstream("u1");
+const ServiceName Payments("arrangements");
+
+/// A checker with one published version and one attempt that was sent.
+struct Checked
+{
+    Checked()
+    {
+        versions.publish({5, currentTime() - std::chrono::seconds(10), {{RouteKey("pay"), Payments}}});
+        attempt.id = RequestId("a1");
+        attempt.boot = 1;
+        attempt.route = RouteKey("pay");
+        attempt.kind = RequestKind::Unsafe;
+        attempt.method = "POST";
+        attempt.target = "/pay/1";
+        attempt.bodyDigest = "d";
+        attempt.callerService = ServiceName("intake");
+        attempt.patience = Milliseconds(1500);
+        attempt.timeout = Milliseconds(900);
+        attempt.at = currentTime();
+        checker.sent(attempt);
+        arrival = {attempt.id, "POST", "/pay/1", "d", attempt.callerService, Milliseconds(800)};
+    }
+
+    void runAt(const UpstreamName &upstream, const ServiceName &service = Payments)
+    {
+        checker.arrived(upstream, service, arrival);
+        checker.runBegan(upstream, service, arrival);
+        checker.runEnded(attempt.id);
+    }
+
+    void endWith(std::uint16_t status, const std::string &signature = {}, const std::string &body = "b")
+    {
+        AttemptEnd end;
+        end.status = status;
+        end.signature = signature;
+        end.bodyDigest = body;
+        end.at = currentTime();
+        checker.ended(attempt.id, end);
+    }
+
+    [[nodiscard]] std::string firstViolation()
+    {
+        checker.finish();
+        return checker.violations().empty() ? std::string() : checker.violations().front();
+    }
+
+    [[nodiscard]] bool breaks(const std::string &promise)
+    {
+        return firstViolation().find(": " + promise + ": ") != std::string::npos;
+    }
+
+    Disturbances disturbances{Milliseconds(3000)};
+    PublishedVersions versions;
+    PromiseChecker checker{PromiseBounds(), disturbances, versions};
+    SentAttempt attempt;
+    ArrivedRequest arrival;
+};
+
+}
+
+TEST_CASE("a request that ran once and was answered breaks nothing")
+{
+    Checked run;
+    run.runAt(Upstream);
+    run.checker.answered({run.attempt.id, 200, "s1", "b"});
+    run.endWith(200, "s1");
+    CHECK(run.firstViolation().empty());
+}
+
+TEST_CASE("each broken promise is seen")
+{
+    Checked run;
+    SECTION("a payment that runs twice")
+    {
+        run.runAt(Upstream);
+        run.runAt(UpstreamName("u2"));
+        CHECK(run.breaks("at most once"));
+    }
+    SECTION("a refusal of what ran")
+    {
+        run.runAt(Upstream);
+        run.endWith(503);
+        CHECK(run.breaks("a refusal is true"));
+    }
+    SECTION("a run after the refusal")
+    {
+        run.endWith(503);
+        run.runAt(Upstream);
+        CHECK(run.breaks("a refusal is true"));
+    }
+    SECTION("an answer that no upstream gave to this request")
+    {
+        run.runAt(Upstream);
+        run.checker.answered({run.attempt.id, 200, "s1", "b"});
+        run.endWith(200, "s2");
+        CHECK(run.breaks("each caller its own answer"));
+    }
+    SECTION("an answer with another body")
+    {
+        run.runAt(Upstream);
+        run.checker.answered({run.attempt.id, 200, "s1", "b"});
+        run.endWith(200, "s1", "half of b");
+        CHECK(run.breaks("whole answers"));
+    }
+    SECTION("a success without the upstream's word")
+    {
+        run.endWith(200);
+        CHECK(run.breaks("whole answers"));
+    }
+    SECTION("a request that was changed on its way")
+    {
+        run.arrival.target = "/pay/2";
+        run.runAt(Upstream);
+        CHECK(run.breaks("only what was asked for"));
+    }
+    SECTION("a request that nobody sent")
+    {
+        run.arrival.attempt = RequestId("a2");
+        run.checker.arrived(Upstream, Payments, run.arrival);
+        CHECK(run.breaks("only what was asked for"));
+    }
+    SECTION("a run by another service")
+    {
+        run.runAt(Upstream, ServiceName("statements"));
+        CHECK(run.breaks("the right service"));
+    }
+    SECTION("a route that is said not to exist")
+    {
+        run.endWith(404);
+        CHECK(run.breaks("routes in force in time"));
+    }
+    SECTION("work for an upstream that has left")
+    {
+        run.checker.leaving(Upstream, currentTime() - std::chrono::seconds(20));
+        run.runAt(Upstream);
+        CHECK(run.breaks("nothing for those that leave"));
+    }
+    SECTION("a process that ends by itself")
+    {
+        run.checker.crashed(3, "signal 11");
+        CHECK(run.breaks("runs on"));
+    }
+}
+
+TEST_CASE("what a node was hit by excuses its bounds of time, and not what may never happen")
+{
+    Checked run;
+    run.disturbances.begin(0, Disturbance::Unplanned, run.attempt.at);
+    run.checker.leaving(Upstream, currentTime() - std::chrono::seconds(20));
+    run.runAt(Upstream);
+    CHECK(run.firstViolation().empty());
+    run.runAt(UpstreamName("u2"));
+    CHECK(run.breaks("at most once"));
+}
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -47,6 +47,7 @@
     app.add_option("--faults", kinds, "names of faults to draw from; all by default")->delimiter(',');
     app.add_flag("--calm", options.calm, "no faults");
     app.add_option("--slack-ms", slackMilliseconds, "added to each bound of time");
+    app.add_option("--recovered", options.recoveredShare, "of the attempts after the faults, the share that succeeds");
     app.add_option("--network", options.deployment.network, "first half of the loopback addresses");
     app.add_option("--program", program, "the node's program");
     app.add_option("--output", directory, "folder for settings and logs of the nodes")->required();
--- a/tests/telemetry/telemetrytest.cpp
+++ b/tests/telemetry/telemetrytest.cpp
@@ -26,11 +26,28 @@
     settings.decisionsPerSecond = 2;
     EventLog log(settings);
     const TimePoint start = TimePoint() + std::chrono::hours(1);
-    CHECK(log.admitsDecision(start));
-    CHECK(log.admitsDecision(start));
-    CHECK_FALSE(log.admitsDecision(start));
+    CHECK(log.admitsDecision(start, DecisionWeight::Failure));
+    CHECK(log.admitsDecision(start, DecisionWeight::Failure));
+    CHECK_FALSE(log.admitsDecision(start, DecisionWeight::Failure));
     CHECK(log.droppedDecisions() == 1);
-    CHECK(log.admitsDecision(start + std::chrono::seconds(1)));
+    CHECK(log.admitsDecision(start + std::chrono::seconds(1), DecisionWeight::Failure));
+}
+
+TEST_CASE("a part of the lines is kept for requests that fail")
+{
+    // Under load nearly all lines tell of requests that went well, and the engineer on call finds none of the one that
+    // a user complains of.
+    EventLogSettings settings;
+    settings.file = "/dev/null";
+    settings.decisionsPerSecond = 10;
+    EventLog log(settings);
+    const TimePoint start = TimePoint() + std::chrono::hours(1);
+    int routine = 0;
+    for (int count = 0; count < 20; ++count) {
+        routine += log.admitsDecision(start, DecisionWeight::Routine) ? 1 : 0;
+    }
+    CHECK(routine == 7);
+    CHECK(log.admitsDecision(start, DecisionWeight::Failure));
 }
 
 TEST_CASE("a quantile is the upper edge of its bucket")
