instances: news of the store spreads as trees, so that no node passes it on to many

Cause: a reader with 64 followers would send 64 x 320 bytes each half second, 41 KB/s at 22,000 nodes (rpc-bench quietQuestion: 320 bytes a question); a node may spend 3 KB/s. Ruled out: fewer followers for each reader (more readers than the store's rate allows at one in four), rarer questions (a source that froze would be noticed too late). Change: nodes below a reader follow their parent in a tree of three; questions each .7 s.

--- /dev/null
+++ b/bench/node/catalogbench.cpp
@@ -0,0 +1,78 @@
+// What one change of the list of upstreams costs a node, by the size of the fleet.
+
+#include <string>
+
+#include <benchmark/benchmark.h>
+
+#include "instances/instancedirectory.h"
+#include "instances/readerelection.h"
+
+using namespace Egretpath;
+
+namespace
+{
+
+constexpr int Regions = 7;
+constexpr int Services = 970;
+const TimePoint Start{std::chrono::seconds(1000)};
+
+InstanceRecord recordOf(int number, std::uint64_t revision)
+{
+    InstanceRecord record;
+    const std::string host = "10." + std::to_string(number / 65536) + "." + std::to_string(number / 256 % 256) + "."
+        + std::to_string(number % 256);
+    record.id = UpstreamName("i-" + std::to_string(number));
+    record.service = ServiceName("service-" + std::to_string(number % Services));
+    record.location = {RegionName("region-" + std::to_string(number % Regions)),
+                       ZoneName("zone-" + std::to_string(number % 16))};
+    record.address = Endpoint(host + ":8301");
+    record.node = Endpoint(host + ":7620");
+    record.slots = 6;
+    record.revision = StoreRevision(revision);
+    return record;
+}
+
+InstanceDirectory fleetOf(int size)
+{
+    InstanceSnapshot snapshot;
+    snapshot.revision = StoreRevision(1);
+    for (int number = 0; number < size; ++number) {
+        snapshot.records.push_back(recordOf(number, 1));
+    }
+    InstanceDirectory directory;
+    directory.applySnapshot(snapshot, Start);
+    return directory;
+}
+
+/// A change comes in, the index is built for the next request, and the readers are ranked anew.
+void oneChange(benchmark::State &state)
+{
+    const int size = static_cast<int>(state.range(0));
+    InstanceDirectory directory = fleetOf(size);
+    ReaderElection election(RegionName("region-0"));
+    std::uint64_t revision = 1;
+    for (auto step : state) {
+        benchmark::DoNotOptimize(step);
+        const InstanceRecord record = recordOf(static_cast<int>(++revision) % size, revision);
+        directory.applyChange({record.id, record.revision, record}, Start);
+        benchmark::DoNotOptimize(directory.ready(record.service).size());
+        election.update(directory, recordOf(0, 1).node);
+    }
+}
+
+/// What a reader puts together for a follower that lacks one change.
+void oneAnswer(benchmark::State &state)
+{
+    const InstanceDirectory directory = fleetOf(static_cast<int>(state.range(0)));
+    for (auto step : state) {
+        benchmark::DoNotOptimize(step);
+        benchmark::DoNotOptimize(directory.changesSince(StoreRevision(1)));
+    }
+}
+
+BENCHMARK(oneChange)->Arg(18)->Arg(1000)->Arg(5000)->Arg(22000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(oneAnswer)->Arg(18)->Arg(1000)->Arg(5000)->Arg(22000)->Unit(benchmark::kMicrosecond);
+
+}
+
+BENCHMARK_MAIN();
--- a/bench/node/rpcbench.cpp
+++ b/bench/node/rpcbench.cpp
@@ -88,6 +88,32 @@
     port.context().run();
 }
 
+asio::awaitable<void> askOften(PeerClient &client, benchmark::State &state)
+{
+    for (auto step : state) {
+        benchmark::DoNotOptimize(step);
+        const TimePoint deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        const auto catalog = co_await client.catalog(ServerEndpoint, CatalogRequest(), deadline);
+        if (!catalog) {
+            state.SkipWithError("a question failed");
+            break;
+        }
+    }
+}
+
+/// A follower's question when there is nothing new; `bytes` are those of both directions.
+void quietQuestion(benchmark::State &state)
+{
+    AsioEventPort port;
+    EchoService service;
+    PeerServer server(port.context(), service, ConnectionCap);
+    server.listen(ServerEndpoint);
+    PeerClient client(port.context());
+    asio::co_spawn(port.context(), askOften(client, state), [&port](std::exception_ptr) { port.context().stop(); });
+    port.context().run();
+    state.counters["bytes"] = static_cast<double>(client.bytesTransferred()) / static_cast<double>(state.iterations());
+}
+
 void decisionLine(benchmark::State &state)
 {
     EventLogSettings settings;
@@ -107,6 +133,7 @@
 }
 
 BENCHMARK(callBetweenNodes)->Arg(200)->Arg(16'000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(quietQuestion)->Unit(benchmark::kMicrosecond);
 // A limit of zero shows what a dropped line costs.
 BENCHMARK(decisionLine)->Arg(NoLimit)->Arg(0)->Unit(benchmark::kNanosecond);
 
--- a/src/instances/readerelection.cpp
+++ b/src/instances/readerelection.cpp
@@ -21,17 +21,19 @@
     const std::vector<Endpoint> ranked = rankedNodes(directory);
     const auto place = std::find(ranked.begin(), ranked.end(), own);
     const auto rank = static_cast<std::size_t>(place - ranked.begin());
-    const std::size_t readers = (ranked.size() + settings_.followersPerReader - 1) / settings_.followersPerReader;
+    const std::size_t readers = (ranked.size() + settings_.nodesPerReader - 1) / settings_.nodesPerReader;
     if (rank < readers || place == ranked.end()) {
         return;
     }
-    sources_.assign(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(readers));
-    // Followers spread over the readers, each by an order of its own.
-    std::sort(sources_.begin(), sources_.end(), [&own](const Endpoint &left, const Endpoint &right) {
-        return stableHash(left.value() + own.value()) < stableHash(right.value() + own.value());
-    });
-    sources_.insert(sources_.end(), ranked.begin() + static_cast<std::ptrdiff_t>(readers), place);
-    sources_.resize(std::min(sources_.size(), settings_.mostSources));
+    const std::size_t parent = (rank - readers) / settings_.followersPerNode;
+    // Then readers, from a different one for each node: when a node with many below it is lost, they spread.
+    for (const std::size_t source : {parent, rank % readers, (rank + 1) % readers, parent + 1}) {
+        const Endpoint &node = ranked[std::min(source, rank - 1)];
+        const bool known = std::find(sources_.begin(), sources_.end(), node) != sources_.end();
+        if (!known && sources_.size() < settings_.mostSources) {
+            sources_.push_back(node);
+        }
+    }
 }
 
 std::optional<Endpoint> ReaderElection::source(TimePoint now) const
--- a/src/instances/readerelection.h
+++ b/src/instances/readerelection.h
@@ -14,9 +14,12 @@
 /// Constants of ReaderElection.
 struct ReaderElectionSettings
 {
-    /// Nodes of a region that one reader passes news on to. At 22,000 nodes in 7 regions that makes 350 readers, whose
-    /// watches stay under a fifth of the store's 2,000 reads a second at a change in 3.5 s.
-    std::size_t followersPerReader = 64;
+    /// Nodes of a region for one reader. At 22,000 nodes in 7 regions that makes 350 readers, whose watches stay under
+    /// a fifth of the store's 2,000 reads a second at a change in 3.5 s.
+    std::size_t nodesPerReader = 64;
+    /// Nodes that one node passes news on to. A question and its answer take 320 bytes: three of them and its own each
+    /// .7 s are 1.8 KB/s, under the 3 KB/s that a node may spend; news is four steps from the store.
+    std::size_t followersPerNode = 3;
     /// How many others are asked before this node reads for itself.
     std::size_t mostSources = 3;
     /// A source that failed is left alone for this long, twice as long after each further failure, up to the limit.
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -29,13 +29,14 @@
 constexpr std::size_t PeersInRound = 2;
 /// A reader answers a follower after this time at the latest, so that one that froze or was cut off is noticed within
 /// FollowWait and FollowMargin, and the next one has still told of a change within two seconds.
-constexpr Milliseconds FollowWait{500};
+constexpr Milliseconds FollowWait{700};
 /// For the way there and back, with one lost packet.
 constexpr Milliseconds FollowMargin{400};
 /// A follower of a node that was heard longer ago says no longer that its list is in order.
-constexpr Milliseconds InOrderFor{1200};
-/// News passes through so many nodes at most; a longer chain is a circle, in which nobody reads.
-constexpr std::uint8_t MostHops = 3;
+constexpr Milliseconds InOrderFor{1400};
+/// News passes through so many nodes at most, twice as many as the trees are deep; a longer chain is a circle, in which
+/// nobody reads.
+constexpr std::uint8_t MostHops = 8;
 /// Between tries to follow somebody while this node reads for itself.
 constexpr Milliseconds FollowPause{100};
 /// A peer may have more than this node for so long: readers gather changes for up to .9 s, each in its own rhythm.
