--- a/src/instances/readerelection.cpp
+++ b/src/instances/readerelection.cpp
@@ -18,11 +18,10 @@
 void ReaderElection::update(const InstanceDirectory &directory, const Endpoint &own)
 {
     sources_.clear();
-    const std::vector<Endpoint> ranked = rankedNodes(directory);
-    const auto place = std::find(ranked.begin(), ranked.end(), own);
-    const auto rank = static_cast<std::size_t>(place - ranked.begin());
+    const std::vector<Endpoint> ranked = rankedNodes(directory, own);
+    const auto rank = static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), own) - ranked.begin());
     const std::size_t readers = (ranked.size() + settings_.nodesPerReader - 1) / settings_.nodesPerReader;
-    if (rank < readers || place == ranked.end()) {
+    if (rank < readers) {
         return;
     }
     const std::size_t parent = (rank - readers) / settings_.followersPerNode;
@@ -56,14 +55,15 @@
     ++distrust.failures;
 }
 
-std::vector<Endpoint> ReaderElection::rankedNodes(const InstanceDirectory &directory) const
+/// With @p own among them also when its upstream is not listed yet.
+std::vector<Endpoint> ReaderElection::rankedNodes(const InstanceDirectory &directory, const Endpoint &own) const
 {
     struct Ranked
     {
         std::uint64_t hash = 0;
         Endpoint node;
     };
-    std::vector<Ranked> ranked;
+    std::vector<Ranked> ranked{{stableHash(own.value()), own}};
     directory.forEachReady([&](const InstanceRecord &record) {
         if (record.location.region == region_) {
             ranked.push_back({stableHash(record.node.value()), record.node});
--- a/src/instances/readerelection.h
+++ b/src/instances/readerelection.h
@@ -40,7 +40,7 @@
 public:
     explicit ReaderElection(RegionName region, ReaderElectionSettings settings = {});
 
-    /// Takes a changed list, in which this node stands as @p own. A node that is not in it reads for itself.
+    /// Takes a changed list, in which this node stands as @p own, or would if its upstream were listed.
     void update(const InstanceDirectory &directory, const Endpoint &own);
     /// Whom to follow now; nothing: this node reads the store.
     [[nodiscard]] std::optional<Endpoint> source(TimePoint now) const;
@@ -58,7 +58,7 @@
         std::uint32_t failures = 0;
     };
 
-    [[nodiscard]] std::vector<Endpoint> rankedNodes(const InstanceDirectory &directory) const;
+    [[nodiscard]] std::vector<Endpoint> rankedNodes(const InstanceDirectory &directory, const Endpoint &own) const;
 
     RegionName region_;
     ReaderElectionSettings settings_;
--- a/src/settings/sidecarsettings.h
+++ b/src/settings/sidecarsettings.h
@@ -31,7 +31,7 @@
 [[nodiscard]] std::string_view toString(LogLevel level);
 
 /// All settings of a node that runs beside an upstream on a platform. Plain data; made whole and in range by
-/// readSidecarSettings(). docs/settings/sidecar.md describes each key.
+/// readSidecarSettings(). docs/SETTINGS.md describes each key.
 struct SidecarSettings
 {
     // [node]
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -30,6 +30,9 @@
 /// A reader answers a follower after this time at the latest, so that one that froze or was cut off is noticed within
 /// FollowWait and FollowMargin, and the next one has still told of a change within two seconds.
 constexpr Milliseconds FollowWait{700};
+/// A node that the settings name answers a starting one after this time at the latest: it may start itself, and has read
+/// the store within some 50 ms.
+constexpr Milliseconds SeedWait{400};
 /// For the way there and back, with one lost packet.
 constexpr Milliseconds FollowMargin{400};
 /// A follower of a node that was heard longer ago says no longer that its list is in order.
@@ -59,9 +62,9 @@
 
 void CatalogController::start()
 {
-    source_.start(*this);
+    source_.attach(*this);
     asio::co_spawn(executor_, watchOver(), asio::detached);
-    asio::co_spawn(executor_, followOthers(), asio::detached);
+    asio::co_spawn(executor_, begin(), asio::detached);
 }
 
 CatalogMark CatalogController::mark() const
@@ -103,9 +106,13 @@
     });
     const auto hasNews = [this, &request] {
         const CatalogMark has = mark();
-        return has.routes > request.have.routes || has.list > request.have.list;
+        const bool asksForAll = request.have.routes.value() == 0 && request.have.list.value() == 0;
+        const bool newerRoutes = has.routes > request.have.routes;
+        const bool newerList = has.list > request.have.list;
+        return asksForAll ? newerRoutes && newerList : newerRoutes || newerList;
     };
-    while (!hasNews() && isInOrder() && currentTime() < end) {
+    // A node that has just started waits as well: it may have read all in a moment.
+    while (!hasNews() && (isInOrder() || !state_.directory.hasList()) && currentTime() < end) {
         boost::system::error_code ignored;
         co_await news_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -267,17 +274,58 @@
     return !state_.isReady() && !state_.stopping && currentTime() - started_ >= LossBeforeAsking;
 }
 
+/// A fleet that starts whole, or a VM after the other, would read everything from the store as many times as there are
+/// nodes. The nodes that the settings name read it, the others ask these.
+asio::awaitable<void> CatalogController::begin()
+{
+    std::vector<Endpoint> seeds = state_.settings.seeds;
+    const bool isSeed = std::erase(seeds, state_.settings.starters) > 0;
+    std::shuffle(seeds.begin(), seeds.end(), state_.random);
+    if (!isSeed) {
+        for (const Endpoint &seed : seeds) {
+            if (co_await beginAt(seed)) {
+                break;
+            }
+        }
+    }
+    if (!following_) {
+        source_.resume(StoreRevision(), false);
+    }
+    co_await followOthers();
+}
+
+asio::awaitable<bool> CatalogController::beginAt(Endpoint seed)
+{
+    const Result<Catalog> catalog = co_await ask(seed, SeedWait, SeedWait + FollowMargin);
+    if (!isUsable(catalog) || catalog.value().has.routes.value() == 0) {
+        co_return false;
+    }
+    take(seed, catalog.value());
+    heardAt_ = currentTime();
+    hops_ = catalog.value().hops;
+    beginFollowing(seed, hops_);
+    co_return true;
+}
+
+bool CatalogController::isUsable(const Result<Catalog> &catalog)
+{
+    return catalog && catalog.value().storeInOrder && catalog.value().hops < MostHops;
+}
+
 asio::awaitable<void> CatalogController::followOthers()
 {
     asio::steady_timer timer(executor_);
     while (true) {
-        const std::optional<Endpoint> reader =
-            state_.directory.hasList() ? election_.source(currentTime()) : std::nullopt;
+        std::optional<Endpoint> reader;
+        if (state_.directory.hasList() && !election_.isReader()) {
+            const std::optional<Endpoint> chosen = election_.source(currentTime());
+            reader = chosen ? chosen : following_;
+        }
         bool followed = false;
         if (reader) {
             followed = co_await followOnce(*reader);
         } else if (following_) {
-            endFollowing("no node to follow");
+            endFollowing("this node reads for others");
         }
         if (!followed && !following_) {
             timer.expires_after(FollowPause);
@@ -291,8 +339,7 @@
     // The first answer comes at once: until then this node reads for itself.
     const Milliseconds wait = following_ == reader ? FollowWait : Milliseconds{0};
     const Result<Catalog> catalog = co_await ask(reader, wait, wait + FollowMargin);
-    const bool usable = catalog && catalog.value().storeInOrder && catalog.value().hops < MostHops;
-    if (!usable) {
+    if (!isUsable(catalog)) {
         election_.failed(reader, currentTime());
         if (following_ == reader) {
             endFollowing(catalog ? "the node followed can't read the platform" : catalog.error().detail);
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -57,6 +57,9 @@
     };
 
     boost::asio::awaitable<void> watchOver();
+    /// Takes routes and list from a node that has them; reads the platform when there is none.
+    boost::asio::awaitable<void> begin();
+    boost::asio::awaitable<bool> beginAt(Endpoint seed);
     boost::asio::awaitable<void> followOthers();
     /// Asks @p reader for news once. Returns whether it can be followed.
     boost::asio::awaitable<bool> followOnce(Endpoint reader);
@@ -77,6 +80,7 @@
     [[nodiscard]] bool isBehind(const CatalogMark &mark) const;
     [[nodiscard]] bool isInOrder() const;
     [[nodiscard]] Endpoint ownNode() const;
+    [[nodiscard]] static bool isUsable(const Result<Catalog> &catalog);
     void listChanged();
     void wakeAskers() { news_.cancel(); }
     void logList(std::string_view from, std::string_view what) const;
--- a/tests/standins/standinrelay.h
+++ b/tests/standins/standinrelay.h
@@ -16,7 +16,7 @@
 {
 
 /// Passes TCP connections on to another address, and delays, slows down, holds back or cuts them on demand. See
-/// docs/standins.md. Thread safety: none.
+/// docs/SOAK.md. Thread safety: none.
 class StandinRelay
 {
 public:
