--- /dev/null
+++ b/bench/replay/main.cpp
@@ -0,0 +1,98 @@
+// Plays loads against the node's decisions and the plain rules, in virtual time, and prints a table of figures.
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+
+#include "replay/replay.h"
+
+using namespace Egretpath;
+
+namespace
+{
+
+struct NamedLoad
+{
+    const char *name;
+    double rate;
+    double burst;
+};
+
+/// Of the six upstreams' capacity, with VMs slow as they are, about .5, then .5 with 5 s of twice that, and 1.1.
+constexpr NamedLoad Loads[] = {{"calm", 110, 1.0}, {"burst", 110, 2.0}, {"overload", 240, 1.0}};
+
+/// Least, median and most over the seeds.
+std::string spread(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    char text[64];
+    std::snprintf(text, sizeof text, "%.3f/%.3f/%.3f", values.front(), values[values.size() / 2], values.back());
+    return text;
+}
+
+void printRow(const NamedLoad &named, ReplaySettings settings, const char *name, const ReplayLoad &load,
+              std::uint64_t seeds)
+{
+    std::vector<double> worth;
+    std::vector<double> inTarget;
+    std::vector<double> late;
+    std::vector<double> refused;
+    std::vector<double> failed;
+    std::vector<double> sendings;
+    for (settings.seed = 1; settings.seed <= seeds; ++settings.seed) {
+        const ReplayResult result = replay(load, settings);
+        worth.push_back(result.worth());
+        inTarget.push_back(result.inTarget);
+        late.push_back(result.late);
+        refused.push_back(result.refused);
+        failed.push_back(result.failed);
+        sendings.push_back(result.sendings);
+    }
+    std::printf("%-9s %-16s %s  %s  %s  %s  %s  %s\n", named.name, name, spread(worth).c_str(),
+                spread(inTarget).c_str(), spread(late).c_str(), spread(refused).c_str(), spread(failed).c_str(),
+                spread(sendings).c_str());
+}
+
+}
+
+int main(int argumentCount, char **arguments)
+{
+    ReplayLoad load;
+    std::uint64_t seeds = 5;
+    double rateFactor = 1.0;
+    CLI::App app("Plays loads against the node's decisions and plain rules; least/median/most over the seeds.");
+    app.add_option("--seeds", seeds, "seeds 1 to this one");
+    app.add_option("--rate-factor", rateFactor, "requests come this many times as often");
+    app.add_option("--slow-share", load.slowShare, "share of the time for which a VM is slow");
+    app.add_option("--slow-factor", load.slowFactor, "how many times longer work takes then");
+    app.add_option("--slots", load.slots, "requests that an upstream works on at a time");
+    CLI11_PARSE(app, argumentCount, arguments);
+    std::printf(
+        "load      rule             worth              in target          late               refused            "
+        "failed             sendings\n");
+    for (const NamedLoad &named : Loads) {
+        load.rate = named.rate * rateFactor;
+        load.burst = named.burst;
+        for (const ReplayRule rule : {ReplayRule::Random, ReplayRule::RoundRobin, ReplayRule::LeastInFlight,
+                                      ReplayRule::TwoChoices, ReplayRule::Egretpath}) {
+            ReplaySettings settings;
+            settings.rule = rule;
+            printRow(named, settings, std::string(toString(rule)).c_str(), load, seeds);
+        }
+        ReplaySettings without;
+        without.declines = false;
+        printRow(named, without, "- no declining", load, seeds);
+        without = ReplaySettings();
+        without.queue.comfortableFill = 1.0;
+        printRow(named, without, "- all slots", load, seeds);
+        without = ReplaySettings();
+        without.queue.lateBacklog = 1000.0;
+        without.queue.lateWait = 1000.0;
+        printRow(named, without, "- late ones wait", load, seeds);
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/replay/replay.cpp
@@ -0,0 +1,465 @@
+#include "replay/replay.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "core/random.h"
+#include "routing/placementview.h"
+
+namespace Egretpath
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 5> RuleNames{"random", "round-robin", "least-in-flight", "two-choices",
+                                                    "egretpath"};
+const TimePoint Start{std::chrono::seconds(1000)};
+constexpr std::size_t Zones = 6;
+constexpr std::size_t Regions = 3;
+constexpr std::array<Microseconds, LinkKindCount> OneWay{Microseconds(200), Microseconds(1400), Microseconds(8000)};
+constexpr unsigned MostQuestions = 3;
+constexpr unsigned MostSendings = 8;
+constexpr unsigned CallerReturns = 2;
+constexpr double DeclineMargin = 1.1;
+constexpr double LateWorth = 0.1;
+/// Of a plain rule's upstream: requests that wait in its own queue, for each slot.
+constexpr std::uint32_t QueueOfSlot = 2;
+constexpr Milliseconds PlainReturn{200};
+/// Callers return within a third of the time that they have left.
+constexpr int ReturnShare = 3;
+const RouteName Route("replayed");
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+Location zoneOf(std::size_t number)
+{
+    const std::size_t zone = number % Zones;
+    return {RegionName("region-" + std::to_string(zone % Regions)), ZoneName("zone-" + std::to_string(zone))};
+}
+
+UpstreamName nameOf(std::size_t upstream)
+{
+    return UpstreamName("u" + std::to_string(upstream));
+}
+
+/// One request of a caller, from its first attempt to its end.
+struct Request
+{
+    std::size_t node = 0;
+    TimePoint first;
+    TimePoint target;
+    TimePoint deadline;
+    Duration work{0};
+    unsigned sendings = 0;
+    unsigned returns = 0;
+    std::vector<UpstreamName> excluded;
+    bool ended = false;
+};
+using RequestPointer = std::shared_ptr<Request>;
+
+class Replay
+{
+public:
+    Replay(const ReplayLoad &load, const ReplaySettings &settings)
+        : load_(load)
+        , settings_(settings)
+        , arrivals_(settings.seed)
+        , spells_(settings.seed + 1'000'003)
+        , choices_(settings.seed + 2'000'003)
+    {
+        for (std::size_t number = 0; number < load_.upstreams; ++number) {
+            upstreams_.push_back(std::make_unique<Upstream>(settings_.queue, load_.slots));
+            candidates_.push_back({nameOf(number), zoneOf(number), false});
+            changePace(number, Start);
+        }
+        for (std::size_t number = 0; number < load_.nodes; ++number) {
+            nodes_.push_back(std::make_unique<Node>(zoneOf(number), settings.seed + number));
+        }
+    }
+
+    ReplayResult run()
+    {
+        scheduleArrival(Start);
+        while (!events_.empty()) {
+            Event event = events_.top();
+            events_.pop();
+            now_ = event.at;
+            event.action();
+        }
+        const auto all = static_cast<double>(std::max<std::uint64_t>(requests_, 1));
+        result_.inTarget /= all;
+        result_.late /= all;
+        result_.refused /= all;
+        result_.failed /= all;
+        result_.sendings /= all;
+        return result_;
+    }
+
+private:
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t number = 0;
+        std::function<void()> action;
+        friend bool operator<(const Event &left, const Event &right)
+        {
+            return std::pair(left.at, left.number) > std::pair(right.at, right.number);
+        }
+    };
+
+    struct Work
+    {
+        RequestPointer request;
+        std::uint64_t run = 0;
+    };
+
+    struct Upstream
+    {
+        Upstream(const WorkQueueSettings &settings, std::uint32_t slots)
+            : queue(settings)
+        {
+            (void)queue.setSlots(slots, Start);
+        }
+
+        WorkQueue queue;
+        double pace = 1.0;
+        /// At work, by the id under which they were offered.
+        std::map<CallId, Work> running;
+        /// Offered and not begun.
+        std::map<CallId, RequestPointer> waiting;
+        /// The upstream's own queue, under the plain rules.
+        std::deque<RequestPointer> plain;
+    };
+
+    struct Node
+    {
+        Node(Location place, std::uint64_t seed)
+            : location(std::move(place))
+            , placement(location, view, Random(seed))
+        {
+        }
+
+        Location location;
+        PlacementView view;
+        Placement placement;
+        std::map<std::size_t, int> underWay;
+        std::size_t next = 0;
+    };
+
+    void at(TimePoint time, std::function<void()> action) { events_.push({time, ++eventNumber_, std::move(action)}); }
+
+    void scheduleArrival(TimePoint after)
+    {
+        const Duration passed = after - Start;
+        const bool bursts = passed >= load_.burstFrom && passed < load_.burstTo;
+        std::exponential_distribution<double> gap(load_.rate * (bursts ? load_.burst : 1.0));
+        const TimePoint time = after + scaled(std::chrono::seconds(1), gap(arrivals_));
+        if (time - Start > load_.length) {
+            return;
+        }
+        const auto request = std::make_shared<Request>();
+        request->node = arrivals_() % load_.nodes;
+        request->work = scaled(load_.work, std::lognormal_distribution<double>(0.0, load_.workSpread)(arrivals_));
+        request->first = time;
+        request->target = time + load_.target;
+        request->deadline = time + load_.deadline;
+        at(time, [this, request, time] {
+            ++requests_;
+            send(request);
+            scheduleArrival(time);
+        });
+    }
+
+    /// A VM is slow or not for a spell, and then draws anew.
+    void changePace(std::size_t upstream, TimePoint time)
+    {
+        upstreams_[upstream]->pace = std::bernoulli_distribution(load_.slowShare)(spells_) ? load_.slowFactor : 1.0;
+        std::exponential_distribution<double> length(1.0);
+        const TimePoint end = time + scaled(load_.spell, length(spells_));
+        if (end - Start < load_.length) {
+            at(end, [this, upstream, end] { changePace(upstream, end); });
+        }
+    }
+
+    // ---- the node at which the request began
+
+    void send(const RequestPointer &request)
+    {
+        if (now_ >= request->deadline) {
+            end(request, result_.failed);
+            return;
+        }
+        ++result_.sendings;
+        ++request->sendings;
+        Node &node = *nodes_[request->node];
+        Duration acceptable{0};
+        const std::size_t upstream = choose(node, *request, acceptable);
+        ++node.underWay[upstream];
+        node.view.onSent(nameOf(upstream));
+        at(now_ + crossing(*request, upstream), [this, request, upstream, acceptable] {
+            settings_.rule == ReplayRule::Egretpath ? offer(request, upstream, acceptable)
+                                                    : offerPlain(request, upstream);
+        });
+    }
+
+    std::size_t choose(Node &node, const Request &request, Duration &acceptable)
+    {
+        switch (settings_.rule) {
+        case ReplayRule::Random:
+            return choices_() % load_.upstreams;
+        case ReplayRule::RoundRobin:
+            return node.next++ % load_.upstreams;
+        case ReplayRule::LeastInFlight:
+            return leastOf(node, load_.upstreams);
+        case ReplayRule::TwoChoices:
+            return leastOf(node, 2);
+        case ReplayRule::Egretpath:
+            break;
+        }
+        return choosePlaced(node, request, acceptable);
+    }
+
+    std::size_t leastOf(Node &node, std::size_t count)
+    {
+        const std::size_t first = choices_() % load_.upstreams;
+        std::size_t best = first;
+        for (std::size_t step = 1; step < count; ++step) {
+            const std::size_t other = count == 2 ? choices_() % load_.upstreams : (first + step) % load_.upstreams;
+            best = node.underWay[other] < node.underWay[best] ? other : best;
+        }
+        return best;
+    }
+
+    std::size_t choosePlaced(Node &node, const Request &request, Duration &acceptable)
+    {
+        PlacementRequest wanted;
+        wanted.candidates = candidates_;
+        wanted.excluded = request.excluded;
+        wanted.demand.usualTime = load_.work;
+        wanted.targetLeft = request.target - now_;
+        wanted.payload = Bytes(2500);
+        wanted.now = now_;
+        auto choice = node.placement.choose(wanted);
+        if (!choice) {
+            wanted.excluded = {};
+            choice = node.placement.choose(wanted);
+        }
+        if (settings_.declines && request.sendings <= MostQuestions) {
+            acceptable = scaled(choice->acceptable, DeclineMargin);
+        }
+        return choice->candidate;
+    }
+
+    Duration crossing(const Request &request, std::size_t upstream) const
+    {
+        const LinkKind link = linkBetween(nodes_[request.node]->location, candidates_[upstream].location);
+        return OneWay.at(static_cast<std::size_t>(link));
+    }
+
+    /// An outcome reaches the node at which the request began.
+    void reply(const RequestPointer &request, std::size_t upstream, std::function<void()> action)
+    {
+        const LoadReport report = upstreams_[upstream]->queue.report(Route, now_);
+        at(now_ + crossing(*request, upstream), [this, request, upstream, report, action = std::move(action)] {
+            Node &node = *nodes_[request->node];
+            --node.underWay[upstream];
+            node.view.onEnded(nameOf(upstream));
+            if (settings_.rule == ReplayRule::Egretpath) {
+                node.view.onReport(nameOf(upstream), report, now_);
+            }
+            action();
+        });
+    }
+
+    void refused(const RequestPointer &request, std::size_t upstream, Duration retryAfter)
+    {
+        request->excluded.push_back(nameOf(upstream));
+        const bool asksOn = settings_.rule == ReplayRule::Egretpath ? request->sendings <= MostQuestions
+                                                                    : request->sendings < MostQuestions;
+        if (asksOn && request->sendings < MostSendings) {
+            send(request);
+            return;
+        }
+        const Duration left = request->deadline - now_;
+        std::uniform_real_distribution<double> spread(1.0, 2.0);
+        const Duration pause = std::min(scaled(retryAfter, spread(choices_)), left / ReturnShare);
+        if (request->returns++ == CallerReturns || left <= Duration{0}) {
+            end(request, result_.refused);
+            return;
+        }
+        request->excluded.clear();
+        request->sendings = 0;
+        at(now_ + pause, [this, request] { send(request); });
+    }
+
+    void end(const RequestPointer &request, double &count)
+    {
+        if (!std::exchange(request->ended, true)) {
+            ++count;
+        }
+    }
+
+    void answered(const RequestPointer &request)
+    {
+        if (now_ <= request->target) {
+            end(request, result_.inTarget);
+        } else {
+            end(request, now_ <= request->deadline ? result_.late : result_.failed);
+        }
+    }
+
+    // ---- the node beside the upstream
+
+    void offer(const RequestPointer &request, std::size_t number, Duration acceptable)
+    {
+        Upstream &upstream = *upstreams_[number];
+        constexpr double Percent = 100.0;
+        upstream.queue.setPace(static_cast<std::uint16_t>(upstream.pace * Percent));
+        WorkOffer work;
+        work.call = CallId(++calls_);
+        work.route = Route;
+        work.deadline = request->deadline;
+        work.target = request->target;
+        work.acceptable = acceptable;
+        const OfferOutcome outcome = upstream.queue.offer(work, now_);
+        if (const auto *refusal = std::get_if<Refused>(&outcome)) {
+            const Duration retryAfter = refusal->failure.retryAfter;
+            reply(request, number, [this, request, number, retryAfter] { refused(request, number, retryAfter); });
+            return;
+        }
+        upstream.waiting[work.call] = request;
+        if (std::holds_alternative<Admitted>(outcome)) {
+            begin(number, work.call);
+        }
+        expire(number);
+    }
+
+    void begin(std::size_t number, CallId call)
+    {
+        Upstream &upstream = *upstreams_[number];
+        const RequestPointer request = upstream.waiting[call];
+        upstream.waiting.erase(call);
+        upstream.running[call] = {request, call.value()};
+        const TimePoint done = now_ + duration(upstream, *request);
+        const bool cut = done > request->deadline;
+        at(std::min(done, request->deadline), [this, number, call, cut] { finish(number, call, cut); });
+    }
+
+    /// An upstream that is nearly full slows itself.
+    Duration duration(const Upstream &upstream, const Request &request) const
+    {
+        const double fill = static_cast<double>(upstream.running.size()) / load_.slots;
+        return scaled(request.work, upstream.pace * (fill > load_.knee ? load_.kneeFactor : 1.0));
+    }
+
+    void finish(std::size_t number, CallId call, bool cut)
+    {
+        Upstream &upstream = *upstreams_[number];
+        const RequestPointer request = upstream.running[call].request;
+        upstream.running.erase(call);
+        for (const CallId next : upstream.queue.finish(call, !cut, now_)) {
+            begin(number, next);
+        }
+        reply(request, number, [this, request, cut] { cut ? end(request, result_.failed) : answered(request); });
+        expire(number);
+    }
+
+    void expire(std::size_t number)
+    {
+        Upstream &upstream = *upstreams_[number];
+        for (const ExpiredCall &expired : upstream.queue.expire(now_)) {
+            const RequestPointer request = upstream.waiting[expired.call];
+            upstream.waiting.erase(expired.call);
+            const Duration retryAfter = expired.failure.retryAfter;
+            reply(request, number, [this, request, number, retryAfter] { refused(request, number, retryAfter); });
+        }
+        if (const auto next = upstream.queue.nextExpiry()) {
+            at(*next, [this, number] { expire(number); });
+        }
+    }
+
+    // ---- an upstream without a node's decisions before it
+
+    void offerPlain(const RequestPointer &request, std::size_t number)
+    {
+        Upstream &upstream = *upstreams_[number];
+        if (upstream.running.size() < load_.slots) {
+            beginPlain(number, request);
+        } else if (upstream.plain.size() < std::size_t{QueueOfSlot} * load_.slots) {
+            upstream.plain.push_back(request);
+        } else {
+            reply(request, number, [this, request, number] { refused(request, number, PlainReturn); });
+        }
+    }
+
+    void beginPlain(std::size_t number, const RequestPointer &request)
+    {
+        Upstream &upstream = *upstreams_[number];
+        const CallId call(++calls_);
+        upstream.running[call] = {request, call.value()};
+        const TimePoint done = now_ + duration(upstream, *request);
+        const bool cut = done > request->deadline;
+        at(std::min(done, std::max(request->deadline, now_)),
+           [this, number, call, cut] { finishPlain(number, call, cut); });
+    }
+
+    void finishPlain(std::size_t number, CallId call, bool cut)
+    {
+        Upstream &upstream = *upstreams_[number];
+        const RequestPointer request = upstream.running[call].request;
+        upstream.running.erase(call);
+        while (!upstream.plain.empty() && upstream.running.size() < load_.slots) {
+            const RequestPointer next = upstream.plain.front();
+            upstream.plain.pop_front();
+            beginPlain(number, next);
+        }
+        reply(request, number, [this, request, cut] { cut ? end(request, result_.failed) : answered(request); });
+    }
+
+    ReplayLoad load_;
+    ReplaySettings settings_;
+    /// Apart, so that each rule meets the same arrivals and spells.
+    Random arrivals_;
+    Random spells_;
+    Random choices_;
+    TimePoint now_;
+    std::priority_queue<Event> events_;
+    std::uint64_t eventNumber_ = 0;
+    std::uint64_t calls_ = 0;
+    std::uint64_t requests_ = 0;
+    std::vector<std::unique_ptr<Upstream>> upstreams_;
+    std::vector<PlacementCandidate> candidates_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    ReplayResult result_;
+};
+
+}
+
+std::string_view toString(ReplayRule rule)
+{
+    return RuleNames.at(static_cast<std::size_t>(rule));
+}
+
+double ReplayResult::worth() const
+{
+    return inTarget + LateWorth * late;
+}
+
+ReplayResult replay(const ReplayLoad &load, const ReplaySettings &settings)
+{
+    return Replay(load, settings).run();
+}
+
+}
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -30,8 +30,8 @@
 /// A reader answers a follower after this time at the latest, so that one that froze or was cut off is noticed within
 /// FollowWait and FollowMargin, and the next one has still told of a change within two seconds.
 constexpr Milliseconds FollowWait{700};
-/// A node that the settings name answers a starting one after this time at the latest: it may start itself, and has read
-/// the store within some 50 ms.
+/// A node that the settings name answers a starting one after this time at the latest: it may start itself, and has
+/// read the store within some 50 ms.
 constexpr Milliseconds SeedWait{400};
 /// For the way there and back, with one lost packet.
 constexpr Milliseconds FollowMargin{400};
--- a/src/sidecar/catalogsource.h
+++ b/src/sidecar/catalogsource.h
@@ -48,8 +48,9 @@
 
     /// Tells @p sink what is read from now on; it outlives the source. Nothing is read before resume().
     virtual void attach(CatalogSink &sink) = 0;
-    /// Begins to read, behind @p listReached or everything if that is zero, and tells the sink when that works again if the source counts as @p lost.
-    /// Reading that is on already begins anew: its calls may hang on connections that have fallen silent.
+    /// Begins to read, behind @p listReached or everything if that is zero, and tells the sink when that works again if
+    /// the source counts as @p lost. Reading that is on already begins anew: its calls may hang on connections that
+    /// have fallen silent.
     virtual void resume(StoreRevision listReached, bool lost) = 0;
     /// Reads no more: a node that follows another one needs no calls of its own.
     virtual void suspend() = 0;
--- /dev/null
+++ b/tests/replay/replaytest.cpp
@@ -0,0 +1,106 @@
+#include "replay/replay.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Egretpath;
+
+namespace
+{
+
+constexpr std::uint64_t Seeds = 5;
+
+/// Twice the usual load for five seconds, on VMs of which a third is four times slower at any time.
+ReplayLoad burst()
+{
+    ReplayLoad load;
+    load.burst = 2.0;
+    return load;
+}
+
+/// More than the upstreams can work off, for as long as it lasts.
+ReplayLoad overload()
+{
+    ReplayLoad load;
+    load.rate = 240;
+    return load;
+}
+
+/// The mean over the seeds.
+ReplayResult meanOf(const ReplayLoad &load, ReplaySettings settings)
+{
+    ReplayResult mean;
+    for (settings.seed = 1; settings.seed <= Seeds; ++settings.seed) {
+        const ReplayResult result = replay(load, settings);
+        mean.inTarget += result.inTarget / Seeds;
+        mean.late += result.late / Seeds;
+        mean.refused += result.refused / Seeds;
+        mean.failed += result.failed / Seeds;
+        mean.sendings += result.sendings / Seeds;
+    }
+    return mean;
+}
+
+ReplaySettings ruleOf(ReplayRule rule)
+{
+    ReplaySettings settings;
+    settings.rule = rule;
+    return settings;
+}
+
+}
+
+TEST_CASE("the same seed gives the same figures")
+{
+    const ReplayResult first = replay(burst(), {});
+    const ReplayResult again = replay(burst(), {});
+    CHECK(first.inTarget == again.inTarget);
+    CHECK(first.sendings == again.sendings);
+    CHECK(first.inTarget + first.late + first.refused + first.failed == Approx(1.0));
+}
+
+// Callers wait four times as long as usual though other VMs are quick: at each moment a third of the VMs is slow for
+// some tenths of a second, and whoever counts requests under way learns of it when it is over.
+TEST_CASE("placement serves more in time than the plain rules, calm or in a burst")
+{
+    for (const ReplayLoad &load : {ReplayLoad(), burst(), overload()}) {
+        const double own = meanOf(load, {}).worth();
+        for (const ReplayRule rule :
+             {ReplayRule::Random, ReplayRule::RoundRobin, ReplayRule::LeastInFlight, ReplayRule::TwoChoices}) {
+            CHECK(own > meanOf(load, ruleOf(rule)).worth() + 0.2);
+        }
+    }
+}
+
+// A request goes to an upstream that was quick a moment ago, and waits there for a slot while its neighbour idles. The
+// node beside the upstream knows, and may send it on.
+TEST_CASE("nodes that may decline serve more in time")
+{
+    ReplaySettings without;
+    without.declines = false;
+    CHECK(meanOf(ReplayLoad(), {}).worth() > meanOf(ReplayLoad(), without).worth() + 0.08);
+    CHECK(meanOf(burst(), {}).worth() > meanOf(burst(), without).worth() + 0.03);
+}
+
+// All slots of an upstream are taken, and each request takes 1.7 times as long as with a slot less: an upstream that is
+// given all that it says it can work on finishes less.
+TEST_CASE("upstreams that are kept below the fill from which they slow themselves finish more")
+{
+    ReplaySettings allSlots;
+    allSlots.queue.comfortableFill = 1.0;
+    CHECK(meanOf(burst(), {}).worth() > meanOf(burst(), allSlots).worth() + 0.08);
+    CHECK(meanOf(overload(), {}).worth() > meanOf(overload(), allSlots).worth() + 0.2);
+}
+
+// While more comes than can be worked off, requests that have missed their target wait behind all that can still be in
+// time, and are cut at their deadline. Their callers hear nothing for seconds, instead of when to come back.
+TEST_CASE("requests that can't be in time are refused while their callers can still come back")
+{
+    ReplaySettings waiting;
+    waiting.queue.lateBacklog = 1000.0;
+    waiting.queue.lateWait = 1000.0;
+    const ReplayResult own = meanOf(overload(), {});
+    const ReplayResult held = meanOf(overload(), waiting);
+    CHECK(own.failed < 0.005);
+    CHECK(held.failed > 0.02);
+    CHECK(own.worth() > held.worth() - 0.02);
+}
