ingress: lines and counters of requests in a class of their own, evidence of tries with the role

RequestLog takes Verdict and Reason where words were passed; IngressRole::learn is next to the view that it feeds. No decision changes.

--- a/src/ingress/ingressrole.cpp
+++ b/src/ingress/ingressrole.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/currenttime.h"
 #include "ingress/proxiedrequest.h"
 
 namespace Egretpath
@@ -21,6 +22,8 @@
 constexpr double OneRepeat = 1.0;
 /// Of the newest report in the usual time of a route; reports are means already.
 constexpr double UsualTimeGain = 0.1;
+/// How long nothing is sent to an upstream that leaves or has been replaced; the platform's list says more by then.
+constexpr Milliseconds LeavingHold{1000};
 /// Share of its target that a route is taken to need before anything is known.
 constexpr double DefaultShareOfTarget = 0.3;
 
@@ -35,8 +38,7 @@
     , dialect_(dialect)
     , egress_(egress)
     , peers_(peers)
-    , log_(log)
-    , metrics_(metrics)
+    , requestLog_(log, metrics)
     , random_(random)
     , split_(random_())
     , placement_(place_.location, view_, Random(random_()))
@@ -99,4 +101,49 @@
     }
 }
 
+void IngressRole::learn(const RouteName &route, const UpstreamName &upstream, const Endpoint &node,
+                        const Result<CallOutcome> &outcome)
+{
+    if (!outcome) {
+        learnFailure(upstream, outcome.error().reason);
+        return;
+    }
+    if (node != place_.node && markListener_) {
+        markListener_(node, outcome.value().catalog);
+    }
+    if (const auto &report = outcome.value().report) {
+        view_.onReached(upstream);
+        view_.onReport(upstream, *report, currentTime());
+        recordUsualTime(route, *report);
+        if (report->leaving) {
+            view_.onClosed(upstream, LeavingHold, currentTime());
+        }
+    }
+    if (const auto *failure = std::get_if<Failure>(&outcome.value().result)) {
+        learnFailure(upstream, failure->reason);
+    }
+}
+
+void IngressRole::learnFailure(const UpstreamName &upstream, Reason reason)
+{
+    const TimePoint at = currentTime();
+    switch (reason) {
+    case Reason::ConnectFailed:
+        view_.onUnreachable(upstream, at);
+        break;
+    case Reason::WrongIncarnation:
+    case Reason::NoUpstream:
+        view_.onClosed(upstream, LeavingHold, at);
+        break;
+    case Reason::Declined:
+    case Reason::Overloaded:
+    case Reason::Draining:
+    case Reason::Cancelled:
+        break;
+    default:
+        view_.onFailed(upstream, at);
+        break;
+    }
+}
+
 }
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -14,6 +14,7 @@
 #include "egress/egressrole.h"
 #include "http/httpexchange.h"
 #include "ingress/callerpatience.h"
+#include "ingress/requestlog.h"
 #include "instances/instancedirectory.h"
 #include "routes/routetable.h"
 #include "routes/trafficsplit.h"
@@ -90,6 +91,10 @@
     /// What a request of @p route takes when nothing is in the way.
     [[nodiscard]] Duration usualTime(const Route &route) const;
     void recordUsualTime(const RouteName &route, const LoadReport &report);
+    /// Takes what the end of a try at @p upstream, sent to the node at @p node, tells of both.
+    void learn(const RouteName &route, const UpstreamName &upstream, const Endpoint &node,
+               const Result<CallOutcome> &outcome);
+    void learnFailure(const UpstreamName &upstream, Reason reason);
     void shareRepeatLimits();
 
     boost::asio::any_io_executor executor_;
@@ -98,8 +103,7 @@
     const CallerDialect &dialect_;
     EgressRole &egress_;
     PeerClient &peers_;
-    EventLog &log_;
-    Metrics &metrics_;
+    RequestLog requestLog_;
     Random random_;
     TrafficSplit split_;
     PlacementView view_;
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -32,8 +32,6 @@
 constexpr Milliseconds DefaultRetryAfter{150};
 /// A process that ended is started again within about a second.
 constexpr Milliseconds ClosingRetryAfter{1000};
-/// How long nothing is sent to an upstream that leaves or has been replaced; the platform's list says more by then.
-constexpr Milliseconds LeavingHold{1000};
 /// Callers honour return times up to a third of the time that they have left.
 constexpr int LeftOverRetryAfter = 3;
 constexpr std::uint16_t FirstServerError = 500;
@@ -45,14 +43,10 @@
 /// Heads both ways, the answer's body and the framing between nodes, about; bodies of answers are short.
 constexpr std::size_t EnvelopeBytes = 2500;
 
-Milliseconds sinceMilliseconds(TimePoint start)
+/// For the log: an upstream's own answer.
+Failure answeredBy(std::string detail, Reason reason)
 {
-    return std::chrono::duration_cast<Milliseconds>(currentTime() - start);
-}
-
-std::optional<LoadReport> reportOf(const Result<CallOutcome> &outcome)
-{
-    return outcome ? outcome.value().report : std::nullopt;
+    return {Verdict::Answered, reason, Milliseconds{0}, std::move(detail)};
 }
 
 const Failure *failureOf(const Result<CallOutcome> &outcome)
@@ -174,7 +168,7 @@
         if (callerGone_) {
             // Ended, so that no answer that still comes is written to the exchange, which is gone as well.
             [[maybe_unused]] const auto nobody = state_->giveUp(Reason::Cancelled);
-            logEnd(0, toString(Verdict::MayHaveRun), toString(Reason::Cancelled), "the caller went away");
+            logEnd(0, mayHaveRun(Reason::Cancelled, "the caller went away"));
             co_return;
         }
         if (!ended_.empty()) {
@@ -287,7 +281,7 @@
         outcome = notRun(Reason::Cancelled, "ended before it was sent");
     }
     role_.view_.onEnded(which->upstream);
-    learn(*which, *outcome);
+    role_.learn(route_->name, which->upstream, which->node, *outcome);
     std::erase(underWay_, which);
     ended_.push_back({which, std::move(*outcome)});
     wakeUp_.cancel();
@@ -362,47 +356,6 @@
     return head;
 }
 
-void ProxiedRequest::learn(const Try &which, const Result<CallOutcome> &outcome)
-{
-    const TimePoint at = currentTime();
-    if (outcome && which.node != role_.place_.node && role_.markListener_) {
-        role_.markListener_(which.node, outcome.value().catalog);
-    }
-    if (const auto report = reportOf(outcome)) {
-        role_.view_.onReached(which.upstream);
-        role_.view_.onReport(which.upstream, *report, at);
-        role_.recordUsualTime(route_->name, *report);
-        if (report->leaving) {
-            role_.view_.onClosed(which.upstream, LeavingHold, at);
-        }
-    }
-    if (const Failure *failure = failureOf(outcome)) {
-        learnFailure(which, *failure);
-    }
-}
-
-void ProxiedRequest::learnFailure(const Try &which, const Failure &failure)
-{
-    const TimePoint at = currentTime();
-    switch (failure.reason) {
-    case Reason::ConnectFailed:
-        role_.view_.onUnreachable(which.upstream, at);
-        break;
-    case Reason::WrongIncarnation:
-    case Reason::NoUpstream:
-        role_.view_.onClosed(which.upstream, LeavingHold, at);
-        break;
-    case Reason::Declined:
-    case Reason::Overloaded:
-    case Reason::Draining:
-    case Reason::Cancelled:
-        break;
-    default:
-        role_.view_.onFailed(which.upstream, at);
-        break;
-    }
-}
-
 /// Whether the upstream itself may have got the request, which then counts as a sending to it.
 bool ProxiedRequest::reachedUpstream(const Try &which, const Failure &failure) const
 {
@@ -419,7 +372,7 @@
             // A part of the answer is with the caller; only a dropped connection tells that the rest is missing.
             exchange_.abort();
         }
-        logEnd(0, toString(Verdict::Answered), whole ? "none" : toString(Reason::BadAnswer), "sent in pieces");
+        logEnd(0, answeredBy("sent in pieces", whole ? Reason::None : Reason::BadAnswer));
         co_return true;
     }
     const Failure *failure = failureOf(ended.outcome);
@@ -476,7 +429,7 @@
     }
     HttpResponseHead head(whole->head.status);
     head.headers = std::move(whole->head.headers);
-    logEnd(head.status, toString(Verdict::Answered), toString(Reason::None), which.upstream.value());
+    logEnd(head.status, answeredBy(which.upstream.value(), Reason::None));
     [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), std::move(whole->body));
 }
 
@@ -492,11 +445,11 @@
 asio::awaitable<void> ProxiedRequest::respond(Failure failure)
 {
     if (exchange_.callerGone()) {
-        logEnd(0, toString(failure.verdict), toString(failure.reason), failure.detail);
+        logEnd(0, failure);
         co_return;
     }
     HttpResponseHead head = role_.dialect_.refusal(failure, terms_.request);
-    logEnd(head.status, toString(failure.verdict), toString(failure.reason), failure.detail);
+    logEnd(head.status, failure);
     [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), failure.detail + "\n");
 }
 
@@ -522,46 +475,35 @@
 
 void ProxiedRequest::logPlacement(const Try &which, const PlacementChoice &choice, std::size_t candidateCount) const
 {
-    if (!role_.log_.admitsDecision(currentTime(), DecisionWeight::Routine)) {
-        return;
-    }
-    const auto milliseconds = [](Duration duration) {
-        return std::chrono::duration_cast<Milliseconds>(duration).count();
-    };
-    StructuredLine line("place");
-    line.add("request", terms_.request.value()).add("try", std::uint64_t{which.number.value()});
-    line.add("route", route_->name.value()).add("service", service_.value());
-    line.add("from", exchange_.remoteEndpoint().value())
-        .add("kind", toString(route_->kind))
-        .add("priority", std::uint64_t{route_->priority});
-    line.add("left_ms", milliseconds(deadline_ - currentTime()));
-    line.add("upstream", which.upstream.value()).add("link", toString(which.link));
-    line.add("candidates", std::uint64_t{candidateCount}).add("expected_ms", milliseconds(choice.expected));
-    line.add("acceptable_ms", milliseconds(choice.acceptable));
-    line.add("routes", routes_->version().value()).add("list", role_.sources_.directory.revision().value());
-    role_.log_.decision(line);
-}
-
-void ProxiedRequest::logEnd(std::uint16_t status, std::string_view verdict, std::string_view reason,
-                            std::string_view detail)
-{
-    std::string labels = "route=\"";
-    labels.append(route_ == nullptr ? "none" : route_->name.value());
-    labels.append("\",verdict=\"").append(verdict).append("\",reason=\"").append(reason).append("\"");
-    role_.metrics_.count("egretpath_requests_total", labels);
-    role_.metrics_.record("egretpath_request_seconds", "", currentTime() - arrival_);
-    const bool failed = reason != toString(Reason::None);
-    if (!role_.log_.admitsDecision(currentTime(), failed ? DecisionWeight::Failure : DecisionWeight::Routine)) {
-        return;
-    }
-    StructuredLine line("end");
-    line.add("request", terms_.request.value()).add("route", route_ == nullptr ? "" : route_->name.value());
-    line.add("service", service_.value()).add("status", std::uint64_t{status});
-    line.add("verdict", verdict).add("reason", reason).add("detail", detail);
-    line.add("sent", std::uint64_t{asked_}).add("reached", std::uint64_t{reached_.size()});
-    line.add("took_ms", sinceMilliseconds(arrival_).count());
-    line.add("routes", routes_ ? routes_->version().value() : 0);
-    role_.log_.decision(line);
+    const PlacedTry placed{terms_.request,
+                           which.number.value(),
+                           *route_,
+                           service_,
+                           exchange_.remoteEndpoint(),
+                           which.upstream,
+                           choice,
+                           candidateCount,
+                           deadline_ - currentTime(),
+                           routes_->version(),
+                           role_.sources_.directory.revision()};
+    role_.requestLog_.placed(placed);
+}
+
+void ProxiedRequest::logEnd(std::uint16_t status, const Failure &how)
+{
+    EndedRequest ended;
+    ended.request = terms_.request;
+    ended.route = route_;
+    ended.service = service_;
+    ended.status = status;
+    ended.verdict = how.verdict;
+    ended.reason = how.reason;
+    ended.detail = how.detail;
+    ended.sent = asked_;
+    ended.reached = reached_.size();
+    ended.took = currentTime() - arrival_;
+    ended.routes = routes_ ? routes_->version() : RouteVersion();
+    role_.requestLog_.ended(ended);
 }
 
 }
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -77,8 +77,6 @@
     void stamp(CallHead &head) const;
     [[nodiscard]] CallHead makeHead(const Try &which) const;
 
-    void learn(const Try &which, const Result<CallOutcome> &outcome);
-    void learnFailure(const Try &which, const Failure &failure);
     [[nodiscard]] bool reachedUpstream(const Try &which, const Failure &failure) const;
     [[nodiscard]] bool mayRepeat(const Try &which, const Failure &failure);
     [[nodiscard]] bool mayReplace(const CallOutcome &answer);
@@ -90,7 +88,8 @@
     [[nodiscard]] Milliseconds retryAfter(Milliseconds wanted);
 
     void logPlacement(const Try &which, const PlacementChoice &choice, std::size_t candidateCount) const;
-    void logEnd(std::uint16_t status, std::string_view verdict, std::string_view reason, std::string_view detail);
+    /// @p how: as a failure, or as an answer, whose detail names the upstream.
+    void logEnd(std::uint16_t status, const Failure &how);
 
     IngressRole &role_;
     HttpExchange &exchange_;
--- /dev/null
+++ b/src/ingress/requestlog.cpp
@@ -0,0 +1,56 @@
+#include "ingress/requestlog.h"
+
+#include "core/currenttime.h"
+
+namespace Egretpath
+{
+
+namespace
+{
+
+Milliseconds::rep milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<Milliseconds>(duration).count();
+}
+
+}
+
+void RequestLog::placed(const PlacedTry &item)
+{
+    if (!log_.admitsDecision(currentTime(), DecisionWeight::Routine)) {
+        return;
+    }
+    StructuredLine line("place");
+    line.add("request", item.request.value()).add("try", std::uint64_t{item.number});
+    line.add("route", item.route.name.value()).add("service", item.service.value());
+    line.add("from", item.caller.value()).add("kind", toString(item.route.kind));
+    line.add("priority", std::uint64_t{item.route.priority}).add("left_ms", milliseconds(item.left));
+    line.add("upstream", item.upstream.value()).add("link", toString(item.choice.link));
+    line.add("candidates", std::uint64_t{item.candidates}).add("expected_ms", milliseconds(item.choice.expected));
+    line.add("acceptable_ms", milliseconds(item.choice.acceptable));
+    line.add("routes", item.routes.value()).add("list", item.list.value());
+    log_.decision(line);
+}
+
+void RequestLog::ended(const EndedRequest &item)
+{
+    const std::string route = item.route == nullptr ? std::string() : item.route->name.value();
+    std::string labels = "route=\"" + (route.empty() ? "none" : route);
+    labels.append("\",verdict=\"").append(toString(item.verdict));
+    labels.append("\",reason=\"").append(toString(item.reason)).append("\"");
+    metrics_.count("egretpath_requests_total", labels);
+    metrics_.record("egretpath_request_seconds", "", item.took);
+    const bool failed = item.reason != Reason::None;
+    if (!log_.admitsDecision(currentTime(), failed ? DecisionWeight::Failure : DecisionWeight::Routine)) {
+        return;
+    }
+    StructuredLine line("end");
+    line.add("request", item.request.value()).add("route", route);
+    line.add("service", item.service.value()).add("status", std::uint64_t{item.status});
+    line.add("verdict", toString(item.verdict)).add("reason", toString(item.reason)).add("detail", item.detail);
+    line.add("sent", std::uint64_t{item.sent}).add("reached", std::uint64_t{item.reached});
+    line.add("took_ms", milliseconds(item.took)).add("routes", item.routes.value());
+    log_.decision(line);
+}
+
+}
