sidecar: a whole list that lacks upstreams counts as a removal too; an answer that brings nothing is not asked for at once

Found in reading: a follower that was sent the whole list did not notice that upstreams vanish with it; one whose routes can't be read here would have asked its parent again without a pause; lines said that routes came from the platform when they came from a peer.

--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -142,13 +143,16 @@
     if (!isBehind(mark)) {
         return;
     }
-    if (!ahead_) {
-        ahead_ = Ahead{peer, currentTime()};
-    }
-    ahead_->peer = peer;
+    const TimePoint since = ahead_ ? ahead_->since : currentTime();
+    ahead_ = Ahead{peer, mark, since};
 }
 
 void CatalogController::routesRead(PublishedRoutes routes)
+{
+    putInForce(std::move(routes), "platform");
+}
+
+void CatalogController::putInForce(PublishedRoutes routes, std::string_view from)
 {
     // A stale read or an old peer must not take back what is in force.
     if (state_.routes && routes.table->version() <= state_.routes->version()) {
@@ -158,7 +162,7 @@
     line.add("version", routes.table->version().value());
     line.add("before", state_.routes ? state_.routes->version().value() : 0);
     line.add("count", std::uint64_t{routes.table->routeCount()});
-    line.add("from", following_ ? following_->value() : "platform");
+    line.add("from", from);
     state_.log.info(line);
     state_.routes = std::move(routes.table);
     state_.routesText = std::move(routes.text);
@@ -256,6 +260,9 @@
         if (needsPeers()) {
             co_await askPeers();
         }
+        if (ahead_ && !isBehind(ahead_->mark)) {
+            ahead_.reset();
+        }
         if (ahead_ && currentTime() - ahead_->since >= AheadBeforeAsking) {
             co_await catchUp();
         }
@@ -300,9 +307,9 @@
     if (!isUsable(catalog) || catalog.value().has.routes.value() == 0) {
         co_return false;
     }
-    take(seed, catalog.value());
     heardAt_ = currentTime();
     hops_ = catalog.value().hops;
+    take(seed, catalog.value());
     beginFollowing(seed, hops_);
     co_return true;
 }
@@ -327,7 +334,7 @@
         } else if (following_) {
             endFollowing("this node reads for others");
         }
-        if (!followed && !following_) {
+        if (!followed) {
             timer.expires_after(FollowPause);
             co_await timer.async_wait(asio::use_awaitable);
         }
@@ -338,6 +345,7 @@
 {
     // The first answer comes at once: until then this node reads for itself.
     const Milliseconds wait = following_ == reader ? FollowWait : Milliseconds{0};
+    const TimePoint asked = currentTime();
     const Result<Catalog> catalog = co_await ask(reader, wait, wait + FollowMargin);
     if (!isUsable(catalog)) {
         election_.failed(reader, currentTime());
@@ -350,11 +358,13 @@
     heardAt_ = currentTime();
     hops_ = catalog.value().hops;
     co_await checkOwnWay(catalog.value());
-    take(reader, catalog.value());
-    if (following_ != reader) {
+    const bool brought = take(reader, catalog.value());
+    const bool isNew = following_ != reader;
+    if (isNew) {
         beginFollowing(reader, catalog.value().hops);
     }
-    co_return true;
+    // An answer that came at once and brought nothing, as when its routes can't be read here, would come again at once.
+    co_return brought || isNew || currentTime() - asked >= FollowPause;
 }
 
 void CatalogController::beginFollowing(const Endpoint &reader, std::uint8_t hops)
@@ -378,11 +388,20 @@
     wakeAskers();
 }
 
-/// The upstream is taken off the list, and did not say that it leaves.
-bool CatalogController::lapses(const InstanceChange &change) const
+/// Whether upstreams vanish with it that did not say that they leave.
+bool CatalogController::removesSilently(const Catalog &catalog) const
 {
-    const InstanceRecord *known = state_.directory.find(change.id);
-    return !change.record && known != nullptr && known->state == InstanceState::Ready;
+    std::set<UpstreamName> listed;
+    std::set<UpstreamName> removed;
+    for (const InstanceChange &change : catalog.changes) {
+        (change.record ? listed : removed).insert(change.id);
+    }
+    bool silently = false;
+    state_.directory.forEachReady([&](const InstanceRecord &record) {
+        const bool vanishes = catalog.whole ? !listed.contains(record.id) : removed.contains(record.id);
+        silently = silently || vanishes;
+    });
+    return silently;
 }
 
 /// Guards against taking part in a mass lapse: VMs that are cut off from the store can't renew their entries and vanish
@@ -390,9 +409,7 @@
 /// cut off and goes on using them; one that follows a node outside has to find out.
 asio::awaitable<void> CatalogController::checkOwnWay(const Catalog &catalog)
 {
-    const bool removes = std::any_of(catalog.changes.begin(), catalog.changes.end(),
-                                     [this](const InstanceChange &change) { return lapses(change); });
-    if (!removes && !lostSince_) {
+    if (!lostSince_ && (catalog.changes.empty() || !removesSilently(catalog))) {
         co_return;
     }
     const bool reachable = co_await source_.isReachable();
@@ -462,7 +479,7 @@
     if (!catalog.routes.empty()) {
         Result<PublishedRoutes> routes = source_.readRoutes(catalog.routes);
         if (routes) {
-            routesRead(std::move(routes).value());
+            putInForce(std::move(routes).value(), peer.value());
         } else {
             entryRefused(peer.value(), routes.error().detail);
         }
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -53,6 +53,7 @@
     struct Ahead
     {
         Endpoint peer;
+        CatalogMark mark;
         TimePoint since;
     };
 
@@ -61,7 +62,7 @@
     boost::asio::awaitable<void> begin();
     boost::asio::awaitable<bool> beginAt(Endpoint seed);
     boost::asio::awaitable<void> followOthers();
-    /// Asks @p reader for news once. Returns whether it can be followed.
+    /// Asks @p reader for news once. Returns whether to ask again at once.
     boost::asio::awaitable<bool> followOnce(Endpoint reader);
     /// Before changes are taken that remove upstreams which did not say that they leave.
     boost::asio::awaitable<void> checkOwnWay(const Catalog &catalog);
@@ -71,11 +72,12 @@
     [[nodiscard]] std::vector<Endpoint> peersToAsk();
     /// Returns whether anything was new.
     bool take(const Endpoint &peer, const Catalog &catalog);
+    void putInForce(PublishedRoutes routes, std::string_view from);
     bool takeList(const Endpoint &peer, const Catalog &catalog);
     bool applyChanges(const std::vector<InstanceChange> &changes, StoreRevision reached);
     void beginFollowing(const Endpoint &reader, std::uint8_t hops);
     void endFollowing(std::string_view why);
-    [[nodiscard]] bool lapses(const InstanceChange &change) const;
+    [[nodiscard]] bool removesSilently(const Catalog &catalog) const;
     [[nodiscard]] bool needsPeers() const;
     [[nodiscard]] bool isBehind(const CatalogMark &mark) const;
     [[nodiscard]] bool isInOrder() const;
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -254,6 +254,11 @@
     tell([](CatalogSink &sink) { sink.sourceLost("the test says so"); });
 }
 
+void FakeCatalog::lose(std::size_t node)
+{
+    made_.at(node)->sourceLost("the test says so");
+}
+
 void FakeCatalog::comeBack()
 {
     tell([](CatalogSink &sink) { sink.sourceBack(); });
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -62,6 +62,8 @@
     void add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service);
     void remove(const std::string &id);
     void lose();
+    /// Only for the node that was made as number @p node.
+    void lose(std::size_t node);
     void comeBack();
     /// The platform's side of a new node.
     [[nodiscard]] std::unique_ptr<CatalogSource> makeSource();
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -319,19 +319,19 @@
     });
 }
 
-// Routes are moved to another service, and one region goes on with the old ones for as long as its reader's node is
-// gone: its followers have no watch of their own.
-TEST_CASE("a follower whose reader has ended reads for itself")
+// Routes are moved to another service, and one region goes on with the old ones for as long as its reader is cut off
+// from the platform: its followers have no watch of their own.
+TEST_CASE("a follower whose reader can't read the platform any more reads for itself")
 {
     Deployment deployment;
     deployment.run([&]() -> asio::awaitable<void> {
         checkHappened(co_await deployment.until([&] { return deployment.catalog.readers() == 1; }));
-        FakeNode &reader = deployment.catalog.reads(0) ? deployment.first : deployment.second;
-        FakeNode &follower = deployment.catalog.reads(0) ? deployment.second : deployment.first;
-        reader.sidecar.reset();
+        const std::size_t reader = deployment.catalog.reads(0) ? 0 : 1;
+        FakeNode &follower = reader == 0 ? deployment.second : deployment.first;
+        deployment.catalog.silence(reader);
+        deployment.catalog.lose(reader);
+        checkHappened(co_await deployment.until([&] { return deployment.catalog.readers() == 2; }));
         deployment.catalog.publishRoutes(20);
-        checkHappened(co_await deployment.until([&] { return deployment.catalog.readers() == 1; }));
-        co_await deployment.sleep(Milliseconds(100));
         checkStatus(co_await deployment.send(follower.callers, "GET", "/v20/1", "after"), 200);
     });
 }
