platform: a node that begins to read gives up its first watches soon

Cause: a follower that turned to the store while that was away silently began a watch of 25 s at once. Ruled out by the log: the list's watch, which was short as after a loss, was back at once; nothing was refused.

--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -158,3 +158,23 @@
     CHECK(fixture.until([&] { return !fixture.sink.changed.empty(); }));
     CHECK(fixture.sink.changed == std::vector<std::string>{"i-3"});
 }
+
+// The store is away, silently, and while it is, a follower begins to read for itself. The opening packet of its
+// connection is lost and sent again after many seconds only, so that the node is on old routes long after the store is
+// back. The first watches have to give up soon; the long ones come when the store has answered.
+TEST_CASE("a watcher that begins to read waits only a moment at first")
+{
+    Fixture fixture;
+    fixture.store.put("op/config", routesText("05"));
+    fixture.store.put("servers/i-1", entryText("ready"));
+    fixture.watcher.resume(StoreRevision(), false);
+    CHECK(fixture.until([&] { return fixture.sink.lists == 1 && fixture.sink.version == RouteVersion(5); }));
+    CHECK(fixture.until([&] { return fixture.store.waits().size() == 2; }));
+    fixture.watcher.resume(StoreRevision(3), false);
+    CHECK(fixture.until([&] { return fixture.store.waits().size() == 6; }));
+    const std::vector<std::uint64_t> &waits = fixture.store.waits();
+    CHECK(waits[2] < 1000);
+    CHECK(waits[3] < 1000);
+    CHECK(waits[4] > 10'000);
+    CHECK(waits[5] > 10'000);
+}
--- a/tests/standins/standinstore.h
+++ b/tests/standins/standinstore.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -47,6 +48,8 @@
     void setDelay(Duration delay) { delay_ = delay; }
     /// Forgets all history: watches that begin before now are told so.
     void compact();
+    /// How long the watches so far wanted to wait, in milliseconds.
+    [[nodiscard]] const std::vector<std::uint64_t> &waits() const { return waits_; }
     /// Calls that were answered or refused.
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
 
@@ -83,6 +86,7 @@
     std::uint64_t forgotten_ = 0;
     std::uint64_t revision_ = 1;
     std::uint64_t calls_ = 0;
+    std::vector<std::uint64_t> waits_;
     StoreMode mode_ = StoreMode::Up;
     Duration delay_ = Milliseconds(300);
     /// Never expires; cancelled when something changes.
