rpc: a follower's waiting question does not make its connection look silent

A call counts as waiting from when it could have had its answer. The new test sees two connections without it.

--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -126,7 +126,7 @@
 
     bool lost = false;
     TimePoint lastUse;
-    /// When the calls began that have no answer yet.
+    /// From when on each call that has no answer yet could have had one.
     std::multiset<TimePoint> openSince;
 };
 
@@ -134,9 +134,10 @@
 class OpenCall
 {
 public:
-    explicit OpenCall(std::shared_ptr<PeerConnection> connection)
+    /// @p wait: the peer may take so long without a reason of its own.
+    explicit OpenCall(std::shared_ptr<PeerConnection> connection, Duration wait = Duration{0})
         : connection_(std::move(connection))
-        , place_(connection_->openSince.insert(std::chrono::steady_clock::now()))
+        , place_(connection_->openSince.insert(std::chrono::steady_clock::now() + wait))
     {
     }
     ~OpenCall()
@@ -325,17 +326,17 @@
 namespace
 {
 
-/// One request for control, with what @p send makes of the peer's capability. Precondition: what @p send refers to
-/// lives until the answer.
+/// One request for control, with what @p send makes of the peer's capability; the peer may take @p wait before it
+/// answers. Precondition: what @p send refers to lives until the answer.
 template<typename Value, typename Implementation, typename Send>
 asio::awaitable<Result<Value>> ask(std::shared_ptr<Implementation> implementation, Endpoint peer, TimePoint deadline,
-                                   const Send &send)
+                                   Duration wait, const Send &send)
 {
     auto connection = co_await implementation->connection(peer, deadline);
     if (!connection) {
         co_return connection.error();
     }
-    const OpenCall open(connection.value());
+    const OpenCall open(connection.value(), wait);
     co_return co_await await(send(connection.value()->node), deadline, nullptr);
 }
 
@@ -379,7 +380,7 @@
         message.setWait(static_cast<std::uint32_t>(request.wait.count()));
         return message.send().then([](auto &&response) { return WireConversion::read(response.getCatalog()); });
     };
-    co_return co_await ask<Catalog>(implementation_, std::move(peer), deadline, send);
+    co_return co_await ask<Catalog>(implementation_, std::move(peer), deadline, request.wait, send);
 }
 
 asio::awaitable<Result<PeerProbe>> PeerClient::probe(Endpoint peer, TimePoint deadline)
@@ -389,7 +390,7 @@
             return PeerProbe{WireConversion::read(response.getIdentity()), WireConversion::read(response.getReport())};
         });
     };
-    co_return co_await ask<PeerProbe>(implementation_, std::move(peer), deadline, send);
+    co_return co_await ask<PeerProbe>(implementation_, std::move(peer), deadline, Duration{0}, send);
 }
 
 void PeerClient::closeIdle(TimePoint now, Duration idle)
--- a/tests/rpc/peerconnecttest.cpp
+++ b/tests/rpc/peerconnecttest.cpp
@@ -27,6 +27,12 @@
 /// Longer than a connection may take.
 constexpr Milliseconds StandStill{400};
 constexpr std::chrono::seconds Patience{5};
+asio::awaitable<void> askAndWait(PeerClient &client, Endpoint peer)
+{
+    const CatalogRequest request{CatalogMark(), Milliseconds(1000)};
+    (void)co_await client.catalog(std::move(peer), request, std::chrono::steady_clock::now() + Patience);
+}
+
 /// More than Asio keeps memory of ended coroutines for.
 constexpr std::size_t Attempts = 20;
 
@@ -100,3 +106,29 @@
     // Those that wait on it go on waiting: a slow peer looks the same for a while.
     CHECK_FALSE(first.has_value());
 }
+
+TEST_CASE("a question that the peer may take its time with does not make its connection look silent")
+{
+    AsioEventPort loop;
+    asio::ip::tcp::acceptor acceptor(loop.context(), {asio::ip::make_address("127.0.0.1"), 0});
+    const Endpoint peer("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    int accepted = 0;
+    std::vector<asio::ip::tcp::socket> sockets;
+    std::function<void()> accept = [&] {
+        acceptor.async_accept([&](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+            if (!error) {
+                ++accepted;
+                sockets.push_back(std::move(socket));
+                accept();
+            }
+        });
+    };
+    accept();
+    PeerClient client(loop.context());
+    asio::co_spawn(loop.context(), askAndWait(client, peer), asio::detached);
+    loop.context().run_for(Milliseconds(800));
+    std::optional<Result<PeerProbe>> outcome;
+    asio::co_spawn(loop.context(), ask(client, peer, outcome), asio::detached);
+    loop.context().run_for(Milliseconds(100));
+    CHECK(accepted == 1);
+}
