rpc: the last events of a process run on an io_context that is still there; signals are taken before all else

What the last promises left behind ran after the io_context was gone and posted to it. Change: AsioEventPort destroys the io_context's work first, runs what is queued, and lets it go then. Signal handlers are set before the node is made. Both only at a process's ends.

--- a/src/daemons/egretpath-sidecar.cpp
+++ b/src/daemons/egretpath-sidecar.cpp
@@ -77,14 +77,15 @@
 int runSidecar(const Egretpath::SidecarSettings &settings, const std::string &file)
 {
     Egretpath::AsioEventPort loop;
+    // Taken before all else: a process that is told to stop while it starts would end by the signal.
+    boost::asio::signal_set stopSignals(loop.context(), SIGTERM, SIGINT);
+    boost::asio::signal_set reloadSignal(loop.context(), SIGHUP);
     Egretpath::Sidecar sidecar(loop.context(), settings, makePlatform(loop.context(), settings));
     if (const auto started = sidecar.start(); !started) {
         std::cerr << "egretpath-sidecar: cannot listen: " << started.error().detail << '\n';
         return ExitCannotStart;
     }
-    boost::asio::signal_set stopSignals(loop.context(), SIGTERM, SIGINT);
     onSignal(stopSignals, [&sidecar] { sidecar.stop(); });
-    boost::asio::signal_set reloadSignal(loop.context(), SIGHUP);
     onSignal(reloadSignal, [&sidecar, file] { reload(sidecar, file); });
     runLoop(loop.context(), sidecar);
     return EXIT_SUCCESS;
--- a/src/rpc/asioeventport.cpp
+++ b/src/rpc/asioeventport.cpp
@@ -9,14 +9,21 @@
 AsioEventPort::AsioEventPort()
     : loop_(*this)
     , scope_(loop_)
-    , lastTurns_(loop_)
 {
 }
 
+/// Coroutines that end with the io_context drop promises, whose ends are events of KJ's loop, and a loop that is
+/// destroyed with events in its queue ends the process. Those events may post to the io_context again, so that it has
+/// to live on without its work until the queue is empty.
 AsioEventPort::~AsioEventPort() noexcept(false)
 {
-    // Promises that end while the io_context is destroyed must not post to it any more.
+    constexpr int MostRounds = 16;
     scheduled_ = true;
+    context_.destroyWork();
+    for (int round = 0; round < MostRounds && loop_.isRunnable(); ++round) {
+        loop_.run();
+        context_.destroyWork();
+    }
 }
 
 bool AsioEventPort::wait()
--- a/src/rpc/asioeventport.h
+++ b/src/rpc/asioeventport.h
@@ -25,21 +25,11 @@
     [[nodiscard]] boost::asio::io_context &context() { return context_; }
 
 private:
-    /// Runs what is queued when the io_context has been destroyed: coroutines that ended with it drop promises, whose
-    /// ends are events of KJ's loop, and a loop that is destroyed with events in its queue ends the process.
-    class LastTurns
+    /// An io_context whose handlers and coroutines can be destroyed before it is itself.
+    class Context : public boost::asio::io_context
     {
     public:
-        explicit LastTurns(kj::EventLoop &loop)
-            : loop_(loop)
-        {
-        }
-        ~LastTurns() { loop_.run(); }
-        LastTurns(const LastTurns &) = delete;
-        LastTurns &operator=(const LastTurns &) = delete;
-
-    private:
-        kj::EventLoop &loop_;
+        void destroyWork() { shutdown(); }
     };
 
     bool wait() override;
@@ -50,9 +40,8 @@
     bool scheduled_ = false;
     kj::EventLoop loop_;
     kj::WaitScope scope_;
-    LastTurns lastTurns_;
     // Destroyed first: handlers and coroutines that are still pending own promises, which need the loop to end.
-    boost::asio::io_context context_;
+    Context context_;
 };
 
 }
