--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -17,12 +17,12 @@
 namespace
 {
 
-/// A node that was told to end does so within its grace time; the platform kills it then.
+/// How often it is looked whether a process has ended or is there again.
 constexpr Milliseconds EndPoll{20};
 constexpr Milliseconds LinkDelay{150};
 /// Upstreams that leave still serve for this time after the store took their word.
 constexpr Milliseconds DrainTime{2500};
-/// An entry of an upstream that died lapses after three silent check-ins.
+/// An entry of an upstream that died lapses after three missed heartbeats.
 constexpr Milliseconds LapseTime{1500};
 /// An address is used again so soon after its upstream has ended.
 constexpr Milliseconds AddressPause{2000};
@@ -32,7 +32,7 @@
 constexpr double BurstFactor = 2.5;
 constexpr double LeavingShare = 0.4;
 constexpr double UsualLeavingShare = 0.02;
-/// A restarted node has routes, the list and its first callers again within this time.
+/// A process that has ended is there again within this time.
 constexpr Milliseconds StartLimit{8000};
 
 }
--- a/tests/soak/soakdeployment.cpp
+++ b/tests/soak/soakdeployment.cpp
@@ -3,7 +3,6 @@
 #include <csignal>
 #include <fstream>
 #include <stdexcept>
-#include <thread>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,7 +10,6 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "core/currenttime.h"
 #include "http/tcpendpoint.h"
 #include "standins/standinprogram.h"
 
@@ -56,12 +54,11 @@
 }
 
 SoakDeployment::SoakDeployment(asio::io_context &context, DeploymentOptions options, StandinStore &store,
-                               PromiseChecker &checker, const Disturbances &disturbances)
+                               PromiseChecker &checker)
     : context_(context)
     , options_(std::move(options))
     , store_(store)
     , checker_(checker)
-    , disturbances_(disturbances)
     , storeServer_(context.get_executor(), HttpLimits(),
                    [this](HttpExchange &exchange) { return store_.handle(exchange); })
     , childEnds_(context, SIGCHLD)
@@ -247,7 +244,7 @@
     }
     const auto timer = std::make_shared<asio::steady_timer>(context_, RestartPause);
     timer->async_wait([this, &member, timer](const boost::system::error_code &error) {
-        if (!error && !stopping_ && member.restarts && !member.process->runs()) {
+        if (!error && !stopping_ && !member.process->runs()) {
             member.process->start();
         }
     });
--- a/tests/soak/soakdeployment.h
+++ b/tests/soak/soakdeployment.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <filesystem>
-#include <map>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -9,7 +9,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include "core/random.h"
 #include "http/httpserver.h"
 #include "soak/disturbances.h"
 #include "soak/nodeprocess.h"
@@ -56,8 +55,6 @@
     std::unique_ptr<SlottedUpstream> upstream;
     /// The soak has told the process to end, or ended it; its end is no crash.
     bool endExpected = false;
-    /// It is started again when its end was collected.
-    bool restarts = true;
 };
 
 /// Real nodes as processes, and around them what the platform brings: a store, upstreams, links. Thread safety: none.
@@ -65,7 +62,7 @@
 {
 public:
     SoakDeployment(boost::asio::io_context &context, DeploymentOptions options, StandinStore &store,
-                   PromiseChecker &checker, const Disturbances &disturbances);
+                   PromiseChecker &checker);
     ~SoakDeployment();
     SoakDeployment(const SoakDeployment &) = delete;
     SoakDeployment &operator=(const SoakDeployment &) = delete;
@@ -103,7 +100,6 @@
     DeploymentOptions options_;
     StandinStore &store_;
     PromiseChecker &checker_;
-    const Disturbances &disturbances_;
     HttpServer storeServer_;
     boost::asio::signal_set childEnds_;
     std::vector<std::unique_ptr<Member>> members_;
