sidecar: a node that is not listed yet goes on with the node that it began at

Change: a node reads for others only when it is on the list, or has nobody to follow. The new test sees two readers without it.

--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -324,7 +324,7 @@
     asio::steady_timer timer(executor_);
     while (true) {
         std::optional<Endpoint> reader;
-        if (state_.directory.hasList() && !election_.isReader()) {
+        if (state_.directory.hasList() && !readsForOthers()) {
             const std::optional<Endpoint> chosen = election_.source(currentTime());
             reader = chosen ? chosen : following_;
         }
@@ -341,6 +341,14 @@
     }
 }
 
+/// While a fleet starts, the list holds few nodes or none, and each would take itself for the one that reads. One that
+/// is not on the list yet goes on with the node that it began at.
+bool CatalogController::readsForOthers() const
+{
+    const bool isListed = state_.directory.findByAddress(state_.settings.upstream) != nullptr;
+    return election_.isReader() && (isListed || !following_);
+}
+
 asio::awaitable<bool> CatalogController::followOnce(Endpoint reader)
 {
     // The first answer comes at once: until then this node reads for itself.
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -78,6 +78,7 @@
     void beginFollowing(const Endpoint &reader, std::uint8_t hops);
     void endFollowing(std::string_view why);
     [[nodiscard]] bool removesSilently(const Catalog &catalog) const;
+    [[nodiscard]] bool readsForOthers() const;
     [[nodiscard]] bool needsPeers() const;
     [[nodiscard]] bool isBehind(const CatalogMark &mark) const;
     [[nodiscard]] bool isInOrder() const;
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -386,3 +386,24 @@
         CHECK(inside.body.starts_with(lapsed + ":"));
     });
 }
+
+// A fleet starts, and each of its nodes reads everything from the store though one had asked it: the list that it got
+// is empty as yet, so that it takes itself for the only node of its region.
+TEST_CASE("a node that is not listed yet goes on with the node that it began at")
+{
+    SidecarFixture fixture;
+    FakeUpstream &one = fixture.addUpstream("i-1");
+    FakeUpstream &two = fixture.addUpstream("i-2");
+    FakeNode &seed = fixture.addNode(one, "statements");
+    fixture.catalog.publishRoutes(10);
+    fixture.catalog.remove("i-1");
+    fixture.catalog.publishList();
+    FakeNode &late = fixture.addNode(two, "statements", {seed.peers});
+    fixture.catalog.remove("i-2");
+    fixture.run([&]() -> asio::awaitable<void> {
+        co_await fixture.sleep(Milliseconds(1500));
+        CHECK(fixture.catalog.reads(0));
+        CHECK_FALSE(fixture.catalog.reads(1));
+        checkStatus(co_await fixture.send(late.callers, "GET", "/read/1", "early"), 503);
+    });
+}
