--- a/bench/node/rpcbench.cpp
+++ b/bench/node/rpcbench.cpp
@@ -75,19 +75,6 @@
     }
 }
 
-/// Client and server share one thread, so the processor time is that of both ends, sockets included.
-void callBetweenNodes(benchmark::State &state)
-{
-    AsioEventPort port;
-    EchoService service;
-    PeerServer server(port.context(), service, ConnectionCap);
-    server.listen(ServerEndpoint);
-    PeerClient client(port.context());
-    asio::co_spawn(port.context(), callOften(client, static_cast<std::size_t>(state.range(0)), state),
-                   [&port](std::exception_ptr) { port.context().stop(); });
-    port.context().run();
-}
-
 asio::awaitable<void> askOften(PeerClient &client, benchmark::State &state)
 {
     for (auto step : state) {
@@ -101,17 +88,32 @@
     }
 }
 
-/// A follower's question when there is nothing new; `bytes` are those of both directions.
-void quietQuestion(benchmark::State &state)
+/// Runs what @p work does with a client, against a server on the same thread: the processor time is that of both ends,
+/// sockets included. Returns the bytes of both directions.
+template<typename Work>
+std::uint64_t runBetweenNodes(const Work &work)
 {
     AsioEventPort port;
     EchoService service;
     PeerServer server(port.context(), service, ConnectionCap);
     server.listen(ServerEndpoint);
     PeerClient client(port.context());
-    asio::co_spawn(port.context(), askOften(client, state), [&port](std::exception_ptr) { port.context().stop(); });
+    asio::co_spawn(port.context(), work(client), [&port](std::exception_ptr) { port.context().stop(); });
     port.context().run();
-    state.counters["bytes"] = static_cast<double>(client.bytesTransferred()) / static_cast<double>(state.iterations());
+    return client.bytesTransferred();
+}
+
+void callBetweenNodes(benchmark::State &state)
+{
+    const auto bodyBytes = static_cast<std::size_t>(state.range(0));
+    runBetweenNodes([&](PeerClient &client) { return callOften(client, bodyBytes, state); });
+}
+
+/// A follower's question when there is nothing new; `bytes` are those of one.
+void quietQuestion(benchmark::State &state)
+{
+    const std::uint64_t bytes = runBetweenNodes([&](PeerClient &client) { return askOften(client, state); });
+    state.counters["bytes"] = static_cast<double>(bytes) / static_cast<double>(state.iterations());
 }
 
 void decisionLine(benchmark::State &state)
