tests: nodes of the sidecar tests listen at addresses that no connection can take

The fixture let the system choose a free port, closed it and gave it to a node; in between one of the connections that the tests open took it. Ruled out: the node itself, which had not started; other processes, which use other addresses. Change: each process has loopback addresses of its own, and connections begin at 127.0.0.1. No check changed.

--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -6,8 +6,9 @@
 #include <stdexcept>
 #include <utility>
 
+#include <unistd.h>
+
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -24,12 +25,19 @@
 
 constexpr std::string_view AttemptId = "X-Egretpath-Attempt-Id";
 
-/// A port that was free a moment ago.
-Endpoint freeEndpoint()
+/// An address of this process alone.
+///
+/// Guards against a port that is taken between its choice and its use: a free one of the system's own choice was used
+/// by one of the connections that the tests open all the time. Those begin at 127.0.0.1, where none of these addresses
+/// is.
+Endpoint ownEndpoint()
 {
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return Endpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    constexpr int FirstPort = 21'000;
+    static int used = 0;
+    const int process = ::getpid();
+    ++used;
+    return Endpoint("127." + std::to_string(200 + process % 50) + "." + std::to_string(process / 50 % 250) + "."
+                    + std::to_string(1 + used % 250) + ":" + std::to_string(FirstPort + used));
 }
 
 SidecarSettings settingsOf(const FakeNode &node, const FakeUpstream &upstream, const std::string &service,
@@ -299,9 +307,9 @@
                                   const std::vector<Endpoint> &seeds)
 {
     FakeNode &node = *nodes_.emplace_back(std::make_unique<FakeNode>());
-    node.callers = freeEndpoint();
-    node.ready = freeEndpoint();
-    node.peers = freeEndpoint();
+    node.callers = ownEndpoint();
+    node.ready = ownEndpoint();
+    node.peers = ownEndpoint();
     catalog.add(upstream, node.peers, service);
     SidecarPlatform platform;
     platform.callers = std::make_unique<Platform::PlatformCallerDialect>();
