sidecar, rpc: news of routes and of the list tells how old it is

The logs could not tell routes that are late for their size from routes that are late for waits that add up. Each answer between nodes carries now since when a node has its routes and list from the store, and how long the question was kept; 'routes' and 'upstream' lines show age and size, a source that is left shows how long it was not heard and how many bytes passed meanwhile. No decision uses them.

--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -138,6 +138,12 @@
   # The platform's store can be read where this comes from, and nothing may have lapsed from the list.
   hops @7 :UInt8;
   # Nodes between the sender and the store: 0 for one that reads it.
+  routesAge @8 :UInt32;
+  # Milliseconds since a node read the sender's routes from the store.
+  listAge @9 :UInt32;
+  # As above, of the sender's list.
+  held @10 :UInt32;
+  # Milliseconds that the sender kept the question, since it had nothing newer.
 }
 
 interface Node {
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -342,7 +342,16 @@
         co_return connection.error();
     }
     const OpenCall open(connection.value(), wait);
-    co_return co_await await(send(connection.value()->node), deadline, nullptr);
+    const PeerStream &stream = connection.value()->stream;
+    const std::uint64_t before = stream.bytesTransferred();
+    Result<Value> answer = co_await await(send(connection.value()->node), deadline, nullptr);
+    if (!answer) {
+        // Tells a peer that is silent from an answer that is too large for the link.
+        Failure failure = answer.error();
+        failure.detail += ", " + std::to_string(stream.bytesTransferred() - before) + " bytes passed meanwhile";
+        co_return failure;
+    }
+    co_return answer;
 }
 
 }
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -107,6 +107,11 @@
     bool storeInOrder = false;
     /// Nodes between the sender and the store: 0 for one that reads it.
     std::uint8_t hops = 0;
+    /// Since a node read the sender's routes, and the newest change of its list, from the store.
+    Milliseconds routesAge{0};
+    Milliseconds listAge{0};
+    /// For so long the sender kept the question, since it had nothing newer.
+    Milliseconds held{0};
 };
 
 /// What a probe brings.
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -229,6 +229,9 @@
     wire.setWhole(catalog.whole);
     wire.setInOrder(catalog.storeInOrder);
     wire.setHops(catalog.hops);
+    wire.setRoutesAge(static_cast<std::uint32_t>(catalog.routesAge.count()));
+    wire.setListAge(static_cast<std::uint32_t>(catalog.listAge.count()));
+    wire.setHeld(static_cast<std::uint32_t>(catalog.held.count()));
     const auto isListed = [](const InstanceChange &change) { return change.record.has_value(); };
     const auto listed = std::count_if(catalog.changes.begin(), catalog.changes.end(), isListed);
     auto instances = wire.initInstances(static_cast<unsigned>(listed));
@@ -253,6 +256,9 @@
     catalog.whole = wire.getWhole();
     catalog.storeInOrder = wire.getInOrder();
     catalog.hops = wire.getHops();
+    catalog.routesAge = Milliseconds(wire.getRoutesAge());
+    catalog.listAge = Milliseconds(wire.getListAge());
+    catalog.held = Milliseconds(wire.getHeld());
     for (const auto item : wire.getInstances()) {
         InstanceRecord record = readRecord(item);
         catalog.changes.push_back({record.id, record.revision, std::move(record)});
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -48,6 +48,18 @@
 /// A peer may have more than this node for so long: readers gather changes for up to .9 s, each in its own rhythm.
 constexpr Milliseconds AheadBeforeAsking{1200};
 
+constexpr std::string_view Platform = "platform";
+
+Milliseconds since(TimePoint time)
+{
+    return std::chrono::duration_cast<Milliseconds>(currentTime() - time);
+}
+
+NewsOrigin readHere(std::size_t bytes = 0)
+{
+    return {std::string(Platform), Duration{0}, bytes};
+}
+
 }
 
 CatalogController::CatalogController(asio::any_io_executor executor, SidecarState &state, CatalogSource &source,
@@ -87,7 +99,7 @@
     if (following_) {
         return following_->value();
     }
-    return lostSince_ ? "lost" : "platform";
+    return lostSince_ ? "lost" : std::string(Platform);
 }
 
 bool CatalogController::isInOrder() const
@@ -100,7 +112,8 @@
 
 asio::awaitable<Catalog> CatalogController::answer(CatalogRequest request)
 {
-    const TimePoint end = currentTime() + request.wait;
+    const TimePoint asked = currentTime();
+    const TimePoint end = asked + request.wait;
     asio::steady_timer limit(executor_, end);
     limit.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -123,11 +136,14 @@
     catalog.has = mark();
     catalog.storeInOrder = isInOrder();
     catalog.hops = following_ ? static_cast<std::uint8_t>(hops_ + 1) : 0;
+    catalog.held = since(asked);
     if (catalog.has.routes > request.have.routes) {
         catalog.routes = state_.routesText;
+        catalog.routesAge = since(routesReadAt_);
     }
     if (catalog.has.list > request.have.list) {
         auto changes = state_.directory.changesSince(request.have.list);
+        catalog.listAge = since(listReadAt_);
         catalog.whole = !changes.has_value();
         catalog.changes = changes ? std::move(*changes) : state_.directory.wholeAsChanges();
     }
@@ -151,10 +167,11 @@
 
 void CatalogController::routesRead(PublishedRoutes routes)
 {
-    putInForce(std::move(routes), "platform");
+    const NewsOrigin origin = readHere(routes.text.size());
+    putInForce(std::move(routes), origin);
 }
 
-void CatalogController::putInForce(PublishedRoutes routes, std::string_view from)
+void CatalogController::putInForce(PublishedRoutes routes, const NewsOrigin &origin)
 {
     // A stale read or an old peer must not take back what is in force.
     if (state_.routes && routes.table->version() <= state_.routes->version()) {
@@ -164,8 +181,11 @@
     line.add("version", routes.table->version().value());
     line.add("before", state_.routes ? state_.routes->version().value() : 0);
     line.add("count", std::uint64_t{routes.table->routeCount()});
-    line.add("from", from);
+    line.add("from", origin.from).add("bytes", std::uint64_t{origin.bytes});
+    line.add("age_ms", std::chrono::duration_cast<Milliseconds>(origin.age).count());
     state_.log.info(line);
+    state_.metrics.record("egretpath_news_age_seconds", R"(what="routes")", origin.age);
+    routesReadAt_ = currentTime() - origin.age;
     state_.routes = std::move(routes.table);
     state_.routesText = std::move(routes.text);
     state_.metrics.set("egretpath_routes_version", {}, static_cast<double>(state_.routes->version().value()));
@@ -176,18 +196,26 @@
 void CatalogController::listRead(const InstanceSnapshot &snapshot)
 {
     if (state_.directory.applySnapshot(snapshot, currentTime())) {
-        logList("platform", "whole");
+        noteListRead(readHere());
+        logList(Platform, "whole");
         listChanged();
     }
 }
 
+void CatalogController::noteListRead(const NewsOrigin &origin)
+{
+    listReadAt_ = currentTime() - origin.age;
+    state_.metrics.record("egretpath_news_age_seconds", R"(what="list")", origin.age);
+}
+
 void CatalogController::changesRead(const std::vector<InstanceChange> &changes, StoreRevision reached)
 {
-    applyChanges(changes, reached);
+    applyChanges(changes, reached, readHere());
 }
 
 /// Returns whether anything was new.
-bool CatalogController::applyChanges(const std::vector<InstanceChange> &changes, StoreRevision reached)
+bool CatalogController::applyChanges(const std::vector<InstanceChange> &changes, StoreRevision reached,
+                                     const NewsOrigin &origin)
 {
     bool any = false;
     for (const InstanceChange &change : changes) {
@@ -201,11 +229,13 @@
                  !change.record                                     ? "gone"
                      : change.record->state == InstanceState::Ready ? "ready"
                                                                     : "draining");
+        line.add("age_ms", std::chrono::duration_cast<Milliseconds>(origin.age).count());
         state_.log.info(line);
     }
     state_.directory.reached(reached);
     wakeAskers();
     if (any) {
+        noteListRead(origin);
         listChanged();
     }
     return any;
@@ -256,7 +286,7 @@
         timer.expires_after(Round);
         co_await timer.async_wait(asio::use_awaitable);
         if (state_.directory.expire(currentTime())) {
-            logList("platform", "lapsed");
+            logList(Platform, "lapsed");
             listChanged();
         }
         if (needsPeers()) {
@@ -408,6 +438,7 @@
 {
     StructuredLine line("follow");
     line.add("reader", "none").add("was", following_->value()).add("why", why);
+    line.add("unheard_ms", since(heardAt_).count());
     state_.log.info(line);
     following_.reset();
     source_.resume(state_.directory.revision(), lostSince_.has_value());
@@ -451,7 +482,15 @@
 asio::awaitable<Result<Catalog>> CatalogController::ask(Endpoint peer, Milliseconds wait, Milliseconds limit)
 {
     const CatalogRequest request{mark(), wait};
-    co_return co_await peers_.catalog(std::move(peer), request, currentTime() + limit);
+    const TimePoint asked = currentTime();
+    Result<Catalog> answer = co_await peers_.catalog(std::move(peer), request, asked + limit);
+    if (answer) {
+        Catalog &catalog = answer.value();
+        const Milliseconds onTheWay = since(asked) - catalog.held;
+        catalog.routesAge += onTheWay;
+        catalog.listAge += onTheWay;
+    }
+    co_return answer;
 }
 
 asio::awaitable<void> CatalogController::askPeers()
@@ -505,7 +544,7 @@
     if (!catalog.routes.empty()) {
         Result<PublishedRoutes> routes = source_.readRoutes(catalog.routes);
         if (routes) {
-            putInForce(std::move(routes).value(), peer.value());
+            putInForce(std::move(routes).value(), {peer.value(), catalog.routesAge, catalog.routes.size()});
         } else {
             entryRefused(peer.value(), routes.error().detail);
         }
@@ -523,7 +562,7 @@
         return false;
     }
     if (!catalog.whole) {
-        return applyChanges(catalog.changes, catalog.has.list);
+        return applyChanges(catalog.changes, catalog.has.list, {peer.value(), catalog.listAge});
     }
     InstanceSnapshot snapshot;
     snapshot.revision = catalog.has.list;
@@ -534,6 +573,7 @@
     }
     const bool applied = state_.directory.applySnapshot(snapshot, currentTime());
     if (applied) {
+        noteListRead({peer.value(), catalog.listAge});
         logList(peer.value(), "whole");
         listChanged();
     }
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -12,6 +12,7 @@
 #include "instances/readerelection.h"
 #include "rpc/peerclient.h"
 #include "sidecar/catalogsource.h"
+#include "sidecar/newsorigin.h"
 #include "sidecar/sidecarstate.h"
 
 namespace Egretpath
@@ -71,13 +72,14 @@
     boost::asio::awaitable<void> checkOwnWay(const Catalog &catalog);
     boost::asio::awaitable<void> askPeers();
     boost::asio::awaitable<void> catchUp();
+    /// The ages in the answer are those of its arrival.
     [[nodiscard]] boost::asio::awaitable<Result<Catalog>> ask(Endpoint peer, Milliseconds wait, Milliseconds limit);
     [[nodiscard]] std::vector<Endpoint> peersToAsk();
     /// Returns whether anything was new.
     bool take(const Endpoint &peer, const Catalog &catalog);
-    void putInForce(PublishedRoutes routes, std::string_view from);
+    void putInForce(PublishedRoutes routes, const NewsOrigin &origin);
     bool takeList(const Endpoint &peer, const Catalog &catalog);
-    bool applyChanges(const std::vector<InstanceChange> &changes, StoreRevision reached);
+    bool applyChanges(const std::vector<InstanceChange> &changes, StoreRevision reached, const NewsOrigin &origin);
     void beginFollowing(const Endpoint &reader, std::uint8_t hops);
     void endFollowing(std::string_view why);
     [[nodiscard]] bool removesSilently(const Catalog &catalog) const;
@@ -90,6 +92,7 @@
     void listChanged();
     void wakeAskers() { news_.cancel(); }
     void logList(std::string_view from, std::string_view what) const;
+    void noteListRead(const NewsOrigin &origin);
 
     boost::asio::any_io_executor executor_;
     SidecarState &state_;
@@ -103,6 +106,9 @@
     /// When the node followed was last heard in order.
     TimePoint heardAt_;
     std::uint8_t hops_ = 0;
+    /// When a node read the routes in force, and the newest change of the list, from the store.
+    TimePoint routesReadAt_;
+    TimePoint listReadAt_;
     /// Nodes that the settings name and that have not answered yet, while this node starts.
     std::size_t seedsAsked_ = 0;
     bool callersWait_ = false;
