--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/digest.h"
+#include "http/tcpendpoint.h"
 #include "platform/platformdialect.h"
 #include "platform/publishedroutes.h"
 
@@ -199,9 +201,16 @@
 
 std::string FakeCatalog::routesText() const
 {
-    return R"({"version":")" + std::to_string(version_)
-        + R"(","listeners":[{"hostname":"h","rules":[)"
-          R"({"name":"read","kind":"safe","target_latency":"300ms","priority":2,"match":{"prefix":"/read/"},)"
+    std::string idle;
+    for (std::size_t number = 0; number < idleRoutes; ++number) {
+        // Digits that look like chance, as names do.
+        const std::string name = std::to_string(stableHash(std::to_string(number)));
+        idle += R"({"name":"r-)" + name
+            + R"(","kind":"safe","target_latency":"300ms","priority":2,"match":{"prefix":"/)" + name
+            + R"(/"},"action":{"service":"statements","timeout":"800ms","max_attempts":3}},)";
+    }
+    return R"({"version":")" + std::to_string(version_) + R"(","listeners":[{"hostname":"h","rules":[)" + idle
+        + R"({"name":"read","kind":"safe","target_latency":"300ms","priority":2,"match":{"prefix":"/read/"},)"
           R"("action":{"service":"statements","timeout":"800ms","max_attempts":3}},)"
           R"({"name":"pay","kind":"unsafe","target_latency":"300ms","priority":1,"match":{"prefix":"/pay/"},)"
           R"("action":{"service":"statements","timeout":"800ms","max_attempts":3}},)"
@@ -323,6 +332,17 @@
     return node;
 }
 
+void SidecarFixture::putBehindLink(const FakeNode &node, const FakeUpstream &upstream, const std::string &service,
+                                   std::uint64_t bytesPerSecond)
+{
+    StandinRelay &link = *links_.emplace_back(
+        std::make_unique<StandinRelay>(loop_.context().get_executor(), toTcpEndpoint(node.peers).value()));
+    RelayConditions conditions;
+    conditions.bytesPerSecond = bytesPerSecond;
+    link.setConditions(conditions);
+    catalog.add(upstream, link.listen(toTcpEndpoint(ownEndpoint()).value()), service);
+}
+
 void SidecarFixture::run(const std::function<asio::awaitable<void>()> &scenario)
 {
     constexpr std::chrono::seconds Limit{20};
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -13,6 +13,7 @@
 #include "http/httpserver.h"
 #include "rpc/asioeventport.h"
 #include "sidecar/sidecar.h"
+#include "standins/standinrelay.h"
 
 namespace Egretpath
 {
@@ -79,6 +80,8 @@
     bool cutOff = false;
     /// Nodes made from now on can't read it.
     bool unreachable = false;
+    /// Routes that nobody uses, beside those of the tests.
+    std::size_t idleRoutes = 0;
 
 private:
     friend class FakeSource;
@@ -128,6 +131,9 @@
     /// A node beside @p upstream, listed under @p service.
     FakeNode &addNode(const FakeUpstream &upstream, const std::string &service,
                       const std::vector<Endpoint> &seeds = {});
+    /// Other nodes reach @p node, which stands beside @p upstream, by a link of this bandwidth.
+    void putBehindLink(const FakeNode &node, const FakeUpstream &upstream, const std::string &service,
+                       std::uint64_t bytesPerSecond);
     void run(const std::function<boost::asio::awaitable<void>()> &scenario);
     [[nodiscard]] boost::asio::awaitable<void> sleep(Milliseconds duration);
     [[nodiscard]] boost::asio::awaitable<bool> until(std::function<bool()> condition);
@@ -143,6 +149,7 @@
     HttpConnectionPool pool_;
     std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
     std::vector<std::unique_ptr<FakeNode>> nodes_;
+    std::vector<std::unique_ptr<StandinRelay>> links_;
 };
 
 }
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -453,3 +453,32 @@
         checkStatus(co_await fixture.send(late.callers, "GET", "/read/1", "early"), 503);
     });
 }
+
+// Guards against large routes that outlast the limits of those who wait for them, and are sent again and again.
+TEST_CASE("changes of many routes pass links of little bandwidth, and followers stay with their source")
+{
+    constexpr std::size_t ManyRoutes = 1400;
+    // A node's share of 10 Mbit/s while its source serves two more.
+    constexpr std::uint64_t LinkShare = 416'000;
+    constexpr Milliseconds InForceWithin{2000};
+    Deployment deployment;
+    deployment.putBehindLink(deployment.first, deployment.one, "statements", LinkShare);
+    deployment.putBehindLink(deployment.second, deployment.two, "statements", LinkShare);
+    deployment.catalog.idleRoutes = ManyRoutes;
+    deployment.catalog.publishList();
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.until([&] { return deployment.catalog.readers() == 1; }));
+        for (std::uint64_t version = 20; version < 24; ++version) {
+            deployment.catalog.publishRoutes(version);
+            for (Milliseconds waited{0}; waited < InForceWithin; waited += Milliseconds(100)) {
+                co_await deployment.sleep(Milliseconds(100));
+                CHECK(deployment.catalog.readers() == 1);
+            }
+            const std::string target = "/v" + std::to_string(version) + "/1";
+            for (const FakeNode *node : {&deployment.first, &deployment.second}) {
+                checkStatus(co_await deployment.send(node->callers, "GET", target, target + node->callers.value()),
+                            200);
+            }
+        }
+    });
+}
