routes, rpc, sidecar: routes travel between nodes compressed, and are read only when they are newer

Cause: a table of 1,400 routes is 246 KB, and each change sent it whole to each node over up to four steps. On links of 10 to 12 Mbit/s beside other work the answer outlasted the wait of its asker (1.1 s; .4 s for one that asks a new source), who gave it up, left its source and asked the next one for the same, which held up the link for everybody else. Nothing ends that: a node that had lost all its sources stayed without news for 14 s. The list travels in the same answers.

Change: the node that reads the store compresses the text once; the others pass on the bytes as they are. Routes that are not newer are not read again.

--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -127,7 +127,7 @@
   routesVersion @0 :UInt64;
   # Zero: the sender has none.
   routes @1 :Data;
-  # As the platform published them; empty if the asker has them.
+  # As the platform published them, compressed by zlib; empty if the asker has them.
   revision @2 :UInt64;
   # Of the sender's list; zero: it has none.
   whole @3 :Bool;
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -11,6 +11,7 @@
 #include "core/verdict.h"
 #include "http/httpheaders.h"
 #include "instances/instancedirectory.h"
+#include "routes/packedroutes.h"
 #include "routes/routetable.h"
 
 namespace Egretpath
@@ -98,8 +99,8 @@
 {
     /// What the sender has; zero for what it lacks itself.
     CatalogMark has;
-    /// Routes as the platform published them; empty if the asker has them.
-    std::string routes;
+    /// As the platform published them; empty if the asker has them.
+    PackedRoutes routes;
     /// The changes make up the whole list; else they are those after the asker's revision.
     bool whole = false;
     std::vector<InstanceChange> changes;
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -224,7 +224,7 @@
 void write(Wire::Catalog::Builder wire, const Catalog &catalog)
 {
     wire.setRoutesVersion(catalog.has.routes.value());
-    wire.setRoutes(asData(catalog.routes));
+    wire.setRoutes(asData(catalog.routes.bytes));
     wire.setRevision(catalog.has.list.value());
     wire.setWhole(catalog.whole);
     wire.setInOrder(catalog.storeInOrder);
@@ -252,7 +252,7 @@
 {
     Catalog catalog;
     catalog.has = {RouteVersion(wire.getRoutesVersion()), StoreRevision(wire.getRevision())};
-    catalog.routes = readBytes(wire.getRoutes());
+    catalog.routes.bytes = readBytes(wire.getRoutes());
     catalog.whole = wire.getWhole();
     catalog.storeInOrder = wire.getInOrder();
     catalog.hops = wire.getHops();
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -138,7 +138,7 @@
     catalog.hops = following_ ? static_cast<std::uint8_t>(hops_ + 1) : 0;
     catalog.held = since(asked);
     if (catalog.has.routes > request.have.routes) {
-        catalog.routes = state_.routesText;
+        catalog.routes = state_.packedRoutes;
         catalog.routesAge = since(routesReadAt_);
     }
     if (catalog.has.list > request.have.list) {
@@ -167,27 +167,45 @@
 
 void CatalogController::routesRead(PublishedRoutes routes)
 {
-    const NewsOrigin origin = readHere(routes.text.size());
-    putInForce(std::move(routes), origin);
+    // A stale read must not take back what is in force.
+    if (routes.table->version() <= mark().routes) {
+        return;
+    }
+    putInForce(std::move(routes.table), packRoutes(routes.text), readHere(routes.text.size()));
 }
 
-void CatalogController::putInForce(PublishedRoutes routes, const NewsOrigin &origin)
+void CatalogController::takeRoutes(const Endpoint &peer, const Catalog &catalog)
 {
-    // A stale read or an old peer must not take back what is in force.
-    if (state_.routes && routes.table->version() <= state_.routes->version()) {
+    // Reading many routes takes a small VM long.
+    if (catalog.routes.empty() || catalog.has.routes <= mark().routes) {
         return;
     }
+    Result<std::string> text = unpackRoutes(catalog.routes);
+    Result<PublishedRoutes> routes =
+        text ? source_.readRoutes(std::move(text).value()) : Result<PublishedRoutes>(text.error());
+    if (!routes) {
+        entryRefused(peer.value(), routes.error().detail);
+        return;
+    }
+    // What the peer says that it has is not proof of it.
+    if (routes.value().table->version() > mark().routes) {
+        putInForce(std::move(routes.value().table), catalog.routes,
+                   {peer.value(), catalog.routesAge, catalog.routes.bytes.size()});
+    }
+}
+
+void CatalogController::putInForce(RouteTablePointer table, PackedRoutes packed, const NewsOrigin &origin)
+{
     StructuredLine line("routes");
-    line.add("version", routes.table->version().value());
-    line.add("before", state_.routes ? state_.routes->version().value() : 0);
-    line.add("count", std::uint64_t{routes.table->routeCount()});
+    line.add("version", table->version().value()).add("before", mark().routes.value());
+    line.add("count", std::uint64_t{table->routeCount()});
     line.add("from", origin.from).add("bytes", std::uint64_t{origin.bytes});
     line.add("age_ms", std::chrono::duration_cast<Milliseconds>(origin.age).count());
     state_.log.info(line);
     state_.metrics.record("egretpath_news_age_seconds", R"(what="routes")", origin.age);
     routesReadAt_ = currentTime() - origin.age;
-    state_.routes = std::move(routes.table);
-    state_.routesText = std::move(routes.text);
+    state_.routes = std::move(table);
+    state_.packedRoutes = std::move(packed);
     state_.metrics.set("egretpath_routes_version", {}, static_cast<double>(state_.routes->version().value()));
     wakeAskers();
     changed_();
@@ -541,14 +559,7 @@
 bool CatalogController::take(const Endpoint &peer, const Catalog &catalog)
 {
     const RouteVersion before = mark().routes;
-    if (!catalog.routes.empty()) {
-        Result<PublishedRoutes> routes = source_.readRoutes(catalog.routes);
-        if (routes) {
-            putInForce(std::move(routes).value(), {peer.value(), catalog.routesAge, catalog.routes.size()});
-        } else {
-            entryRefused(peer.value(), routes.error().detail);
-        }
-    }
+    takeRoutes(peer, catalog);
     const bool listIsNew = takeList(peer, catalog);
     if (ahead_ && ahead_->peer == peer) {
         ahead_.reset();
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -77,7 +77,8 @@
     [[nodiscard]] std::vector<Endpoint> peersToAsk();
     /// Returns whether anything was new.
     bool take(const Endpoint &peer, const Catalog &catalog);
-    void putInForce(PublishedRoutes routes, const NewsOrigin &origin);
+    void takeRoutes(const Endpoint &peer, const Catalog &catalog);
+    void putInForce(RouteTablePointer table, PackedRoutes packed, const NewsOrigin &origin);
     bool takeList(const Endpoint &peer, const Catalog &catalog);
     bool applyChanges(const std::vector<InstanceChange> &changes, StoreRevision reached, const NewsOrigin &origin);
     void beginFollowing(const Endpoint &reader, std::uint8_t hops);
--- a/src/sidecar/catalogsource.h
+++ b/src/sidecar/catalogsource.h
@@ -17,7 +17,7 @@
 struct PublishedRoutes
 {
     RouteTablePointer table;
-    /// For other nodes, which read it themselves.
+    /// What other nodes get, and read themselves.
     std::string text;
 };
 
--- a/src/sidecar/sidecarstate.h
+++ b/src/sidecar/sidecarstate.h
@@ -3,6 +3,7 @@
 #include "core/identity.h"
 #include "core/random.h"
 #include "instances/instancedirectory.h"
+#include "routes/packedroutes.h"
 #include "routes/routetable.h"
 #include "settings/sidecarsettings.h"
 #include "telemetry/eventlog.h"
@@ -28,8 +29,8 @@
 
     /// The routes in force; null until some were read. Written by CatalogController.
     RouteTablePointer routes;
-    /// As the platform published them.
-    std::string routesText;
+    /// As the platform published them, for other nodes. Written by CatalogController.
+    PackedRoutes packedRoutes;
     /// Written by CatalogController.
     InstanceDirectory directory;
     /// The node was told to stop. Written by Sidecar.
--- /dev/null
+++ b/tests/routes/packedroutestest.cpp
@@ -0,0 +1,46 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "core/digest.h"
+#include "routes/packedroutes.h"
+
+using namespace Egretpath;
+
+namespace
+{
+
+std::string manyRoutes(std::size_t count)
+{
+    std::string text;
+    for (std::size_t number = 0; number < count; ++number) {
+        const std::string name = std::to_string(stableHash(std::to_string(number)));
+        text += R"({"name":"r-)" + name + R"(","match":{"prefix":"/)" + name + R"(/"},"action":{"timeout":"800ms"}},)";
+    }
+    return text;
+}
+
+}
+
+TEST_CASE("packed routes come back as they were")
+{
+    for (const std::string &text : {std::string(), std::string("{}"), manyRoutes(5000), std::string(1'000'000, 'x')}) {
+        const auto unpacked = unpackRoutes(packRoutes(text));
+        REQUIRE(unpacked.has_value());
+        CHECK(unpacked.value() == text);
+    }
+}
+
+TEST_CASE("bytes that are no packed routes are refused")
+{
+    const std::string packed = packRoutes(manyRoutes(100)).bytes;
+    CHECK_FALSE(unpackRoutes({}).has_value());
+    CHECK_FALSE(unpackRoutes({"{routes}"}).has_value());
+    CHECK_FALSE(unpackRoutes({packed.substr(0, packed.size() / 2)}).has_value());
+}
+
+TEST_CASE("routes larger than any store holds are refused, and take no memory")
+{
+    constexpr std::size_t TooMuch = std::size_t{64} * 1024 * 1024;
+    CHECK_FALSE(unpackRoutes(packRoutes(std::string(TooMuch, 'x'))).has_value());
+}
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -236,7 +236,10 @@
         record.warmUp = Milliseconds(300);
         record.revision = StoreRevision(8);
         f.service.sent.has = {RouteVersion(5), StoreRevision(9)};
-        f.service.sent.routes = "{routes}";
+        f.service.sent.routes = PackedRoutes{"{routes}"};
+        f.service.sent.routesAge = Milliseconds(40);
+        f.service.sent.listAge = Milliseconds(50);
+        f.service.sent.held = Milliseconds(30);
         f.service.sent.whole = true;
         f.service.sent.changes = {{record.id, record.revision, record}, {UpstreamName("u2"), StoreRevision(9), {}}};
         f.service.sent.storeInOrder = true;
@@ -251,7 +254,10 @@
         const Catalog &got = catalog.value();
         CHECK(got.has.routes == RouteVersion(5));
         CHECK(got.has.list == StoreRevision(9));
-        CHECK(got.routes == "{routes}");
+        CHECK(got.routes.bytes == "{routes}");
+        CHECK(got.routesAge == Milliseconds(40));
+        CHECK(got.listAge == Milliseconds(50));
+        CHECK(got.held == Milliseconds(30));
         CHECK(got.whole);
         CHECK(got.storeInOrder);
         CHECK(got.hops == 2);
