egress: a request is not handed over to an upstream that leaves, and does not wait beside one

Cause: between the placement (by the list of the ingress) and the hand-over a request may wait for a slot, its body or a link, and nobody looked again. The node beside the upstream often knows first, and took requests for it as before.

Change: UpstreamPresence, one place for who is at the address, from the list and from answers. The egress asks it when a request comes, ends the waits when the list changes, and asks it again right before the hand-over. What is refused has not run, and goes on to another upstream.

The test failed before: 6 requests ran at the upstream that left where 4 had begun (2 checks of 4). It replays a list that changes while two requests wait for a slot.

--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -63,9 +63,13 @@
     co_return co_await request->run();
 }
 
-void EgressRole::setSlots(std::uint32_t slots)
+void EgressRole::setListed(const InstanceRecord *record)
 {
-    slots_.setSlots(slots);
+    if (record != nullptr) {
+        slots_.setSlots(record->slots);
+    }
+    presence_.listed(record);
+    slots_.refuseWaiting([this](const UpstreamName &target) { return presence_.objection(target); });
 }
 
 void EgressRole::setConnectionCap(std::uint32_t cap)
@@ -140,7 +144,7 @@
 void EgressRole::take(const UpstreamRemarks &remarks)
 {
     if (!remarks.upstream.value().empty()) {
-        present_ = remarks.upstream;
+        presence_.answered(remarks.upstream);
     }
     if (!remarks.load) {
         return;
@@ -154,11 +158,6 @@
     }
 }
 
-bool EgressRole::isAnother(const UpstreamName &wanted) const
-{
-    return !present_.value().empty() && !wanted.value().empty() && present_ != wanted;
-}
-
 void EgressRole::recordArrival(Duration delay)
 {
     const double sample = std::chrono::duration<double, std::micro>(std::min<Duration>(delay, LongestDelay)).count();
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -10,6 +10,7 @@
 
 #include "dialect/upstreamdialect.h"
 #include "egress/upstreamhealth.h"
+#include "egress/upstreampresence.h"
 #include "egress/workslots.h"
 #include "http/httpconnectionpool.h"
 #include "idempotency/latenessguard.h"
@@ -55,8 +56,9 @@
     boost::asio::awaitable<CallOutcome> call(CallHead head, std::string body, std::shared_ptr<AnswerReceiver> answer,
                                              std::shared_ptr<Cancellation> cancellation);
 
-    /// What the platform says of the upstream's slots.
-    void setSlots(std::uint32_t slots);
+    /// What the list says of the upstream's address; null if it names nobody there. Requests that wait for one that
+    /// leaves are refused.
+    void setListed(const InstanceRecord *record);
     void setHealthPath(std::string path) { settings_.healthPath = std::move(path); }
     void setConnectionCap(std::uint32_t cap);
     /// Refuses new requests from now on, or no longer.
@@ -76,8 +78,6 @@
     /// Asks for the pace again and again while a request waits for a slow spell to end.
     boost::asio::awaitable<void> watchPace();
     void take(const UpstreamRemarks &remarks);
-    /// Whether the upstream here is known to be another one than @p wanted.
-    [[nodiscard]] bool isAnother(const UpstreamName &wanted) const;
     void recordArrival(Duration delay);
     void recordAnswer(bool failed);
     /// Tells the queue how much of the evidence of failures is left.
@@ -95,8 +95,7 @@
     UpstreamHealth health_;
     std::uint64_t lastCallId_ = 0;
     TimePoint paceTime_;
-    /// Who last said that it listens at the upstream's address; empty until one did.
-    UpstreamName present_;
+    UpstreamPresence presence_;
     double arrivalDelayMicroseconds_ = 0.0;
     bool leaving_ = false;
     bool probing_ = false;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -88,10 +88,8 @@
         co_return notRun(Reason::Draining, "the node beside the upstream stops", LeavingRetryAfter);
     }
     co_await role_.freshenPace();
-    // A replacement has started at the address, and its predecessor is still listed. The upstream would refuse the
-    // request too, but each request that reaches it counts as a repeat when it goes on to another.
-    if (role_.isAnother(head_.targetUpstream)) {
-        co_return notRun(Reason::NoUpstream, "another upstream has started at the address");
+    if (auto objection = role_.presence_.objection(head_.targetUpstream)) {
+        co_return objection;
     }
     role_.recordHealth();
     const WorkOffer offer = makeOffer();
@@ -100,7 +98,7 @@
             .objection(offer, currentTime())
             .value_or(notRun(Reason::None, "it would be taken"));
     }
-    if (auto failure = co_await role_.slots_.acquire(offer, cancellation_)) {
+    if (auto failure = co_await role_.slots_.acquire(offer, head_.targetUpstream, cancellation_)) {
         co_return failure;
     }
     holdsSlot_ = true;
@@ -144,6 +142,9 @@
     if (currentTime() >= deadline_) {
         co_return notRun(Reason::DeadlinePassed, "deadline passed before it was handed over");
     }
+    if (auto objection = role_.presence_.objection(head_.targetUpstream)) {
+        co_return objection;
+    }
     upstream_ = std::move(opened).value();
     cancellation_->setAction([weak = weak_from_this()] {
         const auto request = weak.lock();
--- a/src/egress/workslots.cpp
+++ b/src/egress/workslots.cpp
@@ -18,7 +18,8 @@
 {
 }
 
-asio::awaitable<std::optional<Failure>> WorkSlots::acquire(WorkOffer offer, std::shared_ptr<Cancellation> cancellation)
+asio::awaitable<std::optional<Failure>> WorkSlots::acquire(WorkOffer offer, UpstreamName target,
+                                                           std::shared_ptr<Cancellation> cancellation)
 {
     const OfferOutcome outcome = queue_.offer(offer, currentTime());
     if (const auto *refused = std::get_if<Refused>(&outcome)) {
@@ -27,15 +28,17 @@
     if (std::holds_alternative<Admitted>(outcome)) {
         co_return std::nullopt;
     }
-    co_return co_await waitForTurn(offer.call, std::move(cancellation));
+    co_return co_await waitForTurn(offer.call, std::move(target), std::move(cancellation));
 }
 
-asio::awaitable<std::optional<Failure>> WorkSlots::waitForTurn(CallId call, std::shared_ptr<Cancellation> cancellation)
+asio::awaitable<std::optional<Failure>> WorkSlots::waitForTurn(CallId call, UpstreamName target,
+                                                               std::shared_ptr<Cancellation> cancellation)
 {
-    const auto waiter = std::make_shared<Waiter>(executor_);
+    const auto waiter = std::make_shared<Waiter>(executor_, std::move(target));
     waiters_.emplace(call, waiter);
     armExpiry();
-    cancellation->setAction([this, call] { cancelQueued(call); });
+    cancellation->setAction(
+        [this, call] { removeQueued(call, notRun(Reason::Cancelled, "cancelled while it waited for a slot")); });
     boost::system::error_code ignored;
     co_await waiter->wakeUp.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     cancellation->clearAction();
@@ -75,10 +78,24 @@
     }
 }
 
-void WorkSlots::cancelQueued(CallId call)
+void WorkSlots::refuseWaiting(const std::function<std::optional<Failure>(const UpstreamName &)> &objection)
+{
+    // Collected first: a wait that ends takes its entry away.
+    std::vector<std::pair<CallId, Failure>> refused;
+    for (const auto &[call, waiter] : waiters_) {
+        if (auto failure = objection(waiter->target)) {
+            refused.emplace_back(call, std::move(*failure));
+        }
+    }
+    for (auto &[call, failure] : refused) {
+        removeQueued(call, std::move(failure));
+    }
+}
+
+void WorkSlots::removeQueued(CallId call, Failure failure)
 {
     if (queue_.cancel(call) == CancelOutcome::WasQueued) {
-        end(call, notRun(Reason::Cancelled, "cancelled while it waited for a slot"));
+        end(call, std::move(failure));
     }
 }
 
--- a/src/egress/workslots.h
+++ b/src/egress/workslots.h
@@ -28,12 +28,16 @@
     explicit WorkSlots(boost::asio::any_io_executor executor);
 
     /// Returns nothing once the request has a slot, which release() then gives back; else why it has none.
-    /// Errors: NotRun with Overloaded, Declined, DeadlinePassed or Cancelled.
-    boost::asio::awaitable<std::optional<Failure>> acquire(WorkOffer offer, std::shared_ptr<Cancellation> cancellation);
+    /// Errors: NotRun with Overloaded, Declined, DeadlinePassed or Cancelled, or what refuseWaiting() was told.
+    /// @p target: the upstream that must run the request.
+    boost::asio::awaitable<std::optional<Failure>> acquire(WorkOffer offer, UpstreamName target,
+                                                           std::shared_ptr<Cancellation> cancellation);
     /// Gives the slot of @p call back. @p answered: its duration tells the service time.
     void release(CallId call, bool answered);
     void setSlots(std::uint32_t slots);
     void setPace(std::uint16_t percent);
+    /// Ends the wait of each request for whose upstream @p objection has one, with that.
+    void refuseWaiting(const std::function<std::optional<Failure>(const UpstreamName &)> &objection);
     void setFailureShare(double share) { queue_.setFailureShare(share); }
 
     /// Calls @p listener whenever a request begins or goes on to wait for the end of the VM's slow spell.
@@ -44,19 +48,22 @@
 private:
     struct Waiter
     {
-        explicit Waiter(const boost::asio::any_io_executor &executor)
+        Waiter(const boost::asio::any_io_executor &executor, UpstreamName wanted)
             : wakeUp(executor, boost::asio::steady_timer::time_point::max())
+            , target(std::move(wanted))
         {
         }
 
         boost::asio::steady_timer wakeUp;
+        UpstreamName target;
         std::optional<Failure> failure;
     };
 
-    boost::asio::awaitable<std::optional<Failure>> waitForTurn(CallId call, std::shared_ptr<Cancellation> cancellation);
+    boost::asio::awaitable<std::optional<Failure>> waitForTurn(CallId call, UpstreamName target,
+                                                               std::shared_ptr<Cancellation> cancellation);
     void start(const std::vector<CallId> &calls);
     void end(CallId call, Failure failure);
-    void cancelQueued(CallId call);
+    void removeQueued(CallId call, Failure failure);
     void expire();
     void armExpiry();
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -220,9 +220,7 @@
                 egress_.setConnectionCap(service->connectionCap);
             }
         }
-        if (const InstanceRecord *own = state_.directory.findByAddress(state_.settings.upstream)) {
-            egress_.setSlots(own->slots);
-        }
+        egress_.setListed(state_.directory.findByAddress(state_.settings.upstream));
         ingress_.catalogChanged();
     }
 
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -255,6 +255,16 @@
     });
 }
 
+void FakeCatalog::drain(const std::string &id)
+{
+    InstanceRecord &record = records_.at(id);
+    record.state = InstanceState::Draining;
+    record.revision = StoreRevision(++revision_);
+    tell([&](CatalogSink &sink) {
+        sink.changesRead({{record.id, record.revision, record}}, StoreRevision(revision_));
+    });
+}
+
 bool FakeCatalog::reads(std::size_t node) const
 {
     return std::find(sinks_.begin(), sinks_.end(), made_.at(node)) != sinks_.end();
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -62,6 +62,8 @@
     void publishList();
     void add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service);
     void remove(const std::string &id);
+    /// The upstream says that it leaves.
+    void drain(const std::string &id);
     void lose();
     /// Only for the node that was made as number @p node.
     void lose(std::size_t node);
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -482,3 +482,34 @@
         }
     });
 }
+
+// Guards against requests that wait beside an upstream while it leaves, and reach it long after it said so.
+TEST_CASE("requests that wait beside an upstream that leaves go to another one")
+{
+    constexpr int TakenAtOnce = 4;
+    constexpr int Waiting = 2;
+    Deployment deployment;
+    deployment.one.work = Milliseconds(200);
+    deployment.catalog.remove("i-2");
+    deployment.run([&]() -> asio::awaitable<void> {
+        int answered = 0;
+        for (int number = 0; number < TakenAtOnce + Waiting; ++number) {
+            asio::co_spawn(
+                co_await asio::this_coro::executor,
+                [&deployment, &answered, number]() -> asio::awaitable<void> {
+                    const Reply reply = co_await deployment.send(deployment.second.callers, "POST", "/pay/1",
+                                                                 "wait-" + std::to_string(number));
+                    answered += reply.status == 200 ? 1 : 0;
+                },
+                asio::detached);
+        }
+        co_await deployment.sleep(Milliseconds(50));
+        CHECK(deployment.one.totalRuns() == TakenAtOnce);
+        deployment.catalog.add(deployment.two, deployment.second.peers, "statements");
+        deployment.catalog.publishList();
+        deployment.catalog.drain("i-1");
+        checkHappened(co_await deployment.until([&] { return answered == TakenAtOnce + Waiting; }));
+        CHECK(deployment.one.totalRuns() == TakenAtOnce);
+        CHECK(deployment.two.totalRuns() == Waiting);
+    });
+}
