platform: many versions of a large table do not hold up the newest one

What callers could see: routes late in a whole region while its reader, on a link of 10 Mbit/s, read one version after the other.

Cause: a watch brings each version that was written since the last one, 330 KB each, and each was read.

The test failed before (40 versions in 2 s over 10 Mbit/s: the last one was not there 2 s later; 1 check of 3).

--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,16 @@
     return R"({"version":")" + version + R"(","listeners":[],"clusters":[]})";
 }
 
+/// As many bytes as some 1,400 routes take.
+std::string largeRoutesText(int version)
+{
+    constexpr std::size_t Size = 246'000;
+    std::ostringstream text;
+    text << R"({"version":")" << std::hex << version << R"(","unused":")" << std::string(Size, 'x')
+         << R"(","listeners":[],"clusters":[]})";
+    return text.str();
+}
+
 std::string entryText(const std::string &state)
 {
     return R"({"service":"statements","address":"10.0.0.1:8301","zone":"north-a","slots":6,"state":")" + state
@@ -34,7 +45,11 @@
 class RecordingSink final : public CatalogSink
 {
 public:
-    void routesRead(PublishedRoutes routes) override { version = routes.table->version(); }
+    void routesRead(PublishedRoutes routes) override
+    {
+        version = routes.table->version();
+        ++routesReads;
+    }
     void listRead(const InstanceSnapshot &snapshot) override
     {
         ++lists;
@@ -51,6 +66,7 @@
     void entryRefused(std::string_view key, std::string_view /*why*/) override { refused.emplace_back(key); }
 
     RouteVersion version;
+    int routesReads = 0;
     std::size_t listed = 0;
     int lists = 0;
     std::vector<std::string> changed;
@@ -200,3 +216,26 @@
     CHECK(waits[4] > 10'000);
     CHECK(waits[5] > 10'000);
 }
+
+// Guards against a reader on a link of little bandwidth that falls behind further with each version of a large table.
+TEST_CASE("versions of many routes in quick succession do not hold up the newest one")
+{
+    constexpr std::uint64_t TenMegabits = 1'250'000;
+    constexpr Milliseconds BetweenVersions{50};
+    constexpr Milliseconds InForceWithin{2000};
+    constexpr int FirstVersion = 0x10;
+    constexpr int LastVersion = FirstVersion + 40;
+    Fixture fixture;
+    RelayConditions conditions;
+    conditions.bytesPerSecond = TenMegabits;
+    fixture.way.setConditions(conditions);
+    fixture.store.put("op/config", largeRoutesText(FirstVersion));
+    fixture.watcher.resume(StoreRevision(), false);
+    REQUIRE(fixture.until([&] { return fixture.sink.version == RouteVersion(FirstVersion); }));
+    for (int version = FirstVersion + 1; version <= LastVersion; ++version) {
+        fixture.store.put("op/config", largeRoutesText(version));
+        fixture.context.run_for(BetweenVersions);
+    }
+    CHECK(fixture.until([&] { return fixture.sink.version == RouteVersion(LastVersion); }, InForceWithin));
+    CHECK_FALSE(fixture.sink.lost);
+}
