--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -48,18 +48,11 @@
 /// A peer may have more than this node for so long: readers gather changes for up to .9 s, each in its own rhythm.
 constexpr Milliseconds AheadBeforeAsking{1200};
 
-constexpr std::string_view Platform = "platform";
-
 Milliseconds since(TimePoint time)
 {
     return std::chrono::duration_cast<Milliseconds>(currentTime() - time);
 }
 
-NewsOrigin readHere(std::size_t bytes = 0)
-{
-    return {std::string(Platform), Duration{0}, bytes};
-}
-
 }
 
 CatalogController::CatalogController(asio::any_io_executor executor, SidecarState &state, CatalogSource &source,
@@ -68,6 +61,7 @@
     , state_(state)
     , source_(source)
     , peers_(peers)
+    , log_(state.log, state.metrics)
     , changed_(std::move(changed))
     , started_(currentTime())
     , election_(state.location.region)
@@ -99,7 +93,7 @@
     if (following_) {
         return following_->value();
     }
-    return lostSince_ ? "lost" : std::string(Platform);
+    return lostSince_ ? "lost" : std::string(NewsOrigin::Platform);
 }
 
 bool CatalogController::isInOrder() const
@@ -171,7 +165,9 @@
     if (routes.table->version() <= mark().routes) {
         return;
     }
-    putInForce(std::move(routes.table), packRoutes(routes.text), readHere(routes.text.size()));
+    NewsOrigin origin;
+    origin.bytes = routes.text.size();
+    putInForce(std::move(routes.table), packRoutes(routes.text), origin);
 }
 
 void CatalogController::takeRoutes(const Endpoint &peer, const Catalog &catalog)
@@ -196,19 +192,10 @@
 
 void CatalogController::putInForce(RouteTablePointer table, PackedRoutes packed, const NewsOrigin &origin)
 {
-    StructuredLine line("routes");
-    line.add("version", table->version().value()).add("before", mark().routes.value());
-    line.add("count", std::uint64_t{table->routeCount()});
-    line.add("from", origin.from).add("bytes", std::uint64_t{origin.bytes});
-    line.add("age_ms", std::chrono::duration_cast<Milliseconds>(origin.age).count());
-    state_.log.info(line);
-    if (state_.routes) {
-        state_.metrics.record("egretpath_news_age_seconds", R"(what="routes")", origin.age);
-    }
+    log_.routesInForce(*table, mark().routes, origin);
     routesReadAt_ = currentTime() - origin.age;
     state_.routes = std::move(table);
     state_.packedRoutes = std::move(packed);
-    state_.metrics.set("egretpath_routes_version", {}, static_cast<double>(state_.routes->version().value()));
     wakeAskers();
     changed_();
 }
@@ -216,8 +203,8 @@
 void CatalogController::listRead(const InstanceSnapshot &snapshot)
 {
     if (state_.directory.applySnapshot(snapshot, currentTime())) {
-        noteListRead(readHere());
-        logList(Platform, "whole");
+        noteListRead({});
+        log_.wholeList(state_.directory, NewsOrigin::Platform, "whole");
         listChanged();
     }
 }
@@ -225,12 +212,12 @@
 void CatalogController::noteListRead(const NewsOrigin &origin)
 {
     listReadAt_ = currentTime() - origin.age;
-    state_.metrics.record("egretpath_news_age_seconds", R"(what="list")", origin.age);
+    log_.listRead(origin);
 }
 
 void CatalogController::changesRead(const std::vector<InstanceChange> &changes, StoreRevision reached)
 {
-    applyChanges(changes, reached, readHere());
+    applyChanges(changes, reached, {});
 }
 
 /// Returns whether anything was new.
@@ -243,14 +230,7 @@
             continue;
         }
         any = true;
-        StructuredLine line("upstream");
-        line.add("id", change.id.value()).add("revision", change.revision.value());
-        line.add("state",
-                 !change.record                                     ? "gone"
-                     : change.record->state == InstanceState::Ready ? "ready"
-                                                                    : "draining");
-        line.add("age_ms", std::chrono::duration_cast<Milliseconds>(origin.age).count());
-        state_.log.info(line);
+        log_.upstreamChanged(change, origin);
     }
     state_.directory.reached(reached);
     wakeAskers();
@@ -279,7 +259,7 @@
 {
     lostSince_ = currentTime();
     state_.directory.storeLost();
-    state_.log.warning(StructuredLine("platform").add("state", "lost").add("why", why));
+    log_.sourceLost(why);
     wakeAskers();
 }
 
@@ -288,15 +268,12 @@
     const Duration away = lostSince_ ? currentTime() - *lostSince_ : Duration{0};
     lostSince_.reset();
     state_.directory.storeBack(currentTime());
-    StructuredLine line("platform");
-    line.add("state", "back").add("away_ms", std::chrono::duration_cast<Milliseconds>(away).count());
-    state_.log.info(line);
+    log_.sourceBack(away);
 }
 
 void CatalogController::entryRefused(std::string_view key, std::string_view why)
 {
-    state_.metrics.count("egretpath_entries_refused_total");
-    state_.log.warning(StructuredLine("entry-refused").add("key", key).add("why", why));
+    log_.entryRefused(key, why);
 }
 
 asio::awaitable<void> CatalogController::watchOver()
@@ -306,7 +283,7 @@
         timer.expires_after(Round);
         co_await timer.async_wait(asio::use_awaitable);
         if (state_.directory.expire(currentTime())) {
-            logList(Platform, "lapsed");
+            log_.wholeList(state_.directory, NewsOrigin::Platform, "lapsed");
             listChanged();
         }
         if (needsPeers()) {
@@ -449,17 +426,12 @@
         source_.suspend();
     }
     following_ = reader;
-    StructuredLine line("follow");
-    line.add("reader", reader.value()).add("hops", std::uint64_t{hops});
-    state_.log.info(line);
+    log_.followBegun(reader, hops);
 }
 
 void CatalogController::endFollowing(std::string_view why)
 {
-    StructuredLine line("follow");
-    line.add("reader", "none").add("was", following_->value()).add("why", why);
-    line.add("unheard_ms", since(heardAt_).count());
-    state_.log.info(line);
+    log_.followEnded(*following_, why, currentTime() - heardAt_);
     following_.reset();
     source_.resume(state_.directory.revision(), lostSince_.has_value());
     wakeAskers();
@@ -532,8 +504,7 @@
     if (!catalog || !take(peer, catalog.value())) {
         co_return;
     }
-    state_.metrics.count("egretpath_catalog_catch_ups_total");
-    state_.log.warning(StructuredLine("catch-up").add("peer", peer.value()));
+    log_.caughtUp(peer);
     // A follower goes on: its reader learns of the change in the same way.
     if (!following_ && !lostSince_) {
         source_.resume(state_.directory.revision(), false);
@@ -587,18 +558,10 @@
     const bool applied = state_.directory.applySnapshot(snapshot, currentTime());
     if (applied) {
         noteListRead({peer.value(), catalog.listAge});
-        logList(peer.value(), "whole");
+        log_.wholeList(state_.directory, peer.value(), "whole");
         listChanged();
     }
     return applied;
 }
 
-void CatalogController::logList(std::string_view from, std::string_view what) const
-{
-    StructuredLine line("upstreams");
-    line.add("from", from).add("what", what).add("revision", state_.directory.revision().value());
-    line.add("count", std::uint64_t{state_.directory.size()});
-    state_.log.info(line);
-}
-
 }
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -11,8 +11,8 @@
 
 #include "instances/readerelection.h"
 #include "rpc/peerclient.h"
+#include "sidecar/cataloglog.h"
 #include "sidecar/catalogsource.h"
-#include "sidecar/newsorigin.h"
 #include "sidecar/sidecarstate.h"
 
 namespace Egretpath
@@ -92,13 +92,13 @@
     [[nodiscard]] static bool isUsable(const Result<Catalog> &catalog);
     void listChanged();
     void wakeAskers() { news_.cancel(); }
-    void logList(std::string_view from, std::string_view what) const;
     void noteListRead(const NewsOrigin &origin);
 
     boost::asio::any_io_executor executor_;
     SidecarState &state_;
     CatalogSource &source_;
     PeerClient &peers_;
+    CatalogLog log_;
     std::function<void()> changed_;
     TimePoint started_;
     ReaderElection election_;
