--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -256,14 +256,24 @@
     });
 }
 
-void FakeCatalog::drain(const std::string &id)
+InstanceChange FakeCatalog::draining(const std::string &id)
 {
     InstanceRecord &record = records_.at(id);
     record.state = InstanceState::Draining;
     record.revision = StoreRevision(++revision_);
-    tell([&](CatalogSink &sink) {
-        sink.changesRead({{record.id, record.revision, record}}, StoreRevision(revision_));
-    });
+    return {record.id, record.revision, record};
+}
+
+void FakeCatalog::drain(const std::string &id)
+{
+    const InstanceChange change = draining(id);
+    tell([&](CatalogSink &sink) { sink.changesRead({change}, change.revision); });
+}
+
+void FakeCatalog::drainOnly(std::size_t node, const std::string &id)
+{
+    const InstanceChange change = draining(id);
+    made_.at(node)->changesRead({change}, change.revision);
 }
 
 bool FakeCatalog::reads(std::size_t node) const
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -64,6 +64,8 @@
     void remove(const std::string &id);
     /// The upstream says that it leaves.
     void drain(const std::string &id);
+    /// As above; only this node hears of it.
+    void drainOnly(std::size_t node, const std::string &id);
     void lose();
     /// Only for the node that was made as number @p node.
     void lose(std::size_t node);
@@ -89,6 +91,8 @@
     friend class FakeSource;
 
     [[nodiscard]] InstanceSnapshot snapshot() const;
+    /// The change that makes the upstream leave.
+    [[nodiscard]] InstanceChange draining(const std::string &id);
     [[nodiscard]] std::string routesText() const;
     void tell(const std::function<void(CatalogSink &)> &what);
 
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -513,3 +513,25 @@
         CHECK(deployment.two.totalRuns() == Waiting);
     });
 }
+
+// Guards against an upstream that leaves and gets requests by an old list, though the node beside it knows better.
+TEST_CASE("a node whose list is old sends nothing to an upstream that leaves")
+{
+    constexpr int Requests = 20;
+    Deployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.until([&] { return deployment.catalog.readers() == 1; }));
+        const bool firstReads = deployment.catalog.reads(0);
+        const FakeNode &reader = firstReads ? deployment.first : deployment.second;
+        FakeUpstream &leaving = firstReads ? deployment.two : deployment.one;
+        // So that a request goes to the other one if it may.
+        (firstReads ? deployment.one : deployment.two).status = 503;
+        deployment.catalog.silence(firstReads ? 0 : 1);
+        deployment.catalog.drainOnly(firstReads ? 1 : 0, leaving.id());
+        for (int number = 0; number < Requests; ++number) {
+            checkStatus(co_await deployment.send(reader.callers, "POST", "/pay/1", "old-" + std::to_string(number)),
+                        503);
+        }
+        CHECK(leaving.totalRuns() == 0);
+    });
+}
