routes, sidecar: large tables that hardly compress are taken; ages never below zero

A node refused packed routes of over 1 MB, since the first buffer, 16 times as large, was over the limit of what it takes. In a VM that was suspended its clock may show less time than its peer held a question; the age is zero then.

--- a/src/routes/packedroutes.cpp
+++ b/src/routes/packedroutes.cpp
@@ -43,7 +43,7 @@
 Result<std::string> unpackRoutes(const PackedRoutes &packed)
 {
     std::string text;
-    std::size_t room = std::max(SmallestBuffer, packed.bytes.size() * UsualRatio);
+    std::size_t room = std::clamp(packed.bytes.size() * UsualRatio, SmallestBuffer, LargestText);
     int status = Z_BUF_ERROR;
     while (status == Z_BUF_ERROR && room <= LargestText) {
         text.resize(room);
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -478,7 +478,8 @@
     Result<Catalog> answer = co_await peers_.catalog(std::move(peer), request, asked + limit);
     if (answer) {
         Catalog &catalog = answer.value();
-        const Milliseconds onTheWay = since(asked) - catalog.held;
+        // Clocks stand still in a suspended VM, each its own.
+        const Milliseconds onTheWay = std::max(since(asked) - catalog.held, Milliseconds{0});
         catalog.routesAge += onTheWay;
         catalog.listAge += onTheWay;
     }
--- a/tests/routes/packedroutestest.cpp
+++ b/tests/routes/packedroutestest.cpp
@@ -33,6 +33,22 @@
     }
 }
 
+// Guards against a large table that does not compress well, which all nodes but the reader would refuse.
+TEST_CASE("packed routes that are hardly smaller come back as they were")
+{
+    constexpr std::size_t Words = 200'000;
+    std::string text;
+    for (std::uint64_t number = 0; number < Words; ++number) {
+        const std::uint64_t word = stableHash(std::to_string(number));
+        text.append(reinterpret_cast<const char *>(&word), sizeof word);
+    }
+    const PackedRoutes packed = packRoutes(text);
+    CHECK(packed.bytes.size() > text.size() / 2);
+    const auto unpacked = unpackRoutes(packed);
+    REQUIRE(unpacked.has_value());
+    CHECK(unpacked.value() == text);
+}
+
 TEST_CASE("bytes that are no packed routes are refused")
 {
     const std::string packed = packRoutes(manyRoutes(100)).bytes;
