daemons: signals are taken before the settings are read

Cause: the handlers stood only after the command line and the settings had been read; a SIGHUP in that time ends the process by the system's default. The signals are taken first now and acted on once the node runs, so that a change that comes while the settings are read is not lost either. What is left is the time between exec and main, which the process can't cover.

--- a/src/daemons/egretpath-sidecar.cpp
+++ b/src/daemons/egretpath-sidecar.cpp
@@ -38,6 +38,12 @@
     return platform;
 }
 
+int refuseSettings(const Egretpath::SettingsProblems &problems)
+{
+    std::cerr << toString(problems) << '\n';
+    return ExitBadUsage;
+}
+
 void reload(Egretpath::Sidecar &sidecar, const std::string &file)
 {
     const auto settings = Egretpath::readSidecarSettingsFile(file);
@@ -74,13 +80,18 @@
     }
 }
 
-int runSidecar(const Egretpath::SidecarSettings &settings, const std::string &file)
+int runSidecar(const std::string &file)
 {
     Egretpath::AsioEventPort loop;
-    // Taken before all else: a process that is told to stop while it starts would end by the signal.
+    // Taken before all else: a process that is told to stop, or to read its settings again, while it starts would end
+    // by the signal.
     boost::asio::signal_set stopSignals(loop.context(), SIGTERM, SIGINT);
     boost::asio::signal_set reloadSignal(loop.context(), SIGHUP);
-    Egretpath::Sidecar sidecar(loop.context(), settings, makePlatform(loop.context(), settings));
+    const auto settings = Egretpath::readSidecarSettingsFile(file);
+    if (!settings) {
+        return refuseSettings(settings.error());
+    }
+    Egretpath::Sidecar sidecar(loop.context(), settings.value(), makePlatform(loop.context(), settings.value()));
     if (const auto started = sidecar.start(); !started) {
         std::cerr << "egretpath-sidecar: cannot listen: " << started.error().detail << '\n';
         return ExitCannotStart;
@@ -91,6 +102,12 @@
     return EXIT_SUCCESS;
 }
 
+int checkSettings(const std::string &file)
+{
+    const auto settings = Egretpath::readSidecarSettingsFile(file);
+    return settings ? EXIT_SUCCESS : refuseSettings(settings.error());
+}
+
 std::string settingsFromEnvironment()
 {
     const char *path = std::getenv(SettingsVariable);
@@ -115,10 +132,5 @@
         std::cerr << "egretpath-sidecar: no settings: give --settings FILE or set " << SettingsVariable << '\n';
         return ExitBadUsage;
     }
-    const auto settings = Egretpath::readSidecarSettingsFile(file);
-    if (!settings) {
-        std::cerr << toString(settings.error()) << '\n';
-        return ExitBadUsage;
-    }
-    return checkOnly ? EXIT_SUCCESS : runSidecar(settings.value(), file);
+    return checkOnly ? checkSettings(file) : runSidecar(file);
 }
