--- a/tests/soak/soakdeployment.cpp
+++ b/tests/soak/soakdeployment.cpp
@@ -245,6 +245,8 @@
     const auto timer = std::make_shared<asio::steady_timer>(context_, RestartPause);
     timer->async_wait([this, &member, timer](const boost::system::error_code &error) {
         if (!error && !stopping_ && !member.process->runs()) {
+            // As the platform does at each start.
+            writeSettings(member, options_.repeatSlack);
             member.process->start();
         }
     });
