routes: packing that fails for want of memory is an error, not bytes that nobody can read

The result of zlib was ignored, and a comment said that it can't fail; it can, when memory is short, and the node would have passed on a buffer of the right size with nothing in it. As PeerStream does, it is std::bad_alloc now. Otherwise as before.

--- a/src/routes/packedroutes.cpp
+++ b/src/routes/packedroutes.cpp
@@ -1,6 +1,7 @@
 #include "routes/packedroutes.h"
 
 #include <algorithm>
+#include <new>
 
 #include <zlib.h>
 
@@ -34,8 +35,10 @@
     uLongf size = compressBound(text.size());
     PackedRoutes packed;
     packed.bytes.resize(size);
-    // With room for the largest outcome it can't fail.
-    compress2(bytesOf(packed.bytes), &size, bytesOf(text), text.size(), Z_BEST_SPEED);
+    // There is room for the largest outcome, so that only memory can be short.
+    if (compress2(bytesOf(packed.bytes), &size, bytesOf(text), text.size(), Z_BEST_SPEED) != Z_OK) {
+        throw std::bad_alloc();
+    }
     packed.bytes.resize(size);
     return packed;
 }
--- a/src/routes/packedroutes.h
+++ b/src/routes/packedroutes.h
@@ -19,7 +19,7 @@
     [[nodiscard]] bool empty() const { return bytes.empty(); }
 };
 
-/// Errors: none.
+/// Errors: std::bad_alloc.
 [[nodiscard]] PackedRoutes packRoutes(std::string_view text);
 /// Errors: BadRequest for bytes that packRoutes() did not make, or for more text than a store holds under one key.
 [[nodiscard]] Result<std::string> unpackRoutes(const PackedRoutes &packed);
