admission, egress: requests that an upstream has lost end when that shows, and work for others takes slots

Cause: upstreams of some services never answer what they can't queue, nor anything more on that connection. The node waited for each such request until its deadline, its slot taken, and called no other upstream though there was time; a process that had just started knew nothing of the work that an earlier one had left there. Ruled out: a shorter time-out (slow VMs take as long), answers to later requests as evidence (routes differ, and some make calls of their own). Change: UpstreamAccount compares what the upstream says that it has with what it was handed. Calls that are missing and can be named end as lost-at-upstream: safe ones go elsewhere, others end as unknown. Work that is not from here takes slots in WorkQueue. Stand-in and soak have upstream-hangs; old seeds keep their plans by the number of kinds known then.

--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -55,6 +55,12 @@
     return startQueued(now);
 }
 
+std::vector<CallId> WorkQueue::setOthers(std::uint32_t others, TimePoint now)
+{
+    others_ = others;
+    return startQueued(now);
+}
+
 std::uint32_t WorkQueue::limit() const
 {
     // The largest count that does not exceed the fill beyond which the upstream slows itself.
@@ -156,7 +162,7 @@
 LoadReport WorkQueue::report(const RouteName &route, TimePoint now) const
 {
     LoadReport report;
-    report.inFlight = static_cast<std::uint32_t>(running_.size());
+    report.inFlight = static_cast<std::uint32_t>(atWork());
     report.queued = static_cast<std::uint32_t>(queue_.size());
     report.slots = limit();
     report.serviceTimeMicroseconds = asMicroseconds(times_.usual(route));
@@ -227,19 +233,11 @@
     if (startsAtOnce(offer, now)) {
         return Duration{0};
     }
-    std::vector<Duration> freeAfter;
-    for (const auto &[call, running] : running_) {
-        const Duration usual = scaled(times_.usual(running.route), running.pace);
-        freeAfter.push_back(std::max(usual - (now - running.start), scaled(usual, OverdueShare)));
-    }
-    freeAfter.resize(std::max<std::size_t>(freeAfter.size(), limit()), Duration{0});
+    std::vector<Duration> freeAfter = slotsFreeAfter(now);
     if (awaitsSpellEnd(offer.route, now)) {
         const Duration spell = pace_.spellLeft(now);
         std::for_each(freeAfter.begin(), freeAfter.end(), [spell](Duration &after) { after = std::max(after, spell); });
     }
-    std::sort(freeAfter.begin(), freeAfter.end());
-    // Calls above a limit that was lowered free no slot.
-    freeAfter.erase(freeAfter.begin(), freeAfter.begin() + static_cast<std::ptrdiff_t>(freeAfter.size() - limit()));
     for (const Waiting &waiting : queue_) {
         if (goesBefore(offer, waiting.offer, now)) {
             continue;
@@ -250,6 +248,23 @@
     return *std::min_element(freeAfter.begin(), freeAfter.end());
 }
 
+std::vector<Duration> WorkQueue::slotsFreeAfter(TimePoint now) const
+{
+    std::vector<Duration> freeAfter;
+    for (const auto &[call, running] : running_) {
+        const Duration usual = scaled(times_.usual(running.route), running.pace);
+        freeAfter.push_back(std::max(usual - (now - running.start), scaled(usual, OverdueShare)));
+    }
+    // Half of it is done, as far as one knows.
+    const Duration restOfOther = scaled(times_.overall(), pace_.factor() / 2);
+    freeAfter.insert(freeAfter.end(), others_, restOfOther);
+    freeAfter.resize(std::max<std::size_t>(freeAfter.size(), limit()), Duration{0});
+    std::sort(freeAfter.begin(), freeAfter.end());
+    // Calls above a limit that was lowered free no slot.
+    freeAfter.erase(freeAfter.begin(), freeAfter.begin() + static_cast<std::ptrdiff_t>(freeAfter.size() - limit()));
+    return freeAfter;
+}
+
 TimePoint WorkQueue::latestStart(const WorkOffer &offer, TimePoint now) const
 {
     const Duration needed = scaled(serviceTime(offer.route, now), settings_.leastServiceShare);
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -74,6 +74,8 @@
     /// How long work takes on the VM now, in percent of the usual. Returns the queued calls that go to the upstream
     /// now, in this order.
     [[nodiscard]] std::vector<CallId> setPace(std::uint16_t percent, TimePoint now);
+    /// The upstream works on @p others besides, for a process that ended or callers that left. Returns as setSlots().
+    [[nodiscard]] std::vector<CallId> setOthers(std::uint32_t others, TimePoint now);
     /// A share of the upstream's answers that were failures lately, 0 to 1.
     void setFailureShare(double share) { failureShare_ = share; }
 
@@ -93,6 +95,8 @@
     [[nodiscard]] std::vector<CallId> resume(TimePoint now) { return startQueued(now); }
     /// Whether a slot is free and a call waits for the end of the VM's slow spell, so that news of its pace matter.
     [[nodiscard]] bool awaitsPace(TimePoint now) const;
+    /// Whether a call waits for work that is not from here, so that news of that matter.
+    [[nodiscard]] bool awaitsOthers() const { return others_ > 0 && !queue_.empty(); }
 
     /// What to tell the sender of a request of @p route.
     [[nodiscard]] LoadReport report(const RouteName &route, TimePoint now) const;
@@ -120,7 +124,11 @@
         TimePoint arrival;
     };
 
-    [[nodiscard]] bool hasFreeSlot() const { return running_.size() < limit(); }
+    /// Calls that take a slot, those from elsewhere included.
+    [[nodiscard]] std::size_t atWork() const { return running_.size() + others_; }
+    [[nodiscard]] bool hasFreeSlot() const { return atWork() < limit(); }
+    /// When each slot is free for the next call, the soonest first.
+    [[nodiscard]] std::vector<Duration> slotsFreeAfter(TimePoint now) const;
     /// Whether @p offer would start if it came now.
     [[nodiscard]] bool startsAtOnce(const WorkOffer &offer, TimePoint now) const;
     /// How long the upstream takes for a request of @p route that begins now, or after the spell if that is quicker.
@@ -153,6 +161,7 @@
     /// In the order of arrival; a few dozen at most, so that each decision looks at all of them.
     std::vector<Waiting> queue_;
     std::uint32_t slots_ = 1;
+    std::uint32_t others_ = 0;
     VmPace pace_;
     double failureShare_ = 0.0;
 };
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -11,11 +11,29 @@
 
 constexpr std::array<std::string_view, 3> VerdictWords{"answered", "not-run", "may-have-run"};
 
-constexpr std::array<std::string_view, 21> ReasonWords{
-    "none",           "bad-request",     "overloaded",        "draining",  "deadline-passed", "no-upstream",
-    "connect-failed", "connection-lost", "bad-answer",        "cancelled", "bad-key",         "key-out-of-memory",
-    "key-in-use",     "answer-not-held", "wrong-incarnation", "no-table",  "budget-spent",    "too-large",
-    "shed",           "declined",        "no-route",
+constexpr std::array<std::string_view, 22> ReasonWords{
+    "none",
+    "bad-request",
+    "overloaded",
+    "draining",
+    "deadline-passed",
+    "no-upstream",
+    "connect-failed",
+    "connection-lost",
+    "bad-answer",
+    "cancelled",
+    "bad-key",
+    "key-out-of-memory",
+    "key-in-use",
+    "answer-not-held",
+    "wrong-incarnation",
+    "no-table",
+    "budget-spent",
+    "too-large",
+    "shed",
+    "declined",
+    "no-route",
+    "lost-at-upstream",
 };
 
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -65,8 +65,13 @@
     Declined,
     /// No route takes the request.
     NoRoute,
+    /// The upstream was handed the request, has it no longer, and did not answer it.
+    LostAtUpstream,
 };
 
+/// The last of them, for reading what a node of another version wrote.
+inline constexpr Reason LastReason = Reason::LostAtUpstream;
+
 /// How a call failed. Carried by every error of the call path.
 struct Failure
 {
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -46,9 +46,9 @@
     , pool_(executor_, poolLimits(settings_))
     , probed_(executor_, asio::steady_timer::time_point::max())
 {
-    slots_.onAwaitsPace([this] {
-        if (!std::exchange(watchingPace_, true)) {
-            asio::co_spawn(executor_, watchPace(), asio::detached);
+    slots_.onAwaitsNews([this] {
+        if (!std::exchange(watchingUpstream_, true)) {
+            asio::co_spawn(executor_, watchUpstream(), asio::detached);
         }
     });
 }
@@ -109,15 +109,47 @@
     }
 }
 
-asio::awaitable<void> EgressRole::watchPace()
+asio::awaitable<void> EgressRole::watchUpstream()
 {
     asio::steady_timer timer(executor_);
-    while (slots_.queue().awaitsPace(currentTime())) {
+    while (slots_.awaitsNews(currentTime())) {
         startProbe();
         timer.expires_after(settings_.paceWatchInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    watchingPace_ = false;
+    watchingUpstream_ = false;
+}
+
+void EgressRole::noteOverdue()
+{
+    ++overdue_;
+    if (!std::exchange(watchingOverdue_, true)) {
+        asio::co_spawn(executor_, watchOverdue(), asio::detached);
+    }
+}
+
+asio::awaitable<void> EgressRole::watchOverdue()
+{
+    asio::steady_timer timer(executor_);
+    while (overdue_ > 0) {
+        startProbe();
+        timer.expires_after(settings_.accountInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    watchingOverdue_ = false;
+}
+
+void EgressRole::takeAccount(const UpstreamLoadSample &load)
+{
+    account_.reported(load.running + load.waiting, currentTime());
+    slots_.setOthers(account_.others());
+    for (const CallId call : account_.lost()) {
+        const auto found = atUpstream_.find(call);
+        if (found != atUpstream_.end()) {
+            metrics_.count("egretpath_lost_at_upstream_total");
+            found->second->endAsLost();
+        }
+    }
 }
 
 asio::awaitable<void> EgressRole::probe()
@@ -129,11 +161,16 @@
     if (opened) {
         HttpClientCall &call = *opened.value();
         const HttpRequestHead head("GET", settings_.healthPath);
+        account_.asked(currentTime());
         if (co_await call.sendRequest(head, std::string())) {
             const auto answer = co_await call.readHead();
             const auto body = co_await call.readWholeBody(ProbeAnswerLimit);
             if (answer && body) {
-                take(dialect_.read(answer.value()));
+                const UpstreamRemarks remarks = dialect_.read(answer.value());
+                take(remarks);
+                if (remarks.load) {
+                    takeAccount(*remarks.load);
+                }
             }
         }
     }
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -3,11 +3,13 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "admission/upstreamaccount.h"
 #include "dialect/upstreamdialect.h"
 #include "egress/upstreamhealth.h"
 #include "egress/upstreampresence.h"
@@ -21,6 +23,8 @@
 namespace Egretpath
 {
 
+class UpstreamRequest;
+
 /// Where the upstream is and how it is asked.
 struct EgressSettings
 {
@@ -33,6 +37,8 @@
     Milliseconds probeLimit{12};
     /// Between two such questions while a request waits for the VM's slow spell to end. They stay on the VM.
     Milliseconds paceWatchInterval{20};
+    /// Between two questions while the upstream takes longer for a request than it should; see UpstreamAccount.
+    Milliseconds accountInterval{150};
     /// Idle connections to the upstream are closed after this time. Upstreams close theirs after 5 s or more.
     Milliseconds idleTime{3000};
 };
@@ -70,19 +76,29 @@
 private:
     friend class UpstreamRequest;
 
+    /// Exists as long as the role.
+    struct Life
+    {
+    };
+
     [[nodiscard]] CallId nextCallId() { return CallId(++lastCallId_); }
     /// Asks the upstream for its pace when what is known is old; returns after a short time in any case.
     boost::asio::awaitable<void> freshenPace();
     boost::asio::awaitable<void> probe();
     void startProbe();
-    /// Asks for the pace again and again while a request waits for a slow spell to end.
-    boost::asio::awaitable<void> watchPace();
+    /// Asks again and again while a request waits for what only news of the upstream can end.
+    boost::asio::awaitable<void> watchUpstream();
+    /// Asks again and again while a request takes too long, to find those that the upstream has lost.
+    boost::asio::awaitable<void> watchOverdue();
+    void noteOverdue();
+    void takeAccount(const UpstreamLoadSample &load);
     void take(const UpstreamRemarks &remarks);
     void recordArrival(Duration delay);
     void recordAnswer(bool failed);
     /// Tells the queue how much of the evidence of failures is left.
     void recordHealth();
 
+    std::shared_ptr<const Life> life_ = std::make_shared<Life>();
     boost::asio::any_io_executor executor_;
     EgressSettings settings_;
     NodeIdentity self_;
@@ -99,7 +115,13 @@
     double arrivalDelayMicroseconds_ = 0.0;
     bool leaving_ = false;
     bool probing_ = false;
-    bool watchingPace_ = false;
+    bool watchingUpstream_ = false;
+    bool watchingOverdue_ = false;
+    UpstreamAccount account_;
+    /// Those that the upstream has.
+    std::unordered_map<CallId, UpstreamRequest *> atUpstream_;
+    /// Of these, the ones that take longer than they should.
+    std::size_t overdue_ = 0;
     /// Never expires; cancelled when a probe has ended.
     boost::asio::steady_timer probed_;
 };
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -10,6 +10,7 @@
 
 #include "core/bootclock.h"
 #include "core/currenttime.h"
+#include "core/durations.h"
 
 namespace Egretpath
 {
@@ -24,12 +25,17 @@
 constexpr Milliseconds LeavingRetryAfter{50};
 constexpr std::uint16_t FirstServerError = 500;
 constexpr std::uint16_t GatewayTimeoutStatus = 504;
+constexpr double UsualPace = 100.0;
+/// So many times longer than usual, at the VM's pace, hardly any work takes.
+constexpr double OverdueFactor = 2.5;
+constexpr Milliseconds LeastOverdue{150};
 
 }
 
 UpstreamRequest::UpstreamRequest(EgressRole &role, CallHead head, std::string body,
                                  std::shared_ptr<AnswerReceiver> answer, std::shared_ptr<Cancellation> cancellation)
     : role_(role)
+    , roleLife_(role.life_)
     , head_(std::move(head))
     , body_(std::move(body))
     , answer_(std::move(answer))
@@ -37,12 +43,58 @@
     , slot_(role.nextCallId())
     , arrival_(currentTime())
     , written_(role.executor_, asio::steady_timer::time_point::max())
+    , overdueTimer_(role.executor_)
 {
 }
 
 UpstreamRequest::~UpstreamRequest()
 {
-    releaseSlot(false);
+    if (!roleLife_.expired()) {
+        leaveUpstream(false);
+        releaseSlot(false);
+    }
+}
+
+void UpstreamRequest::endAsLost()
+{
+    lost_ = true;
+    upstream_->cancel();
+}
+
+void UpstreamRequest::enterUpstream()
+{
+    atUpstream_ = true;
+    role_.account_.begun(slot_);
+    role_.atUpstream_.emplace(slot_, this);
+    watchDuration();
+}
+
+void UpstreamRequest::leaveUpstream(bool answered)
+{
+    if (!std::exchange(atUpstream_, false)) {
+        return;
+    }
+    answered ? role_.account_.answered(slot_) : role_.account_.givenUp(slot_);
+    role_.atUpstream_.erase(slot_);
+    overdueTimer_.cancel();
+    if (std::exchange(overdue_, false)) {
+        --role_.overdue_;
+    }
+}
+
+void UpstreamRequest::watchDuration()
+{
+    const LoadReport report = role_.report(head_.route);
+    const double pace = std::max(report.pacePercent / UsualPace, 1.0);
+    const Duration usual = scaled(Microseconds(report.serviceTimeMicroseconds), pace);
+    overdueTimer_.expires_after(std::max<Duration>(scaled(usual, OverdueFactor), LeastOverdue));
+    overdueTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto request = weak.lock();
+        if (!error && request && request->atUpstream_) {
+            request->overdue_ = true;
+            request->role_.noteOverdue();
+        }
+    });
 }
 
 asio::awaitable<CallOutcome> UpstreamRequest::run()
@@ -159,9 +211,15 @@
 asio::awaitable<Result<CallOutcome>> UpstreamRequest::exchange()
 {
     writing_ = true;
+    enterUpstream();
     asio::co_spawn(role_.executor_, write(shared_from_this()), asio::detached);
     Result<CallOutcome> result = co_await readAnswer();
+    leaveUpstream(false);
     co_await stopWriting();
+    if (lost_ && !result) {
+        role_.recordAnswer(true);
+        co_return mayHaveRun(Reason::LostAtUpstream, "the upstream has it no longer and did not answer");
+    }
     co_return result;
 }
 
@@ -169,8 +227,11 @@
 asio::awaitable<void> UpstreamRequest::write(std::shared_ptr<UpstreamRequest> /*self*/)
 {
     // A failure shows again when the answer is read, with what the upstream may have answered before it closed.
-    [[maybe_unused]] const Result<void> sent = co_await upstream_->sendRequest(upstreamHead(), body_);
+    const Result<void> sent = co_await upstream_->sendRequest(upstreamHead(), body_);
     writing_ = false;
+    if (sent && atUpstream_) {
+        role_.account_.written(slot_, currentTime());
+    }
     written_.cancel();
 }
 
@@ -195,6 +256,10 @@
             co_return head.error();
         }
         const UpstreamRemarks remarks = role_.dialect_.read(head.value());
+        const bool isOwn = remarks.request.value().empty() || remarks.request == head_.requestId;
+        if (isOwn) {
+            leaveUpstream(true);
+        }
         std::string body;
         while (true) {
             Result<std::string> piece = co_await upstream_->readBody();
@@ -210,7 +275,7 @@
             }
         }
         // A faulty upstream may answer an earlier request twice; the second answer stands where this one's should be.
-        if (remarks.request.value().empty() || remarks.request == head_.requestId) {
+        if (isOwn) {
             co_return judge(std::move(head).value(), std::move(body), remarks);
         }
         role_.metrics_.count("egretpath_stray_answers_total");
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -15,7 +15,8 @@
 
 /// One request at the egress, from its arrival to its outcome.
 ///
-/// Thread safety: none. Precondition: the role outlives it.
+/// Thread safety: none. Precondition: the role outlives run(); a request that is destroyed in the middle of it, with
+/// the event loop, may outlive the role.
 class UpstreamRequest : public std::enable_shared_from_this<UpstreamRequest>
 {
 public:
@@ -26,6 +27,8 @@
     UpstreamRequest &operator=(const UpstreamRequest &) = delete;
 
     boost::asio::awaitable<CallOutcome> run();
+    /// The upstream has lost the request: nothing will answer it.
+    void endAsLost();
 
 private:
     /// What the request asks of the upstream's slots.
@@ -46,10 +49,16 @@
 
     [[nodiscard]] HttpRequestHead upstreamHead() const;
     [[nodiscard]] CallOutcome outcome(std::variant<Failure, WholeAnswer, StreamedAnswer> result) const;
+    /// The upstream has the request, or has it no longer.
+    void enterUpstream();
+    void leaveUpstream(bool answered);
+    /// Tells the role when the upstream takes much longer than it should.
+    void watchDuration();
     void releaseSlot(bool answered);
     void logEnd(const CallOutcome &ended) const;
 
     EgressRole &role_;
+    std::weak_ptr<const EgressRole::Life> roleLife_;
     CallHead head_;
     std::string body_;
     std::shared_ptr<AnswerReceiver> answer_;
@@ -62,8 +71,13 @@
     std::unique_ptr<HttpClientCall> upstream_;
     /// Never expires; cancelled when the request was written or its writing failed.
     boost::asio::steady_timer written_;
+    /// Expires when the upstream takes much longer than it should.
+    boost::asio::steady_timer overdueTimer_;
     bool holdsSlot_ = false;
     bool writing_ = false;
+    bool atUpstream_ = false;
+    bool overdue_ = false;
+    bool lost_ = false;
 };
 
 }
--- a/src/egress/workslots.cpp
+++ b/src/egress/workslots.cpp
@@ -61,6 +61,11 @@
     start(queue_.setPace(percent, currentTime()));
 }
 
+void WorkSlots::setOthers(std::uint32_t others)
+{
+    start(queue_.setOthers(others, currentTime()));
+}
+
 void WorkSlots::start(const std::vector<CallId> &calls)
 {
     for (const CallId call : calls) {
@@ -112,8 +117,8 @@
 void WorkSlots::armExpiry()
 {
     const TimePoint now = currentTime();
-    if (awaitsPaceListener_ && queue_.awaitsPace(now)) {
-        awaitsPaceListener_();
+    if (awaitsNewsListener_ && awaitsNews(now)) {
+        awaitsNewsListener_();
     }
     const std::optional<TimePoint> next = queue_.nextExpiry(now);
     if (!next) {
--- a/src/egress/workslots.h
+++ b/src/egress/workslots.h
@@ -36,12 +36,15 @@
     void release(CallId call, bool answered);
     void setSlots(std::uint32_t slots);
     void setPace(std::uint16_t percent);
+    void setOthers(std::uint32_t others);
     /// Ends the wait of each request for whose upstream @p objection has one, with that.
     void refuseWaiting(const std::function<std::optional<Failure>(const UpstreamName &)> &objection);
     void setFailureShare(double share) { queue_.setFailureShare(share); }
 
-    /// Calls @p listener whenever a request begins or goes on to wait for the end of the VM's slow spell.
-    void onAwaitsPace(std::function<void()> listener) { awaitsPaceListener_ = std::move(listener); }
+    /// Calls @p listener whenever a request begins or goes on to wait for what only news of the upstream can end: the
+    /// VM's slow spell, or work there that is not from here.
+    void onAwaitsNews(std::function<void()> listener) { awaitsNewsListener_ = std::move(listener); }
+    [[nodiscard]] bool awaitsNews(TimePoint now) const { return queue_.awaitsPace(now) || queue_.awaitsOthers(); }
 
     [[nodiscard]] const WorkQueue &queue() const { return queue_; }
 
@@ -71,7 +74,7 @@
     boost::asio::any_io_executor executor_;
     boost::asio::steady_timer expiry_;
     std::unordered_map<CallId, std::shared_ptr<Waiter>> waiters_;
-    std::function<void()> awaitsPaceListener_;
+    std::function<void()> awaitsNewsListener_;
 };
 
 }
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -42,7 +42,7 @@
 {
     // A verdict this version does not know must not be taken for a proof that nothing ran.
     const bool notRun = wire.getVerdict() == static_cast<std::uint8_t>(Verdict::NotRun);
-    const auto reason = std::min(wire.getReason(), static_cast<std::uint8_t>(Reason::NoRoute));
+    const auto reason = std::min(wire.getReason(), static_cast<std::uint8_t>(LastReason));
     return Failure{notRun ? Verdict::NotRun : Verdict::MayHaveRun, static_cast<Reason>(reason),
                    Milliseconds(wire.getRetryAfterMilliseconds()), readText(wire.getDetail())};
 }
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -92,7 +92,7 @@
 {
     HttpResponseHead head(status);
     const std::string request(exchange.head().headers.find(AttemptId).value_or(std::string_view()));
-    head.headers.add("X-Egretpath-Instance-Load", "0,0,6," + std::to_string(pace));
+    head.headers.add("X-Egretpath-Instance-Load", std::to_string(running_) + ",0,6," + std::to_string(pace));
     if (exchange.head().target == "/health") {
         head.status = 200;
         (void)co_await exchange.respond(head, "");
@@ -119,10 +119,16 @@
         (void)co_await exchange.respond(head, "");
         co_return;
     }
+    if (loses) {
+        co_await neverAnswer(exchange);
+        co_return;
+    }
     ++runs_[request];
+    ++running_;
     exchange.onCallerGone([this] { ++cancelled_; });
     asio::steady_timer timer(co_await asio::this_coro::executor, work);
     co_await timer.async_wait(asio::use_awaitable);
+    --running_;
     if (breaks) {
         exchange.abort();
         co_return;
@@ -134,6 +140,16 @@
                                     id_ + ":" + exchange.head().method + ":" + exchange.head().target + ":" + body);
 }
 
+asio::awaitable<void> FakeUpstream::neverAnswer(HttpExchange &exchange)
+{
+    constexpr Milliseconds Step{5};
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!exchange.callerGone()) {
+        timer.expires_after(Step);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 /// Hands what the catalog publishes to the node that was made with it.
 class FakeSource final : public CatalogSource
 {
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -39,17 +39,21 @@
     Milliseconds work{5};
     /// The connection breaks once the request has run.
     bool breaks = false;
+    /// Requests are never answered, nor anything more on their connections, and not counted.
+    bool loses = false;
     /// Answers lack what proves that they are the upstream's.
     bool unsigned_ = false;
     std::uint16_t pace = 100;
 
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    static boost::asio::awaitable<void> neverAnswer(HttpExchange &exchange);
 
     std::string id_;
     std::map<std::string, int> runs_;
     HttpHeaders lastHeaders_;
     int cancelled_ = 0;
+    int running_ = 0;
     HttpServer server_;
     Endpoint address_;
 };
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -536,3 +536,66 @@
         CHECK(leaving.totalRuns() == 0);
     });
 }
+
+namespace
+{
+
+/// Until the nodes beside both upstreams have seen that these count their requests.
+asio::awaitable<void> showCounting(Deployment &deployment)
+{
+    constexpr int Requests = 8;
+    deployment.one.work = Milliseconds(200);
+    deployment.two.work = Milliseconds(200);
+    int answered = 0;
+    for (int number = 0; number < Requests; ++number) {
+        asio::co_spawn(
+            co_await asio::this_coro::executor,
+            [&deployment, &answered, number]() -> asio::awaitable<void> {
+                (void)co_await deployment.send(deployment.first.callers, "GET", "/read/1",
+                                               "count-" + std::to_string(number));
+                ++answered;
+            },
+            asio::detached);
+        co_await deployment.sleep(Milliseconds(70));
+    }
+    checkHappened(co_await deployment.until([&] { return answered == Requests; }));
+    CHECK(deployment.one.totalRuns() > 0);
+    CHECK(deployment.two.totalRuns() > 0);
+    deployment.one.work = Milliseconds(5);
+    deployment.two.work = Milliseconds(5);
+}
+
+}
+
+// Guards against waiting out the silence of an upstream that dropped a request without a word.
+TEST_CASE("reads that an upstream has lost are answered by another one before their timeout")
+{
+    constexpr int Reads = 4;
+    Deployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        co_await showCounting(deployment);
+        deployment.one.loses = true;
+        for (int number = 0; number < Reads; ++number) {
+            const std::string id = "read-" + std::to_string(number);
+            const Reply reply = co_await deployment.send(deployment.first.callers, "GET", "/read/1", id);
+            CHECK(reply.body.starts_with("i-2:"));
+        }
+    });
+}
+
+// Guards against leaving a payment's caller without an answer until its timeout though its outcome can't be known any
+// more.
+TEST_CASE("a payment that its upstream has lost ends as unknown as soon as that shows, and is not sent again")
+{
+    Deployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        co_await showCounting(deployment);
+        deployment.one.loses = true;
+        deployment.two.loses = true;
+        const TimePoint begun = std::chrono::steady_clock::now();
+        const Reply reply = co_await deployment.send(deployment.first.callers, "POST", "/pay/1", "lost");
+        CHECK(reply.status == 502);
+        CHECK(std::chrono::steady_clock::now() - begun < Milliseconds(750));
+        CHECK(deployment.runs("lost") == 0);
+    });
+}
--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -62,6 +62,7 @@
     {FaultKind::UpstreamCutsAnswers, &FaultInjector::disturbUpstream, Disturbance::Upstream, false},
     {FaultKind::UpstreamUnsigned, &FaultInjector::disturbUpstream, Disturbance::Upstream, false},
     {FaultKind::UpstreamRefusing, &FaultInjector::disturbUpstream, Disturbance::Upstream, false},
+    {FaultKind::UpstreamHangs, &FaultInjector::disturbUpstream, Disturbance::Upstream, false},
     {FaultKind::UpstreamReplaced, &FaultInjector::replaceUpstream, Disturbance::Upstream, false},
     {FaultKind::UpstreamCrash, &FaultInjector::crashUpstream, Disturbance::Upstream, false},
     {FaultKind::CallerBurst, &FaultInjector::pressCallers, Disturbance::Upstream, true},
@@ -265,6 +266,7 @@
     faults.cutShort = fault.kind == FaultKind::UpstreamCutsAnswers ? Sometimes : 0.0;
     faults.unsignedShare = fault.kind == FaultKind::UpstreamUnsigned ? Sometimes : 0.0;
     faults.refusing = fault.kind == FaultKind::UpstreamRefusing;
+    faults.hanging = fault.kind == FaultKind::UpstreamHangs ? Often : 0.0;
     Member &member = deployment_.member(fault.node);
     member.upstream->faults() = faults;
     co_await sleepFor(fault.length);
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -41,6 +41,7 @@
     "routes-change",
     "routes-storm",
     "routes-grow",
+    "upstream-hangs",
 };
 
 /// Lasting 0.3 to 4 s: shorter and longer than the time-outs between nodes, and than what a planned stop takes.
@@ -52,7 +53,7 @@
 FaultKind drawKind(const FaultPlanOptions &options, Random &random)
 {
     if (options.kinds.empty()) {
-        return static_cast<FaultKind>(std::uniform_int_distribution<std::size_t>(0, FaultKindCount - 1)(random));
+        return static_cast<FaultKind>(std::uniform_int_distribution<std::size_t>(0, options.knownKinds - 1)(random));
     }
     return options.kinds[std::uniform_int_distribution<std::size_t>(0, options.kinds.size() - 1)(random)];
 }
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -46,9 +46,11 @@
     RoutesChange,
     RoutesStorm,
     RoutesGrow,
+    // New kinds stand at the end, so that seeds that failed before them keep their plans.
+    UpstreamHangs,
 };
 
-inline constexpr std::size_t FaultKindCount = 31;
+inline constexpr std::size_t FaultKindCount = 32;
 
 [[nodiscard]] std::string_view toString(FaultKind kind);
 /// Nothing for a name that is none. Thread safety: safe.
@@ -73,8 +75,10 @@
     std::size_t nodes = 9;
     /// Mean time from one fault to the next. Faults last longer than that, so that they overlap.
     Milliseconds gap{700};
-    /// Kinds to draw from; all if empty.
+    /// Kinds to draw from; if empty, the first `knownKinds` of all.
     std::vector<FaultKind> kinds;
+    /// A seed draws the same plan for as long as this is the same.
+    std::size_t knownKinds = FaultKindCount;
 };
 
 /// Draws faults. The same generator gives the same plan. Faults come in series: some strike again at once, at the same
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -45,6 +45,8 @@
     app.add_option("--nodes", options.deployment.nodes, "nodes, each a process of its own")->check(CLI::Range(3, 200));
     app.add_option("--rate", options.rate, "requests a second at each node");
     app.add_option("--faults", kinds, "names of faults to draw from; all by default")->delimiter(',');
+    app.add_option("--known-kinds", options.faults.knownKinds, "draw from so many kinds, as a seed once did")
+        ->check(CLI::Range(std::size_t{1}, FaultKindCount));
     app.add_flag("--calm", options.calm, "no faults");
     app.add_option("--slack-ms", slackMilliseconds, "added to each bound of time");
     app.add_option("--recovered", options.recoveredShare, "of the attempts after the faults, the share that succeeds");
--- a/tests/standins/slottedupstream.cpp
+++ b/tests/standins/slottedupstream.cpp
@@ -135,11 +135,28 @@
             co_await refuse(exchange, request.attempt, MisdirectedStatus);
         } else if (faults_.refusing || running_ + waiting_ >= options_.slots + options_.queue) {
             co_await refuse(exchange, request.attempt, UnavailableStatus);
+        } else if (draws(faults_.hanging)) {
+            co_await neverAnswer(exchange);
         } else {
             co_await waitAndRun(exchange, request);
         }
     }
 
+    /// Until the caller closes the connection; the upstream does not count the request.
+    asio::awaitable<void> neverAnswer(HttpExchange &exchange)
+    {
+        bool gone = false;
+        exchange.onCallerGone([this, &gone] {
+            gone = true;
+            freed_.cancel();
+        });
+        while (!gone && !ended_) {
+            boost::system::error_code ignored;
+            co_await freed_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        exchange.onCallerGone(nullptr);
+    }
+
     [[nodiscard]] static ArrivedRequest read(const HttpExchange &exchange, const std::string &body)
     {
         ArrivedRequest request;
--- a/tests/standins/slottedupstream.h
+++ b/tests/standins/slottedupstream.h
@@ -68,6 +68,9 @@
     double unsignedShare = 0.0;
     /// All requests are refused as not run.
     bool refusing = false;
+    /// Of the requests, the share that is dropped without a word, as by an upstream that is full; nothing more is
+    /// answered on their connections.
+    double hanging = 0.0;
 };
 
 struct SlottedUpstreamOptions
