--- a/bench/replay/main.cpp
+++ b/bench/replay/main.cpp
@@ -8,6 +8,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "ablation/ablation.h"
 #include "replay/replay.h"
 
 using namespace Egretpath;
@@ -52,7 +53,7 @@
         failed.push_back(result.failed);
         sendings.push_back(result.sendings);
     }
-    std::printf("%-9s %-16s %s  %s  %s  %s  %s  %s\n", named.name, name, spread(worth).c_str(),
+    std::printf("%-9s %-22s %s  %s  %s  %s  %s  %s\n", named.name, name, spread(worth).c_str(),
                 spread(inTarget).c_str(), spread(late).c_str(), spread(refused).c_str(), spread(failed).c_str(),
                 spread(sendings).c_str());
 }
@@ -72,7 +73,7 @@
     app.add_option("--slots", load.slots, "requests that an upstream works on at a time");
     CLI11_PARSE(app, argumentCount, arguments);
     std::printf(
-        "load      rule             worth              in target          late               refused            "
+        "load      rule                   worth              in target          late               refused            "
         "failed             sendings\n");
     for (const NamedLoad &named : Loads) {
         load.rate = named.rate * rateFactor;
@@ -83,19 +84,11 @@
             settings.rule = rule;
             printRow(named, settings, std::string(toString(rule)).c_str(), load, seeds);
         }
-        ReplaySettings without;
-        without.declines = false;
-        printRow(named, without, "- no declining", load, seeds);
-        without = ReplaySettings();
-        without.queue.comfortableFill = 1.0;
-        printRow(named, without, "- all slots", load, seeds);
-        without = ReplaySettings();
-        without.queue.lateBacklog = 1000.0;
-        without.queue.lateWait = 1000.0;
-        printRow(named, without, "- late ones wait", load, seeds);
-        without = ReplaySettings();
-        without.queue.awaitsSpellEnd = false;
-        printRow(named, without, "- begin when slow", load, seeds);
+        for (const Mechanism &mechanism : mechanisms()) {
+            ReplaySettings without;
+            mechanism.switchOff(without.decisions);
+            printRow(named, without, ("- " + std::string(mechanism.name)).c_str(), load, seeds);
+        }
     }
     return 0;
 }
--- a/bench/replay/replay.cpp
+++ b/bench/replay/replay.cpp
@@ -30,7 +30,6 @@
 constexpr unsigned MostQuestions = 3;
 constexpr unsigned MostSendings = 8;
 constexpr unsigned CallerReturns = 2;
-constexpr double DeclineMargin = 1.1;
 constexpr Milliseconds PaceWatchInterval{20};
 constexpr double LateWorth = 0.1;
 /// Of a plain rule's upstream: requests that wait in its own queue, for each slot.
@@ -77,12 +76,13 @@
         , choices_(settings.seed + 2'000'003)
     {
         for (std::size_t number = 0; number < load_.upstreams; ++number) {
-            upstreams_.push_back(std::make_unique<Upstream>(settings_.queue, load_.slots));
+            upstreams_.push_back(std::make_unique<Upstream>(settings_.decisions.queue, load_.slots));
             candidates_.push_back({nameOf(number), zoneOf(number), false});
             changePace(number, Start);
         }
         for (std::size_t number = 0; number < load_.nodes; ++number) {
-            nodes_.push_back(std::make_unique<Node>(zoneOf(number), settings.seed + number));
+            nodes_.push_back(
+                std::make_unique<Node>(zoneOf(number), settings.decisions.ingress, settings.seed + number));
         }
     }
 
@@ -142,9 +142,10 @@
 
     struct Node
     {
-        Node(Location place, std::uint64_t seed)
+        Node(Location place, const IngressDecisions &decisions, std::uint64_t seed)
             : location(std::move(place))
-            , placement(location, view, Random(seed))
+            , view(decisions.view)
+            , placement(location, view, Random(seed), decisions.placement)
         {
         }
 
@@ -259,8 +260,8 @@
             wanted.excluded = {};
             choice = node.placement.choose(wanted);
         }
-        if (settings_.declines && request.sendings <= MostQuestions) {
-            acceptable = scaled(choice->acceptable, DeclineMargin);
+        if (request.sendings <= settings_.decisions.ingress.ingress.mostQuestions) {
+            acceptable = scaled(choice->acceptable, settings_.decisions.ingress.ingress.declineMargin);
         }
         return choice->candidate;
     }
@@ -296,7 +297,7 @@
             return;
         }
         const Duration left = request->deadline - now_;
-        std::uniform_real_distribution<double> spread(1.0, 2.0);
+        std::uniform_real_distribution<double> spread(1.0, 1.0 + settings_.decisions.ingress.ingress.returnSpread);
         const Duration pause = std::min(scaled(retryAfter, spread(choices_)), left / ReturnShare);
         if (request->returns++ == CallerReturns || left <= Duration{0}) {
             end(request, result_.refused);
--- a/bench/replay/replay.h
+++ b/bench/replay/replay.h
@@ -4,9 +4,8 @@
 #include <string_view>
 #include <vector>
 
-#include "admission/workqueue.h"
 #include "core/clock.h"
-#include "routing/placement.h"
+#include "sidecar/decisionsettings.h"
 
 namespace Egretpath
 {
@@ -56,9 +55,8 @@
 struct ReplaySettings
 {
     ReplayRule rule = ReplayRule::Egretpath;
-    WorkQueueSettings queue;
-    /// Nodes beside upstreams may decline; off shows what that is worth.
-    bool declines = true;
+    /// Of these, placement, view, queue and questions take part.
+    DecisionSettings decisions;
     std::uint64_t seed = 1;
 };
 
--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -22,8 +22,6 @@
 constexpr double LargestPace = 5000.0;
 /// A running call that already took its usual time is taken to need this share of it again.
 constexpr double OverdueShare = 0.3;
-/// A failure is told as if work took so many times longer: its sender has to begin again elsewhere, or loses it.
-constexpr double FailureFactor = 4.0;
 
 std::uint16_t paceInPercent(double factor)
 {
@@ -180,7 +178,7 @@
 
 Duration WorkQueue::expected(const WorkOffer &offer, TimePoint now) const
 {
-    const double failures = 1.0 + FailureFactor * failureShare_;
+    const double failures = 1.0 + settings_.failureFactor * failureShare_;
     return scaled(expectedWait(offer, now) + serviceTime(offer.route, now), failures * slowness(now));
 }
 
@@ -311,6 +309,9 @@
 /// the most time left first: the ones whose deadline is near would be cut before they are done.
 bool WorkQueue::goesBefore(const WorkOffer &one, const WorkOffer &other, TimePoint now) const
 {
+    if (!settings_.ordersByUrgency) {
+        return false;
+    }
     const auto urgency = [this, now](const WorkOffer &offer) {
         const bool late = isLate(offer, now, now);
         return std::tuple(late, offer.priority, late ? now - offer.deadline : offer.target - now);
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -47,8 +47,12 @@
     double lateBacklog = 1.0;
     /// A call that has missed its target is refused when it has waited this share of its target's length besides.
     double lateWait = 0.5;
-    /// Off, calls begin in slow spells of the VM too; for experiments only.
+    /// Calls begin after a slow spell of the VM where that is quicker; else at once.
     bool awaitsSpellEnd = true;
+    /// Calls begin in the order of goesBefore(); else in that of their arrival.
+    bool ordersByUrgency = true;
+    /// A failure is told as if work took so many times longer: its sender has to begin again elsewhere, or loses it.
+    double failureFactor = 4.0;
 };
 
 /// Decides at the egress which requests the upstream works on, which wait and in which order, and which go elsewhere.
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -42,7 +42,7 @@
     , dialect_(dialect)
     , log_(log)
     , metrics_(metrics)
-    , slots_(executor_)
+    , slots_(executor_, settings_.queue)
     , pool_(executor_, poolLimits(settings_))
     , probed_(executor_, asio::steady_timer::time_point::max())
 {
@@ -123,7 +123,7 @@
 void EgressRole::noteOverdue()
 {
     ++overdue_;
-    if (!std::exchange(watchingOverdue_, true)) {
+    if (settings_.keepsAccount && !std::exchange(watchingOverdue_, true)) {
         asio::co_spawn(executor_, watchOverdue(), asio::detached);
     }
 }
@@ -168,7 +168,7 @@
             if (answer && body) {
                 const UpstreamRemarks remarks = dialect_.read(answer.value());
                 take(remarks);
-                if (remarks.load) {
+                if (remarks.load && settings_.keepsAccount) {
                     takeAccount(*remarks.load);
                 }
             }
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -39,6 +39,9 @@
     Milliseconds paceWatchInterval{20};
     /// Between two questions while the upstream takes longer for a request than it should; see UpstreamAccount.
     Milliseconds accountInterval{150};
+    /// Requests that the upstream has lost end, and work there for others takes slots.
+    bool keepsAccount = true;
+    WorkQueueSettings queue;
     /// Idle connections to the upstream are closed after this time. Upstreams close theirs after 5 s or more.
     Milliseconds idleTime{3000};
 };
--- a/src/egress/workslots.cpp
+++ b/src/egress/workslots.cpp
@@ -12,8 +12,9 @@
 
 namespace asio = boost::asio;
 
-WorkSlots::WorkSlots(asio::any_io_executor executor)
-    : executor_(std::move(executor))
+WorkSlots::WorkSlots(asio::any_io_executor executor, const WorkQueueSettings &settings)
+    : queue_(settings)
+    , executor_(std::move(executor))
     , expiry_(executor_)
 {
 }
--- a/src/egress/workslots.h
+++ b/src/egress/workslots.h
@@ -25,7 +25,7 @@
 class WorkSlots
 {
 public:
-    explicit WorkSlots(boost::asio::any_io_executor executor);
+    explicit WorkSlots(boost::asio::any_io_executor executor, const WorkQueueSettings &settings = {});
 
     /// Returns nothing once the request has a slot, which release() then gives back; else why it has none.
     /// Errors: NotRun with Overloaded, Declined, DeadlinePassed or Cancelled, or what refuseWaiting() was told.
--- a/src/routing/placementview.cpp
+++ b/src/routing/placementview.cpp
@@ -30,8 +30,10 @@
 PlacementView::PlacementView(PlacementViewSettings settings)
     : settings_(settings)
 {
-    typical_.pace = settings_.typicalPace;
-    typical_.settledPace = settings_.typicalPace;
+    if (settings_.assumesTypical) {
+        typical_.pace = settings_.typicalPace;
+        typical_.settledPace = settings_.typicalPace;
+    }
 }
 
 void PlacementView::onSent(const UpstreamName &upstream)
@@ -53,7 +55,9 @@
     record.load = loadIn(report);
     record.hasReport = true;
     const double gain = settings_.typicalGain;
-    typical_ = mixed(gain, record.load, typical_);
+    if (settings_.assumesTypical) {
+        typical_ = mixed(gain, record.load, typical_);
+    }
     if (report.meanServiceMicroseconds > 0) {
         const double mean = inSeconds(Microseconds(report.meanServiceMicroseconds));
         meanServiceSeconds_ = meanServiceSeconds_ > 0.0 ? mix(gain, mean, meanServiceSeconds_) : mean;
@@ -91,7 +95,7 @@
     record.shutUntil = std::max(record.shutUntil, now + hold);
 }
 
-PlacementView::Load PlacementView::loadIn(const LoadReport &report)
+PlacementView::Load PlacementView::loadIn(const LoadReport &report) const
 {
     const double slots = std::max(report.slots, 1U);
     const bool full = report.inFlight >= report.slots;
@@ -102,7 +106,9 @@
     load.urgentWait = full ? 1.0 / slots : 0.0;
     load.wait = full ? (1.0 + report.queued) / slots : 0.0;
     load.failureShare = report.failurePercent / Percent;
-    load.delaySeconds = inSeconds(Microseconds(report.arrivalDelayMicroseconds));
+    if (settings_.countsDelay) {
+        load.delaySeconds = inSeconds(Microseconds(report.arrivalDelayMicroseconds));
+    }
     return load;
 }
 
--- a/src/routing/placementview.h
+++ b/src/routing/placementview.h
@@ -26,6 +26,10 @@
     /// failures among the latest answers; it keeps quick errors from attracting requests.
     double failurePenalty = 2.0;
     double failureShareFactor = 4.0;
+    /// An upstream without a report is taken for a typical one; else for an idle one at the usual pace.
+    bool assumesTypical = true;
+    /// Requests reach an upstream as late as its latest report said; else at once.
+    bool countsDelay = true;
     /// Calls ahead for each own request that is under way and not yet in a report.
     double ownRequestWeight = 0.5;
     /// No request goes to an upstream whose node can't be reached for so long; each further failure doubles it.
@@ -109,7 +113,7 @@
 
     [[nodiscard]] double failuresOf(const Record &record, TimePoint now) const;
     [[nodiscard]] Load loadOf(const Record &record, TimePoint now) const;
-    [[nodiscard]] static Load loadIn(const LoadReport &report);
+    [[nodiscard]] Load loadIn(const LoadReport &report) const;
     [[nodiscard]] static Load mixed(double share, const Load &one, const Load &other);
     /// What work takes that needs @p usualSeconds when nothing is in the way.
     [[nodiscard]] static double workSeconds(const Load &load, double usualSeconds);
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -23,8 +23,6 @@
 /// How often held records are looked at, and peers asked while the platform can't be read. Changes have to be in force
 /// within two seconds.
 constexpr Milliseconds Round{300};
-/// The platform may be unreachable for so long before peers are asked; most losses are one refused call.
-constexpr Milliseconds LossBeforeAsking{250};
 constexpr Milliseconds PeerLimit{600};
 /// Peers asked in one round. One may be cut off itself; with two the news passes through a fleet in a few rounds.
 constexpr std::size_t PeersInRound = 2;
@@ -56,15 +54,17 @@
 }
 
 CatalogController::CatalogController(asio::any_io_executor executor, SidecarState &state, CatalogSource &source,
-                                     PeerClient &peers, std::function<void()> changed)
+                                     PeerClient &peers, const DecisionSettings &decisions,
+                                     std::function<void()> changed)
     : executor_(executor)
     , state_(state)
     , source_(source)
     , peers_(peers)
+    , settings_(decisions.catalog)
     , log_(state.log, state.metrics)
     , changed_(std::move(changed))
     , started_(currentTime())
-    , election_(state.location.region)
+    , election_(state.location.region, decisions.readers)
     , news_(executor, asio::steady_timer::time_point::max())
 {
 }
@@ -304,10 +304,10 @@
         return false;
     }
     if (lostSince_) {
-        return currentTime() - *lostSince_ >= LossBeforeAsking;
+        return currentTime() - *lostSince_ >= settings_.lossBeforeAsking;
     }
     // A store that does not answer at all has not failed yet.
-    return !state_.isReady() && !state_.stopping && currentTime() - started_ >= LossBeforeAsking;
+    return !state_.isReady() && !state_.stopping && currentTime() - started_ >= settings_.lossBeforeAsking;
 }
 
 /// A fleet that starts whole, or a VM after the other, would read everything from the store as many times as there are
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -13,6 +13,7 @@
 #include "rpc/peerclient.h"
 #include "sidecar/cataloglog.h"
 #include "sidecar/catalogsource.h"
+#include "sidecar/decisionsettings.h"
 #include "sidecar/sidecarstate.h"
 
 namespace Egretpath
@@ -30,7 +31,7 @@
 public:
     /// @p changed is called after each change.
     CatalogController(boost::asio::any_io_executor executor, SidecarState &state, CatalogSource &source,
-                      PeerClient &peers, std::function<void()> changed);
+                      PeerClient &peers, const DecisionSettings &decisions, std::function<void()> changed);
 
     void start();
     /// What this node has and the asker lacks; see PeerService::catalog().
@@ -98,6 +99,7 @@
     SidecarState &state_;
     CatalogSource &source_;
     PeerClient &peers_;
+    CatalogSettings settings_;
     CatalogLog log_;
     std::function<void()> changed_;
     TimePoint started_;
--- /dev/null
+++ b/src/sidecar/decisionsettings.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "admission/workqueue.h"
+#include "ingress/ingresscontext.h"
+#include "instances/readerelection.h"
+#include "sidecar/catalogsettings.h"
+
+namespace Egretpath
+{
+
+/// All constants of a node's decisions, for experiments that change one of them. The product uses them as they stand.
+struct DecisionSettings
+{
+    IngressDecisions ingress;
+    WorkQueueSettings queue;
+    ReaderElectionSettings readers;
+    CatalogSettings catalog;
+    /// See EgressSettings::keepsAccount.
+    bool keepsUpstreamAccount = true;
+    /// What crosses links that are paid for by volume is compressed.
+    bool compressesPaidLinks = true;
+};
+
+}
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -69,10 +69,12 @@
     return http;
 }
 
-EgressSettings egressSettings(const SidecarSettings &settings)
+EgressSettings egressSettings(const SidecarSettings &settings, const DecisionSettings &decisions)
 {
     EgressSettings egress;
     egress.upstream = settings.upstream;
+    egress.queue = decisions.queue;
+    egress.keepsAccount = decisions.keepsUpstreamAccount;
     return egress;
 }
 
@@ -86,16 +88,18 @@
 class Sidecar::Implementation final : public PeerService
 {
 public:
-    Implementation(asio::io_context &context, const SidecarSettings &settings, SidecarPlatform platform)
+    Implementation(asio::io_context &context, const SidecarSettings &settings, SidecarPlatform platform,
+                   const DecisionSettings &decisions)
         : context_(context)
         , executor_(context.get_executor())
         , platform_(std::move(platform))
         , state_(settings, drawIncarnation(), systemSeed())
         , peers_(context)
-        , egress_(executor_, egressSettings(settings), state_.self, *platform_.upstreams, state_.log, state_.metrics)
+        , egress_(executor_, egressSettings(settings, decisions), state_.self, *platform_.upstreams, state_.log,
+                  state_.metrics)
         , ingress_(executor_, ingressPlace(state_), IngressSources{state_.routes, state_.directory}, *platform_.callers,
-                   egress_, peers_, state_.log, state_.metrics, Random(state_.random()))
-        , catalog_(executor_, state_, *platform_.catalog, peers_, [this] { catalogChanged(); })
+                   egress_, peers_, state_.log, state_.metrics, Random(state_.random()), decisions.ingress)
+        , catalog_(executor_, state_, *platform_.catalog, peers_, decisions, [this] { catalogChanged(); })
         , peerServer_(context, *this, PeerConnections)
         , callers_(executor_, callerLimits(CallerLimits()),
                    [this](HttpExchange &exchange) { return ingress_.serve(exchange); })
@@ -104,7 +108,9 @@
     {
         setRepeatLimits();
         ingress_.setLinkPrices(state_.settings.linkPrices);
-        peers_.setPaidLinks([this](const Endpoint &peer) { return isInOtherRegion(peer); });
+        if (decisions.compressesPaidLinks) {
+            peers_.setPaidLinks([this](const Endpoint &peer) { return isInOtherRegion(peer); });
+        }
         ingress_.onCatalogMark(
             [this](const Endpoint &peer, const CatalogMark &mark) { catalog_.noteMark(peer, mark); });
         ingress_.onNoRoutes([this] { catalog_.noteCallerWaits(); });
@@ -328,8 +334,9 @@
     HttpServer operators_;
 };
 
-Sidecar::Sidecar(asio::io_context &context, const SidecarSettings &settings, SidecarPlatform platform)
-    : implementation_(std::make_unique<Implementation>(context, settings, std::move(platform)))
+Sidecar::Sidecar(asio::io_context &context, const SidecarSettings &settings, SidecarPlatform platform,
+                 const DecisionSettings &decisions)
+    : implementation_(std::make_unique<Implementation>(context, settings, std::move(platform), decisions))
 {
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -12,6 +12,7 @@
 #include "dialect/upstreamdialect.h"
 #include "settings/sidecarsettings.h"
 #include "sidecar/catalogsource.h"
+#include "sidecar/decisionsettings.h"
 
 namespace Egretpath
 {
@@ -30,7 +31,8 @@
 class Sidecar
 {
 public:
-    Sidecar(boost::asio::io_context &context, const SidecarSettings &settings, SidecarPlatform platform);
+    Sidecar(boost::asio::io_context &context, const SidecarSettings &settings, SidecarPlatform platform,
+            const DecisionSettings &decisions = {});
     ~Sidecar();
     Sidecar(const Sidecar &) = delete;
     Sidecar &operator=(const Sidecar &) = delete;
--- a/tests/replay/replaytest.cpp
+++ b/tests/replay/replaytest.cpp
@@ -1,9 +1,13 @@
 #include "replay/replay.h"
 
+#include <set>
+#include <string_view>
 #include <utility>
 
 #include <catch2/catch.hpp>
 
+#include "ablation/ablation.h"
+
 using namespace Egretpath;
 
 namespace
@@ -98,7 +102,7 @@
 TEST_CASE("nodes that may decline serve more in time")
 {
     ReplaySettings without;
-    without.declines = false;
+    without.decisions.ingress.ingress.mostQuestions = 0;
     CHECK(ownCalm().worth() > meanOf(ReplayLoad(), without).worth() + 0.08);
     CHECK(ownBurst().worth() > meanOf(burst(), without).worth() + 0.03);
 }
@@ -108,7 +112,7 @@
 TEST_CASE("upstreams that are kept below the fill from which they slow themselves finish more")
 {
     ReplaySettings allSlots;
-    allSlots.queue.comfortableFill = 1.0;
+    allSlots.decisions.queue.comfortableFill = 1.0;
     CHECK(ownBurst().worth() > meanOf(burst(), allSlots).worth() + 0.08);
     CHECK(ownOverload().worth() > meanOf(overload(), allSlots).worth() + 0.2);
 }
@@ -118,8 +122,8 @@
 TEST_CASE("requests that can't be in time are refused while their callers can still come back")
 {
     ReplaySettings waiting;
-    waiting.queue.lateBacklog = 1000.0;
-    waiting.queue.lateWait = 1000.0;
+    waiting.decisions.queue.lateBacklog = 1000.0;
+    waiting.decisions.queue.lateWait = 1000.0;
     const ReplayResult &own = ownOverload();
     const ReplayResult held = meanOf(overload(), waiting);
     CHECK(own.failed < 0.005);
@@ -132,7 +136,18 @@
 TEST_CASE("upstreams that begin work after a slow spell finish more in time")
 {
     ReplaySettings atOnce;
-    atOnce.queue.awaitsSpellEnd = false;
+    atOnce.decisions.queue.awaitsSpellEnd = false;
     CHECK(ownBurst().worth() > meanOf(burst(), atOnce).worth() + 0.02);
     CHECK(ownOverload().worth() > meanOf(overload(), atOnce).worth() + 0.05);
 }
+
+TEST_CASE("each mechanism that can be switched off has a name of its own")
+{
+    std::set<std::string_view> names;
+    for (const Mechanism &mechanism : mechanisms()) {
+        names.insert(mechanism.name);
+        CHECK(findMechanism(mechanism.name) == &mechanism);
+    }
+    CHECK(names.size() == mechanisms().size());
+    CHECK(findMechanism("luck") == nullptr);
+}
