--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -157,10 +157,11 @@
         stamp(asked);
         return true;
     };
-    TryEnd asked{which,
-                 co_await context_->peers.call(which->node, std::move(question), std::string(),
-                                               content_.makeReceiver(which->number), permit, terms_.deadline,
-                                               which->cancellation)};
+    // Named first: g++ 12 destroys aggregate temporaries of a co_await expression twice.
+    auto outcome = co_await context_->peers.call(which->node, std::move(question), std::string(),
+                                                 content_.makeReceiver(which->number), permit, terms_.deadline,
+                                                 which->cancellation);
+    TryEnd asked{which, std::move(outcome)};
     const Failure *objection = asked.failure();
     if (objection == nullptr || objection->reason == Reason::None) {
         co_return std::nullopt;
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -76,6 +76,29 @@
     CHECK(std::stoi(used.lastField("X-Egretpath-Deadline-Ms")) > 500);
 }
 
+// Guards against an upload that ends its node: it is sent to another node only when that has said that it would take
+// it.
+TEST_CASE("uploads go to another node that said it would take them")
+{
+    constexpr int Uploads = 6;
+    constexpr std::size_t LargeBody = std::size_t{40} * 1024;
+    Deployment deployment;
+    // So that there is a choice between upstreams, and the node may decline.
+    deployment.one.pace = 400;
+    deployment.run([&]() -> asio::awaitable<void> {
+        const std::string body(LargeBody, 'b');
+        for (int number = 0; number < Uploads; ++number) {
+            const std::string id = "upload-" + std::to_string(number);
+            const Reply reply =
+                co_await deployment.send(deployment.first.callers, "POST", "/pay/1", id, Milliseconds(700), body);
+            CHECK(reply.status == 200);
+            CHECK(reply.body.ends_with(body));
+            CHECK(deployment.runs(id) == 1);
+        }
+    });
+    CHECK(deployment.two.totalRuns() > 0);
+}
+
 TEST_CASE("paths without a route are 404, and nothing is refused that a route takes")
 {
     Deployment deployment;
