catalog: a store that is away is known from other nodes; few go on calling it

Weighed: a budget of calls from the list's size (still every node calls, and finds the store back late), a probing reader for each region only (a region whose reader is turned away is blind), evidence shared by the tree (chosen). Change: CatalogPlan decides without I/O: readers go on, two deputies for each stand in, the rest stay where they are and hear from their sources what the store is. A store that turns some away is found by asking deputies and the readers of other regions; the fleet looks about once a second besides. That the store is in order is believed for three seconds after the node that reads showed it, or nodes in a circle would believe it for ever (seen in the virtual fleet). Status and metrics show who reads and what a node takes the store to be.

--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -54,6 +54,8 @@
     read.routes = RouteVersion(numberOf(status, "routes"));
     read.list = numberOf(status, "list");
     read.source = textOf(status, "source");
+    read.reads = flagOf(status, "reads");
+    read.store = textOf(status, "store");
     return read;
 }
 
--- a/src/client/nodestatus.h
+++ b/src/client/nodestatus.h
@@ -26,6 +26,10 @@
     std::uint64_t list = 0;
     /// The node that it follows, "platform", or "lost".
     std::string source;
+    /// It reads the platform's store itself.
+    bool reads = false;
+    /// What it knows of the store: "in-order", "settling" or "away".
+    std::string store;
 };
 
 /// A node's status, or why it could not be read.
--- a/src/core/currenttime.h
+++ b/src/core/currenttime.h
@@ -12,4 +12,10 @@
     return std::chrono::steady_clock::now();
 }
 
+/// From @p time to now. Thread safety: safe. Errors: none.
+[[nodiscard]] inline Milliseconds timeSince(TimePoint time)
+{
+    return std::chrono::duration_cast<Milliseconds>(currentTime() - time);
+}
+
 }
--- a/src/daemons/sidecarprogram.cpp
+++ b/src/daemons/sidecarprogram.cpp
@@ -31,7 +31,7 @@
 constexpr const char *SettingsVariable = "EGRETPATH_CONFIG";
 
 SidecarPlatform makePlatform(boost::asio::io_context &context, const SidecarSettings &settings,
-                             const CatalogSettings &catalog)
+                             const CatalogTimes &catalog)
 {
     Platform::InstancePlaces places;
     places.zones = settings.zones;
--- a/src/instances/readerelection.cpp
+++ b/src/instances/readerelection.cpp
@@ -1,7 +1,6 @@
 #include "instances/readerelection.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "core/digest.h"
@@ -9,6 +8,20 @@
 namespace Egretpath
 {
 
+namespace
+{
+
+/// A node with what it is ranked by.
+struct Ranked
+{
+    std::uint64_t hash = 0;
+    Endpoint node;
+
+    friend auto operator<=>(const Ranked &, const Ranked &) = default;
+};
+
+}
+
 ReaderElection::ReaderElection(RegionName region, ReaderElectionSettings settings)
     : region_(std::move(region))
     , settings_(settings)
@@ -18,12 +31,19 @@
 void ReaderElection::update(const InstanceDirectory &directory, const Endpoint &own)
 {
     sources_.clear();
+    substitutes_.clear();
     const std::vector<Endpoint> ranked = rankedNodes(directory, own);
     const auto rank = static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), own) - ranked.begin());
     const std::size_t readers = (ranked.size() + settings_.nodesPerReader - 1) / settings_.nodesPerReader;
-    if (rank < readers) {
-        return;
+    isDeputy_ = rank >= readers && rank < readers * (1 + settings_.deputiesPerReader);
+    if (rank >= readers) {
+        chooseSources(ranked, rank, readers);
     }
+    chooseSubstitutes(ranked, rank, readers, foreignReaders(directory));
+}
+
+void ReaderElection::chooseSources(const std::vector<Endpoint> &ranked, std::size_t rank, std::size_t readers)
+{
     const std::size_t parent = (rank - readers) / settings_.followersPerNode;
     // Then readers, from a different one for each node: when a node with many below it is lost, they spread.
     for (const std::size_t source : {parent, rank % readers, (rank + 1) % readers, parent + 1}) {
@@ -35,9 +55,55 @@
     }
 }
 
-std::optional<Endpoint> ReaderElection::source(TimePoint now) const
+void ReaderElection::chooseSubstitutes(const std::vector<Endpoint> &ranked, std::size_t rank, std::size_t readers,
+                                       const std::vector<Endpoint> &foreign)
+{
+    const Endpoint &own = ranked[rank];
+    const std::size_t reader = rank % readers;
+    for (std::size_t number = 0; number < settings_.deputiesPerReader; ++number) {
+        const std::size_t deputy = readers + reader * settings_.deputiesPerReader + number;
+        if (deputy < ranked.size()) {
+            addSubstitute(ranked[deputy], own);
+        }
+    }
+    addSubstitute(ranked[(reader + 1) % readers], own);
+    for (std::size_t number = 0; number < std::min(foreign.size(), settings_.mostForeignReaders); ++number) {
+        addSubstitute(foreign[(rank + number) % foreign.size()], own);
+    }
+}
+
+void ReaderElection::addSubstitute(const Endpoint &node, const Endpoint &own)
+{
+    const bool isSource = std::find(sources_.begin(), sources_.end(), node) != sources_.end();
+    const bool known = std::find(substitutes_.begin(), substitutes_.end(), node) != substitutes_.end();
+    if (node != own && !isSource && !known) {
+        substitutes_.push_back(node);
+    }
+}
+
+std::vector<Endpoint> ReaderElection::foreignReaders(const InstanceDirectory &directory) const
+{
+    std::map<RegionName, Ranked> first;
+    directory.forEachReady([&](const InstanceRecord &record) {
+        if (record.location.region == region_) {
+            return;
+        }
+        const Ranked candidate{stableHash(record.node.value()), record.node};
+        const auto [place, isNew] = first.try_emplace(record.location.region, candidate);
+        if (!isNew && candidate < place->second) {
+            place->second = candidate;
+        }
+    });
+    std::vector<Endpoint> nodes;
+    for (const auto &[region, ranked] : first) {
+        nodes.push_back(ranked.node);
+    }
+    return nodes;
+}
+
+std::optional<Endpoint> ReaderElection::firstTrusted(const std::vector<Endpoint> &nodes, TimePoint now) const
 {
-    for (const Endpoint &node : sources_) {
+    for (const Endpoint &node : nodes) {
         const auto distrust = distrusted_.find(node);
         if (distrust == distrusted_.end() || distrust->second.until <= now) {
             return node;
@@ -58,20 +124,13 @@
 /// With @p own among them also when its upstream is not listed yet.
 std::vector<Endpoint> ReaderElection::rankedNodes(const InstanceDirectory &directory, const Endpoint &own) const
 {
-    struct Ranked
-    {
-        std::uint64_t hash = 0;
-        Endpoint node;
-    };
     std::vector<Ranked> ranked{{stableHash(own.value()), own}};
     directory.forEachReady([&](const InstanceRecord &record) {
         if (record.location.region == region_) {
             ranked.push_back({stableHash(record.node.value()), record.node});
         }
     });
-    std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
-        return std::tie(left.hash, left.node) < std::tie(right.hash, right.node);
-    });
+    std::sort(ranked.begin(), ranked.end());
     std::vector<Endpoint> nodes;
     for (Ranked &item : ranked) {
         // Two records of one address stand beside one node.
--- a/src/instances/readerelection.h
+++ b/src/instances/readerelection.h
@@ -20,8 +20,12 @@
     /// Nodes that one node passes news on to. A question and its answer take 320 bytes: three of them and its own each
     /// .7 s are 1.8 KB/s, under the 3 KB/s that a node may spend; news is four steps from the store.
     std::size_t followersPerNode = 3;
+    /// Nodes that stand in for one that reads while it can't.
+    std::size_t deputiesPerReader = 2;
     /// How many others are asked before this node reads for itself.
     std::size_t mostSources = 3;
+    /// How many of the other regions' readers are asked besides while the store is away.
+    std::size_t mostForeignReaders = 2;
     /// A source that failed is left alone for this long, twice as long after each further failure, up to the limit.
     Milliseconds distrust{500};
     Milliseconds distrustLimit{8000};
@@ -43,13 +47,17 @@
     /// Takes a changed list, in which this node stands as @p own, or would if its upstream were listed.
     void update(const InstanceDirectory &directory, const Endpoint &own);
     /// Whom to follow now; nothing: this node reads the store.
-    [[nodiscard]] std::optional<Endpoint> source(TimePoint now) const;
+    [[nodiscard]] std::optional<Endpoint> source(TimePoint now) const { return firstTrusted(sources_, now); }
+    /// Who may read the store when none of those to follow can: deputies, readers beside them and in other regions.
+    [[nodiscard]] std::optional<Endpoint> substitute(TimePoint now) const { return firstTrusted(substitutes_, now); }
     /// @p node did not answer, or can't read the store itself.
     void failed(const Endpoint &node, TimePoint now);
     /// @p node answered in order.
     void answered(const Endpoint &node) { distrusted_.erase(node); }
     /// This node is one of those that read while all is well.
     [[nodiscard]] bool isReader() const { return sources_.empty(); }
+    /// This node is one of those that stand in.
+    [[nodiscard]] bool isDeputy() const { return isDeputy_; }
 
 private:
     struct Distrust
@@ -59,11 +67,21 @@
     };
 
     [[nodiscard]] std::vector<Endpoint> rankedNodes(const InstanceDirectory &directory, const Endpoint &own) const;
+    /// The first of each other region.
+    [[nodiscard]] std::vector<Endpoint> foreignReaders(const InstanceDirectory &directory) const;
+    void chooseSources(const std::vector<Endpoint> &ranked, std::size_t rank, std::size_t readers);
+    void chooseSubstitutes(const std::vector<Endpoint> &ranked, std::size_t rank, std::size_t readers,
+                           const std::vector<Endpoint> &foreign);
+    void addSubstitute(const Endpoint &node, const Endpoint &own);
+    [[nodiscard]] std::optional<Endpoint> firstTrusted(const std::vector<Endpoint> &nodes, TimePoint now) const;
 
     RegionName region_;
     ReaderElectionSettings settings_;
     /// Whom this node follows, the first choice first; empty for a reader.
     std::vector<Endpoint> sources_;
+    /// Whom else it asks while these can't read the store.
+    std::vector<Endpoint> substitutes_;
+    bool isDeputy_ = false;
     std::map<Endpoint, Distrust> distrusted_;
 };
 
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -144,11 +144,17 @@
   # As above, of the sender's list.
   held @10 :UInt32;
   # Milliseconds that the sender kept the question, since it had nothing newer.
+  store @11 :UInt8;
+  # Where this comes from, and not in order: 1 back since a moment, 2 away. Nodes of an earlier version say nothing.
+  reader @12 :Text;
+  # The node that reads the store for the sender.
+  storeAge @13 :UInt32;
+  # Milliseconds since that node last did.
 }
 
 interface Node {
   call @0 (head :CallHead, body :Data, answer :AnswerSink) -> (outcome :CallOutcome);
   probe @1 () -> (identity :Identity, report :LoadReport);
-  catalog @2 (haveRoutes :UInt64, haveRevision :UInt64, wait :UInt32) -> (catalog :Catalog);
-  # Returns when the node has something newer, or after so many milliseconds.
+  catalog @2 (haveRoutes :UInt64, haveRevision :UInt64, wait :UInt32, known :UInt8) -> (catalog :Catalog);
+  # Returns when the node has something newer, its store is another than known, or after so many milliseconds.
 }
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -11,6 +11,7 @@
 #include "core/verdict.h"
 #include "http/httpheaders.h"
 #include "instances/instancedirectory.h"
+#include "instances/storestate.h"
 #include "routes/packedroutes.h"
 #include "routes/routetable.h"
 
@@ -92,6 +93,8 @@
     CatalogMark have;
     /// The answer may take so long when there is nothing newer.
     Milliseconds wait{0};
+    /// What the asker takes the other node's store to be; another state is news.
+    StoreState known = StoreState::InOrder;
 };
 
 /// What another node has that the asker lacks.
@@ -104,10 +107,14 @@
     /// The changes make up the whole list; else they are those after the asker's revision.
     bool whole = false;
     std::vector<InstanceChange> changes;
-    /// The store can be read where this comes from, and nothing may have lapsed from the list.
-    bool storeInOrder = false;
+    /// Where this comes from.
+    StoreState store = StoreState::Away;
     /// Nodes between the sender and the store: 0 for one that reads it.
     std::uint8_t hops = 0;
+    /// The node that reads the store for the sender; empty if none does.
+    Endpoint reader;
+    /// Since that node last did.
+    Milliseconds storeAge{0};
     /// Since a node read the sender's routes, and the newest change of its list, from the store.
     Milliseconds routesAge{0};
     Milliseconds listAge{0};
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -127,6 +127,8 @@
         CatalogRequest request;
         request.have = {RouteVersion(params.getHaveRoutes()), StoreRevision(params.getHaveRevision())};
         request.wait = std::min(Milliseconds(params.getWait()), LongestCatalogWait);
+        const bool isKnown = params.getKnown() != static_cast<std::uint8_t>(StoreState::InOrder);
+        request.known = isKnown ? WireConversion::readStoreState(params.getKnown()) : StoreState::InOrder;
         return toPromise(executor_, service_.catalog(request)).then([context](Catalog catalog) mutable {
             WireConversion::write(context.getResults().initCatalog(), catalog);
         });
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -227,7 +227,10 @@
     wire.setRoutes(asData(catalog.routes.bytes));
     wire.setRevision(catalog.has.list.value());
     wire.setWhole(catalog.whole);
-    wire.setInOrder(catalog.storeInOrder);
+    wire.setInOrder(catalog.store == StoreState::InOrder);
+    wire.setStore(static_cast<std::uint8_t>(catalog.store));
+    wire.setReader(catalog.reader.value());
+    wire.setStoreAge(static_cast<std::uint32_t>(catalog.storeAge.count()));
     wire.setHops(catalog.hops);
     wire.setRoutesAge(static_cast<std::uint32_t>(catalog.routesAge.count()));
     wire.setListAge(static_cast<std::uint32_t>(catalog.listAge.count()));
@@ -254,7 +257,9 @@
     catalog.has = {RouteVersion(wire.getRoutesVersion()), StoreRevision(wire.getRevision())};
     catalog.routes.bytes = readBytes(wire.getRoutes());
     catalog.whole = wire.getWhole();
-    catalog.storeInOrder = wire.getInOrder();
+    catalog.store = wire.getInOrder() ? StoreState::InOrder : readStoreState(wire.getStore());
+    catalog.reader = Endpoint(readText(wire.getReader()));
+    catalog.storeAge = Milliseconds(wire.getStoreAge());
     catalog.hops = wire.getHops();
     catalog.routesAge = Milliseconds(wire.getRoutesAge());
     catalog.listAge = Milliseconds(wire.getListAge());
@@ -269,6 +274,12 @@
     return catalog;
 }
 
+StoreState readStoreState(std::uint8_t wire)
+{
+    // What this version does not know, and what an earlier one did not say, is none to rely on.
+    return wire == static_cast<std::uint8_t>(StoreState::Settling) ? StoreState::Settling : StoreState::Away;
+}
+
 std::string readText(capnp::Text::Reader wire)
 {
     return {wire.begin(), wire.size()};
--- a/src/rpc/wireconversion.h
+++ b/src/rpc/wireconversion.h
@@ -23,6 +23,8 @@
 [[nodiscard]] AnswerHead read(Wire::AnswerHead::Reader wire);
 [[nodiscard]] CallOutcome read(Wire::CallOutcome::Reader wire);
 [[nodiscard]] Catalog read(Wire::Catalog::Reader wire);
+/// Of a store that is not in order.
+[[nodiscard]] StoreState readStoreState(std::uint8_t wire);
 [[nodiscard]] std::string readText(capnp::Text::Reader wire);
 [[nodiscard]] std::string readBytes(capnp::Data::Reader wire);
 [[nodiscard]] capnp::Data::Reader asData(const std::string &bytes);
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -9,8 +9,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "instances/readerelection.h"
+#include "instances/catalogplan.h"
 #include "rpc/peerclient.h"
+#include "sidecar/catalogcontents.h"
 #include "sidecar/cataloglog.h"
 #include "sidecar/catalogsource.h"
 #include "sidecar/decisionsettings.h"
@@ -19,17 +20,15 @@
 namespace Egretpath
 {
 
-/// Puts routes and upstreams in force, from the platform or from other nodes.
+/// Does what CatalogPlan decides: asks other nodes and the platform for routes and upstreams, and answers others.
 ///
-/// A few nodes read the platform's store, the others follow one of them; see ReaderElection. Routes never go back: only
-/// a larger version replaces those in force, wherever it comes from.
 /// Guards against a source that has fallen silent without an error, so that its node would stay on old routes for as
 /// long as the connection stands: each answer of another node tells what that node has, and one that has more is asked.
 /// Thread safety: none. Precondition: references outlive the controller.
 class CatalogController final : public CatalogSink
 {
 public:
-    /// @p changed is called after each change.
+    /// @p changed is called after each change of routes or list.
     CatalogController(boost::asio::any_io_executor executor, SidecarState &state, CatalogSource &source,
                       PeerClient &peers, const DecisionSettings &decisions, std::function<void()> changed);
 
@@ -37,20 +36,23 @@
     /// What this node has and the asker lacks; see PeerService::catalog().
     [[nodiscard]] boost::asio::awaitable<Catalog> answer(CatalogRequest request);
     /// What this node has.
-    [[nodiscard]] CatalogMark mark() const;
+    [[nodiscard]] CatalogMark mark() const { return contents_.mark(); }
     /// For operators: the node that is followed, "platform", or "lost".
     [[nodiscard]] std::string sourceName() const;
+    [[nodiscard]] bool readsStore() const { return reading_ != StoreReading::None; }
+    [[nodiscard]] StoreState storeState() const;
     /// @p peer has said in an answer what it has.
     void noteMark(const Endpoint &peer, const CatalogMark &mark);
     /// A caller was turned away since no routes are in force.
     void noteCallerWaits() { callersWait_ = true; }
 
-    void routesRead(PublishedRoutes routes) override;
-    void listRead(const InstanceSnapshot &snapshot) override;
+    void routesRead(PublishedRoutes routes) override { contents_.takeRoutesRead(std::move(routes)); }
+    void listRead(const InstanceSnapshot &snapshot) override { contents_.takeListRead(snapshot); }
     void changesRead(const std::vector<InstanceChange> &changes, StoreRevision reached) override;
     void sourceLost(std::string_view why) override;
     void sourceBack() override;
-    void entryRefused(std::string_view key, std::string_view why) override;
+    void entryRefused(std::string_view key, std::string_view why) override { log_.entryRefused(key, why); }
+    void storeCalled(std::string_view call, std::string_view outcome) override { log_.storeCalled(call, outcome); }
 
 private:
     /// Another node that has more than this one, and since when it is known to.
@@ -64,61 +66,61 @@
     boost::asio::awaitable<void> watchOver();
     /// Takes routes and list from a node that has them; reads the platform when there is none.
     boost::asio::awaitable<void> begin();
+    boost::asio::awaitable<void> askSeeds();
     /// Follows the node at @p seed if it has all and nothing else was quicker.
     boost::asio::awaitable<void> beginAt(Endpoint seed);
+    boost::asio::awaitable<void> waitForSeeds();
     boost::asio::awaitable<void> followOthers();
-    /// Asks @p reader for news once. Returns whether to ask again at once.
-    boost::asio::awaitable<bool> followOnce(Endpoint reader);
+    /// Returns whether to go on at once.
+    boost::asio::awaitable<bool> askOnce(SourceQuestion question);
     /// Before changes are taken that remove upstreams which did not say that they leave.
     boost::asio::awaitable<void> checkOwnWay(const Catalog &catalog);
+    /// Now and then, while others say that the store is away.
+    boost::asio::awaitable<void> look();
     boost::asio::awaitable<void> askPeers();
     boost::asio::awaitable<void> catchUp();
     /// The ages in the answer are those of its arrival.
-    [[nodiscard]] boost::asio::awaitable<Result<Catalog>> ask(Endpoint peer, Milliseconds wait, Milliseconds limit);
+    [[nodiscard]] boost::asio::awaitable<Result<Catalog>> ask(Endpoint peer, CatalogRequest request,
+                                                              Milliseconds limit);
     [[nodiscard]] std::vector<Endpoint> peersToAsk();
-    /// Returns whether anything was new.
-    bool take(const Endpoint &peer, const Catalog &catalog);
-    void takeRoutes(const Endpoint &peer, const Catalog &catalog);
-    void putInForce(RouteTablePointer table, PackedRoutes packed, const NewsOrigin &origin);
-    bool takeList(const Endpoint &peer, const Catalog &catalog);
-    bool applyChanges(const std::vector<InstanceChange> &changes, StoreRevision reached, const NewsOrigin &origin);
-    void beginFollowing(const Endpoint &reader, std::uint8_t hops);
-    void endFollowing(std::string_view why);
-    [[nodiscard]] bool removesSilently(const Catalog &catalog) const;
-    [[nodiscard]] bool readsForOthers() const;
+    [[nodiscard]] CatalogRequest request(Milliseconds wait, StoreState known) const;
+    void takeAnswer(const Endpoint &peer, const Catalog &catalog);
+    [[nodiscard]] bool take(const Endpoint &peer, const Catalog &catalog);
+    /// Begins or ends to read the platform as the plan says.
+    void applyReading();
+    /// Tells the directory whether removals that are told now may be lapses.
+    void applyStoreState();
+    void logFollowing(const std::optional<Endpoint> &before, std::string_view why);
     [[nodiscard]] bool needsPeers() const;
-    [[nodiscard]] bool isBehind(const CatalogMark &mark) const;
-    [[nodiscard]] bool isInOrder() const;
     [[nodiscard]] Endpoint ownNode() const;
-    [[nodiscard]] static bool isUsable(const Result<Catalog> &catalog);
     void listChanged();
+    void contentsChanged();
     void wakeAskers() { news_.cancel(); }
-    void noteListRead(const NewsOrigin &origin);
 
     boost::asio::any_io_executor executor_;
     SidecarState &state_;
     CatalogSource &source_;
     PeerClient &peers_;
-    CatalogSettings settings_;
+    CatalogTimes times_;
     CatalogLog log_;
     std::function<void()> changed_;
+    CatalogContents contents_;
+    CatalogPlan plan_;
     TimePoint started_;
-    ReaderElection election_;
-    /// Whom this node follows; nothing while it reads for itself.
-    std::optional<Endpoint> following_;
-    /// When the node followed was last heard in order.
-    TimePoint heardAt_;
-    std::uint8_t hops_ = 0;
-    /// When a node read the routes in force, and the newest change of the list, from the store.
-    TimePoint routesReadAt_;
-    TimePoint listReadAt_;
+    StoreReading reading_ = StoreReading::None;
+    /// Seeds were asked; from now on the plan says what is read.
+    bool begun_ = false;
     /// Nodes that the settings name and that have not answered yet, while this node starts.
     std::size_t seedsAsked_ = 0;
+    /// One of them has said that the store is away.
+    bool seedSaidAway_ = false;
     bool callersWait_ = false;
-    /// When the platform was lost; nothing while it can be read.
-    std::optional<TimePoint> lostSince_;
+    /// Only this node's way to the platform is cut: what lapses is likely to be cut off as well.
+    bool isCutOff_ = false;
+    /// As the directory was told.
+    bool storeIsLost_ = false;
     std::optional<Ahead> ahead_;
-    /// Never expires; cancelled when routes, list or their order change.
+    /// Never expires; cancelled when routes, list or the store's state change.
     boost::asio::steady_timer news_;
 };
 
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -71,6 +71,29 @@
     log_.info(line);
 }
 
+void CatalogLog::storeState(StoreState state)
+{
+    log_.info(StructuredLine("store").add("state", toString(state)));
+    metrics_.set("egretpath_store_state", {}, static_cast<double>(state));
+}
+
+void CatalogLog::cutOff(bool cut)
+{
+    log_.warning(StructuredLine("cut-off").add("state", cut ? "cut" : "back"));
+}
+
+void CatalogLog::reads(bool reads)
+{
+    metrics_.set("egretpath_reads_store", {}, reads ? 1.0 : 0.0);
+}
+
+void CatalogLog::storeCalled(std::string_view call, std::string_view outcome)
+{
+    std::string labels = "call=\"";
+    labels.append(call).append("\",outcome=\"").append(outcome).append("\"");
+    metrics_.count("egretpath_store_calls_total", labels);
+}
+
 void CatalogLog::sourceLost(std::string_view why)
 {
     log_.warning(StructuredLine("platform").add("state", "lost").add("why", why));
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "instances/instancedirectory.h"
+#include "instances/storestate.h"
 #include "routes/routetable.h"
 #include "telemetry/eventlog.h"
 #include "telemetry/metrics.h"
@@ -46,6 +47,12 @@
     void wholeList(const InstanceDirectory &directory, std::string_view from, std::string_view what);
     void followBegun(const Endpoint &reader, unsigned hops);
     void followEnded(const Endpoint &reader, std::string_view why, Duration unheard);
+    /// What this node tells others of the store.
+    void storeState(StoreState state);
+    /// Whether only this node's own way to the platform is cut.
+    void cutOff(bool cut);
+    void reads(bool reads);
+    void storeCalled(std::string_view call, std::string_view outcome);
     void sourceLost(std::string_view why);
     void sourceBack(Duration away);
     void caughtUp(const Endpoint &peer);
--- a/src/sidecar/catalogsource.h
+++ b/src/sidecar/catalogsource.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "core/clock.h"
 #include "instances/instancedirectory.h"
 #include "routes/routetable.h"
 
@@ -37,6 +38,8 @@
     virtual void sourceBack() = 0;
     /// Something that was read can't be used; what was in force stays.
     virtual void entryRefused(std::string_view key, std::string_view why) = 0;
+    /// A call to the platform ended: what it was for, and how; both for metrics.
+    virtual void storeCalled(std::string_view call, std::string_view outcome) = 0;
 };
 
 /// Reads routes and the list of upstreams from a platform. One implementation for each platform.
@@ -50,8 +53,8 @@
     virtual void attach(CatalogSink &sink) = 0;
     /// Begins to read, behind @p listReached or everything if that is zero, and tells the sink when that works again if
     /// the source counts as @p lost. Reading that is on already begins anew: its calls may hang on connections that
-    /// have fallen silent.
-    virtual void resume(StoreRevision listReached, bool lost) = 0;
+    /// have fallen silent. While the platform is away, calls are at most @p longestPause apart.
+    virtual void resume(StoreRevision listReached, bool lost, Milliseconds longestPause) = 0;
     /// Reads no more: a node that follows another one needs no calls of its own.
     virtual void suspend() = 0;
     /// Whether this node could read now, by the cheapest call there is.
--- a/src/sidecar/decisionsettings.h
+++ b/src/sidecar/decisionsettings.h
@@ -2,8 +2,8 @@
 
 #include "admission/workqueue.h"
 #include "ingress/ingresscontext.h"
+#include "instances/catalogtimes.h"
 #include "instances/readerelection.h"
-#include "sidecar/catalogsettings.h"
 
 namespace Egretpath
 {
@@ -14,7 +14,7 @@
     IngressDecisions ingress;
     WorkQueueSettings queue;
     ReaderElectionSettings readers;
-    CatalogSettings catalog;
+    CatalogTimes catalog;
     /// See EgressSettings::keepsAccount.
     bool keepsUpstreamAccount = true;
     /// What crosses links that are paid for by volume is compressed.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -259,9 +259,10 @@
     {
         const CatalogMark mark = catalog_.mark();
         const boost::json::object status{
-            {"node", state_.settings.name}, {"incarnation", std::to_string(state_.self.incarnation.value())},
-            {"ready", state_.isReady()},    {"routes", mark.routes.value()},
-            {"list", mark.list.value()},    {"source", catalog_.sourceName()}};
+            {"node", state_.settings.name},   {"incarnation", std::to_string(state_.self.incarnation.value())},
+            {"ready", state_.isReady()},      {"routes", mark.routes.value()},
+            {"list", mark.list.value()},      {"source", catalog_.sourceName()},
+            {"reads", catalog_.readsStore()}, {"store", toString(catalog_.storeState())}};
         return boost::json::serialize(status);
     }
 
--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -1,6 +1,7 @@
 #include "platform/storewatcher.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -41,6 +42,8 @@
         + R"("})";
 }
 
+constexpr Milliseconds LongestPause{700};
+
 /// Remembers what a watcher told.
 class RecordingSink final : public CatalogSink
 {
@@ -60,12 +63,15 @@
     void sourceLost(std::string_view /*why*/) override { lost = true; }
     void sourceBack() override { lost = false; }
     void entryRefused(std::string_view key, std::string_view /*why*/) override { refused.emplace_back(key); }
+    void storeCalled(std::string_view /*call*/, std::string_view outcome) override { ++calls[std::string(outcome)]; }
 
     RouteVersion version;
     std::size_t listed = 0;
     int lists = 0;
     std::vector<std::string> changed;
     std::vector<std::string> refused;
+    /// By outcome.
+    std::map<std::string, int> calls;
     bool lost = false;
 };
 
@@ -112,7 +118,7 @@
         fixture.store.put("servers/i-" + std::to_string(number), entryText("ready"));
     }
     fixture.store.put("servers/i-bad", "{");
-    fixture.watcher.resume(StoreRevision(), false);
+    fixture.watcher.resume(StoreRevision(), false, LongestPause);
     CHECK(fixture.until([&] { return fixture.sink.listed == 12 && fixture.sink.version == RouteVersion(5); }));
     CHECK(fixture.sink.refused == std::vector<std::string>{"servers/i-bad"});
     fixture.store.put("op/config", routesText("0a"));
@@ -126,7 +132,7 @@
 {
     Fixture fixture;
     fixture.store.put("servers/i-1", entryText("ready"));
-    fixture.watcher.resume(StoreRevision(), false);
+    fixture.watcher.resume(StoreRevision(), false, LongestPause);
     CHECK(fixture.until([&] { return fixture.sink.lists == 1; }));
     fixture.store.put("servers/i-2", entryText("ready"));
     fixture.store.compact();
@@ -141,7 +147,7 @@
     Fixture fixture;
     fixture.store.put("op/config", routesText("05"));
     fixture.store.put("servers/i-1", entryText("ready"));
-    fixture.watcher.resume(StoreRevision(), false);
+    fixture.watcher.resume(StoreRevision(), false, LongestPause);
     CHECK(fixture.until([&] { return fixture.sink.lists == 1 && fixture.sink.version == RouteVersion(5); }));
     fixture.store.setMode(StoreMode::Busy);
     fixture.store.put("op/config", routesText("06"));
@@ -151,6 +157,7 @@
     fixture.context.run_for(Milliseconds(3000));
     // Pauses of 60 ms, doubled up to 700, of which at least half is waited.
     CHECK(fixture.store.calls() - calls <= 13);
+    CHECK(fixture.sink.calls["turned-away"] > 0);
     fixture.store.setMode(StoreMode::Up);
     CHECK(fixture.until([&] { return !fixture.sink.lost && fixture.sink.version == RouteVersion(6); }));
     CHECK(fixture.until([&] { return fixture.sink.changed == std::vector<std::string>{"i-2"}; }));
@@ -162,7 +169,7 @@
 {
     Fixture fixture;
     fixture.store.put("op/config", routesText("05"));
-    fixture.watcher.resume(StoreRevision(), false);
+    fixture.watcher.resume(StoreRevision(), false, LongestPause);
     CHECK(fixture.until([&] { return fixture.sink.version == RouteVersion(5); }));
     RelayConditions cut;
     cut.partitioned = true;
@@ -177,7 +184,7 @@
 {
     Fixture fixture;
     fixture.store.put("servers/i-1", entryText("ready"));
-    fixture.watcher.resume(StoreRevision(), false);
+    fixture.watcher.resume(StoreRevision(), false, LongestPause);
     CHECK(fixture.until([&] { return fixture.sink.lists == 1; }));
     fixture.watcher.suspend();
     const std::uint64_t calls = fixture.store.calls();
@@ -187,7 +194,7 @@
     CHECK(fixture.store.calls() == calls);
     CHECK(fixture.sink.changed.empty());
     // Another node told of the change with revision 3; the one with 4 is still to be read.
-    fixture.watcher.resume(StoreRevision(3), false);
+    fixture.watcher.resume(StoreRevision(3), false, LongestPause);
     CHECK(fixture.until([&] { return !fixture.sink.changed.empty(); }));
     CHECK(fixture.sink.changed == std::vector<std::string>{"i-3"});
 }
@@ -200,10 +207,10 @@
     Fixture fixture;
     fixture.store.put("op/config", routesText("05"));
     fixture.store.put("servers/i-1", entryText("ready"));
-    fixture.watcher.resume(StoreRevision(), false);
+    fixture.watcher.resume(StoreRevision(), false, LongestPause);
     CHECK(fixture.until([&] { return fixture.sink.lists == 1 && fixture.sink.version == RouteVersion(5); }));
     CHECK(fixture.until([&] { return fixture.store.waits().size() == 2; }));
-    fixture.watcher.resume(StoreRevision(3), false);
+    fixture.watcher.resume(StoreRevision(3), false, LongestPause);
     CHECK(fixture.until([&] { return fixture.store.waits().size() == 6; }));
     const std::vector<std::uint64_t> &waits = fixture.store.waits();
     CHECK(waits[2] < 1000);
@@ -225,7 +232,7 @@
     conditions.bytesPerSecond = TenMegabits;
     fixture.way.setConditions(conditions);
     fixture.store.put("op/config", largeRoutesText(FirstVersion));
-    fixture.watcher.resume(StoreRevision(), false);
+    fixture.watcher.resume(StoreRevision(), false, LongestPause);
     REQUIRE(fixture.until([&] { return fixture.sink.version == RouteVersion(FirstVersion); }));
     for (int version = FirstVersion + 1; version <= LastVersion; ++version) {
         fixture.store.put("op/config", largeRoutesText(version));
--- /dev/null
+++ b/tests/instances/catalogfleet.cpp
@@ -0,0 +1,249 @@
+#include "catalogfleet.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace Egretpath
+{
+
+namespace
+{
+
+const TimePoint Start{std::chrono::seconds(1000)};
+constexpr Milliseconds InRegion{1};
+constexpr Milliseconds BetweenRegions{8};
+/// A watch at a store in order tells of news at once; the virtual one is looked at so often.
+constexpr Milliseconds WatchStep{20};
+constexpr Milliseconds FirstPause{60};
+constexpr Milliseconds PlanStep{100};
+
+Endpoint nodeOf(int number)
+{
+    return Endpoint("10.0." + std::to_string(number / 250) + "." + std::to_string(number % 250) + ":7620");
+}
+
+InstanceDirectory fleetOf(int nodes, int regions)
+{
+    InstanceSnapshot snapshot;
+    snapshot.revision = StoreRevision(1);
+    for (int number = 0; number < nodes; ++number) {
+        InstanceRecord record;
+        record.id = UpstreamName("u" + std::to_string(number));
+        record.address = Endpoint(nodeOf(number).value() + "1");
+        record.node = nodeOf(number);
+        record.location.region = RegionName("region-" + std::to_string(number % regions));
+        record.revision = StoreRevision(1);
+        snapshot.records.push_back(record);
+    }
+    InstanceDirectory directory;
+    directory.applySnapshot(snapshot, Start);
+    return directory;
+}
+
+}
+
+CatalogFleet::CatalogFleet(int nodes, int regions, std::uint64_t seed)
+    : regions_(regions)
+    , random_(seed)
+    , directory_(fleetOf(nodes, regions))
+    , storeAnswers_([](int) { return true; })
+    , now_(Start)
+{
+    for (int number = 0; number < nodes; ++number) {
+        numbers_[nodeOf(number)] = number;
+        const RegionName region("region-" + std::to_string(number % regions));
+        nodes_.push_back(
+            std::make_unique<Node>(CatalogPlan(region, ReaderElectionSettings(), times_, Random(random_()))));
+        nodes_.back()->plan.listChanged(directory_, nodeOf(number), true);
+        at(now_, [this, number] { step(number); });
+    }
+}
+
+void CatalogFleet::at(TimePoint time, std::function<void()> action)
+{
+    events_.push({time, ++eventNumber_, std::move(action)});
+}
+
+void CatalogFleet::runUntil(TimePoint end)
+{
+    while (!events_.empty() && events_.top().at <= end) {
+        const Event event = events_.top();
+        events_.pop();
+        now_ = event.at;
+        event.action();
+    }
+    now_ = end;
+}
+
+void CatalogFleet::step(int number)
+{
+    if (dead_.contains(number)) {
+        return;
+    }
+    Node &node = *nodes_[number];
+    const auto question = node.plan.nextQuestion(now_);
+    applyReading(number);
+    if (node.plan.wantsLook(now_)) {
+        look(number);
+    }
+    if (question) {
+        ask(number, *question);
+    } else {
+        at(now_ + PlanStep, [this, number] { step(number); });
+    }
+}
+
+void CatalogFleet::ask(int asker, const SourceQuestion &question)
+{
+    const int source = numbers_.at(question.node);
+    if (dead_.contains(source)) {
+        at(now_ + question.wait + times_.followMargin, [this, asker, question] {
+            nodes_[asker]->plan.silent(question.node, now_);
+            at(now_, [this, asker] { step(asker); });
+        });
+        return;
+    }
+    const std::uint64_t had = nodes_[asker]->has;
+    const TimePoint arrival = now_ + oneWay(asker, source);
+    at(arrival, [this, asker, source, question, had, arrival] {
+        answerWhenNews(asker, source, question, had, arrival + question.wait);
+    });
+}
+
+void CatalogFleet::answerWhenNews(int asker, int source, SourceQuestion question, std::uint64_t had, TimePoint end)
+{
+    constexpr Milliseconds Look{5};
+    const Node &node = *nodes_[source];
+    const bool news = node.has > had || node.plan.store(now_, false) != question.known;
+    if (!news && now_ < end) {
+        at(std::min<TimePoint>(now_ + Look, end),
+           [this, asker, source, question, had, end] { answerWhenNews(asker, source, question, had, end); });
+        return;
+    }
+    const SourceReport report = reportOf(source);
+    const std::uint64_t has = node.has;
+    at(now_ + oneWay(source, asker), [this, asker, question, report, has] {
+        Node &node = *nodes_[asker];
+        node.plan.answered(question.node, report, now_);
+        node.has = std::max(node.has, has);
+        applyReading(asker);
+        // As the controller does after an answer that brought nothing.
+        at(now_ + (question.wait.count() > 0 ? Milliseconds{1} : PlanStep), [this, asker] { step(asker); });
+    });
+}
+
+void CatalogFleet::applyReading(int number)
+{
+    Node &node = *nodes_[number];
+    const StoreReading wanted = node.plan.reading();
+    const bool reads = node.reading != StoreReading::None;
+    node.reading = wanted;
+    if (wanted != StoreReading::None && !reads) {
+        node.plan.ownReadingLost(now_);
+        node.failures = 0;
+        const std::uint64_t round = ++node.readingRound;
+        ++storeCalls_;
+        at(now_, [this, number, round] { readStore(number, round); });
+    } else if (wanted == StoreReading::None && reads) {
+        ++node.readingRound;
+    }
+}
+
+void CatalogFleet::readStore(int number, std::uint64_t round)
+{
+    Node &node = *nodes_[number];
+    if (dead_.contains(number) || round != node.readingRound) {
+        return;
+    }
+    if (storeAnswers_(number)) {
+        node.failures = 0;
+        if (node.plan.ownLostSince()) {
+            node.plan.ownReadingBack(now_);
+            // Routes, list, and the watches behind them.
+            storeCalls_ += 4;
+        }
+        storeCalls_ += node.has < published_ ? 1 : 0;
+        node.has = published_;
+        at(now_ + WatchStep, [this, number, round] { readStore(number, round); });
+        return;
+    }
+    ++storeCalls_;
+    if (!node.plan.ownLostSince()) {
+        node.plan.ownReadingLost(now_);
+    }
+    at(now_ + pauseOf(node), [this, number, round] { readStore(number, round); });
+    ++node.failures;
+}
+
+Milliseconds CatalogFleet::pauseOf(const Node &node)
+{
+    constexpr unsigned MostDoublings = 8;
+    const Milliseconds longest = node.reading == StoreReading::Sparing ? times_.deputyPause : times_.readerPause;
+    const Milliseconds pause = std::min(longest, FirstPause * (1U << std::min(node.failures, MostDoublings)));
+    std::uniform_real_distribution<double> spread(0.5, 1.0);
+    return std::chrono::duration_cast<Milliseconds>(pause * spread(random_));
+}
+
+void CatalogFleet::look(int number)
+{
+    ++storeCalls_;
+    if (storeAnswers_(number)) {
+        nodes_[number]->plan.storeSeen(now_);
+        applyReading(number);
+    }
+}
+
+Duration CatalogFleet::oneWay(int from, int to) const
+{
+    return from % regions_ == to % regions_ ? InRegion : BetweenRegions;
+}
+
+SourceReport CatalogFleet::reportOf(int number) const
+{
+    const CatalogPlan &plan = nodes_[number]->plan;
+    return {plan.store(now_, false), plan.hops(), plan.reader(), plan.age(now_)};
+}
+
+int CatalogFleet::nodesThatRead() const
+{
+    return static_cast<int>(std::count_if(nodes_.begin(), nodes_.end(), [](const std::unique_ptr<Node> &node) {
+        return node->reading != StoreReading::None;
+    }));
+}
+
+int CatalogFleet::nodesUpToDate() const
+{
+    int count = 0;
+    for (int number = 0; number < static_cast<int>(nodes_.size()); ++number) {
+        count += !dead_.contains(number) && nodes_[number]->has == published_ ? 1 : 0;
+    }
+    return count;
+}
+
+int CatalogFleet::nodesThatSay(StoreState state) const
+{
+    int count = 0;
+    for (int number = 0; number < static_cast<int>(nodes_.size()); ++number) {
+        count += !dead_.contains(number) && nodes_[number]->plan.store(now_, false) == state ? 1 : 0;
+    }
+    return count;
+}
+
+int CatalogFleet::livingNodes() const
+{
+    return static_cast<int>(nodes_.size() - dead_.size());
+}
+
+std::set<int> CatalogFleet::readers() const
+{
+    std::set<int> readers;
+    for (int number = 0; number < static_cast<int>(nodes_.size()); ++number) {
+        if (nodes_[number]->plan.reading() == StoreReading::Usual) {
+            readers.insert(number);
+        }
+    }
+    return readers;
+}
+
+}
--- /dev/null
+++ b/tests/instances/catalogplantest.cpp
@@ -0,0 +1,128 @@
+#include "instances/catalogplan.h"
+
+#include <catch2/catch.hpp>
+
+#include "catalogfleet.h"
+
+using namespace Egretpath;
+
+namespace
+{
+
+constexpr int Regions = 3;
+constexpr std::uint64_t Seed = 7;
+constexpr std::chrono::seconds Calm{3};
+constexpr std::chrono::seconds Away{8};
+
+bool nobody(int /*node*/)
+{
+    return false;
+}
+
+bool everybody(int /*node*/)
+{
+    return true;
+}
+
+/// Calls to the store while it turns everybody away for eight seconds, and for three after it.
+std::uint64_t callsWhileAway(int nodes)
+{
+    CatalogFleet fleet(nodes, Regions, Seed);
+    fleet.runUntil(fleet.now() + Calm);
+    const std::uint64_t before = fleet.storeCalls();
+    fleet.setStore(nobody);
+    fleet.runUntil(fleet.now() + Away);
+    fleet.setStore(everybody);
+    fleet.runUntil(fleet.now() + Calm);
+    return fleet.storeCalls() - before;
+}
+
+}
+
+TEST_CASE("in calm, few read and all have the news")
+{
+    CatalogFleet fleet(295, Regions, Seed);
+    fleet.runUntil(fleet.now() + Calm);
+    CHECK(fleet.nodesThatRead() == 6);
+    CHECK(fleet.nodesUpToDate() == 295);
+    fleet.publish();
+    fleet.runUntil(fleet.now() + Milliseconds(500));
+    CHECK(fleet.nodesUpToDate() == 295);
+}
+
+// Guards against a fleet in which every node calls a store that is away: at each node one call in .3 s.
+TEST_CASE("calls to a store that is away hardly grow with the fleet")
+{
+    const std::uint64_t small = callsWhileAway(18);
+    const std::uint64_t large = callsWhileAway(295);
+    // Of the calls that a fleet makes of which every node calls, a tenth.
+    CHECK(large < 760);
+    CHECK(large < small * 5);
+}
+
+TEST_CASE("while the store is away, all know it, and they know when it is back")
+{
+    CatalogFleet fleet(295, Regions, Seed);
+    fleet.runUntil(fleet.now() + Calm);
+    fleet.setStore(nobody);
+    fleet.runUntil(fleet.now() + CatalogTimes().provenFor + Milliseconds(1000));
+    CHECK(fleet.nodesThatSay(StoreState::Away) == 295);
+    fleet.publish();
+    fleet.setStore(everybody);
+    fleet.runUntil(fleet.now() + Milliseconds(2500));
+    CHECK(fleet.nodesThatSay(StoreState::InOrder) == 295);
+    CHECK(fleet.nodesUpToDate() == 295);
+    CHECK(fleet.nodesThatRead() == 6);
+}
+
+// Guards against a region on old news for as long as the store turns just its readers away.
+TEST_CASE("a store that turns the readers away and serves the others is found out")
+{
+    for (const int nodes : {18, 295}) {
+        CatalogFleet fleet(nodes, Regions, Seed);
+        fleet.runUntil(fleet.now() + Calm);
+        const std::set<int> readers = fleet.readers();
+        fleet.setStore([&readers](int node) { return !readers.contains(node); });
+        fleet.runUntil(fleet.now() + Milliseconds(2000));
+        fleet.publish();
+        fleet.runUntil(fleet.now() + Milliseconds(2000));
+        CHECK(fleet.nodesUpToDate() == nodes);
+        fleet.setStore(everybody);
+        fleet.runUntil(fleet.now() + std::chrono::seconds(10));
+        CHECK(fleet.nodesThatRead() == static_cast<int>(readers.size()));
+    }
+}
+
+// Guards against a region whose readers and their deputies are all turned away, while another region can read.
+TEST_CASE("a region that is turned away whole has its news from another one")
+{
+    CatalogFleet fleet(60, Regions, Seed);
+    fleet.runUntil(fleet.now() + Calm);
+    fleet.setStore([](int node) { return node % Regions != 0; });
+    fleet.runUntil(fleet.now() + Milliseconds(3000));
+    fleet.publish();
+    fleet.runUntil(fleet.now() + Milliseconds(2500));
+    CHECK(fleet.nodesUpToDate() == 60);
+}
+
+TEST_CASE("nodes whose readers are dead have the news from others")
+{
+    CatalogFleet fleet(60, Regions, Seed);
+    fleet.runUntil(fleet.now() + Calm);
+    for (const int reader : fleet.readers()) {
+        fleet.kill(reader);
+    }
+    fleet.publish();
+    fleet.runUntil(fleet.now() + Milliseconds(3000));
+    CHECK(fleet.nodesUpToDate() == fleet.livingNodes());
+}
+
+TEST_CASE("a store that serves a few only is found by somebody, and the news goes on from there")
+{
+    CatalogFleet fleet(60, Regions, Seed);
+    fleet.runUntil(fleet.now() + Calm);
+    fleet.setStore([](int node) { return node >= 30; });
+    fleet.publish();
+    fleet.runUntil(fleet.now() + Milliseconds(4000));
+    CHECK(fleet.nodesUpToDate() == 60);
+}
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -242,15 +242,18 @@
         f.service.sent.held = Milliseconds(30);
         f.service.sent.whole = true;
         f.service.sent.changes = {{record.id, record.revision, record}, {UpstreamName("u2"), StoreRevision(9), {}}};
-        f.service.sent.storeInOrder = true;
+        f.service.sent.store = StoreState::Settling;
+        f.service.sent.reader = Endpoint("10.0.0.1:7620");
+        f.service.sent.storeAge = Milliseconds(60);
         f.service.sent.hops = 2;
-        const CatalogRequest request{{RouteVersion(4), StoreRevision(7)}, Milliseconds(20)};
+        const CatalogRequest request{{RouteVersion(4), StoreRevision(7)}, Milliseconds(20), StoreState::Away};
         const auto catalog =
             co_await f.client.catalog(ServerEndpoint, request, std::chrono::steady_clock::now() + Milliseconds(1000));
         REQUIRE(catalog.has_value());
         CHECK(f.service.lastRequest.have.routes == RouteVersion(4));
         CHECK(f.service.lastRequest.have.list == StoreRevision(7));
         CHECK(f.service.lastRequest.wait == Milliseconds(20));
+        CHECK(f.service.lastRequest.known == StoreState::Away);
         const Catalog &got = catalog.value();
         CHECK(got.has.routes == RouteVersion(5));
         CHECK(got.has.list == StoreRevision(9));
@@ -259,7 +262,9 @@
         CHECK(got.listAge == Milliseconds(50));
         CHECK(got.held == Milliseconds(30));
         CHECK(got.whole);
-        CHECK(got.storeInOrder);
+        CHECK(got.store == StoreState::Settling);
+        CHECK(got.reader == Endpoint("10.0.0.1:7620"));
+        CHECK(got.storeAge == Milliseconds(60));
         CHECK(got.hops == 2);
         REQUIRE(got.changes.size() == 2);
         REQUIRE(got.changes[0].record.has_value());
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -166,7 +166,7 @@
         catalog_.made_.push_back(&sink);
     }
 
-    void resume(StoreRevision /*listReached*/, bool lost) override
+    void resume(StoreRevision /*listReached*/, bool lost, Milliseconds /*longestPause*/) override
     {
         auto &sinks = catalog_.sinks_;
         if (!reachable_) {
