sidecar, egress: no temporaries of a co_await in branches that may not be taken

Cause: 'question && co_await askOnce(*question)'; g++ 12 destroys the argument's copy also where there is no question. What an upstream says of its other work is bounded by its slots.

--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -55,7 +55,8 @@
 
 std::vector<CallId> WorkQueue::setOthers(std::uint32_t others, TimePoint now)
 {
-    others_ = others;
+    // More than all slots can't be taken, whatever the upstream says.
+    others_ = std::min(others, slots_);
     return startQueued(now);
 }
 
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -287,7 +287,11 @@
     const Failure callerGone = mayHaveRun(Reason::Cancelled, "the ingress takes no more of the answer");
     head.headers.removeHopByHop();
     AnswerHead answerHead{head.status, std::move(head.headers)};
-    if (!co_await answer_->begin(std::move(answerHead)) || !co_await answer_->write(std::move(first))) {
+    // One by one: g++ 12 destroys the temporaries of a co_await in a branch that was not taken.
+    if (!co_await answer_->begin(std::move(answerHead))) {
+        co_return callerGone;
+    }
+    if (!co_await answer_->write(std::move(first))) {
         co_return callerGone;
     }
     while (true) {
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -306,7 +306,11 @@
             question = plan_.nextQuestion(currentTime());
             applyReading();
         }
-        const bool goesOn = question && co_await askOnce(*question);
+        // Not one expression: g++ 12 destroys the temporaries of a co_await in a branch that was not taken.
+        bool goesOn = false;
+        if (question) {
+            goesOn = co_await askOnce(std::move(*question));
+        }
         if (!goesOn) {
             timer.expires_after(times_.followPause);
             co_await timer.async_wait(asio::use_awaitable);
