catalog: a node goes on reading the store until it has found somebody to follow

Found by sidecartest 'routes never go back to an older version' (404 for routes published just after a start, once on a busy machine): a node that learned from its first list that it is a follower stopped reading before its source had answered, and missed what was published in between. It follows nobody at first, as one whose sources are silent.

--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -116,8 +116,8 @@
     bool heardAway_ = false;
     /// All that could be asked were asked since.
     bool searched_ = false;
-    /// All sources are silent.
-    bool isOrphan_ = false;
+    /// No source was found as yet, or all are silent.
+    bool isOrphan_ = true;
     /// This node saw that the store answers it though others say that it is away.
     bool isVolunteer_ = false;
     std::optional<TimePoint> nextLook_;
