sidecar: a node that looks whether the store is back does not end; deputies go back to their sources at once

Now sidecartest plays a store that is away for six seconds; it ended with SIGILL before, and showed that a deputy went on reading for up to eight seconds after the store was back.

--- a/src/instances/catalogplan.cpp
+++ b/src/instances/catalogplan.cpp
@@ -44,6 +44,7 @@
 {
     ownLostSince_.reset();
     searched_ = false;
+    election_.forgiveAll();
     if (isReaderHere()) {
         following_.reset();
         heardAway_ = false;
--- a/src/instances/readerelection.h
+++ b/src/instances/readerelection.h
@@ -54,6 +54,8 @@
     void failed(const Endpoint &node, TimePoint now);
     /// @p node answered in order.
     void answered(const Endpoint &node) { distrusted_.erase(node); }
+    /// All are worth a new try: the store, which they could not read, is back.
+    void forgiveAll() { distrusted_.clear(); }
     /// This node is one of those that read while all is well.
     [[nodiscard]] bool isReader() const { return sources_.empty(); }
     /// This node is one of those that stand in.
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -398,7 +398,8 @@
 
 asio::awaitable<void> CatalogController::look()
 {
-    if (co_await source_.isReachable()) {
+    const bool reachable = co_await source_.isReachable();
+    if (reachable) {
         plan_.storeSeen(currentTime());
         applyReading();
     }
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -176,6 +176,11 @@
         if (std::find(sinks.begin(), sinks.end(), sink_) != sinks.end()) {
             return;
         }
+        if (catalog_.away_) {
+            sinks.push_back(sink_);
+            sink_->sourceLost("the test says so");
+            return;
+        }
         if (lost) {
             sink_->sourceBack();
         }
@@ -190,7 +195,7 @@
 
     void suspend() override { std::erase(catalog_.sinks_, sink_); }
 
-    boost::asio::awaitable<bool> isReachable() override { co_return reachable_ && !catalog_.cutOff; }
+    boost::asio::awaitable<bool> isReachable() override { co_return reachable_ && !catalog_.cutOff && !catalog_.away_; }
 
     ~FakeSource() override { std::erase(catalog_.sinks_, sink_); }
     FakeSource(const FakeSource &) = delete;
@@ -318,6 +323,18 @@
     tell([](CatalogSink &sink) { sink.sourceBack(); });
 }
 
+void FakeCatalog::setAway(bool away)
+{
+    away_ = away;
+    if (away) {
+        lose();
+        return;
+    }
+    comeBack();
+    publishRoutes(version_);
+    publishList();
+}
+
 InstanceSnapshot FakeCatalog::snapshot() const
 {
     InstanceSnapshot snapshot;
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -74,6 +74,8 @@
     /// Only for the node that was made as number @p node.
     void lose(std::size_t node);
     void comeBack();
+    /// Nobody can read it any more, or everybody can again.
+    void setAway(bool away);
     /// The platform's side of a new node.
     [[nodiscard]] std::unique_ptr<CatalogSource> makeSource();
     /// Nodes that read it now.
@@ -109,6 +111,7 @@
     std::uint64_t version_ = 0;
     std::uint64_t revision_ = 0;
     bool listed_ = false;
+    bool away_ = false;
 };
 
 /// What a caller got.
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -622,3 +622,35 @@
         CHECK(deployment.runs("lost") == 0);
     });
 }
+
+// Guards against a fleet of which every node calls a store that is away, or that does not see it come back.
+TEST_CASE("while the store is away, nodes stay with their sources, and have its news when it is back")
+{
+    constexpr int Nodes = 8;
+    constexpr std::chrono::seconds Away{6};
+    SidecarFixture fixture;
+    std::vector<FakeNode *> nodes;
+    for (int number = 0; number < Nodes; ++number) {
+        nodes.push_back(&fixture.addNode(fixture.addUpstream("i-" + std::to_string(number)), "statements"));
+    }
+    fixture.catalog.publishRoutes(10);
+    fixture.catalog.publishList();
+    fixture.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await fixture.until([&] { return fixture.catalog.readers() == 1; }));
+        fixture.catalog.setAway(true);
+        co_await fixture.sleep(Away);
+        // The reader and its two deputies.
+        CHECK(fixture.catalog.readers() <= 3);
+        for (const FakeNode *node : nodes) {
+            checkStatus(co_await fixture.send(node->callers, "GET", "/read/1", "away-" + node->callers.value()), 200);
+        }
+        fixture.catalog.setAway(false);
+        co_await fixture.sleep(Milliseconds(2000));
+        fixture.catalog.publishRoutes(20);
+        co_await fixture.sleep(Milliseconds(200));
+        for (const FakeNode *node : nodes) {
+            checkStatus(co_await fixture.send(node->callers, "GET", "/v20/1", "back-" + node->callers.value()), 200);
+        }
+        CHECK(fixture.catalog.readers() == 1);
+    });
+}
