admission: the first pace that a node sees of its VM may be a slow spell

Change: a VM that was not looked at for as long as the memory reaches counts as at best twice as slow as usual, which a start explains; a first pace far above that is a spell.

--- a/src/admission/vmpace.cpp
+++ b/src/admission/vmpace.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds SampleMemory{5000};
 /// A pace so many times the best one is a slow spell; less is the variation of a VM under load.
 constexpr double SlowRatio = 1.5;
+/// A VM that was not looked at for as long as the memory reaches was at best this slow: an upstream that has just started
+/// on a VM at its usual pace is about twice as slow as later.
+constexpr double UnseenBest = 2.0;
 /// Before a spell was seen to end; of the order of a scheduler's time slices under contention.
 constexpr double DefaultSpellSeconds = 0.2;
 /// Of the newest spell in the mean: about the last ten.
@@ -81,7 +84,8 @@
 /// The lowest pace that held at @p time or later.
 double VmPace::bestSince(TimePoint time) const
 {
-    double best = factor_;
+    const bool seenAllAlong = !samples_.empty() && samples_.front().since <= time;
+    double best = seenAllAlong ? factor_ : std::min(factor_, UnseenBest);
     for (auto sample = samples_.rbegin(); sample != samples_.rend(); ++sample) {
         best = std::min(best, sample->factor);
         if (sample->since <= time) {
--- a/tests/admission/vmpacetest.cpp
+++ b/tests/admission/vmpacetest.cpp
@@ -74,3 +74,26 @@
     CHECK(pace.usualTimeBetween(at(50), at(400)) == Milliseconds(50 + 50 + 100));
     CHECK(pace.usualTimeBetween(at(350), at(400)) == Milliseconds(50));
 }
+
+// Guards against work that begins in a slow spell of a VM of which a node that has just started knows nothing else.
+TEST_CASE("the first pace that is seen is a slow spell if it is far from what a start explains")
+{
+    VmPace slow;
+    slow.record(8.0, at(0));
+    CHECK(slow.spellLeft(at(0)) > Duration{0});
+    CHECK(slow.afterSpell(at(0)) == 2.0);
+    VmPace started;
+    started.record(2.0, at(0));
+    CHECK(started.spellLeft(at(0)) == Duration{0});
+    CHECK(started.afterSpell(at(0)) == 2.0);
+}
+
+TEST_CASE("a VM that stays slow is taken as it is also when nothing else was ever seen")
+{
+    VmPace pace;
+    for (int time = 0; time <= 2000; time += 50) {
+        pace.record(4.0, at(time));
+    }
+    CHECK(pace.afterSpell(at(2000)) == 4.0);
+    CHECK(pace.spellLeft(at(2000)) == Duration{0});
+}
