ingress: callers that are turned away while a node has no routes come back at different times

Refusals before the first routes all said .150 s: callers that a starting fleet turned away in one moment came back in one. The return time is spread as everywhere else. The new test fails before (one value for eight callers).

--- a/src/ingress/requestterms.cpp
+++ b/src/ingress/requestterms.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds RestartTime{1000};
 /// Callers honour return times up to a third of the time that they have left.
 constexpr int LeftOverReturnTime = 3;
+/// Of a caller that says nothing, while no routes say more.
+constexpr Milliseconds UnknownPatience{1000};
 
 TimePoint findTarget(IngressContext &context, const RequestTerms &terms)
 {
@@ -47,7 +49,8 @@
         if (context.noRoutesListener) {
             context.noRoutesListener();
         }
-        return notRun(Reason::NoTable, "no routes are in force yet", DefaultReturnTime);
+        const Milliseconds back = returnTime(context, terms, DefaultReturnTime);
+        return notRun(Reason::NoTable, "no routes are in force yet", back);
     }
     terms.route = terms.routes->match(head.headers.find("Host").value_or(std::string_view()), head.target);
     if (terms.route == nullptr) {
@@ -73,7 +76,8 @@
 {
     const double base = static_cast<double>(wanted.count() > 0 ? wanted.count() : DefaultReturnTime.count());
     std::uniform_real_distribution<double> spread(1.0, 1.0 + context.settings.returnSpread);
-    const Milliseconds patience = terms.caller.patience.value_or(terms.route->timeout);
+    const Milliseconds timeout = terms.route != nullptr ? terms.route->timeout : UnknownPatience;
+    const Milliseconds patience = terms.caller.patience.value_or(timeout);
     const auto left = std::chrono::duration_cast<Milliseconds>(terms.arrival + patience - currentTime());
     const auto most = std::max(left / LeftOverReturnTime, Milliseconds{1});
     return std::min(Milliseconds(static_cast<Milliseconds::rep>(base * spread(context.random))), most);
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
+#include <set>
 #include <string>
 
 #include <boost/asio/co_spawn.hpp>
@@ -128,6 +129,23 @@
     });
 }
 
+// Guards against callers that were turned away together while a fleet starts, and come back at the same moment.
+TEST_CASE("callers of a node without routes are told to come back at different times")
+{
+    constexpr int Callers = 8;
+    SidecarFixture fixture;
+    FakeNode &node = fixture.addNode(fixture.addUpstream("i-1"), "statements");
+    fixture.run([&]() -> asio::awaitable<void> {
+        std::set<std::string> times;
+        for (int number = 0; number < Callers; ++number) {
+            const Reply reply = co_await fixture.send(node.callers, "GET", "/read/1", "c" + std::to_string(number));
+            CHECK(reply.status == 503);
+            times.insert(std::string(reply.headers.find("Retry-After").value_or("none")));
+        }
+        CHECK(times.size() > 2);
+    });
+}
+
 // An upstream runs a payment and its connection breaks before the answer. The node sent the payment to the next
 // upstream, and the household was charged twice.
 TEST_CASE("a payment that may have run is not sent again, and its caller is not told that it did not run")
