sidecar: a node that starts while the store is away follows the node that it has its routes from

Cause: such a node took routes and list from a seed, but before it has a list a node counted as one that reads for others, so that it followed nobody, and it waited for some five seconds in the mean before it read the store; ready, it asked no peers either. Now nobody reads for others before the list is known, and what a starting node takes it follows, whatever the store is there.

--- a/src/admission/vmpace.cpp
+++ b/src/admission/vmpace.cpp
@@ -16,8 +16,8 @@
 constexpr Milliseconds SampleMemory{5000};
 /// A pace so many times the best one is a slow spell; less is the variation of a VM under load.
 constexpr double SlowRatio = 1.5;
-/// A VM that was not looked at for as long as the memory reaches was at best this slow: an upstream that has just started
-/// on a VM at its usual pace is about twice as slow as later.
+/// A VM that was not looked at for as long as the memory reaches was at best this slow: an upstream that has just
+/// started on a VM at its usual pace is about twice as slow as later.
 constexpr double UnseenBest = 2.0;
 /// Before a spell was seen to end; of the order of a scheduler's time slices under contention.
 constexpr double DefaultSpellSeconds = 0.2;
--- a/src/instances/catalogplan.cpp
+++ b/src/instances/catalogplan.cpp
@@ -27,6 +27,7 @@
 void CatalogPlan::listChanged(const InstanceDirectory &directory, const Endpoint &own, bool isListed)
 {
     own_ = own;
+    hasList_ = true;
     isListed_ = isListed;
     fleetSize_ = std::max<std::size_t>(directory.size(), 1);
     election_.update(directory, own);
--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -94,7 +94,7 @@
 private:
     [[nodiscard]] bool isUsable(const SourceReport &report) const;
     [[nodiscard]] bool isFollowingWell() const { return following_ && report_.store != StoreState::Away; }
-    [[nodiscard]] bool isReaderHere() const { return election_.isReader() && (isListed_ || !following_); }
+    [[nodiscard]] bool isReaderHere() const { return hasList_ && election_.isReader() && (isListed_ || !following_); }
     [[nodiscard]] bool readsInOrder() const { return reading() != StoreReading::None && !ownLostSince_; }
     [[nodiscard]] std::optional<SourceQuestion> question(const Endpoint &node) const;
     [[nodiscard]] std::optional<SourceQuestion> search(TimePoint now);
@@ -106,6 +106,8 @@
     Random random_;
     ReaderElection election_;
     Endpoint own_;
+    /// Before it is known, nobody is one that reads for others.
+    bool hasList_ = false;
     bool isListed_ = false;
     std::size_t fleetSize_ = 1;
     std::optional<Endpoint> following_;
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -233,7 +233,7 @@
     begun_ = true;
     if (!plan_.following()) {
         reading_ = StoreReading::Usual;
-        source_.resume(StoreRevision(), false, times_.readerPause);
+        source_.resume(StoreRevision(), false, seedSaidAway_ ? times_.deputyPause : times_.readerPause);
     }
     applyReading();
     co_await followOthers();
@@ -290,10 +290,16 @@
     if (!isFirst || !catalog) {
         co_return;
     }
-    const bool hasRoutes = catalog.value().has.routes.value() > 0;
-    seedSaidAway_ = seedSaidAway_ || (catalog.value().store == StoreState::Away && !begun_);
-    if (hasRoutes) {
-        takeAnswer(seed, catalog.value());
+    seedSaidAway_ = seedSaidAway_ || catalog.value().store == StoreState::Away;
+    followIfComplete(seed, catalog.value());
+}
+
+/// While this node starts. Whatever the store is there: a node that takes news and follows nobody hears of nothing
+/// newer.
+void CatalogController::followIfComplete(const Endpoint &peer, const Catalog &catalog)
+{
+    if (catalog.has.routes.value() > 0) {
+        takeAnswer(peer, catalog);
     }
 }
 
@@ -434,7 +440,11 @@
             continue;
         }
         state_.directory.storeSeenInOrder(catalog.value().store == StoreState::InOrder);
-        (void)take(peer, catalog.value());
+        if (begun_) {
+            (void)take(peer, catalog.value());
+        } else {
+            followIfComplete(peer, catalog.value());
+        }
     }
 }
 
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -69,6 +69,7 @@
     boost::asio::awaitable<void> askSeeds();
     /// Follows the node at @p seed if it has all and nothing else was quicker.
     boost::asio::awaitable<void> beginAt(Endpoint seed);
+    void followIfComplete(const Endpoint &peer, const Catalog &catalog);
     boost::asio::awaitable<void> waitForSeeds();
     boost::asio::awaitable<void> followOthers();
     /// Returns whether to go on at once.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -226,10 +226,22 @@
                 egress_.setConnectionCap(service->connectionCap);
             }
         }
+        noteReady();
         egress_.setListed(state_.directory.findByAddress(state_.settings.upstream));
         ingress_.catalogChanged();
     }
 
+    /// The first time that callers may be sent here.
+    void noteReady()
+    {
+        if (!state_.isReady() || std::exchange(wasReady_, true)) {
+            return;
+        }
+        const Milliseconds after = timeSince(started_);
+        state_.log.info(StructuredLine("ready").add("after_ms", after.count()));
+        state_.metrics.set("egretpath_ready_after_seconds", {}, std::chrono::duration<double>(after).count());
+    }
+
     asio::awaitable<void> serveReadiness(HttpExchange &exchange)
     {
         const bool known = exchange.head().target == platform_.callers->readinessPath();
@@ -333,6 +345,8 @@
     HttpServer callers_;
     HttpServer ready_;
     HttpServer operators_;
+    TimePoint started_ = currentTime();
+    bool wasReady_ = false;
 };
 
 Sidecar::Sidecar(asio::io_context &context, const SidecarSettings &settings, SidecarPlatform platform,
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -3,11 +3,13 @@
 
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include "instances/catalogtimes.h"
 #include "sidecarfixture.h"
 
 using namespace Egretpath;
@@ -672,3 +674,28 @@
         CHECK(fixture.catalog.readers() == 1);
     });
 }
+
+// Guards against nodes that start while the store is away, take routes from a seed, and then hear of nothing newer.
+TEST_CASE("nodes that started while the store was away have its news when it is back")
+{
+    constexpr int Late = 4;
+    constexpr Milliseconds InForceWithin{1500};
+    Deployment deployment;
+    std::vector<FakeNode *> late;
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.until([&] { return deployment.catalog.readers() == 1; }));
+        deployment.catalog.setAway(true);
+        co_await deployment.sleep(CatalogTimes().provenFor + Milliseconds(500));
+        for (int number = 0; number < Late; ++number) {
+            const FakeUpstream &upstream = deployment.addUpstream("i-late-" + std::to_string(number));
+            late.push_back(&deployment.addNode(upstream, "statements", {deployment.first.peers}));
+        }
+        co_await deployment.sleep(Milliseconds(1500));
+        deployment.catalog.setAway(false);
+        deployment.catalog.publishRoutes(30);
+        co_await deployment.sleep(InForceWithin);
+        for (const FakeNode *node : late) {
+            checkStatus(co_await deployment.send(node->callers, "GET", "/v30/1", "late-" + node->callers.value()), 200);
+        }
+    });
+}
