--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -64,7 +64,7 @@
 RequestTryPointer RequestTries::makeTry(TryNumber number, const InstanceRecord &record,
                                         const PlacementChoice &choice) const
 {
-    const auto which = std::make_shared<RequestTry>();
+    auto which = std::make_shared<RequestTry>();
     which->number = number;
     which->upstream = record.id;
     which->node = record.node;
--- a/src/instances/catalogtimes.h
+++ b/src/instances/catalogtimes.h
@@ -39,7 +39,7 @@
     Milliseconds longestGatherTime{900};
     /// Between calls to a store that is away: of a node that reads for others, and of one that stands in for it.
     Milliseconds readerPause{700};
-    Milliseconds deputyPause{2000};
+    Milliseconds deputyPause{1400};
     /// Between cheap looks of one node at a store that others say is away, for each node of the fleet: the whole fleet
     /// looks about once in this time.
     Milliseconds lookPerNode{1000};
--- a/src/instances/readerelection.cpp
+++ b/src/instances/readerelection.cpp
@@ -95,6 +95,7 @@
         }
     });
     std::vector<Endpoint> nodes;
+    nodes.reserve(first.size());
     for (const auto &[region, ranked] : first) {
         nodes.push_back(ranked.node);
     }
--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -241,3 +241,28 @@
     CHECK(fixture.until([&] { return fixture.sink.version == RouteVersion(LastVersion); }, InForceWithin));
     CHECK_FALSE(fixture.sink.lost);
 }
+
+// Guards against a reader that is on old routes for seconds after the store's return, since its call hangs on a
+// connection that was begun while the store was silent.
+TEST_CASE("a watcher finds soon that a silent store is back")
+{
+    constexpr int Times = 3;
+    constexpr Milliseconds SilentFor{2400};
+    constexpr Milliseconds FoundWithin{1600};
+    Fixture fixture;
+    fixture.store.put("op/config", routesText("05"));
+    fixture.watcher.resume(StoreRevision(), false, LongestPause);
+    REQUIRE(fixture.until([&] { return fixture.sink.version == RouteVersion(5); }));
+    for (int time = 0; time < Times; ++time) {
+        RelayConditions cut;
+        cut.partitioned = true;
+        fixture.way.setConditions(cut);
+        REQUIRE(fixture.until([&] { return fixture.sink.lost; }));
+        fixture.context.run_for(SilentFor);
+        fixture.way.silenceOpen();
+        fixture.way.setConditions(RelayConditions());
+        const RouteVersion next(6 + static_cast<std::uint64_t>(time));
+        fixture.store.put("op/config", routesText("0" + std::to_string(next.value())));
+        CHECK(fixture.until([&] { return !fixture.sink.lost && fixture.sink.version == next; }, FoundWithin));
+    }
+}
