catalog: a node says that the store is in order only when it has read it

Change: in order is what has answered since the node began to read; that it has not failed proves nothing. The new test fails before.

--- a/src/instances/catalogplan.cpp
+++ b/src/instances/catalogplan.cpp
@@ -36,6 +36,12 @@
     }
 }
 
+void CatalogPlan::beginReading(TimePoint now)
+{
+    ownLostSince_ = now;
+    hasRead_ = false;
+}
+
 void CatalogPlan::ownReadingLost(TimePoint now)
 {
     ownLostSince_ = now;
@@ -44,6 +50,7 @@
 void CatalogPlan::ownReadingBack(TimePoint /*now*/)
 {
     ownLostSince_.reset();
+    hasRead_ = true;
     searched_ = false;
     election_.forgiveAll();
     if (isReaderHere()) {
@@ -195,7 +202,8 @@
 StoreState CatalogPlan::store(TimePoint now, bool settles) const
 {
     const bool lostForLong = ownLostSince_ && now - *ownLostSince_ >= times_.lossBeforeAsking;
-    if (reading() != StoreReading::None && (isReaderHere() ? !lostForLong : !ownLostSince_)) {
+    const bool ownIsLost = isReaderHere() ? lostForLong : ownLostSince_.has_value();
+    if (reading() != StoreReading::None && hasRead_ && !ownIsLost) {
         return settles ? StoreState::Settling : StoreState::InOrder;
     }
     const bool knowsBetter = following_ && !searched_ && now - provenAt_ < times_.provenFor;
--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -61,6 +61,10 @@
 
     /// Takes a changed list. @p own: the node's address there, @p isListed: whether its upstream is on it.
     void listChanged(const InstanceDirectory &directory, const Endpoint &own, bool isListed);
+    /// This node begins to read; whether the store answers it is not known before it has.
+    void beginReading(TimePoint now);
+    /// Its own reading brought something.
+    void noteRead() { hasRead_ = true; }
     /// This node's own calls to the store fail from now on, or succeed again.
     void ownReadingLost(TimePoint now);
     void ownReadingBack(TimePoint now);
@@ -95,7 +99,7 @@
     [[nodiscard]] bool isUsable(const SourceReport &report) const;
     [[nodiscard]] bool isFollowingWell() const { return following_ && report_.store != StoreState::Away; }
     [[nodiscard]] bool isReaderHere() const { return hasList_ && election_.isReader() && (isListed_ || !following_); }
-    [[nodiscard]] bool readsInOrder() const { return reading() != StoreReading::None && !ownLostSince_; }
+    [[nodiscard]] bool readsInOrder() const { return reading() != StoreReading::None && hasRead_ && !ownLostSince_; }
     [[nodiscard]] std::optional<SourceQuestion> question(const Endpoint &node) const;
     [[nodiscard]] std::optional<SourceQuestion> search(TimePoint now);
     void follow(const Endpoint &node, const SourceReport &report, TimePoint now);
@@ -114,6 +118,8 @@
     SourceReport report_;
     TimePoint provenAt_;
     std::optional<TimePoint> ownLostSince_;
+    /// The store has answered this node since it began to read.
+    bool hasRead_ = false;
     /// A source has said that the store is away, and none has said otherwise since.
     bool heardAway_ = false;
     /// All that could be asked were asked since.
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -105,6 +105,18 @@
     ahead_ = Ahead{peer, mark, since};
 }
 
+void CatalogController::routesRead(PublishedRoutes routes)
+{
+    plan_.noteRead();
+    contents_.takeRoutesRead(std::move(routes));
+}
+
+void CatalogController::listRead(const InstanceSnapshot &snapshot)
+{
+    plan_.noteRead();
+    contents_.takeListRead(snapshot);
+}
+
 void CatalogController::changesRead(const std::vector<InstanceChange> &changes, StoreRevision reached)
 {
     contents_.takeChangesRead(changes, reached);
@@ -180,8 +192,7 @@
     reading_ = wanted;
     log_.reads(shouldRead);
     if (shouldRead && !reads) {
-        // Whether the store answers this node is not known before it has.
-        plan_.ownReadingLost(currentTime());
+        plan_.beginReading(currentTime());
         const bool sparing = wanted == StoreReading::Sparing;
         source_.resume(state_.directory.revision(), true, sparing ? times_.deputyPause : times_.readerPause);
     } else if (reads && !shouldRead) {
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -46,8 +46,8 @@
     /// A caller was turned away since no routes are in force.
     void noteCallerWaits() { callersWait_ = true; }
 
-    void routesRead(PublishedRoutes routes) override { contents_.takeRoutesRead(std::move(routes)); }
-    void listRead(const InstanceSnapshot &snapshot) override { contents_.takeListRead(snapshot); }
+    void routesRead(PublishedRoutes routes) override;
+    void listRead(const InstanceSnapshot &snapshot) override;
     void changesRead(const std::vector<InstanceChange> &changes, StoreRevision reached) override;
     void sourceLost(std::string_view why) override;
     void sourceBack() override;
--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -140,7 +140,7 @@
     const bool reads = node.reading != StoreReading::None;
     node.reading = wanted;
     if (wanted != StoreReading::None && !reads) {
-        node.plan.ownReadingLost(now_);
+        node.plan.beginReading(now_);
         node.failures = 0;
         const std::uint64_t round = ++node.readingRound;
         ++storeCalls_;
--- a/tests/instances/catalogplantest.cpp
+++ b/tests/instances/catalogplantest.cpp
@@ -14,6 +14,25 @@
 constexpr std::chrono::seconds Calm{3};
 constexpr std::chrono::seconds Away{8};
 
+/// The only node of its region.
+CatalogPlan planOfOnlyNode()
+{
+    const Endpoint own("10.0.0.1:7620");
+    InstanceSnapshot snapshot;
+    snapshot.revision = StoreRevision(1);
+    InstanceRecord record;
+    record.id = UpstreamName("u1");
+    record.node = own;
+    record.location.region = RegionName("north");
+    record.revision = StoreRevision(1);
+    snapshot.records.push_back(record);
+    InstanceDirectory directory;
+    directory.applySnapshot(snapshot, TimePoint());
+    CatalogPlan plan(RegionName("north"), ReaderElectionSettings(), CatalogTimes(), Random(Seed));
+    plan.listChanged(directory, own, true);
+    return plan;
+}
+
 bool nobody(int /*node*/)
 {
     return false;
@@ -126,3 +145,19 @@
     fleet.runUntil(fleet.now() + Milliseconds(4000));
     CHECK(fleet.nodesUpToDate() == 60);
 }
+
+// Guards against a region that follows a node which has just started while the store is away, has its list from another
+// node, and has not read the store itself.
+TEST_CASE("a node that reads for others says that the store is in order only when it has read it")
+{
+    CatalogPlan plan = planOfOnlyNode();
+    const TimePoint now = TimePoint() + std::chrono::seconds(10);
+    CHECK(plan.reading() == StoreReading::Usual);
+    CHECK(plan.store(now, false) == StoreState::Away);
+    plan.noteRead();
+    CHECK(plan.store(now, false) == StoreState::InOrder);
+    plan.beginReading(now);
+    CHECK(plan.store(now, false) == StoreState::Away);
+    plan.ownReadingBack(now);
+    CHECK(plan.store(now, false) == StoreState::InOrder);
+}
