catalog: a node that is left alone while the store is away reads for itself

Found on reading the change: after a source had said that the store is away, a node whose sources and substitutes all fell silent neither followed nor read; it would have waited for somebody to tell it. The new test of the virtual fleet fails before.

--- a/src/instances/catalogplan.cpp
+++ b/src/instances/catalogplan.cpp
@@ -47,7 +47,7 @@
     ownLostSince_ = now;
 }
 
-void CatalogPlan::ownReadingBack(TimePoint /*now*/)
+void CatalogPlan::ownReadingBack()
 {
     ownLostSince_.reset();
     hasRead_ = true;
@@ -171,6 +171,7 @@
     if (following_) {
         return question(*following_);
     }
+    isOrphan_ = true;
     return std::nullopt;
 }
 
--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -67,7 +67,7 @@
     void noteRead() { hasRead_ = true; }
     /// This node's own calls to the store fail from now on, or succeed again.
     void ownReadingLost(TimePoint now);
-    void ownReadingBack(TimePoint now);
+    void ownReadingBack();
     /// @p node answered, or did not.
     void answered(const Endpoint &node, const SourceReport &report, TimePoint now);
     void silent(const Endpoint &node, TimePoint now);
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -157,7 +157,7 @@
 {
     const std::optional<Endpoint> before = plan_.following();
     const auto since = plan_.ownLostSince();
-    plan_.ownReadingBack(currentTime());
+    plan_.ownReadingBack();
     log_.sourceBack(since ? currentTime() - *since : Duration{0});
     logFollowing(before, "this node reads for others");
     applyStoreState();
--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "fleetlist.h"
+
 namespace Egretpath
 {
 
@@ -18,27 +20,9 @@
 constexpr Milliseconds FirstPause{60};
 constexpr Milliseconds PlanStep{100};
 
-Endpoint nodeOf(int number)
-{
-    return Endpoint("10.0." + std::to_string(number / 250) + "." + std::to_string(number % 250) + ":7620");
-}
-
-InstanceDirectory fleetOf(int nodes, int regions)
+RegionName regionOf(int number, int regions)
 {
-    InstanceSnapshot snapshot;
-    snapshot.revision = StoreRevision(1);
-    for (int number = 0; number < nodes; ++number) {
-        InstanceRecord record;
-        record.id = UpstreamName("u" + std::to_string(number));
-        record.address = Endpoint(nodeOf(number).value() + "1");
-        record.node = nodeOf(number);
-        record.location.region = RegionName("region-" + std::to_string(number % regions));
-        record.revision = StoreRevision(1);
-        snapshot.records.push_back(record);
-    }
-    InstanceDirectory directory;
-    directory.applySnapshot(snapshot, Start);
-    return directory;
+    return RegionName("region-" + std::to_string(number % regions));
 }
 
 }
@@ -46,15 +30,14 @@
 CatalogFleet::CatalogFleet(int nodes, int regions, std::uint64_t seed)
     : regions_(regions)
     , random_(seed)
-    , directory_(fleetOf(nodes, regions))
+    , directory_(listOf(nodes, [regions](int number) { return regionOf(number, regions); }))
     , storeAnswers_([](int) { return true; })
     , now_(Start)
 {
     for (int number = 0; number < nodes; ++number) {
         numbers_[nodeOf(number)] = number;
-        const RegionName region("region-" + std::to_string(number % regions));
-        nodes_.push_back(
-            std::make_unique<Node>(CatalogPlan(region, ReaderElectionSettings(), times_, Random(random_()))));
+        nodes_.push_back(std::make_unique<Node>(
+            CatalogPlan(regionOf(number, regions), ReaderElectionSettings(), times_, Random(random_()))));
         nodes_.back()->plan.listChanged(directory_, nodeOf(number), true);
         at(now_, [this, number] { step(number); });
     }
@@ -159,7 +142,7 @@
     if (storeAnswers_(number)) {
         node.failures = 0;
         if (node.plan.ownLostSince()) {
-            node.plan.ownReadingBack(now_);
+            node.plan.ownReadingBack();
             // Routes, list, and the watches behind them.
             storeCalls_ += 4;
         }
--- a/tests/instances/catalogplantest.cpp
+++ b/tests/instances/catalogplantest.cpp
@@ -158,6 +158,27 @@
     CHECK(plan.store(now, false) == StoreState::InOrder);
     plan.beginReading(now);
     CHECK(plan.store(now, false) == StoreState::Away);
-    plan.ownReadingBack(now);
+    plan.ownReadingBack();
     CHECK(plan.store(now, false) == StoreState::InOrder);
 }
+
+// Guards against a node that heard of a store that is away, then hears nobody, and waits for somebody to tell it the
+// rest.
+TEST_CASE("a node that is left alone while the store is away reads for itself")
+{
+    constexpr int Nodes = 18;
+    constexpr int Left = 17;
+    CatalogFleet fleet(Nodes, Regions, Seed);
+    fleet.runUntil(fleet.now() + Calm);
+    fleet.setStore(nobody);
+    fleet.runUntil(fleet.now() + Away);
+    for (int node = 0; node < Nodes; ++node) {
+        if (node != Left) {
+            fleet.kill(node);
+        }
+    }
+    fleet.publish();
+    fleet.setStore(everybody);
+    fleet.runUntil(fleet.now() + Away);
+    CHECK(fleet.nodesUpToDate() == 1);
+}
--- a/tests/instances/readerelectiontest.cpp
+++ b/tests/instances/readerelectiontest.cpp
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "fleetlist.h"
+
 using namespace Egretpath;
 
 namespace
@@ -20,27 +22,9 @@
     return TimePoint(std::chrono::seconds(1000)) + Milliseconds(milliseconds);
 }
 
-Endpoint nodeOf(int number)
-{
-    return Endpoint("10.0." + std::to_string(number / 250) + "." + std::to_string(number % 250) + ":7620");
-}
-
 InstanceDirectory fleetOf(int nodes, const RegionName &region = North)
 {
-    InstanceSnapshot snapshot;
-    snapshot.revision = StoreRevision(1);
-    for (int number = 0; number < nodes; ++number) {
-        InstanceRecord record;
-        record.id = UpstreamName("u" + std::to_string(number));
-        record.address = Endpoint(nodeOf(number).value() + "1");
-        record.node = nodeOf(number);
-        record.location.region = region;
-        record.revision = StoreRevision(1);
-        snapshot.records.push_back(record);
-    }
-    InstanceDirectory directory;
-    directory.applySnapshot(snapshot, at(0));
-    return directory;
+    return listOf(nodes, [&region](int) { return region; });
 }
 
 ReaderElection electionOf(const InstanceDirectory &directory, int number)
