--- /dev/null
+++ b/tests/sidecar/deployment.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "sidecarfixture.h"
+
+namespace Egretpath
+{
+
+// No co_await stands inside CHECK: g++ 12 destroys temporaries of such expressions twice.
+
+inline void checkStatus(const Reply &reply, std::uint16_t wanted)
+{
+    CHECK(reply.status == wanted);
+}
+
+inline void checkReadiness(std::uint16_t status, std::uint16_t wanted)
+{
+    CHECK(status == wanted);
+}
+
+inline void checkHappened(bool happened)
+{
+    CHECK(happened);
+}
+
+/// Two upstreams of one service with their nodes, and everything published.
+struct Deployment : SidecarFixture
+{
+    Deployment()
+        : one(addUpstream("i-1"))
+        , two(addUpstream("i-2"))
+        , first(addNode(one, "statements"))
+        , second(addNode(two, "statements"))
+    {
+        catalog.publishRoutes(10);
+        catalog.publishList();
+    }
+
+    [[nodiscard]] int runs(const std::string &request) const { return one.runs(request) + two.runs(request); }
+
+    FakeUpstream &one;
+    FakeUpstream &two;
+    FakeNode &first;
+    FakeNode &second;
+};
+
+}
