--- a/src/client/tracecommand.cpp
+++ b/src/client/tracecommand.cpp
@@ -39,6 +39,12 @@
     return std::find(BeliefEvents.begin(), BeliefEvents.end(), logField(line, "event")) != BeliefEvents.end();
 }
 
+/// @p name: the request's id, or the fingerprint that all its attempts share.
+bool tellsOf(const std::string &line, const std::string &name)
+{
+    return logField(line, "request") == name || logField(line, "fingerprint") == name;
+}
+
 /// The lines of one log that tell of the request, and with @p around the last beliefs before them and those between.
 std::vector<TracedLine> traceLog(std::istream &log, const std::string &node, const std::string &request, bool around)
 {
@@ -46,7 +52,7 @@
     std::vector<TracedLine> beliefs;
     for (std::string line; std::getline(log, line);) {
         TracedLine item{line.substr(0, StampLength), node, line};
-        if (logField(line, "request") == request) {
+        if (tellsOf(line, request)) {
             traced.insert(traced.end(), beliefs.begin(), beliefs.end());
             beliefs.clear();
             traced.push_back(std::move(item));
@@ -65,7 +71,7 @@
 CLI::App *TraceCommand::declare(CLI::App &app)
 {
     CLI::App *command = app.add_subcommand("trace", "Shows the lines of one request out of many nodes' logs, by time");
-    command->add_option("request", request_, "the request's id, as its caller sent it")->required();
+    command->add_option("request", request_, "the request's id, as its caller sent it, or its fingerprint")->required();
     command->add_option("logs", logs_, "the nodes' logs, one file each")->required();
     command->add_flag("--around", around_, "also what each node that took part had come to believe just before");
     return command;
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -35,7 +35,7 @@
 }
 
 EgressRole::EgressRole(asio::any_io_executor executor, EgressSettings settings, NodeIdentity self,
-                       const UpstreamDialect &dialect, EventLog &log, Metrics &metrics)
+                       const UpstreamDialect &dialect, EventLog &log, Metrics &metrics, Random random)
     : executor_(std::move(executor))
     , settings_(std::move(settings))
     , self_(std::move(self))
@@ -44,6 +44,8 @@
     , metrics_(metrics)
     , slots_(executor_, settings_.queue)
     , pool_(executor_, poolLimits(settings_))
+    , endWatch_(executor_, pool_, settings_.upstream, random,
+                [this](UpstreamCrashId crash, const std::vector<HeldRequest> &held) { noteUpstreamEnd(crash, held); })
     , probed_(executor_, asio::steady_timer::time_point::max())
 {
     slots_.onAwaitsNews([this] {
@@ -201,6 +203,21 @@
     arrivalDelayMicroseconds_ += ArrivalDelayGain * (sample - arrivalDelayMicroseconds_);
 }
 
+void EgressRole::noteUpstreamEnd(UpstreamCrashId crash, const std::vector<HeldRequest> &held)
+{
+    metrics_.count("egretpath_upstream_crashes_total");
+    for (const HeldRequest &item : held) {
+        if (!log_.admitsDecision(currentTime(), DecisionWeight::Failure)) {
+            continue;
+        }
+        StructuredLine line("held");
+        line.add("request", item.request.value()).add("fingerprint", toHex(item.fingerprint));
+        line.add("upstream", presence_.name().value()).add("crash", crash.value());
+        line.add("held", std::uint64_t{held.size()});
+        log_.decision(line);
+    }
+}
+
 void EgressRole::recordAnswer(bool failed)
 {
     health_.record(failed, currentTime());
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -11,6 +11,7 @@
 
 #include "admission/upstreamaccount.h"
 #include "dialect/upstreamdialect.h"
+#include "egress/upstreamendwatch.h"
 #include "egress/upstreamhealth.h"
 #include "egress/upstreampresence.h"
 #include "egress/workslots.h"
@@ -56,7 +57,7 @@
 {
 public:
     EgressRole(boost::asio::any_io_executor executor, EgressSettings settings, NodeIdentity self,
-               const UpstreamDialect &dialect, EventLog &log, Metrics &metrics);
+               const UpstreamDialect &dialect, EventLog &log, Metrics &metrics, Random random);
     ~EgressRole();
     EgressRole(const EgressRole &) = delete;
     EgressRole &operator=(const EgressRole &) = delete;
@@ -97,6 +98,8 @@
     void takeAccount(const UpstreamLoadSample &load);
     void take(const UpstreamRemarks &remarks);
     void recordArrival(Duration delay);
+    /// The upstream has ended, with these requests under way.
+    void noteUpstreamEnd(UpstreamCrashId crash, const std::vector<HeldRequest> &held);
     void recordAnswer(bool failed);
     /// Tells the queue how much of the evidence of failures is left.
     void recordHealth();
@@ -110,6 +113,7 @@
     Metrics &metrics_;
     WorkSlots slots_;
     HttpConnectionPool pool_;
+    UpstreamEndWatch endWatch_;
     LatenessGuard lateness_;
     UpstreamHealth health_;
     std::uint64_t lastCallId_ = 0;
--- a/src/egress/upstreampresence.h
+++ b/src/egress/upstreampresence.h
@@ -21,6 +21,8 @@
     /// @p upstream said in an answer that it is there.
     void answered(const UpstreamName &upstream) { present_ = upstream; }
 
+    /// The one that the list names there, or named last; empty before it named any.
+    [[nodiscard]] UpstreamName name() const { return listed_.value_or(UpstreamName()); }
     /// Why a request for @p target must not be handed over; nothing if it may. An empty @p target is anybody.
     [[nodiscard]] std::optional<Failure> objection(const UpstreamName &target) const;
 
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -30,6 +30,12 @@
 constexpr double OverdueFactor = 2.5;
 constexpr Milliseconds LeastOverdue{150};
 
+/// Whether the upstream's end of the connection broke, not ours.
+bool brokeOff(const Failure &failure)
+{
+    return failure.reason == Reason::ConnectionLost || failure.reason == Reason::BadAnswer;
+}
+
 }
 
 UpstreamRequest::UpstreamRequest(EgressRole &role, CallHead head, std::string body,
@@ -220,6 +226,9 @@
         role_.recordAnswer(true);
         co_return mayHaveRun(Reason::LostAtUpstream, "the upstream has it no longer and did not answer");
     }
+    if (!result && brokeOff(result.error())) {
+        role_.endWatch_.connectionBroke({head_.requestId, fingerprint()});
+    }
     co_return result;
 }
 
@@ -355,6 +364,15 @@
     return {role_.self_, role_.report(head_.route), std::move(result), CatalogMark()};
 }
 
+const RequestFingerprint &UpstreamRequest::fingerprint()
+{
+    if (!fingerprint_) {
+        const std::string_view host = head_.headers.find("Host").value_or(std::string_view());
+        fingerprint_ = fingerprintOf({head_.method, host, head_.target, body_});
+    }
+    return *fingerprint_;
+}
+
 void UpstreamRequest::releaseSlot(bool answered)
 {
     if (std::exchange(holdsSlot_, false)) {
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -52,6 +52,7 @@
     /// The upstream has the request, or has it no longer.
     void enterUpstream();
     void leaveUpstream(bool answered);
+    [[nodiscard]] const RequestFingerprint &fingerprint();
     /// Tells the role when the upstream takes much longer than it should.
     void watchDuration();
     void releaseSlot(bool answered);
@@ -64,6 +65,8 @@
     std::shared_ptr<AnswerReceiver> answer_;
     std::shared_ptr<Cancellation> cancellation_;
     CallId slot_;
+    /// Made when it is first asked for.
+    std::optional<RequestFingerprint> fingerprint_;
     TimePoint arrival_;
     TimePoint deadline_;
     TimePoint target_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -96,7 +96,7 @@
         , state_(settings, drawIncarnation(), systemSeed())
         , peers_(context)
         , egress_(executor_, egressSettings(settings, decisions), state_.self, *platform_.upstreams, state_.log,
-                  state_.metrics)
+                  state_.metrics, Random(state_.random()))
         , ingress_(executor_, ingressPlace(state_), IngressSources{state_.routes, state_.directory}, *platform_.callers,
                    egress_, peers_, state_.log, state_.metrics, Random(state_.random()), decisions.ingress)
         , catalog_(executor_, state_, *platform_.catalog, peers_, decisions, [this] { catalogChanged(); })
