tests: a request that ends its upstreams is sent to one after the other (known red)

Four upstreams of one service in one process, each with its node; sixteen attempts of one request, with ids of their own, come at one node after the other, 40 ms apart; each run ends its upstream, which is back after 100 ms.

Seen on this code: a read ends upstreams 31 times, a payment 16 times; both are wanted to end two and be refused after that. So each attempt of either gets an upstream (first hypothesis), and the node's own retry doubles that for reads (second). That an upstream gets the request twice from its node since that takes the end for a dropped idle connection (third) did not show: no upstream was back soon enough.

--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -66,10 +67,30 @@
 }
 
 FakeUpstream::FakeUpstream(asio::any_io_executor executor, std::string id)
-    : id_(std::move(id))
-    , server_(std::move(executor), HttpLimits(), [this](HttpExchange &exchange) { return serve(exchange); })
-    , address_(server_.listen(Endpoint("127.0.0.1:0")).value())
+    : executor_(std::move(executor))
+    , id_(std::move(id))
 {
+    listen();
+}
+
+void FakeUpstream::listen()
+{
+    server_ = std::make_unique<HttpServer>(executor_, HttpLimits(),
+                                           [this](HttpExchange &exchange) { return serve(exchange); });
+    address_ = server_->listen(address_).value();
+}
+
+asio::awaitable<void> FakeUpstream::crash()
+{
+    if (!server_) {
+        co_return;
+    }
+    ++ends_;
+    server_->closeAll();
+    server_.reset();
+    asio::steady_timer timer(executor_, restartTime);
+    co_await timer.async_wait(asio::use_awaitable);
+    listen();
 }
 
 int FakeUpstream::runs(const std::string &request) const
@@ -129,6 +150,12 @@
     asio::steady_timer timer(co_await asio::this_coro::executor, work);
     co_await timer.async_wait(asio::use_awaitable);
     --running_;
+    if (!endsOn.empty() && exchange.head().target == endsOn) {
+        if (!exchange.callerGone()) {
+            asio::co_spawn(executor_, crash(), asio::detached);
+        }
+        co_return;
+    }
     if (breaks) {
         exchange.abort();
         co_return;
