quarantine: a request that two upstreams ended with is sent to none any more

Cause: each attempt is judged alone, at one ingress. Its id is new, its node another one, it is a first try and costs no retry budget; the node beside an upstream sees that it ended and forgets with which requests. Nothing joins what several attempts, ingresses and upstreams saw. Ruled out: the node's second sending on a new connection, which met no upstream that was back.

Change: when an upstream has ended, the node beside it names the requests that it held to a few nodes (two for each region, the same for all crashes of the service), which join crashes by their ids. A request at two crashes is refused: by the nodes beside upstreams before they hand over, by ingresses before they send; waiting ones end as not run, running ones are broken off, and no try follows. The name goes from node to node, and each answer between nodes carries a mark of what its node refuses, so that one that started or was cut off asks for what it lacks. A request that the upstream answered within 30 s is a bystander and not accused. The caller hears 503 with the time until the name is forgotten (24 h).

Why it works: only the node beside an upstream can hand a request over, and it looks again just before it does.

New: attempts that come together, bystanders, a node that has just started, a run that is broken off, joining, expiry, bounds, spreading.

--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::array<std::string_view, 3> VerdictWords{"answered", "not-run", "may-have-run"};
 
-constexpr std::array<std::string_view, 22> ReasonWords{
+constexpr std::array<std::string_view, 23> ReasonWords{
     "none",
     "bad-request",
     "overloaded",
@@ -34,6 +34,7 @@
     "declined",
     "no-route",
     "lost-at-upstream",
+    "ends-upstreams",
 };
 
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -67,10 +67,12 @@
     NoRoute,
     /// The upstream was handed the request, has it no longer, and did not answer it.
     LostAtUpstream,
+    /// Upstreams ended while they ran the request.
+    EndsUpstreams,
 };
 
 /// The last of them, for reading what a node of another version wrote.
-inline constexpr Reason LastReason = Reason::LostAtUpstream;
+inline constexpr Reason LastReason = Reason::EndsUpstreams;
 
 /// How a call failed. Carried by every error of the call path.
 struct Failure
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -35,7 +35,8 @@
 }
 
 EgressRole::EgressRole(asio::any_io_executor executor, EgressSettings settings, NodeIdentity self,
-                       const UpstreamDialect &dialect, EventLog &log, Metrics &metrics, Random random)
+                       const UpstreamDialect &dialect, EventLog &log, Metrics &metrics, const Quarantine &quarantine,
+                       Random random)
     : executor_(std::move(executor))
     , settings_(std::move(settings))
     , self_(std::move(self))
@@ -44,6 +45,8 @@
     , metrics_(metrics)
     , slots_(executor_, settings_.queue)
     , pool_(executor_, poolLimits(settings_))
+    , quarantine_(quarantine)
+    , answers_(random())
     , endWatch_(executor_, pool_, settings_.upstream, random,
                 [this](UpstreamCrashId crash, const std::vector<HeldRequest> &held) { noteUpstreamEnd(crash, held); })
     , probed_(executor_, asio::steady_timer::time_point::max())
@@ -149,7 +152,8 @@
         const auto found = atUpstream_.find(call);
         if (found != atUpstream_.end()) {
             metrics_.count("egretpath_lost_at_upstream_total");
-            found->second->endAsLost();
+            found->second->endBecause(
+                mayHaveRun(Reason::LostAtUpstream, "the upstream has it no longer and did not answer"));
         }
     }
 }
@@ -213,9 +217,26 @@
         StructuredLine line("held");
         line.add("request", item.request.value()).add("fingerprint", toHex(item.fingerprint));
         line.add("upstream", presence_.name().value()).add("crash", crash.value());
-        line.add("held", std::uint64_t{held.size()});
+        line.add("held", std::uint64_t{held.size()}).add("answered_lately", std::uint64_t{item.answeredLately});
         log_.decision(line);
     }
+    if (upstreamEndListener_) {
+        upstreamEndListener_(crash, held);
+    }
+}
+
+void EgressRole::quarantineChanged()
+{
+    for (const auto &[call, request] : waiting_) {
+        if (auto objection = request->quarantineObjection()) {
+            slots_.refuse(call, std::move(*objection));
+        }
+    }
+    for (const auto &[call, request] : atUpstream_) {
+        if (const auto objection = request->quarantineObjection()) {
+            request->endBecause(mayHaveRun(objection->reason, objection->detail));
+        }
+    }
 }
 
 void EgressRole::recordAnswer(bool failed)
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -17,6 +17,8 @@
 #include "egress/workslots.h"
 #include "http/httpconnectionpool.h"
 #include "idempotency/latenessguard.h"
+#include "quarantine/quarantine.h"
+#include "quarantine/recentanswers.h"
 #include "rpc/peerservice.h"
 #include "telemetry/eventlog.h"
 #include "telemetry/metrics.h"
@@ -57,7 +59,8 @@
 {
 public:
     EgressRole(boost::asio::any_io_executor executor, EgressSettings settings, NodeIdentity self,
-               const UpstreamDialect &dialect, EventLog &log, Metrics &metrics, Random random);
+               const UpstreamDialect &dialect, EventLog &log, Metrics &metrics, const Quarantine &quarantine,
+               Random random);
     ~EgressRole();
     EgressRole(const EgressRole &) = delete;
     EgressRole &operator=(const EgressRole &) = delete;
@@ -73,6 +76,10 @@
     void setConnectionCap(std::uint32_t cap);
     /// Refuses new requests from now on, or no longer.
     void setLeaving(bool leaving) { leaving_ = leaving; }
+    /// Calls @p listener when the upstream has ended with requests under way; see UpstreamEndWatch::Listener.
+    void onUpstreamEnd(UpstreamEndWatch::Listener listener) { upstreamEndListener_ = std::move(listener); }
+    /// Ends the requests, waiting or running, that are refused by now.
+    void quarantineChanged();
     [[nodiscard]] LoadReport report(const RouteName &route) const;
     /// No request waits or runs here.
     [[nodiscard]] bool isIdle() const { return slots_.queue().isIdle(); }
@@ -113,7 +120,10 @@
     Metrics &metrics_;
     WorkSlots slots_;
     HttpConnectionPool pool_;
+    const Quarantine &quarantine_;
+    RecentAnswers answers_;
     UpstreamEndWatch endWatch_;
+    UpstreamEndWatch::Listener upstreamEndListener_;
     LatenessGuard lateness_;
     UpstreamHealth health_;
     std::uint64_t lastCallId_ = 0;
@@ -125,6 +135,8 @@
     bool watchingUpstream_ = false;
     bool watchingOverdue_ = false;
     UpstreamAccount account_;
+    /// Those that wait for a slot.
+    std::unordered_map<CallId, UpstreamRequest *> waiting_;
     /// Those that the upstream has.
     std::unordered_map<CallId, UpstreamRequest *> atUpstream_;
     /// Of these, the ones that take longer than they should.
--- a/src/egress/upstreamendwatch.h
+++ b/src/egress/upstreamendwatch.h
@@ -21,6 +21,8 @@
 {
     RequestId request;
     RequestFingerprint fingerprint;
+    /// The upstream has answered the same request a while before.
+    bool answeredLately = false;
 };
 
 /// Tells connections that break since the upstream has ended from all others that break, and which requests it held.
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -56,14 +56,15 @@
 UpstreamRequest::~UpstreamRequest()
 {
     if (!roleLife_.expired()) {
+        role_.waiting_.erase(slot_);
         leaveUpstream(false);
         releaseSlot(false);
     }
 }
 
-void UpstreamRequest::endAsLost()
+void UpstreamRequest::endBecause(Failure failure)
 {
-    lost_ = true;
+    ended_ = std::move(failure);
     upstream_->cancel();
 }
 
@@ -149,6 +150,9 @@
     if (auto objection = role_.presence_.objection(head_.targetUpstream)) {
         co_return objection;
     }
+    if (auto objection = quarantineObjection()) {
+        co_return objection;
+    }
     role_.recordHealth();
     const WorkOffer offer = makeOffer();
     if (head_.question) {
@@ -156,11 +160,11 @@
             .objection(offer, currentTime())
             .value_or(notRun(Reason::None, "it would be taken"));
     }
-    if (auto failure = co_await role_.slots_.acquire(offer, head_.targetUpstream, cancellation_)) {
-        co_return failure;
-    }
-    holdsSlot_ = true;
-    co_return std::nullopt;
+    role_.waiting_.emplace(slot_, this);
+    std::optional<Failure> refusal = co_await role_.slots_.acquire(offer, head_.targetUpstream, cancellation_);
+    role_.waiting_.erase(slot_);
+    holdsSlot_ = !refusal;
+    co_return refusal;
 }
 
 WorkOffer UpstreamRequest::makeOffer() const
@@ -203,6 +207,9 @@
     if (auto objection = role_.presence_.objection(head_.targetUpstream)) {
         co_return objection;
     }
+    if (auto objection = quarantineObjection()) {
+        co_return objection;
+    }
     upstream_ = std::move(opened).value();
     cancellation_->setAction([weak = weak_from_this()] {
         const auto request = weak.lock();
@@ -222,12 +229,15 @@
     Result<CallOutcome> result = co_await readAnswer();
     leaveUpstream(false);
     co_await stopWriting();
-    if (lost_ && !result) {
-        role_.recordAnswer(true);
-        co_return mayHaveRun(Reason::LostAtUpstream, "the upstream has it no longer and did not answer");
+    if (ended_ && !result) {
+        if (ended_->reason == Reason::LostAtUpstream) {
+            role_.recordAnswer(true);
+        }
+        co_return *ended_;
     }
     if (!result && brokeOff(result.error())) {
-        role_.endWatch_.connectionBroke({head_.requestId, fingerprint()});
+        const bool answeredLately = role_.answers_.contains(content(), currentTime());
+        role_.endWatch_.connectionBroke({head_.requestId, fingerprint(), answeredLately});
     }
     co_return result;
 }
@@ -336,6 +346,9 @@
         role_.recordAnswer(true);
         return mayHaveRun(Reason::BadAnswer, "the answer lacks what proves that it is the upstream's");
     }
+    if (head.status < FirstServerError) {
+        role_.answers_.record(content(), currentTime());
+    }
     role_.recordAnswer(head.status >= FirstServerError && head.status != GatewayTimeoutStatus);
     head.headers.removeHopByHop();
     return outcome(WholeAnswer{AnswerHead{head.status, std::move(head.headers)}, std::move(body)});
@@ -367,12 +380,26 @@
 const RequestFingerprint &UpstreamRequest::fingerprint()
 {
     if (!fingerprint_) {
-        const std::string_view host = head_.headers.find("Host").value_or(std::string_view());
-        fingerprint_ = fingerprintOf({head_.method, host, head_.target, body_});
+        fingerprint_ = fingerprintOf(content());
     }
     return *fingerprint_;
 }
 
+RequestContent UpstreamRequest::content() const
+{
+    const std::string_view host = head_.headers.find("Host").value_or(std::string_view());
+    return {head_.method, host, head_.target, body_};
+}
+
+std::optional<Failure> UpstreamRequest::quarantineObjection()
+{
+    // A question comes without the body that is a part of the request's name.
+    if (head_.question || role_.quarantine_.refusesNone()) {
+        return std::nullopt;
+    }
+    return role_.quarantine_.objection(fingerprint(), currentTime());
+}
+
 void UpstreamRequest::releaseSlot(bool answered)
 {
     if (std::exchange(holdsSlot_, false)) {
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -27,8 +27,10 @@
     UpstreamRequest &operator=(const UpstreamRequest &) = delete;
 
     boost::asio::awaitable<CallOutcome> run();
-    /// The upstream has lost the request: nothing will answer it.
-    void endAsLost();
+    /// No answer of the upstream is waited for any more. Precondition: the upstream has the request.
+    void endBecause(Failure failure);
+    /// Why the request must not be run since it ends upstreams; nothing if it may be.
+    [[nodiscard]] std::optional<Failure> quarantineObjection();
 
 private:
     /// What the request asks of the upstream's slots.
@@ -52,6 +54,7 @@
     /// The upstream has the request, or has it no longer.
     void enterUpstream();
     void leaveUpstream(bool answered);
+    [[nodiscard]] RequestContent content() const;
     [[nodiscard]] const RequestFingerprint &fingerprint();
     /// Tells the role when the upstream takes much longer than it should.
     void watchDuration();
@@ -80,7 +83,8 @@
     bool writing_ = false;
     bool atUpstream_ = false;
     bool overdue_ = false;
-    bool lost_ = false;
+    /// Why the node itself ended it at the upstream.
+    std::optional<Failure> ended_;
 };
 
 }
--- a/src/egress/workslots.h
+++ b/src/egress/workslots.h
@@ -39,6 +39,8 @@
     void setOthers(std::uint32_t others);
     /// Ends the wait of each request for whose upstream @p objection has one, with that.
     void refuseWaiting(const std::function<std::optional<Failure>(const UpstreamName &)> &objection);
+    /// Ends the wait of @p call, if it waits, with @p failure.
+    void refuse(CallId call, Failure failure) { removeQueued(call, std::move(failure)); }
     void setFailureShare(double share) { queue_.setFailureShare(share); }
 
     /// Calls @p listener whenever a request begins or goes on to wait for what only news of the upstream can end: the
--- a/src/ingress/ingresscontext.cpp
+++ b/src/ingress/ingresscontext.cpp
@@ -66,8 +66,8 @@
         learnFailure(upstream, outcome.error().reason);
         return;
     }
-    if (node != place.node && markListener) {
-        markListener(node, outcome.value().catalog);
+    if (node != place.node && outcomeListener) {
+        outcomeListener(node, outcome.value());
     }
     if (const auto &report = outcome.value().report) {
         view.onReached(upstream);
@@ -100,6 +100,7 @@
     case Reason::Overloaded:
     case Reason::Draining:
     case Reason::Cancelled:
+    case Reason::EndsUpstreams:
         break;
     default:
         view.onFailed(upstream, at);
--- a/src/ingress/ingresscontext.h
+++ b/src/ingress/ingresscontext.h
@@ -14,6 +14,7 @@
 #include "ingress/ingresssettings.h"
 #include "ingress/requestlog.h"
 #include "instances/instancedirectory.h"
+#include "quarantine/quarantine.h"
 #include "routes/routetable.h"
 #include "routes/trafficsplit.h"
 #include "routing/exchangesizes.h"
@@ -41,6 +42,7 @@
 {
     const RouteTablePointer &routes;
     const InstanceDirectory &directory;
+    const Quarantine &quarantine;
 };
 
 /// What the ingress role decides with.
@@ -82,7 +84,7 @@
     RetryBudget budget;
     CallerPatience patience;
     StopAdmission stop;
-    std::function<void(const Endpoint &, const CatalogMark &)> markListener;
+    std::function<void(const Endpoint &, const CallOutcome &)> outcomeListener;
     std::function<void()> noRoutesListener;
     std::uint64_t lastSequence = 0;
     std::size_t openRequests = 0;
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -43,10 +43,10 @@
     void setLinkPrices(const LinkPrices &prices) { context_->placement.setPrices(prices); }
     /// Call it after a change of the routes or the directory.
     void catalogChanged();
-    /// Calls @p listener with what each answer of another node tells of its routes and list.
-    void onCatalogMark(std::function<void(const Endpoint &, const CatalogMark &)> listener)
+    /// Calls @p listener with each answer of another node, which tells what that has and refuses.
+    void onOutcome(std::function<void(const Endpoint &, const CallOutcome &)> listener)
     {
-        context_->markListener = std::move(listener);
+        context_->outcomeListener = std::move(listener);
     }
     /// Calls @p listener when a caller is turned away since no routes are in force.
     void onNoRoutes(std::function<void()> listener) { context_->noRoutesListener = std::move(listener); }
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -217,7 +217,9 @@
 
 asio::awaitable<void> ProxiedRequest::giveUp(Failure failure)
 {
-    const Milliseconds back = returnTime(*context_, terms_, failure.retryAfter);
+    // One that ends upstreams is not to come back within its caller's patience.
+    const bool isHopeless = failure.reason == Reason::EndsUpstreams;
+    const Milliseconds back = isHopeless ? failure.retryAfter : returnTime(*context_, terms_, failure.retryAfter);
     const auto shown = tries_->state().giveUp(failure.reason, back, failure.detail);
     if (shown) {
         tries_->cancelAll();
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -39,6 +39,9 @@
 
 std::optional<Failure> RequestTries::start(const HttpRequestHead &head, const Endpoint &caller)
 {
+    if (auto objection = quarantineObjection(head)) {
+        return objection;
+    }
     std::vector<PlacementCandidate> all = candidates();
     const std::optional<PlacementChoice> choice = choose(all);
     if (!choice) {
@@ -61,6 +64,19 @@
     return std::nullopt;
 }
 
+std::optional<Failure> RequestTries::quarantineObjection(const HttpRequestHead &head)
+{
+    const Quarantine &quarantine = context_->sources.quarantine;
+    if (quarantine.refusesNone()) {
+        return std::nullopt;
+    }
+    if (!fingerprint_) {
+        const std::string_view host = head.headers.find("Host").value_or(std::string_view());
+        fingerprint_ = fingerprintOf({head.method, host, head.target, content_.body});
+    }
+    return quarantine.objection(*fingerprint_, currentTime());
+}
+
 RequestTryPointer RequestTries::makeTry(TryNumber number, const InstanceRecord &record,
                                         const PlacementChoice &choice) const
 {
@@ -247,7 +263,9 @@
 
 bool RequestTries::mayRepeat(const RequestTry &which, const Failure &failure)
 {
-    if (failure.reason == Reason::Cancelled || failure.reason == Reason::DeadlinePassed) {
+    const bool isFinal = failure.reason == Reason::Cancelled || failure.reason == Reason::DeadlinePassed
+        || failure.reason == Reason::EndsUpstreams;
+    if (isFinal) {
         return false;
     }
     if (!reachedUpstream(which, failure)) {
--- a/src/ingress/requesttries.h
+++ b/src/ingress/requesttries.h
@@ -85,6 +85,8 @@
 private:
     [[nodiscard]] std::optional<PlacementChoice> choose(std::vector<PlacementCandidate> &candidates);
     [[nodiscard]] std::vector<PlacementCandidate> candidates() const;
+    /// Why the request must not be run since it ends upstreams; nothing if it may be.
+    [[nodiscard]] std::optional<Failure> quarantineObjection(const HttpRequestHead &head);
     [[nodiscard]] RequestTryPointer makeTry(TryNumber number, const InstanceRecord &record,
                                             const PlacementChoice &choice) const;
     boost::asio::awaitable<void> send(RequestTryPointer which, CallHead head, std::shared_ptr<RequestTries> self);
@@ -111,6 +113,8 @@
     std::vector<UpstreamName> reached_;
     std::vector<UpstreamName> declined_;
     std::uint32_t asked_ = 0;
+    /// Made when it is first needed.
+    std::optional<RequestFingerprint> fingerprint_;
 };
 
 }
--- /dev/null
+++ b/src/quarantine/quarantinespread.cpp
@@ -0,0 +1,74 @@
+#include "quarantine/quarantinespread.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <utility>
+
+#include "core/digest.h"
+
+namespace Egretpath
+{
+
+namespace
+{
+
+struct RankedNode
+{
+    std::uint64_t rank = 0;
+    Endpoint node;
+
+    friend auto operator<=>(const RankedNode &, const RankedNode &) = default;
+};
+
+}
+
+QuarantineSpread::QuarantineSpread(Random random, const QuarantineSpreadSettings &settings)
+    : random_(random)
+    , settings_(settings)
+{
+}
+
+std::vector<Endpoint> QuarantineSpread::keepers(const InstanceDirectory &directory, const ServiceName &service) const
+{
+    const std::uint64_t seed = stableHash(service.value());
+    std::map<RegionName, std::vector<RankedNode>> byRegion;
+    directory.forEachReady([&](const InstanceRecord &record) {
+        byRegion[record.location.region].push_back({stableHash(record.node.value(), seed), record.node});
+    });
+    std::vector<Endpoint> keepers;
+    for (auto &[region, nodes] : byRegion) {
+        const std::size_t count = std::min(settings_.keepersPerRegion, nodes.size());
+        std::partial_sort(nodes.begin(), nodes.begin() + static_cast<std::ptrdiff_t>(count), nodes.end());
+        for (std::size_t index = 0; index < count; ++index) {
+            keepers.push_back(nodes[index].node);
+        }
+    }
+    return keepers;
+}
+
+std::vector<Endpoint> QuarantineSpread::listeners(const InstanceDirectory &directory, const Endpoint &own)
+{
+    std::vector<Endpoint> others;
+    directory.forEachReady([&](const InstanceRecord &record) {
+        if (record.node != own) {
+            others.push_back(record.node);
+        }
+    });
+    std::vector<Endpoint> chosen;
+    std::sample(others.begin(), others.end(), std::back_inserter(chosen), settings_.listeners, random_);
+    return chosen;
+}
+
+std::vector<SuspectedRequest> QuarantineSpread::inOneMessage(std::vector<SuspectedRequest> requests)
+{
+    if (requests.size() <= settings_.mostInMessage) {
+        return requests;
+    }
+    const auto latest = static_cast<std::ptrdiff_t>(settings_.mostInMessage / 2);
+    std::shuffle(requests.begin() + latest, requests.end(), random_);
+    requests.resize(settings_.mostInMessage);
+    return requests;
+}
+
+}
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -91,6 +91,8 @@
     streamed @5 :Void;
     # The whole answer went through the AnswerSink.
   }
+  quarantine @6 :UInt64;
+  # Names the set of requests that the node refuses, since they end upstreams; zero: none.
 }
 
 struct Answer {
@@ -152,9 +154,26 @@
   # Milliseconds since that node last did.
 }
 
+struct SuspectedRequest {
+  fingerprintHigh @0 :UInt64;
+  fingerprintLow @1 :UInt64;
+  crashes @2 :List(UInt64);
+  # Ids of ends of upstreams that held the request.
+  age @3 :UInt32;
+  # Milliseconds since the last of them.
+}
+
+struct QuarantineNews {
+  mark @0 :UInt64;
+  # As in CallOutcome, of the sender.
+  requests @1 :List(SuspectedRequest);
+}
+
 interface Node {
   call @0 (head :CallHead, body :Data, answer :AnswerSink) -> (outcome :CallOutcome);
   probe @1 () -> (identity :Identity, report :LoadReport);
   catalog @2 (haveRoutes :UInt64, haveRevision :UInt64, wait :UInt32, known :UInt8) -> (catalog :Catalog);
   # Returns when the node has something newer, its store is another than known, or after so many milliseconds.
+  quarantine @3 (news :QuarantineNews) -> (news :QuarantineNews);
+  # What the sender knows of requests that end upstreams, for what the node knows more.
 }
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -398,6 +398,16 @@
     co_return co_await ask<Catalog>(implementation_, std::move(peer), deadline, request.wait, send);
 }
 
+asio::awaitable<Result<QuarantineNews>> PeerClient::quarantine(Endpoint peer, QuarantineNews news, TimePoint deadline)
+{
+    const auto send = [&news](Wire::Node::Client &node) -> kj::Promise<QuarantineNews> {
+        auto message = node.quarantineRequest();
+        WireConversion::write(message.initNews(), news);
+        return message.send().then([](auto &&response) { return WireConversion::read(response.getNews()); });
+    };
+    co_return co_await ask<QuarantineNews>(implementation_, std::move(peer), deadline, Duration{0}, send);
+}
+
 asio::awaitable<Result<PeerProbe>> PeerClient::probe(Endpoint peer, TimePoint deadline)
 {
     const auto send = [](Wire::Node::Client &node) -> kj::Promise<PeerProbe> {
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -12,6 +12,7 @@
 #include "http/httpheaders.h"
 #include "instances/instancedirectory.h"
 #include "instances/storestate.h"
+#include "quarantine/suspectedrequest.h"
 #include "routes/packedroutes.h"
 #include "routes/routetable.h"
 
@@ -85,6 +86,8 @@
     std::optional<LoadReport> report;
     std::variant<Failure, WholeAnswer, StreamedAnswer> result;
     CatalogMark catalog;
+    /// Which requests the node refuses, since they end upstreams.
+    QuarantineMark quarantine;
 };
 
 /// What the asker has of the platform.
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -134,6 +134,13 @@
         });
     }
 
+    kj::Promise<void> quarantine(QuarantineContext context) override
+    {
+        const QuarantineNews news = service_.quarantine(WireConversion::read(context.getParams().getNews()));
+        WireConversion::write(context.getResults().initNews(), news);
+        return kj::READY_NOW;
+    }
+
 private:
     asio::any_io_executor executor_;
     PeerService &service_;
--- a/src/rpc/peerservice.h
+++ b/src/rpc/peerservice.h
@@ -39,6 +39,8 @@
     virtual PeerProbe probe() = 0;
     /// What this node has of the platform and the asker lacks; see CatalogRequest::wait.
     virtual boost::asio::awaitable<Catalog> catalog(CatalogRequest request) = 0;
+    /// Takes what another node knows of requests that end upstreams; returns what this one knows more.
+    virtual QuarantineNews quarantine(const QuarantineNews &news) = 0;
 };
 
 }
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -88,6 +88,29 @@
     return record;
 }
 
+void write(Wire::SuspectedRequest::Builder wire, const SuspectedRequest &request)
+{
+    wire.setFingerprintHigh(request.fingerprint.digest.high);
+    wire.setFingerprintLow(request.fingerprint.digest.low);
+    wire.setAge(static_cast<std::uint32_t>(request.age.count()));
+    auto crashes = wire.initCrashes(static_cast<unsigned>(request.crashes.size()));
+    unsigned index = 0;
+    for (const UpstreamCrashId crash : request.crashes) {
+        crashes.set(index++, crash.value());
+    }
+}
+
+SuspectedRequest readSuspected(Wire::SuspectedRequest::Reader wire)
+{
+    SuspectedRequest request;
+    request.fingerprint.digest = {wire.getFingerprintHigh(), wire.getFingerprintLow()};
+    request.age = Milliseconds(wire.getAge());
+    for (const std::uint64_t crash : wire.getCrashes()) {
+        request.crashes.emplace_back(crash);
+    }
+    return request;
+}
+
 }
 
 void write(Wire::Identity::Builder wire, const NodeIdentity &identity)
@@ -192,6 +215,7 @@
 {
     write(wire.initIdentity(), outcome.identity);
     write(wire.initCatalog(), outcome.catalog);
+    wire.setQuarantine(outcome.quarantine.value());
     if (outcome.report) {
         write(wire.initReport(), *outcome.report);
     }
@@ -208,7 +232,8 @@
 
 CallOutcome read(Wire::CallOutcome::Reader wire)
 {
-    CallOutcome outcome{read(wire.getIdentity()), std::nullopt, StreamedAnswer{}, readMark(wire.getCatalog())};
+    CallOutcome outcome{read(wire.getIdentity()), std::nullopt, StreamedAnswer{}, readMark(wire.getCatalog()),
+                        QuarantineMark(wire.getQuarantine())};
     if (wire.hasReport()) {
         outcome.report = read(wire.getReport());
     }
@@ -274,6 +299,25 @@
     return catalog;
 }
 
+void write(Wire::QuarantineNews::Builder wire, const QuarantineNews &news)
+{
+    wire.setMark(news.mark.value());
+    auto requests = wire.initRequests(static_cast<unsigned>(news.requests.size()));
+    unsigned index = 0;
+    for (const SuspectedRequest &request : news.requests) {
+        write(requests[index++], request);
+    }
+}
+
+QuarantineNews read(Wire::QuarantineNews::Reader wire)
+{
+    QuarantineNews news{QuarantineMark(wire.getMark()), {}};
+    for (const auto item : wire.getRequests()) {
+        news.requests.push_back(readSuspected(item));
+    }
+    return news;
+}
+
 StoreState readStoreState(std::uint8_t wire)
 {
     // What this version does not know, and what an earlier one did not say, is none to rely on.
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -127,7 +127,7 @@
 {
     const std::optional<Endpoint> before = plan_.following();
     const bool isListed = state_.directory.findByAddress(state_.settings.upstream) != nullptr;
-    plan_.listChanged(state_.directory, ownNode(), isListed);
+    plan_.listChanged(state_.directory, state_.ownNode(), isListed);
     logFollowing(before, "this node reads for others");
     applyReading();
 }
@@ -138,13 +138,6 @@
     changed_();
 }
 
-/// Under which address other nodes find this one.
-Endpoint CatalogController::ownNode() const
-{
-    const InstanceRecord *own = state_.directory.findByAddress(state_.settings.upstream);
-    return own == nullptr ? state_.settings.peers : own->node;
-}
-
 void CatalogController::sourceLost(std::string_view why)
 {
     plan_.ownReadingLost(currentTime());
@@ -478,7 +471,7 @@
 std::vector<Endpoint> CatalogController::peersToAsk()
 {
     std::vector<Endpoint> all;
-    const Endpoint own = ownNode();
+    const Endpoint own = state_.ownNode();
     state_.directory.forEachReady([&](const InstanceRecord &record) {
         if (record.node != own) {
             all.push_back(record.node);
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -93,7 +93,6 @@
     void applyStoreState();
     void logFollowing(const std::optional<Endpoint> &before, std::string_view why);
     [[nodiscard]] bool needsPeers() const;
-    [[nodiscard]] Endpoint ownNode() const;
     void listChanged();
     void contentsChanged();
     void wakeAskers() { news_.cancel(); }
--- /dev/null
+++ b/src/sidecar/quarantinecontroller.cpp
@@ -0,0 +1,189 @@
+#include "sidecar/quarantinecontroller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "core/currenttime.h"
+
+namespace Egretpath
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr Milliseconds AnswerLimit{500};
+/// Before a node that did not answer is told again; twice as long each time.
+constexpr Milliseconds RetryPause{100};
+constexpr int TellTries = 5;
+/// Between exchanges with nodes that refuse other requests; twice as long after each that settled nothing.
+constexpr Milliseconds LeastExchangePause{20};
+constexpr Milliseconds LongestExchangePause{5000};
+constexpr Milliseconds ExpiryInterval{1000};
+/// What is older has gone through the fleet; a node that has just started learns it and passes nothing on.
+constexpr Milliseconds NewsAge{10'000};
+
+}
+
+QuarantineController::QuarantineController(asio::any_io_executor executor, SidecarState &state, PeerClient &peers,
+                                           std::function<void()> changed)
+    : executor_(std::move(executor))
+    , state_(state)
+    , peers_(peers)
+    , changed_(std::move(changed))
+    , spread_(Random(state.random()))
+    , exchangePause_(LeastExchangePause)
+{
+}
+
+void QuarantineController::start()
+{
+    asio::co_spawn(executor_, expireOldOnes(), asio::detached);
+}
+
+void QuarantineController::upstreamEnded(UpstreamCrashId crash, const std::vector<HeldRequest> &held)
+{
+    std::vector<RequestFingerprint> requests;
+    for (const HeldRequest &item : held) {
+        if (!item.answeredLately) {
+            requests.push_back(item.fingerprint);
+        }
+    }
+    if (requests.empty()) {
+        return;
+    }
+    const CrashNews news = state_.quarantine.crashed(crash, requests, currentTime());
+    tellKeepers(news.known);
+    noteRefused(news.refused, "own upstream");
+}
+
+void QuarantineController::tellKeepers(const std::vector<SuspectedRequest> &known)
+{
+    const Endpoint own = state_.ownNode();
+    for (const Endpoint &keeper : spread_.keepers(state_.directory, state_.settings.service)) {
+        if (keeper != own) {
+            asio::co_spawn(executor_, tell(keeper, known), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> QuarantineController::tell(Endpoint node, std::vector<SuspectedRequest> requests)
+{
+    asio::steady_timer timer(executor_);
+    Duration pause = RetryPause;
+    for (int attempt = 0; attempt < TellTries; ++attempt) {
+        QuarantineNews news = newsOf(requests);
+        const Result<QuarantineNews> answer =
+            co_await peers_.quarantine(node, std::move(news), currentTime() + AnswerLimit);
+        if (answer) {
+            take(answer.value().requests, node.value());
+            co_return;
+        }
+        timer.expires_after(pause);
+        co_await timer.async_wait(asio::use_awaitable);
+        pause *= 2;
+    }
+    state_.metrics.count("egretpath_quarantine_untold_total");
+}
+
+void QuarantineController::take(const std::vector<SuspectedRequest> &told, const std::string &from)
+{
+    noteRefused(state_.quarantine.take(told, currentTime()), from);
+}
+
+void QuarantineController::noteRefused(const std::vector<SuspectedRequest> &refused, const std::string &from)
+{
+    if (refused.empty()) {
+        return;
+    }
+    for (const SuspectedRequest &item : refused) {
+        StructuredLine line("quarantine");
+        line.add("fingerprint", toHex(item.fingerprint)).add("crashes", std::uint64_t{item.crashes.size()});
+        line.add("age_ms", item.age.count()).add("from", from);
+        state_.log.info(line);
+        state_.metrics.count("egretpath_quarantined_total");
+    }
+    passOn(refused);
+    changed_();
+}
+
+void QuarantineController::passOn(std::vector<SuspectedRequest> refused)
+{
+    std::erase_if(refused, [](const SuspectedRequest &item) { return item.age > NewsAge; });
+    if (refused.empty()) {
+        return;
+    }
+    for (const Endpoint &node : spread_.listeners(state_.directory, state_.ownNode())) {
+        asio::co_spawn(executor_, tell(node, refused), asio::detached);
+    }
+}
+
+QuarantineNews QuarantineController::answer(const QuarantineNews &news)
+{
+    const TimePoint now = currentTime();
+    take(news.requests, "another node");
+    std::vector<SuspectedRequest> more = state_.quarantine.moreThan(news.requests, now);
+    if (news.mark != state_.quarantine.mark()) {
+        const std::vector<SuspectedRequest> refused = state_.quarantine.refused(now);
+        more.insert(more.end(), refused.begin(), refused.end());
+    }
+    return newsOf(std::move(more));
+}
+
+void QuarantineController::noteMark(const Endpoint &peer, QuarantineMark mark)
+{
+    const bool isSettled = mark == state_.quarantine.mark();
+    if (isSettled || exchanging_ || currentTime() < nextExchange_) {
+        return;
+    }
+    exchanging_ = true;
+    asio::co_spawn(executor_, exchange(peer), asio::detached);
+}
+
+asio::awaitable<void> QuarantineController::exchange(Endpoint peer)
+{
+    QuarantineNews news = newsOf(state_.quarantine.refused(currentTime()));
+    const Result<QuarantineNews> answer =
+        co_await peers_.quarantine(peer, std::move(news), currentTime() + AnswerLimit);
+    if (answer) {
+        take(answer.value().requests, peer.value());
+    }
+    const bool isSettled = answer && answer.value().mark == state_.quarantine.mark();
+    exchangePause_ = isSettled ? LeastExchangePause : std::min<Duration>(exchangePause_ * 2, LongestExchangePause);
+    nextExchange_ = currentTime() + exchangePause_;
+    exchanging_ = false;
+}
+
+asio::awaitable<void> QuarantineController::expireOldOnes()
+{
+    asio::steady_timer timer(executor_);
+    while (true) {
+        timer.expires_after(ExpiryInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        state_.quarantine.expire(currentTime());
+    }
+}
+
+QuarantineNews QuarantineController::newsOf(std::vector<SuspectedRequest> requests)
+{
+    return {state_.quarantine.mark(), spread_.inOneMessage(std::move(requests))};
+}
+
+std::string QuarantineController::page() const
+{
+    const TimePoint now = currentTime();
+    std::string text = "fingerprint,crashes,age_ms\n";
+    for (const SuspectedRequest &item : state_.quarantine.refused(now)) {
+        text += toHex(item.fingerprint) + ',' + std::to_string(item.crashes.size()) + ','
+            + std::to_string(item.age.count()) + '\n';
+    }
+    return text;
+}
+
+}
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -21,6 +21,7 @@
 #include "rpc/peerclient.h"
 #include "rpc/peerserver.h"
 #include "sidecar/catalogcontroller.h"
+#include "sidecar/quarantinecontroller.h"
 #include "sidecar/sidecarstate.h"
 
 namespace Egretpath
@@ -96,10 +97,12 @@
         , state_(settings, drawIncarnation(), systemSeed())
         , peers_(context)
         , egress_(executor_, egressSettings(settings, decisions), state_.self, *platform_.upstreams, state_.log,
-                  state_.metrics, Random(state_.random()))
-        , ingress_(executor_, ingressPlace(state_), IngressSources{state_.routes, state_.directory}, *platform_.callers,
-                   egress_, peers_, state_.log, state_.metrics, Random(state_.random()), decisions.ingress)
+                  state_.metrics, state_.quarantine, Random(state_.random()))
+        , ingress_(executor_, ingressPlace(state_), IngressSources{state_.routes, state_.directory, state_.quarantine},
+                   *platform_.callers, egress_, peers_, state_.log, state_.metrics, Random(state_.random()),
+                   decisions.ingress)
         , catalog_(executor_, state_, *platform_.catalog, peers_, decisions, [this] { catalogChanged(); })
+        , quarantine_(executor_, state_, peers_, [this] { egress_.quarantineChanged(); })
         , peerServer_(context, *this, PeerConnections)
         , callers_(executor_, callerLimits(CallerLimits()),
                    [this](HttpExchange &exchange) { return ingress_.serve(exchange); })
@@ -111,8 +114,13 @@
         if (decisions.compressesPaidLinks) {
             peers_.setPaidLinks([this](const Endpoint &peer) { return isInOtherRegion(peer); });
         }
-        ingress_.onCatalogMark(
-            [this](const Endpoint &peer, const CatalogMark &mark) { catalog_.noteMark(peer, mark); });
+        ingress_.onOutcome([this](const Endpoint &peer, const CallOutcome &outcome) {
+            catalog_.noteMark(peer, outcome.catalog);
+            quarantine_.noteMark(peer, outcome.quarantine);
+        });
+        egress_.onUpstreamEnd([this](UpstreamCrashId crash, const std::vector<HeldRequest> &held) {
+            quarantine_.upstreamEnded(crash, held);
+        });
         ingress_.onNoRoutes([this] { catalog_.noteCallerWaits(); });
     }
 
@@ -134,6 +142,7 @@
         }
         logStart();
         catalog_.start();
+        quarantine_.start();
         asio::co_spawn(executor_, sweepIdle(), asio::detached);
         return boost::outcome_v2::success();
     }
@@ -180,10 +189,12 @@
         CallOutcome outcome =
             co_await egress_.call(std::move(head), std::move(body), std::move(answer), std::move(cancellation));
         outcome.catalog = catalog_.mark();
+        outcome.quarantine = state_.quarantine.mark();
         co_return outcome;
     }
     PeerProbe probe() override { return {state_.self, egress_.report(RouteName())}; }
     asio::awaitable<Catalog> catalog(CatalogRequest request) override { return catalog_.answer(request); }
+    QuarantineNews quarantine(const QuarantineNews &news) override { return quarantine_.answer(news); }
 
 private:
     Result<void> listenForPeers()
@@ -257,6 +268,9 @@
         if (exchange.head().target == "/table") {
             return servePage(exchange, "text/csv", state_.routes ? toCsv(*state_.routes) : std::string());
         }
+        if (exchange.head().target == "/quarantine") {
+            return servePage(exchange, "text/csv", quarantine_.page());
+        }
         return serveMetrics(exchange);
     }
 
@@ -285,6 +299,7 @@
         state_.metrics.set("egretpath_requests_open", {}, static_cast<double>(ingress_.openRequests()));
         state_.metrics.set("egretpath_upstreams", {}, static_cast<double>(state_.directory.size()));
         const LoadReport report = egress_.report(RouteName());
+        state_.metrics.set("egretpath_requests_quarantined", {}, static_cast<double>(state_.quarantine.refusedCount()));
         state_.metrics.set("egretpath_upstream_running", {}, report.inFlight);
         state_.metrics.set("egretpath_upstream_queued", {}, report.queued);
         state_.metrics.set("egretpath_log_lines_dropped", {}, static_cast<double>(state_.log.droppedDecisions()));
@@ -341,6 +356,7 @@
     EgressRole egress_;
     IngressRole ingress_;
     CatalogController catalog_;
+    QuarantineController quarantine_;
     PeerServer peerServer_;
     HttpServer callers_;
     HttpServer ready_;
--- a/src/sidecar/sidecarstate.cpp
+++ b/src/sidecar/sidecarstate.cpp
@@ -28,4 +28,10 @@
 {
 }
 
+Endpoint SidecarState::ownNode() const
+{
+    const InstanceRecord *own = directory.findByAddress(settings.upstream);
+    return own == nullptr ? settings.peers : own->node;
+}
+
 }
--- a/src/sidecar/sidecarstate.h
+++ b/src/sidecar/sidecarstate.h
@@ -3,6 +3,7 @@
 #include "core/identity.h"
 #include "core/random.h"
 #include "instances/instancedirectory.h"
+#include "quarantine/quarantine.h"
 #include "routes/packedroutes.h"
 #include "routes/routetable.h"
 #include "settings/sidecarsettings.h"
@@ -33,9 +34,13 @@
     PackedRoutes packedRoutes;
     /// Written by CatalogController.
     InstanceDirectory directory;
+    /// Written by QuarantineController.
+    Quarantine quarantine;
     /// The node was told to stop. Written by Sidecar.
     bool stopping = false;
 
+    /// Under which address other nodes find this one.
+    [[nodiscard]] Endpoint ownNode() const;
     /// Whether callers may be sent here.
     [[nodiscard]] bool isReady() const { return routes && directory.hasList() && !stopping; }
 };
--- /dev/null
+++ b/tests/quarantine/quarantinetest.cpp
@@ -0,0 +1,105 @@
+#include "quarantine/quarantine.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace Egretpath;
+
+namespace
+{
+
+const TimePoint Start{std::chrono::hours(1)};
+
+RequestFingerprint request(int number)
+{
+    return fingerprintOf({"GET", "h", "/" + std::to_string(number), ""});
+}
+
+SuspectedRequest told(int number, std::uint64_t crash, Milliseconds age = Milliseconds(0))
+{
+    return {request(number), {UpstreamCrashId(crash)}, age};
+}
+
+}
+
+TEST_CASE("one crash accuses nobody, the second one with the same request under way does")
+{
+    Quarantine quarantine;
+    CHECK(quarantine.crashed(UpstreamCrashId(1), {request(1), request(2)}, Start).refused.empty());
+    CHECK_FALSE(quarantine.objection(request(1), Start));
+    const CrashNews news = quarantine.crashed(UpstreamCrashId(2), {request(1), request(3)}, Start);
+    REQUIRE(news.refused.size() == 1);
+    CHECK(news.refused[0].fingerprint == request(1));
+    CHECK(news.known.size() == 2);
+    const auto objection = quarantine.objection(request(1), Start + std::chrono::hours(1));
+    REQUIRE(objection);
+    CHECK(objection->verdict == Verdict::NotRun);
+    CHECK(objection->reason == Reason::EndsUpstreams);
+    CHECK(objection->retryAfter == std::chrono::hours(23));
+    CHECK_FALSE(quarantine.objection(request(2), Start));
+    CHECK_FALSE(quarantine.objection(request(3), Start));
+}
+
+// Guards against a request that is accused of a single crash since two nodes tell of it.
+TEST_CASE("the same crash counts once, however often and by whomever it is told")
+{
+    Quarantine quarantine;
+    (void)quarantine.crashed(UpstreamCrashId(1), {request(1)}, Start);
+    (void)quarantine.crashed(UpstreamCrashId(1), {request(1)}, Start);
+    CHECK(quarantine.take({told(1, 1), told(1, 1)}, Start).empty());
+    CHECK(quarantine.take({told(1, 2)}, Start).size() == 1);
+    CHECK(quarantine.take({told(1, 2), told(1, 3)}, Start).empty());
+}
+
+TEST_CASE("nodes that refuse the same requests have the same mark, in whichever order they learned of them")
+{
+    Quarantine one;
+    Quarantine other;
+    CHECK(one.mark() == QuarantineMark());
+    (void)one.take({told(1, 1), told(1, 2), told(2, 1), told(2, 3)}, Start);
+    (void)other.take({told(2, 3), told(3, 9), told(1, 2), told(2, 1), told(1, 1)}, Start);
+    CHECK(one.mark() == other.mark());
+    CHECK(one.mark() != QuarantineMark());
+    one.expire(Start + std::chrono::hours(25));
+    CHECK(one.mark() == QuarantineMark());
+    CHECK(one.refusesNone());
+}
+
+TEST_CASE("a node that knows less is told what is known more")
+{
+    Quarantine quarantine;
+    (void)quarantine.take({told(1, 1), told(1, 2), told(2, 1)}, Start);
+    const auto more = quarantine.moreThan({told(1, 2), told(2, 1), told(3, 1)}, Start + Milliseconds(5));
+    REQUIRE(more.size() == 1);
+    CHECK(more[0].fingerprint == request(1));
+    CHECK(more[0].age == Milliseconds(5));
+}
+
+// Guards against names that are never forgotten, since each node hears of them again from one that forgot them later.
+TEST_CASE("what has run out at its sender does not begin anew")
+{
+    Quarantine quarantine;
+    (void)quarantine.take({told(1, 1, std::chrono::hours(24)), told(1, 2, std::chrono::hours(24))}, Start);
+    CHECK(quarantine.refusesNone());
+    (void)quarantine.take({told(1, 1, std::chrono::hours(23)), told(1, 2, std::chrono::hours(23))}, Start);
+    CHECK(quarantine.objection(request(1), Start)->retryAfter == std::chrono::hours(1));
+}
+
+// Guards against memory without a bound: someone sends thousands of requests that end upstreams.
+TEST_CASE("there are never more names than may be, and the oldest are forgotten first")
+{
+    QuarantineSettings settings;
+    settings.mostSuspected = 8;
+    settings.mostRefused = 4;
+    Quarantine quarantine(settings);
+    for (int number = 0; number < 100; ++number) {
+        const TimePoint now = Start + Milliseconds(number);
+        (void)quarantine.take({told(number, 1), told(number, 2), told(1000 + number, 1)}, now);
+        CHECK(quarantine.refusedCount() <= 4);
+        CHECK(quarantine.suspectedCount() <= 8);
+    }
+    CHECK(quarantine.objection(request(99), Start));
+    CHECK(quarantine.objection(request(96), Start));
+    CHECK_FALSE(quarantine.objection(request(95), Start));
+}
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -57,7 +57,15 @@
         co_return sent;
     }
 
+    QuarantineNews quarantine(const QuarantineNews &news) override
+    {
+        lastNews = news;
+        return answeredNews;
+    }
+
     CatalogMark mark{RouteVersion(3), StoreRevision(9)};
+    QuarantineNews lastNews;
+    QuarantineNews answeredNews;
     int cancelled = 0;
     bool streamed = false;
     CatalogRequest lastRequest;
@@ -275,3 +283,26 @@
         CHECK_FALSE(got.changes[1].record.has_value());
     }(fixture));
 }
+
+TEST_CASE("what nodes tell each other of requests that end upstreams arrives as it was sent")
+{
+    const SuspectedRequest asked{fingerprintOf({"GET", "h", "/a", ""}), {UpstreamCrashId(3)}, Milliseconds(40)};
+    const SuspectedRequest answered{
+        fingerprintOf({"GET", "h", "/b", ""}), {UpstreamCrashId(4), UpstreamCrashId(5)}, std::chrono::hours(20)};
+    Fixture fixture;
+    fixture.service.answeredNews = {QuarantineMark(8), {answered}};
+    fixture.run([&](Fixture &f) -> asio::awaitable<void> {
+        QuarantineNews news{QuarantineMark(7), {asked}};
+        const auto answer = co_await f.client.quarantine(ServerEndpoint, std::move(news),
+                                                         std::chrono::steady_clock::now() + Milliseconds(1000));
+        REQUIRE(answer.has_value());
+        CHECK(answer.value().mark == QuarantineMark(8));
+        REQUIRE(answer.value().requests.size() == 1);
+        CHECK(answer.value().requests[0].fingerprint == answered.fingerprint);
+        CHECK(answer.value().requests[0].crashes == answered.crashes);
+        CHECK(answer.value().requests[0].age == answered.age);
+    }(fixture));
+    CHECK(fixture.service.lastNews.mark == QuarantineMark(7));
+    REQUIRE(fixture.service.lastNews.requests.size() == 1);
+    CHECK(fixture.service.lastNews.requests[0].crashes == asked.crashes);
+}
--- a/tests/sidecar/crashingrequesttest.cpp
+++ b/tests/sidecar/crashingrequesttest.cpp
@@ -1,8 +1,13 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
 #include "deployment.h"
 
 using namespace Egretpath;
@@ -40,6 +45,20 @@
         }
     }
 
+    asio::awaitable<void> sendOne(const FakeNode &node, std::string method, std::string path, std::string id)
+    {
+        last = co_await send(node.callers, method, path, id, Milliseconds(700));
+    }
+
+    asio::awaitable<void> sendBystander(int number, std::vector<std::uint16_t> &statuses)
+    {
+        const FakeNode &node = *nodes[static_cast<std::size_t>(number) % nodes.size()];
+        const std::string name = "other-" + std::to_string(number);
+        co_await sleep(Milliseconds(10 * number));
+        const Reply reply = co_await send(node.callers, "GET", "/read/" + name, name);
+        statuses.push_back(reply.status);
+    }
+
     [[nodiscard]] int ends() const
     {
         int sum = 0;
@@ -74,3 +93,86 @@
     CHECK(service.ends() == 2);
     checkStatus(service.last, 503);
 }
+
+// Guards against what comes together at all nodes before any of them has seen a crash: it ends what it has reached, and
+// nothing after that.
+TEST_CASE("attempts that come together end the upstreams that they reached, and no other one after that")
+{
+    CrashingService service;
+    service.run([&]() -> asio::awaitable<void> {
+        for (int number = 0; number < 8; ++number) {
+            const FakeNode &node = *service.nodes[static_cast<std::size_t>(number) % service.nodes.size()];
+            asio::co_spawn(co_await asio::this_coro::executor,
+                           service.sendOne(node, "GET", CrashingPath, "together" + std::to_string(number)),
+                           asio::detached);
+        }
+        co_await service.sleep(Milliseconds(300));
+        const int endsAtFirst = service.ends();
+        CHECK(endsAtFirst <= Upstreams);
+        co_await service.sendCrashing("GET", CrashingPath, 8);
+        CHECK(service.ends() == endsAtFirst);
+    });
+}
+
+// Guards against bystanders that are refused since the upstream that held them ended by another request.
+TEST_CASE("other requests that an ended upstream held are answered elsewhere, and again")
+{
+    CrashingService service;
+    for (FakeUpstream *upstream : service.upstreams) {
+        upstream->work = Milliseconds(25);
+    }
+    service.run([&]() -> asio::awaitable<void> {
+        const asio::any_io_executor executor = co_await asio::this_coro::executor;
+        std::vector<std::uint16_t> statuses;
+        for (int number = 0; number < 12; ++number) {
+            asio::co_spawn(executor, service.sendBystander(number, statuses), asio::detached);
+        }
+        asio::co_spawn(executor, service.sendCrashing("GET", CrashingPath, 6), asio::detached);
+        (void)co_await service.until([&] { return statuses.size() == 12; });
+        CHECK(service.ends() > 0);
+        CHECK(std::count(statuses.begin(), statuses.end(), 200) == 12);
+        co_await service.sleep(Milliseconds(200));
+        const Reply again = co_await service.send(service.nodes[0]->callers, "GET", "/read/other-1", "again");
+        checkStatus(again, 200);
+    });
+}
+
+// Guards against a node that starts, knows of no crash, and hands such a request to its upstream.
+TEST_CASE("a node that has just started refuses what the others refuse")
+{
+    CrashingService service;
+    service.run([&]() -> asio::awaitable<void> {
+        co_await service.sendCrashing("GET", CrashingPath, 6);
+        FakeUpstream &upstream = service.addUpstream("i-new");
+        upstream.endsOn = CrashingPath;
+        const FakeNode &node = service.addNode(upstream, "statements", {service.nodes[0]->peers});
+        service.catalog.publishList();
+        co_await service.sleep(Milliseconds(100));
+        // What the upstreams of others answer tells the new node that these refuse something.
+        for (int number = 0; number < 8; ++number) {
+            const std::string name = std::to_string(number);
+            checkStatus(co_await service.send(node.callers, "GET", "/read/" + name, "first" + name), 200);
+        }
+        const Reply reply = co_await service.send(node.callers, "GET", CrashingPath, "at the new one");
+        CHECK(reply.status == 503);
+        CHECK(std::stod(std::string(reply.headers.find("Retry-After").value_or("0"))) > 3600.0);
+        CHECK(upstream.ends() == 0);
+    });
+}
+
+// Guards against a request that was under way when it was accused, and ends one more upstream.
+TEST_CASE("a run of a request that is refused meanwhile is broken off")
+{
+    CrashingService service;
+    service.upstreams[0]->work = Milliseconds(400);
+    service.run([&]() -> asio::awaitable<void> {
+        for (int number = 0; number < 8; ++number) {
+            asio::co_spawn(co_await asio::this_coro::executor,
+                           service.sendOne(*service.nodes[0], "GET", CrashingPath, "slow" + std::to_string(number)),
+                           asio::detached);
+        }
+        co_await service.sleep(Milliseconds(600));
+    });
+    CHECK(service.upstreams[0]->ends() == 0);
+    CHECK(service.ends() >= 2);
+}
