soak: requests that end the upstreams that run them

A kind of fault, upstream-crashed-by-request: safe ones, payments, uploads, and calls that upstreams make; their attempts come at any node, each 60 ms while the fault lasts and each 500 ms to the end, beside restarts, cuts and other crashes.

The checker's own test shows that the fourth late run counts.

--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -4,6 +4,8 @@
 #include <csignal>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/currenttime.h"
@@ -26,6 +28,7 @@
 constexpr Milliseconds LapseTime{1500};
 /// An address is used again so soon after its upstream has ended.
 constexpr Milliseconds AddressPause{2000};
+constexpr Milliseconds CrashRestartTime{700};
 constexpr Milliseconds StormGap{300};
 constexpr unsigned ManyRoutes = 300;
 constexpr unsigned FewRoutes = 8;
@@ -65,6 +68,7 @@
     {FaultKind::UpstreamHangs, &FaultInjector::disturbUpstream, Disturbance::Upstream, false},
     {FaultKind::UpstreamReplaced, &FaultInjector::replaceUpstream, Disturbance::Upstream, false},
     {FaultKind::UpstreamCrash, &FaultInjector::crashUpstream, Disturbance::Upstream, false},
+    {FaultKind::UpstreamCrashedByRequest, &FaultInjector::crashByRequest, Disturbance::Upstream, true},
     {FaultKind::CallerBurst, &FaultInjector::pressCallers, Disturbance::Upstream, true},
     {FaultKind::CallersLeave, &FaultInjector::haveCallersLeave, Disturbance::Upstream, true},
     {FaultKind::RoutesChange, &FaultInjector::changeRoutes, Disturbance::Planned, true},
@@ -72,10 +76,11 @@
     {FaultKind::RoutesGrow, &FaultInjector::growRoutes, Disturbance::Planned, true},
 };
 
-FaultInjector::FaultInjector(SoakDeployment &deployment, StandinStore &store, Operators &operators,
-                             SoakCallers &callers, Disturbances &disturbances, PromiseChecker &checker,
-                             DeploymentOptions options)
-    : deployment_(deployment)
+FaultInjector::FaultInjector(asio::io_context &context, SoakDeployment &deployment, StandinStore &store,
+                             Operators &operators, SoakCallers &callers, Disturbances &disturbances,
+                             PromiseChecker &checker, DeploymentOptions options)
+    : context_(context)
+    , deployment_(deployment)
     , store_(store)
     , operators_(operators)
     , callers_(callers)
@@ -284,7 +289,7 @@
     checker_.leaving(member.upstreamId, currentTime());
     member.upstream->drain();
     co_await sleepFor(DrainTime);
-    deployment_.unregisterUpstream(member);
+    deployment_.unregisterUpstream(member.upstreamId);
     member.upstream->crash();
     co_await sleepFor(AddressPause);
     deployment_.startUpstream(member);
@@ -299,12 +304,37 @@
     Member &member = deployment_.member(fault.node);
     member.upstream->crash();
     co_await sleepFor(LapseTime);
-    deployment_.unregisterUpstream(member);
+    deployment_.unregisterUpstream(member.upstreamId);
     co_await sleepFor(AddressPause);
     deployment_.startUpstream(member);
     replaced_.erase(fault.node);
 }
 
+asio::awaitable<void> FaultInjector::crashByRequest(PlannedFault fault)
+{
+    asio::co_spawn(context_, callers_.sendCrashing(fault.length), asio::detached);
+    co_await sleepFor(fault.length);
+}
+
+void FaultInjector::upstreamCrashed(Member &member)
+{
+    asio::co_spawn(context_, restartUpstream(member), asio::detached);
+}
+
+/// Its entry lapses some time after it is there again.
+asio::awaitable<void> FaultInjector::restartUpstream(Member &member)
+{
+    if (!replaced_.insert(member.number).second) {
+        co_return;
+    }
+    const UpstreamName ended = member.upstreamId;
+    co_await sleepFor(CrashRestartTime);
+    deployment_.startUpstream(member);
+    replaced_.erase(member.number);
+    co_await sleepFor(LapseTime);
+    deployment_.unregisterUpstream(ended);
+}
+
 asio::awaitable<void> FaultInjector::pressCallers(PlannedFault fault)
 {
     callers_.setPressure(BurstFactor);
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -18,11 +18,14 @@
 class FaultInjector
 {
 public:
-    FaultInjector(SoakDeployment &deployment, StandinStore &store, Operators &operators, SoakCallers &callers,
-                  Disturbances &disturbances, PromiseChecker &checker, DeploymentOptions options);
+    FaultInjector(boost::asio::io_context &context, SoakDeployment &deployment, StandinStore &store,
+                  Operators &operators, SoakCallers &callers, Disturbances &disturbances, PromiseChecker &checker,
+                  DeploymentOptions options);
 
     /// From the beginning of the fault to its end; what it changed is as before then.
     [[nodiscard]] boost::asio::awaitable<void> inject(PlannedFault fault);
+    /// A request has ended the upstream of @p member.
+    void upstreamCrashed(Member &member);
 
 private:
     using Action = boost::asio::awaitable<void> (FaultInjector::*)(PlannedFault);
@@ -54,15 +57,18 @@
     boost::asio::awaitable<void> disturbUpstream(PlannedFault fault);
     boost::asio::awaitable<void> replaceUpstream(PlannedFault fault);
     boost::asio::awaitable<void> crashUpstream(PlannedFault fault);
+    boost::asio::awaitable<void> crashByRequest(PlannedFault fault);
     boost::asio::awaitable<void> pressCallers(PlannedFault fault);
     boost::asio::awaitable<void> haveCallersLeave(PlannedFault fault);
     boost::asio::awaitable<void> changeRoutes(PlannedFault fault);
     boost::asio::awaitable<void> stormRoutes(PlannedFault fault);
     boost::asio::awaitable<void> growRoutes(PlannedFault fault);
 
+    boost::asio::awaitable<void> restartUpstream(Member &member);
     boost::asio::awaitable<void> killAndWait(Member &member);
     boost::asio::awaitable<void> waitUntilRunning(const Member &member, unsigned boot);
 
+    boost::asio::io_context &context_;
     SoakDeployment &deployment_;
     StandinStore &store_;
     Operators &operators_;
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -42,6 +42,7 @@
     "routes-storm",
     "routes-grow",
     "upstream-hangs",
+    "upstream-crashed-by-request",
 };
 
 /// Lasting 0.3 to 4 s: shorter and longer than the time-outs between nodes, and than what a planned stop takes.
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -48,9 +48,10 @@
     RoutesGrow,
     // New kinds stand at the end, so that seeds that failed before them keep their plans.
     UpstreamHangs,
+    UpstreamCrashedByRequest,
 };
 
-inline constexpr std::size_t FaultKindCount = 32;
+inline constexpr std::size_t FaultKindCount = 33;
 
 [[nodiscard]] std::string_view toString(FaultKind kind);
 /// Nothing for a name that is none. Thread safety: safe.
--- a/tests/soak/promisechecker.cpp
+++ b/tests/soak/promisechecker.cpp
@@ -24,6 +24,11 @@
 /// A node that serves a version must not serve an older one so long after.
 constexpr Milliseconds RollbackSlack{250};
 constexpr std::size_t ShownViolations = 40;
+/// After so many ends of upstreams by one request, and PromiseBounds::crashNews, it runs so often more at most.
+constexpr std::size_t CrashesAllowed = 3;
+constexpr std::size_t LateCrashesAllowed = 3;
+/// A refusal that sends a caller away for so long says that its request ends upstreams.
+constexpr std::chrono::minutes LongRefusal{30};
 
 bool isSuccess(std::uint16_t status)
 {
@@ -66,6 +71,7 @@
     counts_.succeeded += isSuccess(end.status) ? 1 : 0;
     counts_.refused += isRefusal(end.status) ? 1 : 0;
     counts_.leftByCallers += end.callerLeft ? 1 : 0;
+    counts_.accused += end.retryAfter > LongRefusal && !known.sent.crashing ? 1 : 0;
     counts_.unknown += end.status == 0 && !end.notSent && !end.callerLeft ? 1 : 0;
     checkAnswer(known);
     checkRefusedRoute(known);
@@ -157,6 +163,29 @@
     }
     checkLeaving(attempt, upstream);
     checkRouting(attempt, service);
+    checkCrashing(attempt, upstream);
+}
+
+void PromiseChecker::crashedBy(const UpstreamName & /*upstream*/, const ArrivedRequest &request)
+{
+    ++counts_.crashes;
+    crashing_[request.target].crashes.push_back(currentTime());
+}
+
+void PromiseChecker::checkCrashing(const Attempt &attempt, const UpstreamName &upstream)
+{
+    const auto found = crashing_.find(attempt.sent.target);
+    if (found == crashing_.end() || found->second.crashes.size() < CrashesAllowed) {
+        return;
+    }
+    const TimePoint now = currentTime();
+    const TimePoint excused = found->second.crashes[CrashesAllowed - 1] + bounds_.crashNews + bounds_.slack;
+    if (now <= excused || !isInTouch(attempt, now) || !isCalmAt(upstream, excused, now)) {
+        return;
+    }
+    if (++found->second.lateRuns > LateCrashesAllowed) {
+        violate("a request that ends upstreams is stopped", attempt, "runs at " + upstream.value());
+    }
 }
 
 void PromiseChecker::checkLeaving(const Attempt &attempt, const UpstreamName &upstream)
@@ -386,7 +415,12 @@
 {
     std::ostringstream text;
     text << "attempts " << counts_.sent << "\nsucceeded " << counts_.succeeded << "\nrefused " << counts_.refused
-         << "\nunknown " << counts_.unknown << "\nleft " << counts_.leftByCallers << "\nruns " << counts_.runs << '\n';
+         << "\nunknown " << counts_.unknown << "\nleft " << counts_.leftByCallers << "\nruns " << counts_.runs
+         << "\ncrashing " << crashing_.size() << "\ncrashes " << counts_.crashes << "\naccused " << counts_.accused
+         << '\n';
+    for (const auto &[target, request] : crashing_) {
+        text << "crashes " << request.crashes.size() << " by " << target << '\n';
+    }
     for (const auto &[promise, findings] : few_) {
         text << "few " << findings.size() << " (" << promise << ")\n";
     }
--- a/tests/soak/promisechecker.h
+++ b/tests/soak/promisechecker.h
@@ -37,6 +37,8 @@
     TimePoint at;
     /// A call that an upstream makes while it works; its end may be cut with that work.
     bool inner = false;
+    /// It ends upstreams, or its upstream makes a call that does.
+    bool crashing = false;
 };
 
 /// What the caller of an attempt got.
@@ -68,6 +70,8 @@
     double repeatRatio = 0.2;
     double repeatSlack = 40;
     Milliseconds repeatWindow{10'000};
+    /// In which nodes tell each other of a request that ends upstreams.
+    Milliseconds crashNews{3000};
 };
 
 /// Holds what callers and upstreams saw against the promises, while it happens and at the end.
@@ -95,6 +99,7 @@
     void runBegan(const UpstreamName &upstream, const ServiceName &service, const ArrivedRequest &request) override;
     void runEnded(const RequestId &attempt) override;
     void answered(const MadeAnswer &answer) override;
+    void crashedBy(const UpstreamName &upstream, const ArrivedRequest &request) override;
 
     /// Checks what only shows at the end.
     void finish();
@@ -109,6 +114,10 @@
         std::uint64_t unknown = 0;
         std::uint64_t runs = 0;
         std::uint64_t leftByCallers = 0;
+        /// Ends of upstreams by requests.
+        std::uint64_t crashes = 0;
+        /// Proper requests that were refused as such ones are.
+        std::uint64_t accused = 0;
     };
     [[nodiscard]] const Counts &counts() const { return counts_; }
 
@@ -130,6 +139,14 @@
         std::optional<AttemptEnd> end;
     };
 
+    /// A request that ends upstreams.
+    struct CrashingRequest
+    {
+        std::vector<TimePoint> crashes;
+        /// Later runs than the third crash excuses.
+        std::size_t lateRuns = 0;
+    };
+
     struct Arrivals
     {
         std::vector<TimePoint> requests;
@@ -154,6 +171,8 @@
 
     void checkRequest(const Attempt &attempt, const UpstreamName &upstream, const ArrivedRequest &request);
     void checkDeadline(const Attempt &attempt, const UpstreamName &upstream, const ArrivedRequest &request);
+    /// Precondition: the attempt's newest run has just begun at @p upstream.
+    void checkCrashing(const Attempt &attempt, const UpstreamName &upstream);
     void checkLeaving(const Attempt &attempt, const UpstreamName &upstream);
     void checkRouting(const Attempt &attempt, const ServiceName &service);
     void checkNotBack(const Attempt &attempt, std::uint64_t oldest, std::uint64_t newest);
@@ -178,6 +197,8 @@
     std::map<ServiceName, Arrivals> arrivals_;
     std::map<UpstreamName, NodeNumber> places_;
     std::map<Boot, SeenVersion> seenVersions_;
+    /// By path.
+    std::map<std::string, CrashingRequest> crashing_;
     std::vector<std::string> violations_;
     /// Findings that count only when there are more than a few.
     std::map<std::string, std::vector<std::string>> few_;
--- a/tests/soak/promisecheckertest.cpp
+++ b/tests/soak/promisecheckertest.cpp
@@ -15,7 +15,8 @@
 /// A checker with one published version and one attempt that was sent.
 struct Checked
 {
-    Checked()
+    explicit Checked(const PromiseBounds &bounds = PromiseBounds())
+        : checker(bounds, disturbances, versions)
     {
         versions.publish({5, currentTime() - std::chrono::seconds(10), {{RouteKey("pay"), Payments}}});
         attempt.id = RequestId("a1");
@@ -63,7 +64,7 @@
 
     Disturbances disturbances{Milliseconds(3000)};
     PublishedVersions versions;
-    PromiseChecker checker{PromiseBounds(), disturbances, versions};
+    PromiseChecker checker;
     SentAttempt attempt;
     ArrivedRequest arrival;
 };
@@ -164,3 +165,23 @@
     run.runAt(UpstreamName("u2"));
     CHECK(run.breaks("at most once"));
 }
+
+// Guards against a check that never fails: what is sent on after the third end shows.
+TEST_CASE("a request that ends upstreams may run three times more once nodes had time to tell each other")
+{
+    PromiseBounds bounds;
+    bounds.crashNews = Milliseconds(0);
+    bounds.slack = Milliseconds(0);
+    Checked run(bounds);
+    run.attempt.kind = RequestKind::Safe;
+    run.checker.sent(run.attempt);
+    for (int crash = 0; crash < 3; ++crash) {
+        run.checker.crashedBy(Upstream, run.arrival);
+    }
+    for (int late = 0; late < 3; ++late) {
+        run.runAt(Upstream);
+    }
+    CHECK(run.checker.violations().empty());
+    run.runAt(Upstream);
+    CHECK(run.breaks("a request that ends upstreams is stopped"));
+}
--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -34,6 +34,13 @@
 constexpr double InnerShare = 0.4;
 constexpr Milliseconds LeaveSoonest{20};
 constexpr Milliseconds LeaveSpread{300};
+/// Between attempts of a request that ends upstreams.
+constexpr Milliseconds CrashingPause{60};
+/// It still comes when nobody thinks of it any more.
+constexpr Milliseconds LaterCrashingPause{500};
+/// Of these requests, the share whose upstreams make the call that does it.
+constexpr double ThroughCallShare = 0.3;
+const std::string ThroughCall = "calls-crash-";
 constexpr double MillisecondsInSecond = 1000.0;
 
 HttpPoolLimits poolLimits()
@@ -65,6 +72,7 @@
 
 void SoakCallers::start(double rate, TimePoint end)
 {
+    end_ = end;
     for (const auto &member : deployment_.members()) {
         pools_.push_back(std::make_unique<HttpConnectionPool>(context_.get_executor(), poolLimits()));
         asio::co_spawn(context_, sendAt(member->number, rate, end), asio::detached);
@@ -101,7 +109,7 @@
 
 asio::awaitable<void> SoakCallers::request(NodeNumber node)
 {
-    Attempt what{node, drawRoute(), Milliseconds{0}, false};
+    Attempt what{node, drawRoute(), Milliseconds{0}, false, {}};
     const TimePoint deadline = currentTime() + what.route.patience;
     for (unsigned tries = 0; tries <= Retries; ++tries) {
         what.patience = std::chrono::duration_cast<Milliseconds>(deadline - currentTime());
@@ -154,8 +162,10 @@
     end.at = currentTime();
     checker_.ended(sent.id, end);
     constexpr std::uint16_t OkStatus = 200;
-    ++tally_.attempts;
-    tally_.successes += end.status == OkStatus ? 1 : 0;
+    if (!sent.crashing) {
+        ++tally_.attempts;
+        tally_.successes += end.status == OkStatus ? 1 : 0;
+    }
     co_return end;
 }
 
@@ -169,13 +179,14 @@
     sent.route = what.route.key;
     sent.kind = what.route.kind;
     sent.method = what.route.kind == RequestKind::Safe ? "GET" : "POST";
-    sent.target = Operators::prefixOf(what.route.key) + std::to_string(lastId_);
+    sent.target = Operators::prefixOf(what.route.key) + (what.name.empty() ? std::to_string(lastId_) : what.name);
     sent.bodyDigest = toHex(digestOf(body));
     sent.callerService = member.service;
     sent.patience = what.patience;
     sent.timeout = std::min(what.route.timeout, what.patience);
     sent.at = currentTime();
     sent.inner = what.inner;
+    sent.crashing = !what.name.empty();
     return sent;
 }
 
@@ -220,19 +231,39 @@
     co_return end;
 }
 
+asio::awaitable<void> SoakCallers::sendCrashing(Milliseconds length)
+{
+    const CallerRoute route = drawRoute();
+    const bool throughCall = std::bernoulli_distribution(ThroughCallShare)(random_);
+    const std::string name = (throughCall ? ThroughCall : "crash-") + std::to_string(++lastCrashing_);
+    const TimePoint often = currentTime() + length;
+    while (currentTime() < end_) {
+        const NodeNumber node = random_() % deployment_.members().size();
+        Attempt what{node, route, route.patience, false, name};
+        asio::co_spawn(
+            context_, [this, what]() -> asio::awaitable<void> { (void)co_await attempt(what); }, asio::detached);
+        co_await sleepFor(currentTime() < often ? CrashingPause : LaterCrashingPause);
+    }
+}
+
 SlottedUpstream::InnerCall SoakCallers::innerCalls(NodeNumber node)
 {
     return [this, node](std::string target, Milliseconds left) -> asio::awaitable<bool> {
         const bool reads = target.starts_with(Operators::prefixOf(RouteKey("read")));
         const bool pays = target.starts_with(Operators::prefixOf(RouteKey("pay")));
-        if ((!reads && !pays) || !std::bernoulli_distribution(InnerShare)(random_)) {
+        const std::size_t crashing = target.find(ThroughCall);
+        const bool crashes = crashing != std::string::npos;
+        if ((!reads && !pays) || (!crashes && !std::bernoulli_distribution(InnerShare)(random_))) {
             co_return true;
         }
         const RouteKey wanted(reads ? "rate" : "eligible");
         const auto &routes = operators_.routes();
         const auto route = std::find_if(routes.begin(), routes.end(),
                                         [&wanted](const CallerRoute &known) { return known.key == wanted; });
-        Attempt what{node, *route, std::min(route->patience, left), true};
+        Attempt what{node, *route, std::min(route->patience, left), true, {}};
+        if (crashes) {
+            what.name = "crash-" + target.substr(crashing + ThroughCall.size());
+        }
         const AttemptEnd end = co_await attempt(what);
         constexpr std::uint16_t OkStatus = 200;
         co_return end.status == OkStatus;
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -33,6 +33,9 @@
     void setPressure(double factor) { pressure_ = factor; }
     /// This share of the callers leaves before its answer.
     void setLeaving(double share) { leaving_ = share; }
+    /// Sends one request, attempt after attempt at one node or another, that ends each upstream that runs it; or one
+    /// whose upstream makes a call that does. It comes often for @p length, and now and then to the end.
+    boost::asio::awaitable<void> sendCrashing(Milliseconds length);
     [[nodiscard]] SlottedUpstream::InnerCall innerCalls(NodeNumber node);
 
     /// Attempts since the last call, and those of them that succeeded; for what counts after the faults.
@@ -50,6 +53,8 @@
         CallerRoute route;
         Milliseconds patience{0};
         bool inner = false;
+        /// The last part of the path; empty: the attempt's own.
+        std::string name;
     };
 
     boost::asio::awaitable<void> sendAt(NodeNumber node, double rate, TimePoint end);
@@ -69,7 +74,9 @@
     Random random_;
     std::vector<std::unique_ptr<HttpConnectionPool>> pools_;
     Tally tally_;
+    TimePoint end_;
     std::uint64_t lastId_ = 0;
+    std::uint64_t lastCrashing_ = 0;
     double pressure_ = 1.0;
     double leaving_ = 0.02;
 };
--- a/tests/soak/soakdeployment.cpp
+++ b/tests/soak/soakdeployment.cpp
@@ -75,9 +75,10 @@
     return options_.network + "." + std::to_string(group) + "." + std::to_string(number + 1);
 }
 
-void SoakDeployment::start(const MakeInnerCall &makeInnerCall)
+void SoakDeployment::start(const MakeInnerCall &makeInnerCall, const std::function<void(Member &)> &crashed)
 {
     makeInnerCall_ = makeInnerCall;
+    crashed_ = crashed;
     listenForStore();
     for (NodeNumber number = 0; number < options_.nodes; ++number) {
         addMember(number);
@@ -185,6 +186,7 @@
     options.address = Endpoint(member.listedIp + UpstreamPort);
     options.work = options_.work;
     options.seed = options_.seed * 1000 + member.number;
+    options.crashed = [this, &member] { crashed_(member); };
     member.upstreamId = options.id;
     checker_.placed(options.id, member.number);
     member.upstream.reset();
@@ -206,9 +208,9 @@
     store_.put("servers/" + member.upstreamId.value(), json::serialize(entry));
 }
 
-void SoakDeployment::unregisterUpstream(const Member &member)
+void SoakDeployment::unregisterUpstream(const UpstreamName &upstream)
 {
-    store_.remove("servers/" + member.upstreamId.value());
+    store_.remove("servers/" + upstream.value());
 }
 
 /// Signals of ended children may be merged, so that all ended ones are collected each time.
--- a/tests/soak/soakdeployment.h
+++ b/tests/soak/soakdeployment.h
@@ -69,7 +69,8 @@
 
     /// Makes an upstream's own call through its node.
     using MakeInnerCall = std::function<SlottedUpstream::InnerCall(NodeNumber)>;
-    void start(const MakeInnerCall &makeInnerCall);
+    /// @p crashed is told of each member whose upstream a request has ended.
+    void start(const MakeInnerCall &makeInnerCall, const std::function<void(Member &)> &crashed);
     /// Ends all processes.
     void stop();
 
@@ -83,7 +84,7 @@
     void startUpstream(Member &member);
     /// Writes the entry of its upstream, ready or draining.
     void registerUpstream(const Member &member, bool draining);
-    void unregisterUpstream(const Member &member);
+    void unregisterUpstream(const UpstreamName &upstream);
 
 private:
     void addMember(NodeNumber number);
@@ -104,6 +105,7 @@
     boost::asio::signal_set childEnds_;
     std::vector<std::unique_ptr<Member>> members_;
     MakeInnerCall makeInnerCall_;
+    std::function<void(Member &)> crashed_;
     bool stopping_ = false;
 };
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -49,7 +49,7 @@
     , operators_(store_, versions_, generator(options_.deployment.seed, 1))
     , deployment_(context_, options_.deployment, store_, checker_)
     , callers_(context_, deployment_, operators_, checker_, generator(options_.deployment.seed, 2))
-    , injector_(deployment_, store_, operators_, callers_, disturbances_, checker_, options_.deployment)
+    , injector_(context_, deployment_, store_, operators_, callers_, disturbances_, checker_, options_.deployment)
     , probes_(context_.get_executor(), HttpPoolLimits())
 {
     if (!options_.calm) {
@@ -76,7 +76,8 @@
 asio::awaitable<void> SoakRun::play()
 {
     operators_.publishNext();
-    deployment_.start([this](NodeNumber node) { return callers_.innerCalls(node); });
+    deployment_.start([this](NodeNumber node) { return callers_.innerCalls(node); },
+                      [this](Member &member) { injector_.upstreamCrashed(member); });
     co_await waitUntilReady();
     asio::co_spawn(context_, watchStalls(), asio::detached);
     const TimePoint start = currentTime();
--- a/tests/standins/slottedupstream.cpp
+++ b/tests/standins/slottedupstream.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -205,6 +206,12 @@
         observer_.runBegan(options_.id, options_.service, request);
         const bool finished = co_await work(exchange, request, deadline, gone);
         observer_.runEnded(request.attempt);
+        if (finished && !gone && !ended_ && isCrashing(request)) {
+            observer_.crashedBy(options_.id, request);
+            crash();
+            asio::post(executor_, options_.crashed);
+            co_return;
+        }
         exchange.onCallerGone(nullptr);
         if (!gone && !ended_) {
             co_await answer(exchange, request, finished ? OkStatus : TimeoutStatus);
@@ -271,6 +278,11 @@
         return head;
     }
 
+    [[nodiscard]] bool isCrashing(const ArrivedRequest &request) const
+    {
+        return request.target.substr(request.target.rfind('/') + 1).starts_with(options_.crashName);
+    }
+
     [[nodiscard]] bool draws(double share) { return std::bernoulli_distribution(share)(random_); }
 
     asio::awaitable<void> varyPace()
--- a/tests/standins/slottedupstream.h
+++ b/tests/standins/slottedupstream.h
@@ -51,6 +51,8 @@
     virtual void runBegan(const UpstreamName &upstream, const ServiceName &service, const ArrivedRequest &request) = 0;
     virtual void runEnded(const RequestId &attempt) = 0;
     virtual void answered(const MadeAnswer &answer) = 0;
+    /// The run of @p request has ended the upstream.
+    virtual void crashedBy(const UpstreamName &upstream, const ArrivedRequest &request) = 0;
 };
 
 /// How an upstream misbehaves.
@@ -83,6 +85,10 @@
     /// Work of a request at the usual pace, at the median.
     Milliseconds work{20};
     std::uint64_t seed = 1;
+    /// The last part of the path of requests whose runs end the upstream begins so.
+    std::string crashName = "crash-";
+    /// Called after such an end.
+    std::function<void()> crashed;
 };
 
 /// A back end beside a node on the platform: works on a few requests at a time, lets a few wait, refuses the rest, and
