--- a/src/client/lossescommand.cpp
+++ b/src/client/lossescommand.cpp
@@ -36,6 +36,8 @@
     std::uint64_t declined = 0;
     std::uint64_t refusedBesideUpstream = 0;
     std::uint64_t longWaits = 0;
+    /// Ended since they end upstreams.
+    std::uint64_t quarantined = 0;
 };
 
 struct Column
@@ -57,6 +59,7 @@
     {"declined", &RouteLosses::declined},
     {"refused_beside_upstream", &RouteLosses::refusedBesideUpstream},
     {"waited_100_ms", &RouteLosses::longWaits},
+    {"quarantined", &RouteLosses::quarantined},
 };
 
 using LossesByRoute = std::map<std::string, RouteLosses, std::less<>>;
@@ -64,6 +67,7 @@
 void countEnd(std::string_view line, RouteLosses &losses)
 {
     ++losses.requests;
+    losses.quarantined += logField(line, "reason") == "ends-upstreams" ? 1 : 0;
     losses.sentAgain += logNumber(line, "sent") > 1 ? 1 : 0;
     const std::string_view verdict = logField(line, "verdict");
     if (verdict == "not-run") {
--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -56,6 +56,7 @@
     read.source = textOf(status, "source");
     read.reads = flagOf(status, "reads");
     read.store = textOf(status, "store");
+    read.quarantined = numberOf(status, "quarantined");
     return read;
 }
 
--- a/src/client/nodestatus.h
+++ b/src/client/nodestatus.h
@@ -30,6 +30,8 @@
     bool reads = false;
     /// What it knows of the store: "in-order", "settling" or "away".
     std::string store;
+    /// Requests that it refuses since they end upstreams.
+    std::uint64_t quarantined = 0;
 };
 
 /// A node's status, or why it could not be read.
--- a/src/client/statuscommand.cpp
+++ b/src/client/statuscommand.cpp
@@ -30,6 +30,9 @@
     out << status.endpoint << ' ' << status.node << " incarnation " << status.incarnation << " routes " << status.routes
         << " list " << status.list << " from " << status.source;
     out << (status.reads ? " reads" : "") << (status.store.empty() ? "" : " store " + status.store);
+    if (status.quarantined > 0) {
+        out << " quarantined " << status.quarantined;
+    }
     if (status.routes != newest) {
         out << " LAGS";
     }
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -30,10 +30,23 @@
 {
 }
 
+void Quarantine::setAllowed(const std::vector<RequestFingerprint> &requests)
+{
+    allowed_ = {requests.begin(), requests.end()};
+    for (const RequestFingerprint &request : requests) {
+        if (const auto known = entries_.find(request); known != entries_.end()) {
+            erase(known);
+        }
+    }
+}
+
 CrashNews Quarantine::crashed(UpstreamCrashId crash, const std::vector<RequestFingerprint> &held, TimePoint now)
 {
     CrashNews news;
     for (const RequestFingerprint &request : held) {
+        if (allowed_.contains(request)) {
+            continue;
+        }
         const bool refusedNow = add(request, crash, now);
         news.known.push_back(toldOf(*entries_.find(request), now));
         if (refusedNow) {
@@ -48,7 +61,7 @@
     std::vector<SuspectedRequest> refused;
     for (const SuspectedRequest &item : told) {
         // What has run out at its sender must not begin anew here.
-        if (item.age >= settings_.refusalTime) {
+        if (item.age >= settings_.refusalTime || allowed_.contains(item.fingerprint)) {
             continue;
         }
         bool isNew = false;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/clock.h"
@@ -45,6 +46,8 @@
 public:
     explicit Quarantine(const QuarantineSettings &settings = {});
 
+    /// Operators say that these are to be run, whatever ends; replaces those of before.
+    void setAllowed(const std::vector<RequestFingerprint> &requests);
     /// The upstream beside this node has ended with @p held under way.
     CrashNews crashed(UpstreamCrashId crash, const std::vector<RequestFingerprint> &held, TimePoint now);
     /// Takes what another node knows. Returns those that are refused from now on, and were not before.
@@ -83,6 +86,7 @@
     void erase(Entries::iterator place);
 
     QuarantineSettings settings_;
+    std::unordered_set<RequestFingerprint> allowed_;
     Entries entries_;
     std::size_t refused_ = 0;
     QuarantineMark mark_;
--- a/src/settings/sidecarsettings.cpp
+++ b/src/settings/sidecarsettings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -19,6 +20,7 @@
 
 constexpr std::string_view AllowedName = "a text of 1 to 200 characters";
 constexpr std::string_view AllowedEndpoint = "an IP address and port such as \"10.0.0.7:8080\"";
+constexpr std::string_view AllowedFingerprint = "a fingerprint of 32 hexadecimal digits, as in the log";
 constexpr std::string_view AllowedDuration = "a time such as \"1500ms\" or \"2.5s\", from 0 to 1 hour";
 constexpr std::string_view AllowedNumber = "a number from 0 to 1000000";
 constexpr std::string_view AllowedLevel = "one of trace, debug, info, warn, error";
@@ -58,7 +60,13 @@
         readEndpoint("listen", "metrics", settings.metrics, Presence::Optional);
         readEndpoint("upstream", "address", settings.upstream, Presence::Required);
         readEndpoint("platform", "store", settings.store, Presence::Required);
-        readSeeds(settings.seeds);
+        readList("peers", "seeds", AllowedEndpoint, [&settings](const std::string &text) {
+            settings.seeds.emplace_back(text);
+            return isEndpoint(text);
+        });
+        readList("quarantine", "allow", AllowedFingerprint, [&settings](const std::string &text) {
+            return fromHex(text, settings.allowedRequests.emplace_back());
+        });
         readZones(settings.zones);
         readNumber("repeats", "ratio", settings.repeatRatio);
         readNumber("repeats", "slack", settings.repeatSlack);
@@ -122,24 +130,24 @@
         target = Endpoint(*text);
     }
 
-    void readSeeds(std::vector<Endpoint> &seeds)
+    /// @p take returns whether one text of the list is @p allowed.
+    void readList(std::string_view group, std::string_view key, std::string_view allowed,
+                  const std::function<bool(const std::string &)> &take)
     {
-        const Node *node = find("peers", "seeds");
+        const Node *node = find(group, key);
         if (node == nullptr) {
             return;
         }
         const toml::array *array = node->as_array();
         if (array == nullptr) {
-            refuse(node, "peers", "seeds", "a list of addresses");
+            refuse(node, group, key, "a list, each item " + std::string(allowed));
             return;
         }
         for (const Node &item : *array) {
             const auto text = item.value_exact<std::string>();
-            if (!text || !isEndpoint(*text)) {
-                refuse(&item, "peers", "seeds", AllowedEndpoint);
-                continue;
+            if (!text || !take(*text)) {
+                refuse(&item, group, key, allowed);
             }
-            seeds.emplace_back(*text);
         }
     }
 
--- a/src/settings/sidecarsettings.h
+++ b/src/settings/sidecarsettings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/digest.h"
 #include "core/linkprices.h"
 #include "core/strongtype.h"
 #include "settings/settingsproblem.h"
@@ -62,6 +63,10 @@
     double repeatRatio = 0.2;
     double repeatSlack = 0.0;
 
+    // [quarantine]
+    /// Fingerprints of requests that are run even if upstreams ended with them under way.
+    std::vector<Digest> allowedRequests;
+
     // [links]
     LinkPrices linkPrices;
 
--- a/src/sidecar/quarantinecontroller.cpp
+++ b/src/sidecar/quarantinecontroller.cpp
@@ -42,8 +42,18 @@
 {
 }
 
+void QuarantineController::settingsChanged()
+{
+    std::vector<RequestFingerprint> allowed;
+    for (const Digest &digest : state_.settings.allowedRequests) {
+        allowed.push_back({digest});
+    }
+    state_.quarantine.setAllowed(allowed);
+}
+
 void QuarantineController::start()
 {
+    settingsChanged();
     asio::co_spawn(executor_, expireOldOnes(), asio::detached);
 }
 
--- a/src/sidecar/quarantinecontroller.h
+++ b/src/sidecar/quarantinecontroller.h
@@ -28,6 +28,8 @@
                          std::function<void()> changed);
 
     void start();
+    /// The settings were read again.
+    void settingsChanged();
     /// The upstream beside this node has ended with @p held under way.
     void upstreamEnded(UpstreamCrashId crash, const std::vector<HeldRequest> &held);
     /// See PeerService::quarantine().
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -154,6 +154,8 @@
         state_.settings.repeatSlack = settings.repeatSlack;
         state_.settings.grace = settings.grace;
         state_.settings.linkPrices = settings.linkPrices;
+        state_.settings.allowedRequests = settings.allowedRequests;
+        quarantine_.settingsChanged();
         setRepeatLimits();
         ingress_.setLinkPrices(state_.settings.linkPrices);
         state_.log.info(StructuredLine("reload").add("seeds", std::uint64_t{settings.seeds.size()}));
@@ -284,11 +286,15 @@
     [[nodiscard]] std::string statusText() const
     {
         const CatalogMark mark = catalog_.mark();
-        const boost::json::object status{
-            {"node", state_.settings.name},   {"incarnation", std::to_string(state_.self.incarnation.value())},
-            {"ready", state_.isReady()},      {"routes", mark.routes.value()},
-            {"list", mark.list.value()},      {"source", catalog_.sourceName()},
-            {"reads", catalog_.readsStore()}, {"store", toString(catalog_.storeState())}};
+        const boost::json::object status{{"node", state_.settings.name},
+                                         {"incarnation", std::to_string(state_.self.incarnation.value())},
+                                         {"ready", state_.isReady()},
+                                         {"routes", mark.routes.value()},
+                                         {"list", mark.list.value()},
+                                         {"source", catalog_.sourceName()},
+                                         {"reads", catalog_.readsStore()},
+                                         {"store", toString(catalog_.storeState())},
+                                         {"quarantined", state_.quarantine.refusedCount()}};
         return boost::json::serialize(status);
     }
 
--- a/tests/client/commandlinetest.cpp
+++ b/tests/client/commandlinetest.cpp
@@ -157,7 +157,9 @@
         "t INFO event=end request=d route=pay status=503 verdict=not-run reason=overloaded sent=4 target_ms=500 "
         "took_ms=7\n"
         "t INFO event=end request=e route=pay status=504 verdict=may-have-run reason=deadline-passed target_ms=500\n"
-        "t INFO event=end request=f route=pay status=500 verdict=answered reason=none target_ms=500 took_ms=9\n");
+        "t INFO event=end request=f route=pay status=500 verdict=answered reason=none target_ms=500 took_ms=9\n"
+        "t INFO event=end request=g route=pay status=503 verdict=not-run reason=ends-upstreams target_ms=500 "
+        "took_ms=1\n");
     const std::string egress = folder.write("node-2.log",
                                             "t INFO event=egress request=a try=1 route=read reason=declined\n"
                                             "t INFO event=egress request=b try=1 route=read waited_ms=140 status=200\n"
@@ -167,9 +169,9 @@
     CHECK(answer.code == ExitCode::Fine);
     CHECK(answer.out
           == "route,requests,in_target,late,failed_by_upstream,not_run,may_have_run,sent_again,sendings,across_regions,"
-             "declined,refused_beside_upstream,waited_100_ms\n"
-             "pay,3,0,0,1,1,1,1,0,0,0,1,0\n"
-             "read,2,1,1,0,0,0,1,3,1,1,0,1\n");
+             "declined,refused_beside_upstream,waited_100_ms,quarantined\n"
+             "pay,4,0,0,1,2,1,1,0,0,0,1,0,1\n"
+             "read,2,1,1,0,0,0,1,3,1,1,0,1,0\n");
     CHECK(run({"losses", folder.write("empty.log", "")}).code == ExitCode::No);
     CHECK(run({"losses", "/nonexistent"}).code == ExitCode::BadUsage);
 }
--- /dev/null
+++ b/tests/quarantine/quarantinefleet.cpp
@@ -0,0 +1,157 @@
+#include "quarantinefleet.h"
+
+#include <random>
+#include <utility>
+
+namespace Egretpath
+{
+
+namespace
+{
+
+/// Of a message without requests, with the headers of all layers; and of each request in it.
+constexpr std::uint64_t MessageBytes = 180;
+constexpr std::uint64_t RequestBytes = 48;
+
+Endpoint addressOf(std::size_t node)
+{
+    return Endpoint("10.0.0.1:" + std::to_string(node + 1));
+}
+
+std::size_t nodeAt(const Endpoint &address)
+{
+    return std::stoul(address.value().substr(address.value().rfind(':') + 1)) - 1;
+}
+
+InstanceDirectory directoryOf(const FleetShape &shape)
+{
+    InstanceSnapshot snapshot;
+    snapshot.revision = StoreRevision(1);
+    for (std::size_t number = 0; number < shape.nodes; ++number) {
+        InstanceRecord record;
+        record.id = UpstreamName("i-" + std::to_string(number));
+        record.service = ServiceName(number < shape.inService ? "crashing" : "other");
+        record.location.region = RegionName(std::to_string(number % shape.regions));
+        record.address = Endpoint("10.0.1.1:" + std::to_string(number + 1));
+        record.node = addressOf(number);
+        record.revision = StoreRevision(1);
+        snapshot.records.push_back(record);
+    }
+    InstanceDirectory directory;
+    directory.applySnapshot(snapshot, TimePoint());
+    return directory;
+}
+
+}
+
+QuarantineFleet::QuarantineFleet(const FleetShape &shape)
+    : shape_(shape)
+    , random_(shape.seed)
+    , directory_(directoryOf(shape))
+    , cutRegions_(shape.regions)
+{
+    for (std::size_t number = 0; number < shape.nodes; ++number) {
+        nodes_.push_back(
+            {Quarantine(), QuarantineSpread(Random(random_())), number % shape.regions, addressOf(number)});
+        after(Milliseconds(random_() % shape.callPause.count()), [this, number] { call(number); });
+    }
+}
+
+/// Calls any node; if it refuses other requests, they exchange what they know.
+void QuarantineFleet::call(std::size_t from)
+{
+    const std::size_t to = random_() % nodes_.size();
+    const bool differ = nodes_[from].quarantine.mark() != nodes_[to].quarantine.mark();
+    if (differ && hears(from, to)) {
+        tell(from, nodes_[to].address, nodes_[from].quarantine.refused(now_));
+        tell(to, nodes_[from].address, nodes_[to].quarantine.refused(now_));
+    }
+    after(shape_.callPause, [this, from] { call(from); });
+}
+
+void QuarantineFleet::after(Milliseconds delay, std::function<void()> action)
+{
+    events_.push({now_ + delay, ++eventCount_, std::move(action)});
+}
+
+void QuarantineFleet::runUntil(TimePoint end)
+{
+    while (!events_.empty() && events_.top().at <= end) {
+        const Event event = events_.top();
+        events_.pop();
+        now_ = event.at;
+        event.action();
+    }
+    now_ = end;
+}
+
+void QuarantineFleet::crash(std::size_t node, const std::vector<RequestFingerprint> &held)
+{
+    const CrashNews news = nodes_[node].quarantine.crashed(UpstreamCrashId(random_()), held, now_);
+    for (const Endpoint &keeper : nodes_[node].spread.keepers(directory_, ServiceName("crashing"))) {
+        if (keeper != nodes_[node].address) {
+            tell(node, keeper, news.known);
+        }
+    }
+    passOn(node, news.refused);
+}
+
+void QuarantineFleet::tell(std::size_t from, const Endpoint &to, const std::vector<SuspectedRequest> &requests)
+{
+    const std::size_t target = nodeAt(to);
+    ++messages_;
+    bytes_ += MessageBytes + RequestBytes * requests.size();
+    if (!hears(from, target) || std::bernoulli_distribution(shape_.lost)(random_)) {
+        return;
+    }
+    after(shape_.way, [this, from, target, requests] {
+        take(target, requests);
+        const auto more = nodes_[target].quarantine.moreThan(requests, now_);
+        if (!more.empty()) {
+            after(shape_.way, [this, from, more] { take(from, more); });
+        }
+    });
+}
+
+void QuarantineFleet::take(std::size_t node, const std::vector<SuspectedRequest> &requests)
+{
+    passOn(node, nodes_[node].quarantine.take(requests, now_));
+}
+
+void QuarantineFleet::passOn(std::size_t node, const std::vector<SuspectedRequest> &refused)
+{
+    if (refused.empty()) {
+        return;
+    }
+    for (const Endpoint &listener : nodes_[node].spread.listeners(directory_, nodes_[node].address)) {
+        tell(node, listener, refused);
+    }
+}
+
+bool QuarantineFleet::refuses(std::size_t node, const RequestFingerprint &request) const
+{
+    return nodes_[node].quarantine.objection(request, now_).has_value();
+}
+
+std::size_t QuarantineFleet::refusing(const RequestFingerprint &request) const
+{
+    std::size_t count = 0;
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+        count += refuses(node, request) ? 1 : 0;
+    }
+    return count;
+}
+
+void QuarantineFleet::cutRegion(std::size_t region, bool cut)
+{
+    cutRegions_[region] = cut;
+}
+
+bool QuarantineFleet::hears(std::size_t from, std::size_t to) const
+{
+    const std::size_t sender = nodes_[from].region;
+    const std::size_t receiver = nodes_[to].region;
+    return sender == receiver || (!cutRegions_[sender] && !cutRegions_[receiver]);
+}
+
+}
--- a/tests/quarantine/quarantinetest.cpp
+++ b/tests/quarantine/quarantinetest.cpp
@@ -103,3 +103,16 @@
     CHECK(quarantine.objection(request(96), Start));
     CHECK_FALSE(quarantine.objection(request(95), Start));
 }
+
+TEST_CASE("operators may have a request run that is refused, and it is not accused again")
+{
+    Quarantine quarantine;
+    (void)quarantine.take({told(1, 1), told(1, 2), told(2, 1), told(2, 2)}, Start);
+    quarantine.setAllowed({request(1)});
+    CHECK_FALSE(quarantine.objection(request(1), Start));
+    CHECK(quarantine.objection(request(2), Start));
+    CHECK(quarantine.take({told(1, 1), told(1, 2)}, Start).empty());
+    CHECK(quarantine.crashed(UpstreamCrashId(3), {request(1)}, Start).known.empty());
+    quarantine.setAllowed({});
+    CHECK(quarantine.take({told(1, 1), told(1, 2)}, Start).size() == 1);
+}
--- a/tests/settings/sidecarsettingstest.cpp
+++ b/tests/settings/sidecarsettingstest.cpp
@@ -87,6 +87,17 @@
              "such as \"10.0.0.7:8080\"");
 }
 
+TEST_CASE("requests that operators allow are named by fingerprints")
+{
+    const std::string allowed = Good + "[quarantine]\nallow = [\"00000000000000010000000000000002\"]\n";
+    const auto settings = readSidecarSettings(allowed, "sidecar.toml");
+    REQUIRE(settings);
+    CHECK(settings.value().allowedRequests == std::vector<Digest>{{1, 2}});
+    const auto bad = readSidecarSettings(Good + "[quarantine]\nallow = [\"2\"]\n", "sidecar.toml");
+    REQUIRE_FALSE(bad);
+    CHECK(keysOf(bad.error()) == "quarantine.allow ");
+}
+
 TEST_CASE("text that is no TOML and a file that is not there are problems as well")
 {
     CHECK_FALSE(readSidecarSettings("[node", "sidecar.toml"));
