quarantine: ends of upstreams that flap count half, and news goes out twice a second at most

Now an upstream flaps once two of its ends within two minutes had no request that is refused; its further ends count half.

--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-/// More tell nothing new; messages stay small.
+/// More tell nothing new, also where all of them are of upstreams that flap; messages stay small.
 constexpr std::size_t MostCrashesKept = 4;
 
 Milliseconds between(TimePoint from, TimePoint to)
@@ -40,7 +40,7 @@
     }
 }
 
-CrashNews Quarantine::crashed(UpstreamCrashId crash, const std::vector<RequestFingerprint> &held, TimePoint now)
+CrashNews Quarantine::crashed(const UpstreamCrash &crash, const std::vector<RequestFingerprint> &held, TimePoint now)
 {
     CrashNews news;
     for (const RequestFingerprint &request : held) {
@@ -65,7 +65,7 @@
             continue;
         }
         bool isNew = false;
-        for (const UpstreamCrashId crash : item.crashes) {
+        for (const UpstreamCrash &crash : item.crashes) {
             isNew = add(item.fingerprint, crash, now - item.age) || isNew;
         }
         if (isNew) {
@@ -75,12 +75,13 @@
     return refused;
 }
 
-bool Quarantine::add(const RequestFingerprint &request, UpstreamCrashId crash, TimePoint at)
+bool Quarantine::add(const RequestFingerprint &request, const UpstreamCrash &crash, TimePoint at)
 {
     const auto [place, isNew] = entries_.try_emplace(request);
     Entry &entry = place->second;
     entry.lastCrash = isNew ? at : std::max(entry.lastCrash, at);
-    const bool isKnown = std::find(entry.crashes.begin(), entry.crashes.end(), crash) != entry.crashes.end();
+    const bool isKnown = std::any_of(entry.crashes.begin(), entry.crashes.end(),
+                                     [&crash](const UpstreamCrash &known) { return known.id == crash.id; });
     if (isKnown || entry.crashes.size() >= MostCrashesKept) {
         return false;
     }
@@ -178,7 +179,11 @@
 
 bool Quarantine::isRefused(const Entry &entry) const
 {
-    return entry.crashes.size() >= settings_.crashesToRefuse;
+    double weight = 0.0;
+    for (const UpstreamCrash &crash : entry.crashes) {
+        weight += crash.upstreamFlaps ? settings_.flappingWeight : 1.0;
+    }
+    return weight >= settings_.crashesToRefuse;
 }
 
 Milliseconds Quarantine::lifetime(const Entry &entry) const
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -17,7 +17,9 @@
 struct QuarantineSettings
 {
     /// Of upstreams, with the same request under way at each. One is chance: an upstream holds several requests.
-    std::size_t crashesToRefuse = 2;
+    double crashesToRefuse = 2.0;
+    /// What the crash of an upstream that flaps counts.
+    double flappingWeight = 0.5;
     /// After one crash; a caller that comes back later is one of many bystanders.
     Milliseconds suspicionTime = std::chrono::minutes(10);
     /// After the last crash of a refused one.
@@ -49,7 +51,7 @@
     /// Operators say that these are to be run, whatever ends; replaces those of before.
     void setAllowed(const std::vector<RequestFingerprint> &requests);
     /// The upstream beside this node has ended with @p held under way.
-    CrashNews crashed(UpstreamCrashId crash, const std::vector<RequestFingerprint> &held, TimePoint now);
+    CrashNews crashed(const UpstreamCrash &crash, const std::vector<RequestFingerprint> &held, TimePoint now);
     /// Takes what another node knows. Returns those that are refused from now on, and were not before.
     std::vector<SuspectedRequest> take(const std::vector<SuspectedRequest> &told, TimePoint now);
     /// What is known of the requests in @p told, where that is more.
@@ -71,7 +73,7 @@
 private:
     struct Entry
     {
-        std::vector<UpstreamCrashId> crashes;
+        std::vector<UpstreamCrash> crashes;
         TimePoint lastCrash;
     };
     using Entries = std::unordered_map<RequestFingerprint, Entry>;
@@ -80,7 +82,7 @@
     [[nodiscard]] Milliseconds lifetime(const Entry &entry) const;
     [[nodiscard]] static SuspectedRequest toldOf(const Entries::value_type &item, TimePoint now);
     /// Adds a crash of @p at. Returns whether the request is refused from now on, and was not before.
-    bool add(const RequestFingerprint &request, UpstreamCrashId crash, TimePoint at);
+    bool add(const RequestFingerprint &request, const UpstreamCrash &crash, TimePoint at);
     /// Forgets the oldest one beside @p kept if there are more like it than may be.
     void makeRoom(const RequestFingerprint &kept, bool refused);
     void erase(Entries::iterator place);
--- a/src/quarantine/quarantinespread.cpp
+++ b/src/quarantine/quarantinespread.cpp
@@ -60,6 +60,23 @@
     return chosen;
 }
 
+std::optional<TimePoint> QuarantineSpread::gather(const std::vector<SuspectedRequest> &refused, TimePoint now)
+{
+    const bool waits = !gathered_.empty();
+    std::copy_if(refused.begin(), refused.end(), std::back_inserter(gathered_),
+                 [this](const SuspectedRequest &item) { return item.age <= settings_.newsAge; });
+    if (waits || gathered_.empty()) {
+        return std::nullopt;
+    }
+    return std::max<TimePoint>(now, lastPassedOn_ + settings_.pause);
+}
+
+std::vector<SuspectedRequest> QuarantineSpread::takeGathered(TimePoint now)
+{
+    lastPassedOn_ = now;
+    return std::exchange(gathered_, {});
+}
+
 std::vector<SuspectedRequest> QuarantineSpread::inOneMessage(std::vector<SuspectedRequest> requests)
 {
     if (requests.size() <= settings_.mostInMessage) {
--- a/src/quarantine/quarantinespread.h
+++ b/src/quarantine/quarantinespread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "core/random.h"
@@ -16,9 +17,12 @@
 {
     /// Nodes of each region that join the crashes of a service: one may be gone, and regions may be cut off each other.
     std::size_t keepersPerRegion = 2;
-    /// Nodes that a node tells at once of a request that is refused. At six, all nodes but one of 400 hear it from
-    /// somebody; the rest learns it with the next answer.
+    /// Nodes that a node tells of requests that are refused. At six, all nodes but one of 400 hear it from somebody;
+    /// the rest learns it with the next answer.
     std::size_t listeners = 6;
+    /// Between two rounds of messages: under a flood of such requests messages fill, and do not multiply.
+    Milliseconds pause{500};
+    Milliseconds newsAge{10'000};
     /// In one message.
     std::size_t mostInMessage = 64;
 };
@@ -37,6 +41,11 @@
     [[nodiscard]] std::vector<Endpoint> keepers(const InstanceDirectory &directory, const ServiceName &service) const;
     /// Whom this node, at @p own, passes news on to.
     [[nodiscard]] std::vector<Endpoint> listeners(const InstanceDirectory &directory, const Endpoint &own);
+    /// Takes what is to be passed on. Returns when it is due; nothing if that was told before, or nothing is news: what
+    /// is older has gone through the fleet, and a node that has just started need not pass it on again.
+    [[nodiscard]] std::optional<TimePoint> gather(const std::vector<SuspectedRequest> &refused, TimePoint now);
+    /// What is to be passed on now. Precondition: it is due.
+    [[nodiscard]] std::vector<SuspectedRequest> takeGathered(TimePoint now);
     /// As many of @p requests as one message takes: the latest crashes, and chance for the rest, so that each of them
     /// comes through in some message. Precondition: the latest stand first.
     [[nodiscard]] std::vector<SuspectedRequest> inOneMessage(std::vector<SuspectedRequest> requests);
@@ -44,6 +53,8 @@
 private:
     Random random_;
     QuarantineSpreadSettings settings_;
+    std::vector<SuspectedRequest> gathered_;
+    TimePoint lastPassedOn_;
 };
 
 }
--- a/src/quarantine/suspectedrequest.h
+++ b/src/quarantine/suspectedrequest.h
@@ -15,7 +15,7 @@
 struct SuspectedRequest
 {
     RequestFingerprint fingerprint;
-    std::vector<UpstreamCrashId> crashes;
+    std::vector<UpstreamCrash> crashes;
     /// Since the last of them.
     Milliseconds age{0};
 };
--- /dev/null
+++ b/src/quarantine/upstreamends.cpp
@@ -0,0 +1,41 @@
+#include "quarantine/upstreamends.h"
+
+#include <algorithm>
+
+namespace Egretpath
+{
+
+namespace
+{
+
+constexpr std::chrono::minutes Memory{2};
+constexpr std::size_t MostEnds = 8;
+/// So many ends that no request explains are no chance any more.
+constexpr std::ptrdiff_t UnexplainedEnds = 2;
+
+}
+
+bool UpstreamEnds::flaps(UpstreamCrashId crash, const Quarantine &quarantine, TimePoint now) const
+{
+    const auto isUnexplained = [&](const End &end) {
+        const bool explained = std::any_of(end.held.begin(), end.held.end(), [&](const RequestFingerprint &request) {
+            return quarantine.objection(request, now).has_value();
+        });
+        return end.crash != crash && now - end.at < Memory && !explained;
+    };
+    return std::count_if(ends_.begin(), ends_.end(), isUnexplained) >= UnexplainedEnds;
+}
+
+void UpstreamEnds::record(UpstreamCrashId crash, const std::vector<RequestFingerprint> &held, TimePoint now)
+{
+    if (ends_.empty() || ends_.back().crash != crash) {
+        ends_.push_back({crash, now, {}});
+    }
+    std::vector<RequestFingerprint> &all = ends_.back().held;
+    all.insert(all.end(), held.begin(), held.end());
+    if (ends_.size() > MostEnds) {
+        ends_.pop_front();
+    }
+}
+
+}
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -154,11 +154,17 @@
   # Milliseconds since that node last did.
 }
 
+struct UpstreamCrash {
+  id @0 :UInt64;
+  upstreamFlaps @1 :Bool;
+  # It has ended again and again with no request to blame.
+}
+
 struct SuspectedRequest {
   fingerprintHigh @0 :UInt64;
   fingerprintLow @1 :UInt64;
-  crashes @2 :List(UInt64);
-  # Ids of ends of upstreams that held the request.
+  crashes @2 :List(UpstreamCrash);
+  # Those of upstreams that held the request.
   age @3 :UInt32;
   # Milliseconds since the last of them.
 }
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -95,8 +95,9 @@
     wire.setAge(static_cast<std::uint32_t>(request.age.count()));
     auto crashes = wire.initCrashes(static_cast<unsigned>(request.crashes.size()));
     unsigned index = 0;
-    for (const UpstreamCrashId crash : request.crashes) {
-        crashes.set(index++, crash.value());
+    for (const UpstreamCrash &crash : request.crashes) {
+        crashes[index].setId(crash.id.value());
+        crashes[index++].setUpstreamFlaps(crash.upstreamFlaps);
     }
 }
 
@@ -105,8 +106,8 @@
     SuspectedRequest request;
     request.fingerprint.digest = {wire.getFingerprintHigh(), wire.getFingerprintLow()};
     request.age = Milliseconds(wire.getAge());
-    for (const std::uint64_t crash : wire.getCrashes()) {
-        request.crashes.emplace_back(crash);
+    for (const auto crash : wire.getCrashes()) {
+        request.crashes.push_back({UpstreamCrashId(crash.getId()), crash.getUpstreamFlaps()});
     }
     return request;
 }
--- a/src/sidecar/quarantinecontroller.cpp
+++ b/src/sidecar/quarantinecontroller.cpp
@@ -26,8 +26,6 @@
 constexpr Milliseconds LeastExchangePause{20};
 constexpr Milliseconds LongestExchangePause{5000};
 constexpr Milliseconds ExpiryInterval{1000};
-/// What is older has gone through the fleet; a node that has just started learns it and passes nothing on.
-constexpr Milliseconds NewsAge{10'000};
 
 }
 
@@ -68,7 +66,10 @@
     if (requests.empty()) {
         return;
     }
-    const CrashNews news = state_.quarantine.crashed(crash, requests, currentTime());
+    const TimePoint now = currentTime();
+    const UpstreamCrash seen{crash, ends_.flaps(crash, state_.quarantine, now)};
+    ends_.record(crash, requests, now);
+    const CrashNews news = state_.quarantine.crashed(seen, requests, now);
     tellKeepers(news.known);
     noteRefused(news.refused, "own upstream");
 }
@@ -123,14 +124,20 @@
     changed_();
 }
 
-void QuarantineController::passOn(std::vector<SuspectedRequest> refused)
+void QuarantineController::passOn(const std::vector<SuspectedRequest> &refused)
 {
-    std::erase_if(refused, [](const SuspectedRequest &item) { return item.age > NewsAge; });
-    if (refused.empty()) {
-        return;
+    if (const auto due = spread_.gather(refused, currentTime())) {
+        asio::co_spawn(executor_, passOnAt(*due), asio::detached);
     }
+}
+
+asio::awaitable<void> QuarantineController::passOnAt(TimePoint due)
+{
+    asio::steady_timer timer(executor_, due);
+    co_await timer.async_wait(asio::use_awaitable);
+    const std::vector<SuspectedRequest> gathered = spread_.takeGathered(currentTime());
     for (const Endpoint &node : spread_.listeners(state_.directory, state_.ownNode())) {
-        asio::co_spawn(executor_, tell(node, refused), asio::detached);
+        asio::co_spawn(executor_, tell(node, gathered), asio::detached);
     }
 }
 
--- a/src/sidecar/quarantinecontroller.h
+++ b/src/sidecar/quarantinecontroller.h
@@ -9,6 +9,7 @@
 
 #include "egress/upstreamendwatch.h"
 #include "quarantine/quarantinespread.h"
+#include "quarantine/upstreamends.h"
 #include "rpc/peerclient.h"
 #include "sidecar/sidecarstate.h"
 
@@ -46,7 +47,8 @@
     /// Takes what @p from says; passes on what is news.
     void take(const std::vector<SuspectedRequest> &told, const std::string &from);
     void noteRefused(const std::vector<SuspectedRequest> &refused, const std::string &from);
-    void passOn(std::vector<SuspectedRequest> refused);
+    void passOn(const std::vector<SuspectedRequest> &refused);
+    boost::asio::awaitable<void> passOnAt(TimePoint due);
     boost::asio::awaitable<void> exchange(Endpoint peer);
     boost::asio::awaitable<void> expireOldOnes();
     [[nodiscard]] QuarantineNews newsOf(std::vector<SuspectedRequest> requests);
@@ -56,6 +58,7 @@
     PeerClient &peers_;
     std::function<void()> changed_;
     QuarantineSpread spread_;
+    UpstreamEnds ends_;
     bool exchanging_ = false;
     TimePoint nextExchange_;
     Duration exchangePause_;
--- a/tests/quarantine/quarantinefleet.cpp
+++ b/tests/quarantine/quarantinefleet.cpp
@@ -51,8 +51,8 @@
     , cutRegions_(shape.regions)
 {
     for (std::size_t number = 0; number < shape.nodes; ++number) {
-        nodes_.push_back(
-            {Quarantine(), QuarantineSpread(Random(random_())), number % shape.regions, addressOf(number)});
+        nodes_.push_back({Quarantine(), QuarantineSpread(Random(random_())), UpstreamEnds(), number % shape.regions,
+                          addressOf(number)});
         after(Milliseconds(random_() % shape.callPause.count()), [this, number] { call(number); });
     }
 }
@@ -87,7 +87,10 @@
 
 void QuarantineFleet::crash(std::size_t node, const std::vector<RequestFingerprint> &held)
 {
-    const CrashNews news = nodes_[node].quarantine.crashed(UpstreamCrashId(random_()), held, now_);
+    const UpstreamCrashId id(random_());
+    const UpstreamCrash crash{id, nodes_[node].ends.flaps(id, nodes_[node].quarantine, now_)};
+    nodes_[node].ends.record(id, held, now_);
+    const CrashNews news = nodes_[node].quarantine.crashed(crash, held, now_);
     for (const Endpoint &keeper : nodes_[node].spread.keepers(directory_, ServiceName("crashing"))) {
         if (keeper != nodes_[node].address) {
             tell(node, keeper, news.known);
@@ -120,12 +123,16 @@
 
 void QuarantineFleet::passOn(std::size_t node, const std::vector<SuspectedRequest> &refused)
 {
-    if (refused.empty()) {
+    const auto due = nodes_[node].spread.gather(refused, now_);
+    if (!due) {
         return;
     }
-    for (const Endpoint &listener : nodes_[node].spread.listeners(directory_, nodes_[node].address)) {
-        tell(node, listener, refused);
-    }
+    after(std::chrono::ceil<Milliseconds>(*due - now_), [this, node] {
+        const std::vector<SuspectedRequest> gathered = nodes_[node].spread.takeGathered(now_);
+        for (const Endpoint &listener : nodes_[node].spread.listeners(directory_, nodes_[node].address)) {
+            tell(node, listener, gathered);
+        }
+    });
 }
 
 bool QuarantineFleet::refuses(std::size_t node, const RequestFingerprint &request) const
--- a/tests/quarantine/quarantinefleet.h
+++ b/tests/quarantine/quarantinefleet.h
@@ -9,6 +9,7 @@
 
 #include "quarantine/quarantine.h"
 #include "quarantine/quarantinespread.h"
+#include "quarantine/upstreamends.h"
 
 namespace Egretpath
 {
@@ -57,6 +58,7 @@
     {
         Quarantine quarantine;
         QuarantineSpread spread;
+        UpstreamEnds ends;
         std::size_t region = 0;
         Endpoint address;
     };
--- a/tests/quarantine/quarantinefleettest.cpp
+++ b/tests/quarantine/quarantinefleettest.cpp
@@ -100,9 +100,6 @@
             CHECK(fleet.bytes() / item.nodes < 3000);
             fleet.runUntil(start + std::chrono::seconds(30));
             CHECK(callers.runsSince(start + std::chrono::seconds(4)) <= 3);
-            WARN("nodes " << item.nodes << " seed " << seed << " ends " << callers.ends() << " messages "
-                          << fleet.messages() << " bytes a node " << fleet.bytes() / item.nodes << " refusing "
-                          << fleet.refusing(Crashing));
         }
     }
 }
@@ -158,7 +155,8 @@
     for (const RequestFingerprint &request : all) {
         accused += fleet.refuses(0, request) ? 1 : 0;
     }
-    WARN("crashes " << 60 * Flapping << " requests held " << all.size() << " accused " << accused
+    INFO("crashes " << 60 * Flapping << " requests held " << all.size() << " accused " << accused
                     << " bytes a node and second " << fleet.bytes() / shape.nodes / 60);
-    CHECK(accused < all.size() / 4);
+    CHECK(accused < all.size() / 50);
+    CHECK(fleet.bytes() / shape.nodes / 60 < 3000);
 }
--- a/tests/quarantine/quarantinetest.cpp
+++ b/tests/quarantine/quarantinetest.cpp
@@ -4,6 +4,8 @@
 
 #include <string>
 
+#include "quarantine/upstreamends.h"
+
 using namespace Egretpath;
 
 namespace
@@ -18,7 +20,7 @@
 
 SuspectedRequest told(int number, std::uint64_t crash, Milliseconds age = Milliseconds(0))
 {
-    return {request(number), {UpstreamCrashId(crash)}, age};
+    return {request(number), {{UpstreamCrashId(crash)}}, age};
 }
 
 }
@@ -26,9 +28,9 @@
 TEST_CASE("one crash accuses nobody, the second one with the same request under way does")
 {
     Quarantine quarantine;
-    CHECK(quarantine.crashed(UpstreamCrashId(1), {request(1), request(2)}, Start).refused.empty());
+    CHECK(quarantine.crashed({UpstreamCrashId(1)}, {request(1), request(2)}, Start).refused.empty());
     CHECK_FALSE(quarantine.objection(request(1), Start));
-    const CrashNews news = quarantine.crashed(UpstreamCrashId(2), {request(1), request(3)}, Start);
+    const CrashNews news = quarantine.crashed({UpstreamCrashId(2)}, {request(1), request(3)}, Start);
     REQUIRE(news.refused.size() == 1);
     CHECK(news.refused[0].fingerprint == request(1));
     CHECK(news.known.size() == 2);
@@ -45,8 +47,8 @@
 TEST_CASE("the same crash counts once, however often and by whomever it is told")
 {
     Quarantine quarantine;
-    (void)quarantine.crashed(UpstreamCrashId(1), {request(1)}, Start);
-    (void)quarantine.crashed(UpstreamCrashId(1), {request(1)}, Start);
+    (void)quarantine.crashed({UpstreamCrashId(1)}, {request(1)}, Start);
+    (void)quarantine.crashed({UpstreamCrashId(1)}, {request(1)}, Start);
     CHECK(quarantine.take({told(1, 1), told(1, 1)}, Start).empty());
     CHECK(quarantine.take({told(1, 2)}, Start).size() == 1);
     CHECK(quarantine.take({told(1, 2), told(1, 3)}, Start).empty());
@@ -112,7 +114,39 @@
     CHECK_FALSE(quarantine.objection(request(1), Start));
     CHECK(quarantine.objection(request(2), Start));
     CHECK(quarantine.take({told(1, 1), told(1, 2)}, Start).empty());
-    CHECK(quarantine.crashed(UpstreamCrashId(3), {request(1)}, Start).known.empty());
+    CHECK(quarantine.crashed({UpstreamCrashId(3)}, {request(1)}, Start).known.empty());
     quarantine.setAllowed({});
     CHECK(quarantine.take({told(1, 1), told(1, 2)}, Start).size() == 1);
 }
+
+// Guards against proper requests that are refused since they were sent from one flapping upstream to the next.
+TEST_CASE("ends of upstreams that flap count half")
+{
+    Quarantine quarantine;
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        CHECK(quarantine.crashed({UpstreamCrashId(crash), true}, {request(1)}, Start).refused.empty());
+    }
+    CHECK(quarantine.crashed({UpstreamCrashId(4), true}, {request(1)}, Start).refused.size() == 1);
+    CHECK(quarantine.crashed({UpstreamCrashId(5), true}, {request(2)}, Start).refused.empty());
+    CHECK(quarantine.crashed({UpstreamCrashId(6)}, {request(2)}, Start).refused.empty());
+    CHECK(quarantine.crashed({UpstreamCrashId(7), true}, {request(2)}, Start).refused.size() == 1);
+}
+
+TEST_CASE("an upstream flaps once two of its ends lately have no request to blame")
+{
+    Quarantine quarantine;
+    UpstreamEnds ends;
+    const auto endsWith = [&](std::uint64_t crash, int held) {
+        const bool flaps = ends.flaps(UpstreamCrashId(crash), quarantine, Start);
+        ends.record(UpstreamCrashId(crash), {request(held)}, Start);
+        return flaps;
+    };
+    CHECK_FALSE(endsWith(1, 1));
+    CHECK_FALSE(endsWith(2, 2));
+    // Told in two parts, it is one end.
+    CHECK_FALSE(ends.flaps(UpstreamCrashId(2), quarantine, Start));
+    CHECK(endsWith(3, 3));
+    (void)quarantine.take({told(1, 1), told(1, 9), told(2, 2), told(2, 9)}, Start);
+    CHECK_FALSE(endsWith(4, 4));
+    CHECK_FALSE(ends.flaps(UpstreamCrashId(5), quarantine, Start + std::chrono::minutes(3)));
+}
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -286,9 +286,10 @@
 
 TEST_CASE("what nodes tell each other of requests that end upstreams arrives as it was sent")
 {
-    const SuspectedRequest asked{fingerprintOf({"GET", "h", "/a", ""}), {UpstreamCrashId(3)}, Milliseconds(40)};
-    const SuspectedRequest answered{
-        fingerprintOf({"GET", "h", "/b", ""}), {UpstreamCrashId(4), UpstreamCrashId(5)}, std::chrono::hours(20)};
+    const SuspectedRequest asked{fingerprintOf({"GET", "h", "/a", ""}), {{UpstreamCrashId(3)}}, Milliseconds(40)};
+    const SuspectedRequest answered{fingerprintOf({"GET", "h", "/b", ""}),
+                                    {{UpstreamCrashId(4), true}, {UpstreamCrashId(5)}},
+                                    std::chrono::hours(20)};
     Fixture fixture;
     fixture.service.answeredNews = {QuarantineMark(8), {answered}};
     fixture.run([&](Fixture &f) -> asio::awaitable<void> {
