--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -503,6 +503,7 @@
         }
     });
     std::vector<Endpoint> chosen;
+    chosen.reserve(byRegion.size());
     for (const auto &[region, nodes] : byRegion) {
         chosen.push_back(nodes[state_.random() % nodes.size()]);
     }
--- a/tests/quarantine/quarantinespreadtest.cpp
+++ b/tests/quarantine/quarantinespreadtest.cpp
@@ -96,6 +96,7 @@
 {
     QuarantineSpread spread{Random(1)};
     std::vector<SuspectedRequest> all;
+    all.reserve(200);
     for (int number = 0; number < 200; ++number) {
         all.push_back({fingerprintOf({"GET", "h", std::to_string(number), ""}), {}, Milliseconds(number)});
     }
