quarantine, tests: one name of a request for both roles, one virtual time for both made-up fleets

Found on reading the whole change. The ingress and the node beside the upstream each kept a fingerprint that is made when it is first needed, with the same short cut while nothing is refused; RequestName is that once. The fleets of CatalogPlan and Quarantine each had the same queue of planned actions; VirtualTime (tests/standins) is that once. An accessor of the made-up fleet that nobody called is gone.

--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -237,7 +237,7 @@
     }
     if (!result && brokeOff(result.error())) {
         const bool answeredLately = role_.answers_.contains(content(), currentTime());
-        role_.endWatch_.connectionBroke({head_.requestId, fingerprint(), answeredLately});
+        role_.endWatch_.connectionBroke({head_.requestId, name_.of(content()), answeredLately});
     }
     co_return result;
 }
@@ -377,14 +377,6 @@
     return {role_.self_, role_.report(head_.route), std::move(result), CatalogMark()};
 }
 
-const RequestFingerprint &UpstreamRequest::fingerprint()
-{
-    if (!fingerprint_) {
-        fingerprint_ = fingerprintOf(content());
-    }
-    return *fingerprint_;
-}
-
 RequestContent UpstreamRequest::content() const
 {
     const std::string_view host = head_.headers.find("Host").value_or(std::string_view());
@@ -394,10 +386,10 @@
 std::optional<Failure> UpstreamRequest::quarantineObjection()
 {
     // A question comes without the body that is a part of the request's name.
-    if (head_.question || role_.quarantine_.refusesNone()) {
+    if (head_.question) {
         return std::nullopt;
     }
-    return role_.quarantine_.objection(fingerprint(), currentTime());
+    return name_.objection(role_.quarantine_, content(), currentTime());
 }
 
 void UpstreamRequest::releaseSlot(bool answered)
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -9,6 +9,7 @@
 
 #include "egress/egressrole.h"
 #include "http/httpclientcall.h"
+#include "quarantine/requestname.h"
 
 namespace Egretpath
 {
@@ -55,7 +56,6 @@
     void enterUpstream();
     void leaveUpstream(bool answered);
     [[nodiscard]] RequestContent content() const;
-    [[nodiscard]] const RequestFingerprint &fingerprint();
     /// Tells the role when the upstream takes much longer than it should.
     void watchDuration();
     void releaseSlot(bool answered);
@@ -68,8 +68,7 @@
     std::shared_ptr<AnswerReceiver> answer_;
     std::shared_ptr<Cancellation> cancellation_;
     CallId slot_;
-    /// Made when it is first asked for.
-    std::optional<RequestFingerprint> fingerprint_;
+    RequestName name_;
     TimePoint arrival_;
     TimePoint deadline_;
     TimePoint target_;
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -66,15 +66,9 @@
 
 std::optional<Failure> RequestTries::quarantineObjection(const HttpRequestHead &head)
 {
-    const Quarantine &quarantine = context_->sources.quarantine;
-    if (quarantine.refusesNone()) {
-        return std::nullopt;
-    }
-    if (!fingerprint_) {
-        const std::string_view host = head.headers.find("Host").value_or(std::string_view());
-        fingerprint_ = fingerprintOf({head.method, host, head.target, content_.body});
-    }
-    return quarantine.objection(*fingerprint_, currentTime());
+    const std::string_view host = head.headers.find("Host").value_or(std::string_view());
+    return name_.objection(context_->sources.quarantine, {head.method, host, head.target, content_.body},
+                           currentTime());
 }
 
 RequestTryPointer RequestTries::makeTry(TryNumber number, const InstanceRecord &record,
--- a/src/ingress/requesttries.h
+++ b/src/ingress/requesttries.h
@@ -14,6 +14,7 @@
 #include "idempotency/callstate.h"
 #include "ingress/ingresscontext.h"
 #include "ingress/requestterms.h"
+#include "quarantine/requestname.h"
 #include "rpc/cancellation.h"
 
 namespace Egretpath
@@ -113,8 +114,7 @@
     std::vector<UpstreamName> reached_;
     std::vector<UpstreamName> declined_;
     std::uint32_t asked_ = 0;
-    /// Made when it is first needed.
-    std::optional<RequestFingerprint> fingerprint_;
+    RequestName name_;
 };
 
 }
--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -32,48 +32,32 @@
     , random_(seed)
     , directory_(listOf(nodes, [regions](int number) { return regionOf(number, regions); }))
     , storeAnswers_([](int) { return true; })
-    , now_(Start)
+    , time_(Start)
 {
     for (int number = 0; number < nodes; ++number) {
         numbers_[nodeOf(number)] = number;
         nodes_.push_back(std::make_unique<Node>(
             CatalogPlan(regionOf(number, regions), ReaderElectionSettings(), times_, Random(random_()))));
         nodes_.back()->plan.listChanged(directory_, nodeOf(number), true);
-        at(now_, [this, number] { step(number); });
+        time_.at(now(), [this, number] { step(number); });
     }
 }
 
-void CatalogFleet::at(TimePoint time, std::function<void()> action)
-{
-    events_.push({time, ++eventNumber_, std::move(action)});
-}
-
-void CatalogFleet::runUntil(TimePoint end)
-{
-    while (!events_.empty() && events_.top().at <= end) {
-        const Event event = events_.top();
-        events_.pop();
-        now_ = event.at;
-        event.action();
-    }
-    now_ = end;
-}
-
 void CatalogFleet::step(int number)
 {
     if (dead_.contains(number)) {
         return;
     }
     Node &node = *nodes_[number];
-    const auto question = node.plan.nextQuestion(now_);
+    const auto question = node.plan.nextQuestion(now());
     applyReading(number);
-    if (node.plan.wantsLook(now_)) {
+    if (node.plan.wantsLook(now())) {
         look(number);
     }
     if (question) {
         ask(number, *question);
     } else {
-        at(now_ + PlanStep, [this, number] { step(number); });
+        time_.at(now() + PlanStep, [this, number] { step(number); });
     }
 }
 
@@ -81,15 +65,15 @@
 {
     const int source = numbers_.at(question.node);
     if (dead_.contains(source)) {
-        at(now_ + question.wait + times_.followMargin, [this, asker, question] {
-            nodes_[asker]->plan.silent(question.node, now_);
-            at(now_, [this, asker] { step(asker); });
+        time_.at(now() + question.wait + times_.followMargin, [this, asker, question] {
+            nodes_[asker]->plan.silent(question.node, now());
+            time_.at(now(), [this, asker] { step(asker); });
         });
         return;
     }
     const std::uint64_t had = nodes_[asker]->has;
-    const TimePoint arrival = now_ + oneWay(asker, source);
-    at(arrival, [this, asker, source, question, had, arrival] {
+    const TimePoint arrival = now() + oneWay(asker, source);
+    time_.at(arrival, [this, asker, source, question, had, arrival] {
         answerWhenNews(asker, source, question, had, arrival + question.wait);
     });
 }
@@ -98,21 +82,21 @@
 {
     constexpr Milliseconds Look{5};
     const Node &node = *nodes_[source];
-    const bool news = node.has > had || node.plan.store(now_, false) != question.known;
-    if (!news && now_ < end) {
-        at(std::min<TimePoint>(now_ + Look, end),
-           [this, asker, source, question, had, end] { answerWhenNews(asker, source, question, had, end); });
+    const bool news = node.has > had || node.plan.store(now(), false) != question.known;
+    if (!news && now() < end) {
+        time_.at(std::min<TimePoint>(now() + Look, end),
+                 [this, asker, source, question, had, end] { answerWhenNews(asker, source, question, had, end); });
         return;
     }
     const SourceReport report = reportOf(source);
     const std::uint64_t has = node.has;
-    at(now_ + oneWay(source, asker), [this, asker, question, report, has] {
+    time_.at(now() + oneWay(source, asker), [this, asker, question, report, has] {
         Node &node = *nodes_[asker];
-        node.plan.answered(question.node, report, now_);
+        node.plan.answered(question.node, report, now());
         node.has = std::max(node.has, has);
         applyReading(asker);
         // As the controller does after an answer that brought nothing.
-        at(now_ + (question.wait.count() > 0 ? Milliseconds{1} : PlanStep), [this, asker] { step(asker); });
+        time_.at(now() + (question.wait.count() > 0 ? Milliseconds{1} : PlanStep), [this, asker] { step(asker); });
     });
 }
 
@@ -123,11 +107,11 @@
     const bool reads = node.reading != StoreReading::None;
     node.reading = wanted;
     if (wanted != StoreReading::None && !reads) {
-        node.plan.beginReading(now_);
+        node.plan.beginReading(now());
         node.failures = 0;
         const std::uint64_t round = ++node.readingRound;
         ++storeCalls_;
-        at(now_, [this, number, round] { readStore(number, round); });
+        time_.at(now(), [this, number, round] { readStore(number, round); });
     } else if (wanted == StoreReading::None && reads) {
         ++node.readingRound;
     }
@@ -142,20 +126,20 @@
     if (storeAnswers_(number)) {
         node.failures = 0;
         if (node.plan.ownLostSince()) {
-            node.plan.ownReadingBack(now_);
+            node.plan.ownReadingBack(now());
             // Routes, list, and the watches behind them.
             storeCalls_ += 4;
         }
         storeCalls_ += node.has < published_ ? 1 : 0;
         node.has = published_;
-        at(now_ + WatchStep, [this, number, round] { readStore(number, round); });
+        time_.at(now() + WatchStep, [this, number, round] { readStore(number, round); });
         return;
     }
     ++storeCalls_;
     if (!node.plan.ownLostSince()) {
-        node.plan.ownReadingLost(now_);
+        node.plan.ownReadingLost(now());
     }
-    at(now_ + pauseOf(node), [this, number, round] { readStore(number, round); });
+    time_.at(now() + pauseOf(node), [this, number, round] { readStore(number, round); });
     ++node.failures;
 }
 
@@ -172,7 +156,7 @@
 {
     ++storeCalls_;
     if (storeAnswers_(number)) {
-        nodes_[number]->plan.storeSeen(now_);
+        nodes_[number]->plan.storeSeen(now());
         applyReading(number);
     }
 }
@@ -185,7 +169,7 @@
 SourceReport CatalogFleet::reportOf(int number) const
 {
     const CatalogPlan &plan = nodes_[number]->plan;
-    return {plan.store(now_, false), plan.hops(), plan.reader(), plan.age(now_)};
+    return {plan.store(now(), false), plan.hops(), plan.reader(), plan.age(now())};
 }
 
 int CatalogFleet::nodesThatRead() const
@@ -208,7 +192,7 @@
 {
     int count = 0;
     for (int number = 0; number < static_cast<int>(nodes_.size()); ++number) {
-        count += !dead_.contains(number) && nodes_[number]->plan.store(now_, false) == state ? 1 : 0;
+        count += !dead_.contains(number) && nodes_[number]->plan.store(now(), false) == state ? 1 : 0;
     }
     return count;
 }
--- a/tests/instances/catalogfleet.h
+++ b/tests/instances/catalogfleet.h
@@ -4,11 +4,11 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <vector>
 
 #include "instances/catalogplan.h"
+#include "standins/virtualtime.h"
 
 namespace Egretpath
 {
@@ -21,8 +21,8 @@
     /// All nodes know the list, and the store is in order.
     CatalogFleet(int nodes, int regions, std::uint64_t seed);
 
-    void runUntil(TimePoint end);
-    [[nodiscard]] TimePoint now() const { return now_; }
+    void runUntil(TimePoint end) { time_.runUntil(end); }
+    [[nodiscard]] TimePoint now() const { return time_.now(); }
 
     /// From now on the store answers only those for whom @p answers is true.
     void setStore(std::function<bool(int)> answers) { storeAnswers_ = std::move(answers); }
@@ -56,18 +56,6 @@
         std::uint64_t has = 0;
     };
 
-    struct Event
-    {
-        TimePoint at;
-        std::uint64_t number = 0;
-        std::function<void()> action;
-        friend bool operator<(const Event &left, const Event &right)
-        {
-            return std::pair(left.at, left.number) > std::pair(right.at, right.number);
-        }
-    };
-
-    void at(TimePoint time, std::function<void()> action);
     void step(int number);
     void ask(int asker, const SourceQuestion &question);
     /// The one asked answers when it has news or its time is over.
@@ -87,11 +75,9 @@
     std::vector<std::unique_ptr<Node>> nodes_;
     std::set<int> dead_;
     std::function<bool(int)> storeAnswers_;
-    std::priority_queue<Event> events_;
-    std::uint64_t eventNumber_ = 0;
     std::uint64_t storeCalls_ = 0;
     std::uint64_t published_ = 1;
-    TimePoint now_;
+    VirtualTime time_;
 };
 
 }
--- a/tests/quarantine/quarantinefleet.cpp
+++ b/tests/quarantine/quarantinefleet.cpp
@@ -63,34 +63,23 @@
     const std::size_t to = random_() % nodes_.size();
     const bool differ = nodes_[from].quarantine.mark() != nodes_[to].quarantine.mark();
     if (differ && hears(from, to)) {
-        tell(from, nodes_[to].address, nodes_[from].quarantine.refused(now_));
-        tell(to, nodes_[from].address, nodes_[to].quarantine.refused(now_));
+        tell(from, nodes_[to].address, nodes_[from].quarantine.refused(now()));
+        tell(to, nodes_[from].address, nodes_[to].quarantine.refused(now()));
     }
     after(shape_.callPause, [this, from] { call(from); });
 }
 
 void QuarantineFleet::after(Milliseconds delay, std::function<void()> action)
 {
-    events_.push({now_ + delay, ++eventCount_, std::move(action)});
-}
-
-void QuarantineFleet::runUntil(TimePoint end)
-{
-    while (!events_.empty() && events_.top().at <= end) {
-        const Event event = events_.top();
-        events_.pop();
-        now_ = event.at;
-        event.action();
-    }
-    now_ = end;
+    time_.at(now() + delay, std::move(action));
 }
 
 void QuarantineFleet::crash(std::size_t node, const std::vector<RequestFingerprint> &held)
 {
     const UpstreamCrashId id(random_());
-    const UpstreamCrash crash{id, nodes_[node].ends.flaps(id, nodes_[node].quarantine, now_)};
-    nodes_[node].ends.record(id, held, now_);
-    const CrashNews news = nodes_[node].quarantine.crashed(crash, held, now_);
+    const UpstreamCrash crash{id, nodes_[node].ends.flaps(id, nodes_[node].quarantine, now())};
+    nodes_[node].ends.record(id, held, now());
+    const CrashNews news = nodes_[node].quarantine.crashed(crash, held, now());
     for (const Endpoint &keeper : nodes_[node].spread.keepers(directory_, ServiceName("crashing"))) {
         if (keeper != nodes_[node].address) {
             tell(node, keeper, news.known);
@@ -109,7 +98,7 @@
     }
     after(shape_.way, [this, from, target, requests] {
         take(target, requests);
-        const auto more = nodes_[target].quarantine.moreThan(requests, now_);
+        const auto more = nodes_[target].quarantine.moreThan(requests, now());
         if (!more.empty()) {
             after(shape_.way, [this, from, more] { take(from, more); });
         }
@@ -118,17 +107,17 @@
 
 void QuarantineFleet::take(std::size_t node, const std::vector<SuspectedRequest> &requests)
 {
-    passOn(node, nodes_[node].quarantine.take(requests, now_));
+    passOn(node, nodes_[node].quarantine.take(requests, now()));
 }
 
 void QuarantineFleet::passOn(std::size_t node, const std::vector<SuspectedRequest> &refused)
 {
-    const auto due = nodes_[node].spread.gather(refused, now_);
+    const auto due = nodes_[node].spread.gather(refused, now());
     if (!due) {
         return;
     }
-    after(std::chrono::ceil<Milliseconds>(*due - now_), [this, node] {
-        const std::vector<SuspectedRequest> gathered = nodes_[node].spread.takeGathered(now_);
+    after(std::chrono::ceil<Milliseconds>(*due - now()), [this, node] {
+        const std::vector<SuspectedRequest> gathered = nodes_[node].spread.takeGathered(now());
         for (const Endpoint &listener : nodes_[node].spread.listeners(directory_, nodes_[node].address)) {
             tell(node, listener, gathered);
         }
@@ -137,7 +126,7 @@
 
 bool QuarantineFleet::refuses(std::size_t node, const RequestFingerprint &request) const
 {
-    return nodes_[node].quarantine.objection(request, now_).has_value();
+    return nodes_[node].quarantine.objection(request, now()).has_value();
 }
 
 std::size_t QuarantineFleet::refusing(const RequestFingerprint &request) const
--- a/tests/quarantine/quarantinefleet.h
+++ b/tests/quarantine/quarantinefleet.h
@@ -3,13 +3,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <queue>
 #include <string>
 #include <vector>
 
 #include "quarantine/quarantine.h"
 #include "quarantine/quarantinespread.h"
 #include "quarantine/upstreamends.h"
+#include "standins/virtualtime.h"
 
 namespace Egretpath
 {
@@ -36,8 +36,8 @@
     explicit QuarantineFleet(const FleetShape &shape);
 
     /// Runs what is due until @p end.
-    void runUntil(TimePoint end);
-    [[nodiscard]] TimePoint now() const { return now_; }
+    void runUntil(TimePoint end) { time_.runUntil(end); }
+    [[nodiscard]] TimePoint now() const { return time_.now(); }
     /// Calls @p action after @p delay.
     void after(Milliseconds delay, std::function<void()> action);
 
@@ -48,7 +48,6 @@
     [[nodiscard]] std::size_t refusing(const RequestFingerprint &request) const;
     /// From now on the region numbered @p region and the others don't hear each other; or they do again.
     void cutRegion(std::size_t region, bool cut);
-    [[nodiscard]] std::size_t size() const { return nodes_.size(); }
     [[nodiscard]] std::uint64_t messages() const { return messages_; }
     [[nodiscard]] std::uint64_t bytes() const { return bytes_; }
     [[nodiscard]] Random &random() { return random_; }
@@ -62,17 +61,6 @@
         std::size_t region = 0;
         Endpoint address;
     };
-    struct Event
-    {
-        TimePoint at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        friend bool operator>(const Event &left, const Event &right)
-        {
-            return std::tie(left.at, left.order) > std::tie(right.at, right.order);
-        }
-    };
 
     void call(std::size_t from);
     void tell(std::size_t from, const Endpoint &to, const std::vector<SuspectedRequest> &requests);
@@ -85,9 +73,7 @@
     InstanceDirectory directory_;
     std::vector<Node> nodes_;
     std::vector<bool> cutRegions_;
-    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
-    TimePoint now_{std::chrono::hours(1)};
-    std::uint64_t eventCount_ = 0;
+    VirtualTime time_{TimePoint(std::chrono::hours(1))};
     std::uint64_t messages_ = 0;
     std::uint64_t bytes_ = 0;
 };
