admission: of the requests that an upstream broke off with, one at a time goes to the next upstream

Cause: both were sent again at once, met at the next upstream, which ended as well, and were under way at both ends that accuse.

Ingresses mark such tries (CallHead.suspected); WorkQueue declines one while another is there, or has it wait for that one if nobody else takes it. Other requests run beside it, so that no slot stays empty. Weighed: three ends in place of two before a request is accused (one more upstream ends for each such request, also where it was alone); a mark on the crash of how many it held (the same).

--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -71,7 +71,11 @@
     if (offer.deadline <= now) {
         return refusal(Reason::DeadlinePassed, offer, now);
     }
-    if (offer.acceptable > Duration{0} && expected(offer, now) > offer.acceptable) {
+    const bool mayGoElsewhere = offer.acceptable > Duration{0};
+    if (mayGoElsewhere && offer.suspected && hasSuspect()) {
+        return notRun(Reason::Declined, "another request that may have ended an upstream is here");
+    }
+    if (mayGoElsewhere && expected(offer, now) > offer.acceptable) {
         return notRun(Reason::Declined, "another upstream is thought to be quicker");
     }
     if (startsAtOnce(offer, now)) {
@@ -185,8 +189,33 @@
 
 bool WorkQueue::startsAtOnce(const WorkOffer &offer, TimePoint now) const
 {
-    // With a free slot, only calls that await the end of a spell are in the queue.
-    return hasFreeSlot() && !awaitsSpellEnd(offer.route, now);
+    // With a free slot, only calls that await the end of a spell, or a suspected one, are in the queue.
+    return hasFreeSlot() && !awaitsSpellEnd(offer.route, now) && !awaitsSuspect(offer);
+}
+
+bool WorkQueue::awaitsSuspect(const WorkOffer &offer) const
+{
+    const auto isSuspected = [](const auto &item) { return item.second.suspected; };
+    return offer.suspected && std::any_of(running_.begin(), running_.end(), isSuspected);
+}
+
+bool WorkQueue::hasSuspect() const
+{
+    const auto isRunning = [](const auto &item) { return item.second.suspected; };
+    const auto isWaiting = [](const Waiting &waiting) { return waiting.offer.suspected; };
+    return std::any_of(running_.begin(), running_.end(), isRunning)
+        || std::any_of(queue_.begin(), queue_.end(), isWaiting);
+}
+
+Duration WorkQueue::suspectLeft(TimePoint now) const
+{
+    Duration left{0};
+    for (const auto &[call, running] : running_) {
+        if (running.suspected) {
+            left = std::max(left, timeLeft(running, now));
+        }
+    }
+    return left;
 }
 
 bool WorkQueue::waitsForSpells() const
@@ -232,10 +261,11 @@
     if (startsAtOnce(offer, now)) {
         return Duration{0};
     }
+    const Duration spell = awaitsSpellEnd(offer.route, now) ? pace_.spellLeft(now) : Duration{0};
+    const Duration suspect = offer.suspected ? suspectLeft(now) : Duration{0};
     std::vector<Duration> freeAfter = slotsFreeAfter(now);
-    if (awaitsSpellEnd(offer.route, now)) {
-        const Duration spell = pace_.spellLeft(now);
-        std::for_each(freeAfter.begin(), freeAfter.end(), [spell](Duration &after) { after = std::max(after, spell); });
+    for (Duration &after : freeAfter) {
+        after = std::max({after, spell, suspect});
     }
     for (const Waiting &waiting : queue_) {
         if (goesBefore(offer, waiting.offer, now)) {
@@ -247,12 +277,17 @@
     return *std::min_element(freeAfter.begin(), freeAfter.end());
 }
 
+Duration WorkQueue::timeLeft(const Running &running, TimePoint now) const
+{
+    const Duration usual = scaled(times_.usual(running.route), running.pace);
+    return std::max(usual - (now - running.start), scaled(usual, OverdueShare));
+}
+
 std::vector<Duration> WorkQueue::slotsFreeAfter(TimePoint now) const
 {
     std::vector<Duration> freeAfter;
     for (const auto &[call, running] : running_) {
-        const Duration usual = scaled(times_.usual(running.route), running.pace);
-        freeAfter.push_back(std::max(usual - (now - running.start), scaled(usual, OverdueShare)));
+        freeAfter.push_back(timeLeft(running, now));
     }
     // Half of it is done, as far as one knows.
     const Duration restOfOther = scaled(times_.overall(), pace_.factor() / 2);
@@ -325,7 +360,8 @@
     auto best = queue_.end();
     for (auto place = queue_.begin(); place != queue_.end(); ++place) {
         // One that is too late stays for expire(), which has a failure to give it.
-        const bool ready = latestStart(place->offer, now) > now && !awaitsSpellEnd(place->offer.route, now);
+        const bool ready = latestStart(place->offer, now) > now && !awaitsSpellEnd(place->offer.route, now)
+            && !awaitsSuspect(place->offer);
         if (ready && (best == queue_.end() || goesBefore(place->offer, best->offer, now))) {
             best = place;
         }
@@ -343,7 +379,7 @@
 
 void WorkQueue::start(const WorkOffer &offer, TimePoint now)
 {
-    running_.emplace(offer.call, Running{offer.route, now, pace_.factor()});
+    running_.emplace(offer.call, Running{offer.route, now, pace_.factor(), offer.suspected});
 }
 
 }
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -28,6 +28,8 @@
     TimePoint target;
     /// It goes elsewhere if it is expected to take longer here; zero: it stays if its deadline can be met.
     Duration acceptable{0};
+    /// An upstream broke off while it ran the request before.
+    bool suspected = false;
 };
 
 /// Constants of WorkQueue.
@@ -66,6 +68,9 @@
 /// together begins after the spell. Begun at once it would keep the slow pace, and its slot several times as long, to
 /// its end.
 ///
+/// Of the requests that another upstream broke off with, one at a time goes to the upstream. Else a bystander goes with
+/// the request that ended that upstream to the next one, which ends as well, and is accused with it.
+///
 /// Each offered call ends exactly once: by Refused, by an ExpiredCall, by cancel() out of the queue, or by finish().
 /// Thread safety: none; one owner. Call expire() and then resume() after each event, and at nextExpiry().
 class WorkQueue
@@ -120,6 +125,7 @@
         TimePoint start;
         /// The VM's at the start.
         double pace = 1.0;
+        bool suspected = false;
     };
 
     struct Waiting
@@ -131,6 +137,14 @@
     /// Calls that take a slot, those from elsewhere included.
     [[nodiscard]] std::size_t atWork() const { return running_.size() + others_; }
     [[nodiscard]] bool hasFreeSlot() const { return atWork() < limit(); }
+    /// Whether @p offer has to wait until another suspected request is done.
+    [[nodiscard]] bool awaitsSuspect(const WorkOffer &offer) const;
+    /// Whether another suspected request runs or waits here.
+    [[nodiscard]] bool hasSuspect() const;
+    /// Until the suspected request that runs is done.
+    [[nodiscard]] Duration suspectLeft(TimePoint now) const;
+    /// Until @p running is done, as far as one knows.
+    [[nodiscard]] Duration timeLeft(const Running &running, TimePoint now) const;
     /// When each slot is free for the next call, the soonest first.
     [[nodiscard]] std::vector<Duration> slotsFreeAfter(TimePoint now) const;
     /// Whether @p offer would start if it came now.
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -20,6 +20,18 @@
 
 constexpr std::uint16_t FirstServerError = 500;
 
+/// Whether the upstream, not the way to its node, broke off while it ran the request.
+bool upstreamBrokeOff(const Result<CallOutcome> &outcome)
+{
+    const auto *failure = outcome ? std::get_if<Failure>(&outcome.value().result) : nullptr;
+    if (failure == nullptr || failure->verdict != Verdict::MayHaveRun) {
+        return false;
+    }
+    // ConnectFailed: it was gone when the node asked it again.
+    return failure->reason == Reason::ConnectionLost || failure->reason == Reason::BadAnswer
+        || failure->reason == Reason::ConnectFailed;
+}
+
 }
 
 const Failure *TryEnd::failure() const
@@ -132,6 +144,7 @@
     }
     context_->view.onEnded(which->upstream);
     context_->learn(terms_.route->name, which->upstream, which->node, *outcome);
+    suspected_ = suspected_ || upstreamBrokeOff(*outcome);
     std::erase(underWay_, which);
     ended_.push_back({which, std::move(*outcome)});
     endedListener_();
@@ -222,6 +235,7 @@
     head.route = route.name;
     head.priority = static_cast<std::uint8_t>(std::min<std::uint32_t>(route.priority, UINT8_MAX));
     head.acceptable = std::chrono::duration_cast<Microseconds>(which.acceptable);
+    head.suspected = suspected_;
     return head;
 }
 
--- a/src/ingress/requesttries.h
+++ b/src/ingress/requesttries.h
@@ -114,6 +114,8 @@
     std::vector<UpstreamName> reached_;
     std::vector<UpstreamName> declined_;
     std::uint32_t asked_ = 0;
+    /// An upstream broke off while it ran the request.
+    bool suspected_ = false;
     RequestName name_;
 };
 
--- a/tests/sidecar/crashingrequesttest.cpp
+++ b/tests/sidecar/crashingrequesttest.cpp
@@ -137,6 +137,31 @@
     });
 }
 
+// Guards against a bystander that follows the guilty request from one ended upstream to the next, and is refused with
+// it.
+TEST_CASE("requests that an ended upstream held are not tried together at the next one")
+{
+    CrashingService service;
+    for (FakeUpstream *upstream : service.upstreams) {
+        upstream->work = Milliseconds(60);
+    }
+    // Both requests would rather go to the second one.
+    service.upstreams[2]->pace = 400;
+    service.upstreams[3]->pace = 400;
+    service.run([&]() -> asio::awaitable<void> {
+        const FakeNode &node = *service.nodes[0];
+        for (int number = 0; number < 8; ++number) {
+            (void)co_await service.send(node.callers, "GET", "/read/" + std::to_string(number), std::to_string(number));
+        }
+        const asio::any_io_executor executor = co_await asio::this_coro::executor;
+        asio::co_spawn(executor, service.sendOne(node, "GET", CrashingPath, "guilty"), asio::detached);
+        const Reply bystander = co_await service.send(node.callers, "GET", "/read/bystander", "bystander");
+        checkStatus(bystander, 200);
+        (void)co_await service.until([&] { return service.last.status != 0; });
+        CHECK(service.ends() == 2);
+    });
+}
+
 // Guards against bystanders that are refused since one upstream that held them ended.
 TEST_CASE("requests that one ended upstream held are answered, then and after the next end")
 {
