tests: whether a node learned a new route is asked where any upstream answers it

KNOWN-RED.txt had "a node whose source has fallen silent learns from others that it missed a change": 503 in place of 200 once beside load, not traced. A node that missed the change answers 404. A trial with 300 more requests to that route, four at a time beside ten busy processes: 1 of 1,200 answered 503, by its log line since the other node declined it and the node's own upstream, which the test has refuse everything, refused it; the route allows one attempt (sent=2 reached=1 reason=shed). So the refusal is true and allowed, and the check asked two things at once. Now the node's own upstream answers again before the last request: 200 if and only if the route is known there, as strict on what the test guards.

--- a/tests/sidecar/catalogtest.cpp
+++ b/tests/sidecar/catalogtest.cpp
@@ -130,6 +130,8 @@
             co_await deployment.sleep(Milliseconds(100));
         }
         CHECK(other.totalRuns() > 0);
+        // The new route allows one attempt, so that either upstream has to answer it.
+        own.status = 200;
         checkStatus(co_await deployment.send(reader.callers, "GET", "/v20/1", "late"), 200);
     });
 }
