--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -1,8 +1,6 @@
 #include "sidecar/catalogcontroller.h"
 
 #include <algorithm>
-#include <map>
-#include <random>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/currenttime.h"
+#include "instances/peerchoice.h"
 
 namespace Egretpath
 {
@@ -43,11 +42,25 @@
     , contents_(
           state, source, log_, [this] { listChanged(); }, [this] { contentsChanged(); })
     , plan_(state.location.region, decisions.readers, decisions.catalog, Random(state.random()))
+    , seeds_(executor, state, times_, seedInquirer())
     , started_(currentTime())
     , news_(executor, asio::steady_timer::time_point::max())
 {
 }
 
+SeedInquirer CatalogController::seedInquirer()
+{
+    SeedInquirer inquirer;
+    inquirer.ask = [this](Endpoint seed) {
+        CatalogRequest wanted = request(times_.seedWait, StoreState::InOrder);
+        return ask(std::move(seed), std::move(wanted), times_.seedWait + times_.followMargin);
+    };
+    inquirer.take = [this](const Endpoint &seed, const Catalog &catalog) { followIfComplete(seed, catalog); };
+    inquirer.follows = [this] { return plan_.following().has_value(); };
+    inquirer.hasRoutes = [this] { return contents_.mark().routes.value() > 0; };
+    return inquirer;
+}
+
 void CatalogController::start()
 {
     source_.attach(*this);
@@ -236,75 +249,18 @@
     return !state_.isReady() && !state_.stopping && now - started_ >= times_.lossBeforeAsking;
 }
 
-/// A fleet that starts whole, or a VM after the other, would read everything from the store as many times as there are
-/// nodes. The nodes that the settings name read it, the others ask these.
 asio::awaitable<void> CatalogController::begin()
 {
-    co_await askSeeds();
+    co_await seeds_.run();
     begun_ = true;
     if (!plan_.following()) {
         reading_ = StoreReading::Usual;
-        source_.resume(StoreRevision(), false, seedSaidAway_ ? times_.deputyPause : times_.readerPause);
+        source_.resume(StoreRevision(), false, seeds_.saidAway() ? times_.deputyPause : times_.readerPause);
     }
     applyReading();
     co_await followOthers();
 }
 
-/// Guards against VMs among the seeds that are down: a connection to one hangs, and while a node waited for each of
-/// them in turn it turned all its callers away. So the next one is asked, and in the end the store, before the first
-/// has failed.
-asio::awaitable<void> CatalogController::askSeeds()
-{
-    std::vector<Endpoint> seeds = state_.settings.seeds;
-    const bool isSeed = std::erase(seeds, state_.settings.starters) > 0;
-    if (isSeed) {
-        co_return;
-    }
-    std::shuffle(seeds.begin(), seeds.end(), state_.random);
-    asio::steady_timer timer(executor_);
-    for (const Endpoint &seed : seeds) {
-        asio::co_spawn(executor_, beginAt(seed), asio::detached);
-        timer.expires_after(times_.seedStagger);
-        co_await timer.async_wait(asio::use_awaitable);
-        if (plan_.following()) {
-            co_return;
-        }
-    }
-    co_await waitForSeeds();
-}
-
-asio::awaitable<void> CatalogController::waitForSeeds()
-{
-    asio::steady_timer timer(executor_);
-    // One that answers late starts itself and reads the store just now; with callers here there is no time for that.
-    while (!plan_.following() && seedsAsked_ > 0 && !callersWait_) {
-        timer.expires_after(times_.seedStagger);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-    // They ask a store that is away already. Should they be turned away and others not, one look in a while shows it.
-    std::exponential_distribution<double> spread(1.0);
-    const auto patience = std::chrono::duration_cast<Duration>(times_.leastLookPause * spread(state_.random));
-    const TimePoint end = currentTime() + patience;
-    while (!plan_.following() && seedSaidAway_ && currentTime() < end) {
-        timer.expires_after(times_.round);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-}
-
-asio::awaitable<void> CatalogController::beginAt(Endpoint seed)
-{
-    ++seedsAsked_;
-    const Result<Catalog> catalog =
-        co_await ask(seed, request(times_.seedWait, StoreState::InOrder), times_.seedWait + times_.followMargin);
-    --seedsAsked_;
-    const bool isFirst = !plan_.following() && contents_.mark().routes.value() == 0;
-    if (!isFirst || !catalog) {
-        co_return;
-    }
-    seedSaidAway_ = seedSaidAway_ || catalog.value().store == StoreState::Away;
-    followIfComplete(seed, catalog.value());
-}
-
 /// While this node starts. Whatever the store is there: a node that takes news and follows nobody hears of nothing
 /// newer.
 void CatalogController::followIfComplete(const Endpoint &peer, const Catalog &catalog)
@@ -493,44 +449,23 @@
     }
 }
 
-/// A region that was without the store as a whole can't tell that it was there.
-std::vector<Endpoint> CatalogController::peersOfOtherRegions()
-{
-    std::map<RegionName, std::vector<Endpoint>> byRegion;
-    state_.directory.forEachReady([&](const InstanceRecord &record) {
-        if (record.location.region != state_.location.region) {
-            byRegion[record.location.region].push_back(record.node);
-        }
-    });
-    std::vector<Endpoint> chosen;
-    chosen.reserve(byRegion.size());
-    for (const auto &[region, nodes] : byRegion) {
-        chosen.push_back(nodes[state_.random() % nodes.size()]);
-    }
-    return chosen;
-}
-
 /// Peers from the list; before there is one, those that the settings name.
 std::vector<Endpoint> CatalogController::peersToAsk()
 {
     if (state_.directory.holdsRecords(currentTime())) {
-        if (std::vector<Endpoint> others = peersOfOtherRegions(); !others.empty()) {
+        const RegionName &region = state_.location.region;
+        if (std::vector<Endpoint> others = onePeerOfEachOtherRegion(state_.directory, region, state_.random);
+            !others.empty()) {
             return others;
         }
     }
-    std::vector<Endpoint> all;
-    const Endpoint own = state_.ownNode();
-    state_.directory.forEachReady([&](const InstanceRecord &record) {
-        if (record.node != own) {
-            all.push_back(record.node);
-        }
-    });
-    if (all.empty()) {
-        all = state_.settings.seeds;
+    std::vector<Endpoint> peers = anyPeers(state_.directory, state_.ownNode(), PeersInRound, state_.random);
+    if (peers.empty()) {
+        peers = state_.settings.seeds;
+        std::shuffle(peers.begin(), peers.end(), state_.random);
+        peers.resize(std::min(peers.size(), PeersInRound));
     }
-    std::shuffle(all.begin(), all.end(), state_.random);
-    all.resize(std::min(all.size(), PeersInRound));
-    return all;
+    return peers;
 }
 
 bool CatalogController::take(const Endpoint &peer, const Catalog &catalog)
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -15,6 +15,7 @@
 #include "sidecar/cataloglog.h"
 #include "sidecar/catalogsource.h"
 #include "sidecar/decisionsettings.h"
+#include "sidecar/seedinquiry.h"
 #include "sidecar/sidecarstate.h"
 
 namespace Egretpath
@@ -49,7 +50,7 @@
         quarantineListener_ = std::move(listener);
     }
     /// A caller was turned away since no routes are in force.
-    void noteCallerWaits() { callersWait_ = true; }
+    void noteCallerWaits() { seeds_.noteCallerWaits(); }
 
     void routesRead(PublishedRoutes routes) override;
     void listRead(const InstanceSnapshot &snapshot) override;
@@ -71,11 +72,8 @@
     boost::asio::awaitable<void> watchOver();
     /// Takes routes and list from a node that has them; reads the platform when there is none.
     boost::asio::awaitable<void> begin();
-    boost::asio::awaitable<void> askSeeds();
-    /// Follows the node at @p seed if it has all and nothing else was quicker.
-    boost::asio::awaitable<void> beginAt(Endpoint seed);
+    [[nodiscard]] SeedInquirer seedInquirer();
     void followIfComplete(const Endpoint &peer, const Catalog &catalog);
-    boost::asio::awaitable<void> waitForSeeds();
     boost::asio::awaitable<void> followOthers();
     /// Returns whether to go on at once.
     boost::asio::awaitable<bool> askOnce(SourceQuestion question);
@@ -89,8 +87,6 @@
     [[nodiscard]] boost::asio::awaitable<Result<Catalog>> ask(Endpoint peer, CatalogRequest request,
                                                               Milliseconds limit);
     [[nodiscard]] std::vector<Endpoint> peersToAsk();
-    /// One of each region but this one.
-    [[nodiscard]] std::vector<Endpoint> peersOfOtherRegions();
     [[nodiscard]] CatalogRequest request(Milliseconds wait, StoreState known) const;
     void takeAnswer(const Endpoint &peer, const Catalog &catalog);
     [[nodiscard]] bool take(const Endpoint &peer, const Catalog &catalog);
@@ -116,15 +112,11 @@
     std::function<void(const Endpoint &, QuarantineMark)> quarantineListener_;
     CatalogContents contents_;
     CatalogPlan plan_;
+    SeedInquiry seeds_;
     TimePoint started_;
     StoreReading reading_ = StoreReading::None;
     /// Seeds were asked; from now on the plan says what is read.
     bool begun_ = false;
-    /// Nodes that the settings name and that have not answered yet, while this node starts.
-    std::size_t seedsAsked_ = 0;
-    /// One of them has said that the store is away.
-    bool seedSaidAway_ = false;
-    bool callersWait_ = false;
     /// Only this node's way to the platform is cut: what lapses is likely to be cut off as well.
     bool isCutOff_ = false;
     /// As the directory was told.
