--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -52,8 +52,8 @@
 {
     SeedInquirer inquirer;
     inquirer.ask = [this](Endpoint seed) {
-        CatalogRequest wanted = request(times_.seedWait, StoreState::InOrder);
-        return ask(std::move(seed), std::move(wanted), times_.seedWait + times_.followMargin);
+        const CatalogRequest wanted = request(times_.seedWait, StoreState::InOrder);
+        return ask(std::move(seed), wanted, times_.seedWait + times_.followMargin);
     };
     inquirer.take = [this](const Endpoint &seed, const Catalog &catalog) { followIfComplete(seed, catalog); };
     inquirer.follows = [this] { return plan_.following().has_value(); };
