--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -72,7 +72,7 @@
         return refusal(Reason::DeadlinePassed, offer, now);
     }
     const bool mayGoElsewhere = offer.acceptable > Duration{0};
-    if (mayGoElsewhere && offer.suspected && hasSuspect()) {
+    if (mayGoElsewhere && isSuspect(offer) && hasSuspect()) {
         return notRun(Reason::Declined, "another request that may have ended an upstream is here");
     }
     if (mayGoElsewhere && expected(offer, now) > offer.acceptable) {
@@ -196,7 +196,7 @@
 bool WorkQueue::awaitsSuspect(const WorkOffer &offer) const
 {
     const auto isSuspected = [](const auto &item) { return item.second.suspected; };
-    return offer.suspected && std::any_of(running_.begin(), running_.end(), isSuspected);
+    return isSuspect(offer) && std::any_of(running_.begin(), running_.end(), isSuspected);
 }
 
 bool WorkQueue::hasSuspect() const
@@ -262,7 +262,7 @@
         return Duration{0};
     }
     const Duration spell = awaitsSpellEnd(offer.route, now) ? pace_.spellLeft(now) : Duration{0};
-    const Duration suspect = offer.suspected ? suspectLeft(now) : Duration{0};
+    const Duration suspect = isSuspect(offer) ? suspectLeft(now) : Duration{0};
     std::vector<Duration> freeAfter = slotsFreeAfter(now);
     for (Duration &after : freeAfter) {
         after = std::max({after, spell, suspect});
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -53,6 +53,8 @@
     bool awaitsSpellEnd = true;
     /// Calls begin in the order of goesBefore(); else in that of their arrival.
     bool ordersByUrgency = true;
+    /// Of the suspected requests, one at a time goes to the upstream.
+    bool separatesSuspects = true;
     /// A failure is told as if work took so many times longer: its sender has to begin again elsewhere, or loses it.
     double failureFactor = 4.0;
 };
@@ -137,6 +139,11 @@
     /// Calls that take a slot, those from elsewhere included.
     [[nodiscard]] std::size_t atWork() const { return running_.size() + others_; }
     [[nodiscard]] bool hasFreeSlot() const { return atWork() < limit(); }
+    /// Whether @p offer may not be at the upstream together with others of its kind.
+    [[nodiscard]] bool isSuspect(const WorkOffer &offer) const
+    {
+        return offer.suspected && settings_.separatesSuspects;
+    }
     /// Whether @p offer has to wait until another suspected request is done.
     [[nodiscard]] bool awaitsSuspect(const WorkOffer &offer) const;
     /// Whether another suspected request runs or waits here.
