--- /dev/null
+++ b/tests/sidecar/fakeupstream.cpp
@@ -0,0 +1,131 @@
+#include "fakeupstream.h"
+
+#include <numeric>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "wirefields.h"
+
+namespace Egretpath
+{
+
+namespace asio = boost::asio;
+
+FakeUpstream::FakeUpstream(asio::any_io_executor executor, std::string id)
+    : executor_(std::move(executor))
+    , id_(std::move(id))
+{
+    listen();
+}
+
+void FakeUpstream::listen()
+{
+    server_ = std::make_unique<HttpServer>(executor_, HttpLimits(),
+                                           [this](HttpExchange &exchange) { return serve(exchange); });
+    address_ = server_->listen(address_).value();
+}
+
+asio::awaitable<void> FakeUpstream::crash()
+{
+    if (!server_) {
+        co_return;
+    }
+    ++ends_;
+    server_->closeAll();
+    server_.reset();
+    asio::steady_timer timer(executor_, restartTime);
+    co_await timer.async_wait(asio::use_awaitable);
+    listen();
+}
+
+int FakeUpstream::runs(const std::string &request) const
+{
+    const auto found = runs_.find(request);
+    return found == runs_.end() ? 0 : found->second;
+}
+
+int FakeUpstream::totalRuns() const
+{
+    return std::accumulate(runs_.begin(), runs_.end(), 0, [](int sum, const auto &item) { return sum + item.second; });
+}
+
+std::string FakeUpstream::lastField(const std::string &name) const
+{
+    return std::string(lastHeaders_.find(name).value_or("none"));
+}
+
+asio::awaitable<void> FakeUpstream::serve(HttpExchange &exchange)
+{
+    HttpResponseHead head(status);
+    const std::string request(exchange.head().headers.find(AttemptId).value_or(std::string_view()));
+    head.headers.add("X-Egretpath-Instance-Load", std::to_string(running_) + ",0,6," + std::to_string(pace));
+    if (exchange.head().target == "/health") {
+        head.status = 200;
+        (void)co_await exchange.respond(head, "");
+        co_return;
+    }
+    std::string body;
+    while (true) {
+        auto piece = co_await exchange.readBody();
+        if (!piece || piece.value().empty()) {
+            break;
+        }
+        body += piece.value();
+    }
+    lastHeaders_ = exchange.head().headers;
+    head.headers.add(std::string(AttemptId), request);
+    const std::string target(lastHeaders_.find("X-Egretpath-Target-Instance").value_or(std::string_view()));
+    if (target != id_) {
+        head.status = 421;
+        (void)co_await exchange.respond(head, "");
+        co_return;
+    }
+    if (status == 503) {
+        head.headers.add("X-Egretpath-Not-Executed", "1");
+        (void)co_await exchange.respond(head, "");
+        co_return;
+    }
+    if (loses) {
+        co_await neverAnswer(exchange);
+        co_return;
+    }
+    ++runs_[request];
+    ++running_;
+    exchange.onCallerGone([this] { ++cancelled_; });
+    asio::steady_timer timer(co_await asio::this_coro::executor, work);
+    co_await timer.async_wait(asio::use_awaitable);
+    --running_;
+    if (!endsOn.empty() && exchange.head().target == endsOn) {
+        if (!exchange.callerGone()) {
+            asio::co_spawn(executor_, crash(), asio::detached);
+        }
+        co_return;
+    }
+    if (breaks) {
+        exchange.abort();
+        co_return;
+    }
+    if (!unsigned_) {
+        head.headers.add("X-Egretpath-Server-Signature", "3e1b." + request);
+    }
+    (void)co_await exchange.respond(head,
+                                    id_ + ":" + exchange.head().method + ":" + exchange.head().target + ":" + body);
+}
+
+asio::awaitable<void> FakeUpstream::neverAnswer(HttpExchange &exchange)
+{
+    constexpr Milliseconds Step{5};
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!exchange.callerGone()) {
+        timer.expires_after(Step);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+}
