admission: only requests that the same upstream broke off with are kept apart

Where a zone is lost with two of six upstreams, some fourteen reads of 120 ms share four upstreams: the last begin after .4 s, their whole target, and late ones are refused after 60 ms of waiting. A try now says which upstream broke off (CallHead.brokeOff), and only those with the same one are companions. What accuses is the same as before: two ends with the same request under way, and the second one holds one of the first one's requests.

--- a/bench/ablation/ablation.cpp
+++ b/bench/ablation/ablation.cpp
@@ -64,8 +64,8 @@
               [](DecisionSettings &decisions) { decisions.catalog.gatherTime = Milliseconds{0}; }},
     Mechanism{"patience-with-store", "peers are asked only when the store is away for a while",
               [](DecisionSettings &decisions) { decisions.catalog.lossBeforeAsking = Milliseconds{0}; }},
-    Mechanism{"suspects-apart", "requests that an ended upstream held are not tried together again",
-              [](DecisionSettings &decisions) { decisions.queue.separatesSuspects = false; }},
+    Mechanism{"companions-apart", "requests that an upstream broke off with are not tried together again",
+              [](DecisionSettings &decisions) { decisions.queue.separatesCompanions = false; }},
     Mechanism{"upstream-account", "requests that an upstream has lost end, its other work takes slots",
               [](DecisionSettings &decisions) { decisions.keepsUpstreamAccount = false; }},
 };
--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -72,8 +72,8 @@
         return refusal(Reason::DeadlinePassed, offer, now);
     }
     const bool mayGoElsewhere = offer.acceptable > Duration{0};
-    if (mayGoElsewhere && isSuspect(offer) && hasSuspect()) {
-        return notRun(Reason::Declined, "another request that may have ended an upstream is here");
+    if (mayGoElsewhere && hasCompanion(offer)) {
+        return notRun(Reason::Declined, "a request that the same upstream broke off with is here");
     }
     if (mayGoElsewhere && expected(offer, now) > offer.acceptable) {
         return notRun(Reason::Declined, "another upstream is thought to be quicker");
@@ -189,29 +189,34 @@
 
 bool WorkQueue::startsAtOnce(const WorkOffer &offer, TimePoint now) const
 {
-    // With a free slot, only calls that await the end of a spell, or a suspected one, are in the queue.
-    return hasFreeSlot() && !awaitsSpellEnd(offer.route, now) && !awaitsSuspect(offer);
+    // With a free slot, only calls that await the end of a spell, or a companion, are in the queue.
+    return hasFreeSlot() && !awaitsSpellEnd(offer.route, now) && !awaitsCompanion(offer);
 }
 
-bool WorkQueue::awaitsSuspect(const WorkOffer &offer) const
+bool WorkQueue::areCompanions(const WorkOffer &offer, const UpstreamName &brokeOff) const
 {
-    const auto isSuspected = [](const auto &item) { return item.second.suspected; };
-    return isSuspect(offer) && std::any_of(running_.begin(), running_.end(), isSuspected);
+    return settings_.separatesCompanions && !offer.brokeOff.value().empty() && offer.brokeOff == brokeOff;
 }
 
-bool WorkQueue::hasSuspect() const
+bool WorkQueue::awaitsCompanion(const WorkOffer &offer) const
 {
-    const auto isRunning = [](const auto &item) { return item.second.suspected; };
-    const auto isWaiting = [](const Waiting &waiting) { return waiting.offer.suspected; };
-    return std::any_of(running_.begin(), running_.end(), isRunning)
-        || std::any_of(queue_.begin(), queue_.end(), isWaiting);
+    return std::any_of(running_.begin(), running_.end(),
+                       [&](const auto &item) { return areCompanions(offer, item.second.brokeOff); });
 }
 
-Duration WorkQueue::suspectLeft(TimePoint now) const
+bool WorkQueue::hasCompanion(const WorkOffer &offer) const
+{
+    const bool waits = std::any_of(queue_.begin(), queue_.end(), [&](const Waiting &waiting) {
+        return areCompanions(offer, waiting.offer.brokeOff);
+    });
+    return waits || awaitsCompanion(offer);
+}
+
+Duration WorkQueue::companionLeft(const WorkOffer &offer, TimePoint now) const
 {
     Duration left{0};
     for (const auto &[call, running] : running_) {
-        if (running.suspected) {
+        if (areCompanions(offer, running.brokeOff)) {
             left = std::max(left, timeLeft(running, now));
         }
     }
@@ -262,10 +267,10 @@
         return Duration{0};
     }
     const Duration spell = awaitsSpellEnd(offer.route, now) ? pace_.spellLeft(now) : Duration{0};
-    const Duration suspect = isSuspect(offer) ? suspectLeft(now) : Duration{0};
+    const Duration companion = companionLeft(offer, now);
     std::vector<Duration> freeAfter = slotsFreeAfter(now);
     for (Duration &after : freeAfter) {
-        after = std::max({after, spell, suspect});
+        after = std::max({after, spell, companion});
     }
     for (const Waiting &waiting : queue_) {
         if (goesBefore(offer, waiting.offer, now)) {
@@ -361,7 +366,7 @@
     for (auto place = queue_.begin(); place != queue_.end(); ++place) {
         // One that is too late stays for expire(), which has a failure to give it.
         const bool ready = latestStart(place->offer, now) > now && !awaitsSpellEnd(place->offer.route, now)
-            && !awaitsSuspect(place->offer);
+            && !awaitsCompanion(place->offer);
         if (ready && (best == queue_.end() || goesBefore(place->offer, best->offer, now))) {
             best = place;
         }
@@ -379,7 +384,7 @@
 
 void WorkQueue::start(const WorkOffer &offer, TimePoint now)
 {
-    running_.emplace(offer.call, Running{offer.route, now, pace_.factor(), offer.suspected});
+    running_.emplace(offer.call, Running{offer.route, now, pace_.factor(), offer.brokeOff});
 }
 
 }
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -28,8 +28,8 @@
     TimePoint target;
     /// It goes elsewhere if it is expected to take longer here; zero: it stays if its deadline can be met.
     Duration acceptable{0};
-    /// An upstream broke off while it ran the request before.
-    bool suspected = false;
+    /// The upstream that broke off while it ran the request before; empty: none did.
+    UpstreamName brokeOff;
 };
 
 /// Constants of WorkQueue.
@@ -53,8 +53,8 @@
     bool awaitsSpellEnd = true;
     /// Calls begin in the order of goesBefore(); else in that of their arrival.
     bool ordersByUrgency = true;
-    /// Of the suspected requests, one at a time goes to the upstream.
-    bool separatesSuspects = true;
+    /// Requests that another upstream broke off with are not run together.
+    bool separatesCompanions = true;
     /// A failure is told as if work took so many times longer: its sender has to begin again elsewhere, or loses it.
     double failureFactor = 4.0;
 };
@@ -70,8 +70,9 @@
 /// together begins after the spell. Begun at once it would keep the slow pace, and its slot several times as long, to
 /// its end.
 ///
-/// Of the requests that another upstream broke off with, one at a time goes to the upstream. Else a bystander goes with
-/// the request that ended that upstream to the next one, which ends as well, and is accused with it.
+/// Companions are requests that the same upstream broke off with; one of them at a time goes to this one. Else a
+/// bystander goes with the request that ended that upstream to the next one, which ends as well, and is accused with
+/// it.
 ///
 /// Each offered call ends exactly once: by Refused, by an ExpiredCall, by cancel() out of the queue, or by finish().
 /// Thread safety: none; one owner. Call expire() and then resume() after each event, and at nextExpiry().
@@ -127,7 +128,7 @@
         TimePoint start;
         /// The VM's at the start.
         double pace = 1.0;
-        bool suspected = false;
+        UpstreamName brokeOff;
     };
 
     struct Waiting
@@ -139,17 +140,14 @@
     /// Calls that take a slot, those from elsewhere included.
     [[nodiscard]] std::size_t atWork() const { return running_.size() + others_; }
     [[nodiscard]] bool hasFreeSlot() const { return atWork() < limit(); }
-    /// Whether @p offer may not be at the upstream together with others of its kind.
-    [[nodiscard]] bool isSuspect(const WorkOffer &offer) const
-    {
-        return offer.suspected && settings_.separatesSuspects;
-    }
-    /// Whether @p offer has to wait until another suspected request is done.
-    [[nodiscard]] bool awaitsSuspect(const WorkOffer &offer) const;
-    /// Whether another suspected request runs or waits here.
-    [[nodiscard]] bool hasSuspect() const;
-    /// Until the suspected request that runs is done.
-    [[nodiscard]] Duration suspectLeft(TimePoint now) const;
+    /// Whether another upstream broke off with both.
+    [[nodiscard]] bool areCompanions(const WorkOffer &offer, const UpstreamName &brokeOff) const;
+    /// Whether @p offer has to wait until a companion is done.
+    [[nodiscard]] bool awaitsCompanion(const WorkOffer &offer) const;
+    /// Whether a companion of @p offer runs or waits here.
+    [[nodiscard]] bool hasCompanion(const WorkOffer &offer) const;
+    /// Until the companion of @p offer that runs is done.
+    [[nodiscard]] Duration companionLeft(const WorkOffer &offer, TimePoint now) const;
     /// Until @p running is done, as far as one knows.
     [[nodiscard]] Duration timeLeft(const Running &running, TimePoint now) const;
     /// When each slot is free for the next call, the soonest first.
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -176,7 +176,7 @@
     offer.deadline = deadline_;
     offer.target = target_;
     offer.acceptable = head_.acceptable;
-    offer.suspected = head_.suspected;
+    offer.brokeOff = head_.brokeOff;
     return offer;
 }
 
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -144,7 +144,9 @@
     }
     context_->view.onEnded(which->upstream);
     context_->learn(terms_.route->name, which->upstream, which->node, *outcome);
-    suspected_ = suspected_ || upstreamBrokeOff(*outcome);
+    if (upstreamBrokeOff(*outcome)) {
+        brokeOff_ = which->upstream;
+    }
     std::erase(underWay_, which);
     ended_.push_back({which, std::move(*outcome)});
     endedListener_();
@@ -235,7 +237,7 @@
     head.route = route.name;
     head.priority = static_cast<std::uint8_t>(std::min<std::uint32_t>(route.priority, UINT8_MAX));
     head.acceptable = std::chrono::duration_cast<Microseconds>(which.acceptable);
-    head.suspected = suspected_;
+    head.brokeOff = brokeOff_;
     return head;
 }
 
--- a/src/ingress/requesttries.h
+++ b/src/ingress/requesttries.h
@@ -114,8 +114,8 @@
     std::vector<UpstreamName> reached_;
     std::vector<UpstreamName> declined_;
     std::uint32_t asked_ = 0;
-    /// An upstream broke off while it ran the request.
-    bool suspected_ = false;
+    /// The upstream that last broke off while it ran the request; empty: none did.
+    UpstreamName brokeOff_;
     RequestName name_;
 };
 
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -67,8 +67,8 @@
   # quicker. Zero: it takes the call whenever the deadline can be met.
   question @16 :Bool;
   # The body is not here, and nothing is to be run: would the egress take the call now?
-  suspected @17 :Bool;
-  # An upstream broke off while it ran the call in an earlier try.
+  brokeOff @17 :Text;
+  # The id of the upstream that last broke off while it ran the call, in an earlier try; empty: none did.
 }
 
 struct Failure {
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -58,8 +58,9 @@
     /// The body is not here, and nothing is to be run: would the egress take the call now? Its outcome is a failure in
     /// any case, with the reason None if it would.
     bool question = false;
-    /// An upstream broke off while it ran the call in an earlier try: this call may have ended it, or one beside it.
-    bool suspected = false;
+    /// The upstream that last broke off while it ran the call, in an earlier try; empty: none did. This call may have
+    /// ended it, or one beside it.
+    UpstreamName brokeOff;
 };
 
 /// Status and header fields of an answer.
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -175,7 +175,7 @@
     wire.setPriority(head.priority);
     wire.setTargetLatency(head.targetLatencyLeft.count());
     wire.setQuestion(head.question);
-    wire.setSuspected(head.suspected);
+    wire.setBrokeOff(head.brokeOff.value());
     wire.setAcceptable(static_cast<std::uint64_t>(std::max<Microseconds::rep>(0, head.acceptable.count())));
 }
 
@@ -199,7 +199,7 @@
     head.targetLatencyLeft = Microseconds(wire.getTargetLatency());
     head.acceptable = Microseconds(wire.getAcceptable());
     head.question = wire.getQuestion();
-    head.suspected = wire.getSuspected();
+    head.brokeOff = UpstreamName(readText(wire.getBrokeOff()));
     return head;
 }
 
