--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -39,6 +39,7 @@
                                       std::shared_ptr<Cancellation> cancellation) override
     {
         cancellation->setAction([this] { ++cancelled; });
+        lastHead = head;
         if (head.target == "stream") {
             streamed = co_await answer->begin(AnswerHead{200, {}});
             streamed = streamed && co_await answer->write(body) && co_await answer->write(body);
@@ -64,6 +65,7 @@
     }
 
     CatalogMark mark{RouteVersion(3), StoreRevision(9)};
+    CallHead lastHead;
     QuarantineNews lastNews;
     QuarantineNews answeredNews;
     int cancelled = 0;
@@ -144,6 +146,50 @@
 
 }
 
+TEST_CASE("a call arrives as it was sent")
+{
+    Fixture fixture;
+    fixture.run([](Fixture &f) -> asio::awaitable<void> {
+        CallHead head = f.head("0");
+        head.requestId = RequestId("r");
+        head.attempt = 2;
+        head.ingress = {UpstreamName("in"), Incarnation(5)};
+        head.service = ServiceName("statements");
+        head.method = "PUT";
+        head.remaining = Microseconds(700);
+        head.sentAt = Microseconds(-3);
+        head.repeatable = true;
+        head.targetUpstream = UpstreamName("i-2");
+        head.callerService = ServiceName("plans");
+        head.route = RouteName("read");
+        head.priority = 4;
+        head.targetLatencyLeft = Microseconds(-20);
+        head.acceptable = Microseconds(90);
+        head.brokeOff = UpstreamName("i-1");
+        const TimePoint limit = std::chrono::steady_clock::now() + Milliseconds(2000);
+        const auto outcome = co_await f.client.call(ServerEndpoint, head, std::string("body"), f.receiver, always,
+                                                    limit, std::make_shared<Cancellation>());
+        CHECK(outcome.has_value());
+        const CallHead &got = f.service.lastHead;
+        CHECK(got.requestId == head.requestId);
+        CHECK(got.attempt == head.attempt);
+        CHECK(got.ingress == head.ingress);
+        CHECK(got.service == head.service);
+        CHECK(got.method == head.method);
+        CHECK(got.remaining == head.remaining);
+        CHECK(got.sentAt == head.sentAt);
+        CHECK(got.repeatable);
+        CHECK(got.targetUpstream == head.targetUpstream);
+        CHECK(got.callerService == head.callerService);
+        CHECK(got.route == head.route);
+        CHECK(got.priority == head.priority);
+        CHECK(got.targetLatencyLeft == head.targetLatencyLeft);
+        CHECK(got.acceptable == head.acceptable);
+        CHECK_FALSE(got.question);
+        CHECK(got.brokeOff == head.brokeOff);
+    }(fixture));
+}
+
 TEST_CASE("an answer carries head, body, identity and report")
 {
     Fixture fixture;
