--- a/bench/replay/replay.cpp
+++ b/bench/replay/replay.cpp
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <utility>
@@ -14,6 +13,7 @@
 #include "core/durations.h"
 #include "core/random.h"
 #include "routing/placementview.h"
+#include "standins/virtualtime.h"
 
 namespace Egretpath
 {
@@ -89,12 +89,7 @@
     ReplayResult run()
     {
         scheduleArrival(Start);
-        while (!events_.empty()) {
-            Event event = events_.top();
-            events_.pop();
-            now_ = event.at;
-            event.action();
-        }
+        time_.runAll();
         const auto all = static_cast<double>(std::max<std::uint64_t>(requests_, 1));
         result_.inTarget /= all;
         result_.late /= all;
@@ -105,17 +100,6 @@
     }
 
 private:
-    struct Event
-    {
-        TimePoint at;
-        std::uint64_t number = 0;
-        std::function<void()> action;
-        friend bool operator<(const Event &left, const Event &right)
-        {
-            return std::pair(left.at, left.number) > std::pair(right.at, right.number);
-        }
-    };
-
     struct Work
     {
         RequestPointer request;
@@ -156,7 +140,8 @@
         std::size_t next = 0;
     };
 
-    void at(TimePoint time, std::function<void()> action) { events_.push({time, ++eventNumber_, std::move(action)}); }
+    [[nodiscard]] TimePoint now() const { return time_.now(); }
+    void at(TimePoint time, std::function<void()> action) { time_.at(time, std::move(action)); }
 
     void scheduleArrival(TimePoint after)
     {
@@ -186,7 +171,7 @@
         upstreams_[upstream]->pace = std::bernoulli_distribution(load_.slowShare)(spells_) ? load_.slowFactor : 1.0;
         // Its node asks for the pace while a request waits for it.
         at(time + PaceWatchInterval, [this, upstream] {
-            if (upstreams_[upstream]->queue.awaitsPace(now_)) {
+            if (upstreams_[upstream]->queue.awaitsPace(now())) {
                 tellPace(upstream);
             }
         });
@@ -201,7 +186,7 @@
 
     void send(const RequestPointer &request)
     {
-        if (now_ >= request->deadline) {
+        if (now() >= request->deadline) {
             end(request, result_.failed);
             return;
         }
@@ -212,7 +197,7 @@
         const std::size_t upstream = choose(node, *request, acceptable);
         ++node.underWay[upstream];
         node.view.onSent(nameOf(upstream));
-        at(now_ + crossing(*request, upstream), [this, request, upstream, acceptable] {
+        at(now() + crossing(*request, upstream), [this, request, upstream, acceptable] {
             settings_.rule == ReplayRule::Egretpath ? offer(request, upstream, acceptable)
                                                     : offerPlain(request, upstream);
         });
@@ -252,9 +237,9 @@
         wanted.candidates = candidates_;
         wanted.excluded = request.excluded;
         wanted.demand.usualTime = load_.work;
-        wanted.targetLeft = request.target - now_;
+        wanted.targetLeft = request.target - now();
         wanted.bodies = Bytes(1200);
-        wanted.now = now_;
+        wanted.now = now();
         auto choice = node.placement.choose(wanted);
         if (!choice) {
             wanted.excluded = {};
@@ -275,13 +260,13 @@
     /// An outcome reaches the node at which the request began.
     void reply(const RequestPointer &request, std::size_t upstream, std::function<void()> action)
     {
-        const LoadReport report = upstreams_[upstream]->queue.report(Route, now_);
-        at(now_ + crossing(*request, upstream), [this, request, upstream, report, action = std::move(action)] {
+        const LoadReport report = upstreams_[upstream]->queue.report(Route, now());
+        at(now() + crossing(*request, upstream), [this, request, upstream, report, action = std::move(action)] {
             Node &node = *nodes_[request->node];
             --node.underWay[upstream];
             node.view.onEnded(nameOf(upstream));
             if (settings_.rule == ReplayRule::Egretpath) {
-                node.view.onReport(nameOf(upstream), report, now_);
+                node.view.onReport(nameOf(upstream), report, now());
             }
             action();
         });
@@ -296,7 +281,7 @@
             send(request);
             return;
         }
-        const Duration left = request->deadline - now_;
+        const Duration left = request->deadline - now();
         std::uniform_real_distribution<double> spread(1.0, 1.0 + settings_.decisions.ingress.ingress.returnSpread);
         const Duration pause = std::min(scaled(retryAfter, spread(choices_)), left / ReturnShare);
         if (request->returns++ == CallerReturns || left <= Duration{0}) {
@@ -305,7 +290,7 @@
         }
         request->excluded.clear();
         request->sendings = 0;
-        at(now_ + pause, [this, request] { send(request); });
+        at(now() + pause, [this, request] { send(request); });
     }
 
     void end(const RequestPointer &request, double &count)
@@ -317,10 +302,10 @@
 
     void answered(const RequestPointer &request)
     {
-        if (now_ <= request->target) {
+        if (now() <= request->target) {
             end(request, result_.inTarget);
         } else {
-            end(request, now_ <= request->deadline ? result_.late : result_.failed);
+            end(request, now() <= request->deadline ? result_.late : result_.failed);
         }
     }
 
@@ -336,7 +321,7 @@
         work.deadline = request->deadline;
         work.target = request->target;
         work.acceptable = acceptable;
-        const OfferOutcome outcome = upstream.queue.offer(work, now_);
+        const OfferOutcome outcome = upstream.queue.offer(work, now());
         if (const auto *refusal = std::get_if<Refused>(&outcome)) {
             const Duration retryAfter = refusal->failure.retryAfter;
             reply(request, number, [this, request, number, retryAfter] { refused(request, number, retryAfter); });
@@ -353,7 +338,7 @@
     {
         constexpr double Percent = 100.0;
         Upstream &upstream = *upstreams_[number];
-        for (const CallId next : upstream.queue.setPace(static_cast<std::uint16_t>(upstream.pace * Percent), now_)) {
+        for (const CallId next : upstream.queue.setPace(static_cast<std::uint16_t>(upstream.pace * Percent), now())) {
             begin(number, next);
         }
     }
@@ -364,7 +349,7 @@
         const RequestPointer request = upstream.waiting[call];
         upstream.waiting.erase(call);
         upstream.running[call] = {request, call.value()};
-        const TimePoint done = now_ + duration(upstream, *request);
+        const TimePoint done = now() + duration(upstream, *request);
         const bool cut = done > request->deadline;
         at(std::min(done, request->deadline), [this, number, call, cut] { finish(number, call, cut); });
     }
@@ -381,7 +366,7 @@
         Upstream &upstream = *upstreams_[number];
         const RequestPointer request = upstream.running[call].request;
         upstream.running.erase(call);
-        for (const CallId next : upstream.queue.finish(call, !cut, now_)) {
+        for (const CallId next : upstream.queue.finish(call, !cut, now())) {
             begin(number, next);
         }
         tellPace(number);
@@ -392,16 +377,16 @@
     void expire(std::size_t number)
     {
         Upstream &upstream = *upstreams_[number];
-        for (const ExpiredCall &expired : upstream.queue.expire(now_)) {
+        for (const ExpiredCall &expired : upstream.queue.expire(now())) {
             const RequestPointer request = upstream.waiting[expired.call];
             upstream.waiting.erase(expired.call);
             const Duration retryAfter = expired.failure.retryAfter;
             reply(request, number, [this, request, number, retryAfter] { refused(request, number, retryAfter); });
         }
-        for (const CallId next : upstream.queue.resume(now_)) {
+        for (const CallId next : upstream.queue.resume(now())) {
             begin(number, next);
         }
-        if (const auto next = upstream.queue.nextExpiry(now_)) {
+        if (const auto next = upstream.queue.nextExpiry(now())) {
             at(*next, [this, number] { expire(number); });
         }
     }
@@ -425,9 +410,9 @@
         Upstream &upstream = *upstreams_[number];
         const CallId call(++calls_);
         upstream.running[call] = {request, call.value()};
-        const TimePoint done = now_ + duration(upstream, *request);
+        const TimePoint done = now() + duration(upstream, *request);
         const bool cut = done > request->deadline;
-        at(std::min(done, std::max(request->deadline, now_)),
+        at(std::min(done, std::max(request->deadline, now())),
            [this, number, call, cut] { finishPlain(number, call, cut); });
     }
 
@@ -450,9 +435,7 @@
     Random arrivals_;
     Random spells_;
     Random choices_;
-    TimePoint now_;
-    std::priority_queue<Event> events_;
-    std::uint64_t eventNumber_ = 0;
+    VirtualTime time_;
     std::uint64_t calls_ = 0;
     std::uint64_t requests_ = 0;
     std::vector<std::unique_ptr<Upstream>> upstreams_;
--- a/tests/sidecar/crashingrequesttest.cpp
+++ b/tests/sidecar/crashingrequesttest.cpp
@@ -60,6 +60,23 @@
         statuses.push_back(reply.status);
     }
 
+    /// Upstreams work long enough to hold several requests when they end.
+    void slowDown(Milliseconds work)
+    {
+        for (FakeUpstream *upstream : upstreams) {
+            upstream->work = work;
+        }
+    }
+
+    /// Twelve proper requests, one after the other, at all nodes.
+    asio::awaitable<void> startBystanders(std::vector<std::uint16_t> &statuses)
+    {
+        const asio::any_io_executor executor = co_await asio::this_coro::executor;
+        for (int number = 0; number < 12; ++number) {
+            asio::co_spawn(executor, sendBystander(number, statuses), asio::detached);
+        }
+    }
+
     [[nodiscard]] int ends() const
     {
         int sum = 0;
@@ -119,15 +136,11 @@
 TEST_CASE("other requests that an ended upstream held are answered elsewhere, and again")
 {
     CrashingService service;
-    for (FakeUpstream *upstream : service.upstreams) {
-        upstream->work = Milliseconds(25);
-    }
+    service.slowDown(Milliseconds(25));
     service.run([&]() -> asio::awaitable<void> {
         const asio::any_io_executor executor = co_await asio::this_coro::executor;
         std::vector<std::uint16_t> statuses;
-        for (int number = 0; number < 12; ++number) {
-            asio::co_spawn(executor, service.sendBystander(number, statuses), asio::detached);
-        }
+        co_await service.startBystanders(statuses);
         asio::co_spawn(executor, service.sendCrashing("GET", CrashingPath, 6), asio::detached);
         (void)co_await service.until([&] { return statuses.size() == 12; });
         CHECK(service.ends() > 0);
@@ -143,9 +156,7 @@
 TEST_CASE("requests that an ended upstream held are not tried together at the next one")
 {
     CrashingService service;
-    for (FakeUpstream *upstream : service.upstreams) {
-        upstream->work = Milliseconds(60);
-    }
+    service.slowDown(Milliseconds(60));
     // Both requests would rather go to the second one.
     service.upstreams[2]->pace = 400;
     service.upstreams[3]->pace = 400;
@@ -169,15 +180,10 @@
 TEST_CASE("requests that one ended upstream held are answered, then and after the next end")
 {
     CrashingService service(CrashingPayment);
-    for (FakeUpstream *upstream : service.upstreams) {
-        upstream->work = Milliseconds(25);
-    }
+    service.slowDown(Milliseconds(25));
     service.run([&]() -> asio::awaitable<void> {
-        const asio::any_io_executor executor = co_await asio::this_coro::executor;
         std::vector<std::uint16_t> statuses;
-        for (int number = 0; number < 12; ++number) {
-            asio::co_spawn(executor, service.sendBystander(number, statuses), asio::detached);
-        }
+        co_await service.startBystanders(statuses);
         co_await service.sendCrashing("POST", CrashingPayment, 1);
         (void)co_await service.until([&] { return statuses.size() == 12; });
         CHECK(service.ends() == 1);
--- a/tests/standins/virtualtime.cpp
+++ b/tests/standins/virtualtime.cpp
@@ -11,12 +11,24 @@
 void VirtualTime::runUntil(TimePoint end)
 {
     while (!events_.empty() && events_.top().at <= end) {
-        const Event event = events_.top();
-        events_.pop();
-        now_ = event.at;
-        event.action();
+        runNext();
     }
     now_ = end;
 }
 
+void VirtualTime::runAll()
+{
+    while (!events_.empty()) {
+        runNext();
+    }
+}
+
+void VirtualTime::runNext()
+{
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.action();
+}
+
 }
--- a/tests/standins/virtualtime.h
+++ b/tests/standins/virtualtime.h
@@ -24,6 +24,8 @@
     void at(TimePoint time, std::function<void()> action);
     /// Runs what is due until @p end, which is the time then.
     void runUntil(TimePoint end);
+    /// Runs all that is due, and what that plans, until nothing is.
+    void runAll();
 
 private:
     struct Event
@@ -38,6 +40,8 @@
         }
     };
 
+    void runNext();
+
     TimePoint now_;
     std::priority_queue<Event> events_;
     std::uint64_t eventNumber_ = 0;
