soak: a stall of the machine is known before anything that it held up is judged

StallWatch is that timer's part by itself now; the checker tells it that it is awake before it judges an arrival, a run or an answer. Limit and excuse (250 ms late, three seconds) are as they were. Test: a deadline that a stall of .9 s held up, red without it; StallWatch by itself.

--- a/tests/soak/promisechecker.cpp
+++ b/tests/soak/promisechecker.cpp
@@ -49,10 +49,11 @@
 
 }
 
-PromiseChecker::PromiseChecker(PromiseBounds bounds, const Disturbances &disturbances,
+PromiseChecker::PromiseChecker(PromiseBounds bounds, const Disturbances &disturbances, StallWatch &stalls,
                                const PublishedVersions &versions)
     : bounds_(bounds)
     , disturbances_(disturbances)
+    , stalls_(stalls)
     , versions_(versions)
     , start_(currentTime())
 {
@@ -66,6 +67,7 @@
 
 void PromiseChecker::ended(const RequestId &attempt, const AttemptEnd &end)
 {
+    stalls_.noteAwake(currentTime());
     Attempt &known = attempts_.at(attempt);
     known.end = end;
     counts_.succeeded += isSuccess(end.status) ? 1 : 0;
@@ -108,6 +110,7 @@
 
 void PromiseChecker::arrived(const UpstreamName &upstream, const ServiceName &service, const ArrivedRequest &request)
 {
+    stalls_.noteAwake(currentTime());
     const auto found = attempts_.find(request.attempt);
     if (found == attempts_.end()) {
         violated("only what was asked for", "unknown request " + request.attempt.value() + " at " + upstream.value());
@@ -147,6 +150,7 @@
 
 void PromiseChecker::runBegan(const UpstreamName &upstream, const ServiceName &service, const ArrivedRequest &request)
 {
+    stalls_.noteAwake(currentTime());
     ++counts_.runs;
     const auto found = attempts_.find(request.attempt);
     if (found == attempts_.end()) {
--- a/tests/soak/promisechecker.h
+++ b/tests/soak/promisechecker.h
@@ -11,6 +11,7 @@
 #include "routes/routetable.h"
 #include "soak/disturbances.h"
 #include "soak/publishedversions.h"
+#include "soak/stallwatch.h"
 #include "standins/slottedupstream.h"
 
 namespace Egretpath
@@ -81,7 +82,8 @@
 class PromiseChecker final : public UpstreamObserver
 {
 public:
-    PromiseChecker(PromiseBounds bounds, const Disturbances &disturbances, const PublishedVersions &versions);
+    PromiseChecker(PromiseBounds bounds, const Disturbances &disturbances, StallWatch &stalls,
+                   const PublishedVersions &versions);
 
     void sent(const SentAttempt &attempt);
     void ended(const RequestId &attempt, const AttemptEnd &end);
@@ -190,6 +192,7 @@
 
     PromiseBounds bounds_;
     const Disturbances &disturbances_;
+    StallWatch &stalls_;
     const PublishedVersions &versions_;
     TimePoint start_;
     std::unordered_map<RequestId, Attempt> attempts_;
--- a/tests/soak/promisecheckertest.cpp
+++ b/tests/soak/promisecheckertest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <thread>
 
 #include "core/currenttime.h"
 
@@ -18,7 +19,7 @@
 struct Checked
 {
     explicit Checked(const PromiseBounds &bounds = PromiseBounds())
-        : checker(bounds, disturbances, versions)
+        : checker(bounds, disturbances, stalls, versions)
     {
         versions.publish({5, currentTime() - std::chrono::seconds(10), {{RouteKey("pay"), Payments}}});
         attempt.id = RequestId("a1");
@@ -76,6 +77,7 @@
     }
 
     Disturbances disturbances{Milliseconds(3000)};
+    StallWatch stalls{disturbances};
     PublishedVersions versions;
     PromiseChecker checker;
     SentAttempt attempt;
@@ -215,3 +217,25 @@
     run.disturbances.end(AllNodes, Disturbance::Unplanned, currentTime());
     CHECK_FALSE(run.breaks("answers by the timeout"));
 }
+
+// Guards against a request that the machine held up: its deadline looks too long where it arrives.
+TEST_CASE("a deadline that a stall held up breaks nothing")
+{
+    PromiseBounds bounds;
+    bounds.slack = Milliseconds(0);
+    Checked run(bounds);
+    run.stalls.noteAwake(currentTime());
+    for (int number = 0; number < 6; ++number) {
+        run.attempt.id = RequestId("held" + std::to_string(number));
+        run.attempt.at = currentTime();
+        run.checker.sent(run.attempt);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(900));
+    for (int number = 0; number < 6; ++number) {
+        run.arrival.attempt = RequestId("held" + std::to_string(number));
+        run.arrival.left = Milliseconds(1500);
+        run.checker.arrived(Upstream, Payments, run.arrival);
+    }
+    CHECK(run.stalls.stalls() == 1);
+    CHECK_FALSE(run.breaks("no longer deadlines"));
+}
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -24,9 +24,6 @@
 constexpr Milliseconds StartLimit{20'000};
 constexpr Milliseconds ReadyPoll{50};
 constexpr Milliseconds ProbeLimit{500};
-/// A timer of this program that is late by more shows that the machine held it up, and with it the nodes.
-constexpr Milliseconds StallStep{20};
-constexpr Milliseconds StallLimit{250};
 /// The end of a run that is held against recoveredShare.
 constexpr Milliseconds RecoveredTime{2500};
 /// Answers to the last requests arrive within this time.
@@ -44,7 +41,8 @@
     : options_(std::move(options))
     , random_(generator(options_.deployment.seed, 0))
     , disturbances_(SettleTime)
-    , checker_(options_.bounds, disturbances_, versions_)
+    , stalls_(disturbances_)
+    , checker_(options_.bounds, disturbances_, stalls_, versions_)
     , store_(context_.get_executor())
     , operators_(store_, versions_, generator(options_.deployment.seed, 1))
     , deployment_(context_, options_.deployment, store_, checker_)
@@ -127,15 +125,8 @@
 asio::awaitable<void> SoakRun::watchStalls()
 {
     while (true) {
-        const TimePoint before = currentTime();
-        co_await sleepFor(StallStep);
-        const Duration late = currentTime() - before - StallStep;
-        longestStall_ = std::max(longestStall_, late);
-        if (late > StallLimit) {
-            ++stalls_;
-            disturbances_.begin(AllNodes, Disturbance::Unplanned, before);
-            disturbances_.end(AllNodes, Disturbance::Unplanned, currentTime());
-        }
+        co_await sleepFor(StallWatch::Step);
+        stalls_.noteAwake(currentTime());
     }
 }
 
@@ -166,8 +157,9 @@
         text << "fault " << fault.at.count() << " ms " << toString(fault.kind) << " node " << fault.node << " for "
              << fault.length.count() << " ms\n";
     }
-    text << "stalls " << stalls_ << ", the longest " << std::chrono::duration_cast<Milliseconds>(longestStall_).count()
-         << " ms\nrecovered " << recovered_ << "\nstore-calls " << store_.calls() << '\n'
+    text << "stalls " << stalls_.stalls() << ", the longest "
+         << std::chrono::duration_cast<Milliseconds>(stalls_.longest()).count() << " ms\nrecovered " << recovered_
+         << "\nstore-calls " << store_.calls() << '\n'
          << checker_.summary();
     return text.str();
 }
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -49,6 +49,7 @@
     boost::asio::io_context context_{1};
     Random random_;
     Disturbances disturbances_;
+    StallWatch stalls_;
     PublishedVersions versions_;
     PromiseChecker checker_;
     StandinStore store_;
@@ -58,8 +59,6 @@
     FaultInjector injector_;
     HttpConnectionPool probes_;
     std::vector<PlannedFault> plan_;
-    unsigned stalls_ = 0;
-    Duration longestStall_{0};
     double recovered_ = 0.0;
 };
 
