instances, quarantine: one way to draw some nodes of the list

Found on reading the whole change. QuarantineSpread::listeners() gathered the list's nodes but its own and drew some, which anyPeers() does; CatalogController did anyPeers()'s last lines again for its seeds. drawSome() is that once. No check or bound changes.

--- a/src/instances/peerchoice.cpp
+++ b/src/instances/peerchoice.cpp
@@ -2,10 +2,18 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace Egretpath
 {
 
+std::vector<Endpoint> drawSome(std::vector<Endpoint> nodes, std::size_t count, Random &random)
+{
+    std::shuffle(nodes.begin(), nodes.end(), random);
+    nodes.resize(std::min(nodes.size(), count));
+    return nodes;
+}
+
 std::vector<Endpoint> anyPeers(const InstanceDirectory &directory, const Endpoint &own, std::size_t count,
                                Random &random)
 {
@@ -15,9 +23,7 @@
             all.push_back(record.node);
         }
     });
-    std::shuffle(all.begin(), all.end(), random);
-    all.resize(std::min(all.size(), count));
-    return all;
+    return drawSome(std::move(all), count, random);
 }
 
 std::vector<Endpoint> onePeerOfEachOtherRegion(const InstanceDirectory &directory, const RegionName &region,
--- a/src/instances/peerchoice.h
+++ b/src/instances/peerchoice.h
@@ -10,6 +10,9 @@
 namespace Egretpath
 {
 
+/// At most @p count of @p nodes, by chance. Thread safety: none. Errors: none; there may be fewer.
+[[nodiscard]] std::vector<Endpoint> drawSome(std::vector<Endpoint> nodes, std::size_t count, Random &random);
+
 /// At most @p count nodes of the list, but not @p own, by chance. Thread safety: none. Errors: none; there may be
 /// fewer.
 [[nodiscard]] std::vector<Endpoint> anyPeers(const InstanceDirectory &directory, const Endpoint &own, std::size_t count,
--- a/src/quarantine/quarantinespread.cpp
+++ b/src/quarantine/quarantinespread.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/digest.h"
+#include "instances/peerchoice.h"
 
 namespace Egretpath
 {
@@ -49,15 +50,7 @@
 
 std::vector<Endpoint> QuarantineSpread::listeners(const InstanceDirectory &directory, const Endpoint &own)
 {
-    std::vector<Endpoint> others;
-    directory.forEachReady([&](const InstanceRecord &record) {
-        if (record.node != own) {
-            others.push_back(record.node);
-        }
-    });
-    std::vector<Endpoint> chosen;
-    std::sample(others.begin(), others.end(), std::back_inserter(chosen), settings_.listeners, random_);
-    return chosen;
+    return anyPeers(directory, own, settings_.listeners, random_);
 }
 
 std::optional<TimePoint> QuarantineSpread::gather(const std::vector<SuspectedRequest> &refused, TimePoint now)
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -460,12 +460,7 @@
         }
     }
     std::vector<Endpoint> peers = anyPeers(state_.directory, state_.ownNode(), PeersInRound, state_.random);
-    if (peers.empty()) {
-        peers = state_.settings.seeds;
-        std::shuffle(peers.begin(), peers.end(), state_.random);
-        peers.resize(std::min(peers.size(), PeersInRound));
-    }
-    return peers;
+    return peers.empty() ? drawSome(state_.settings.seeds, PeersInRound, state_.random) : peers;
 }
 
 bool CatalogController::take(const Endpoint &peer, const Catalog &catalog)
