--- a/src/sidecar/catalogcontents.cpp
+++ b/src/sidecar/catalogcontents.cpp
@@ -68,6 +68,8 @@
     }
     UpdateOrigin origin;
     origin.bytes = routes.text.size();
+    origin.transferTime = routes.transferTime;
+    origin.parseTime = routes.parseTime;
     activateRoutes(std::move(routes.table), packRoutes(routes.text), origin);
 }
 
@@ -86,8 +88,9 @@
     }
     // The version that the peer announced may differ from the version of the routes that it sent.
     if (routes.value().table->version() > versions().routes) {
-        activateRoutes(std::move(routes.value().table), catalog.routes,
-                       {peer.value(), catalog.routesAge, catalog.routes.bytes.size()});
+        UpdateOrigin origin{peer.value(), catalog.routesAge, catalog.routes.bytes.size()};
+        origin.parseTime = routes.value().parseTime;
+        activateRoutes(std::move(routes.value().table), catalog.routes, origin);
     }
 }
 
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -31,6 +31,7 @@
     line.add("version", table.version().value()).add("before", versionBefore.value());
     line.add("count", std::uint64_t{table.routeCount()});
     line.add("from", origin.from).add("bytes", std::uint64_t{origin.bytes}).add("age_ms", millisecondsOf(origin.age));
+    line.add("transfer_ms", millisecondsOf(origin.transferTime)).add("parse_ms", millisecondsOf(origin.parseTime));
     log_.info(line);
     metrics_.set("egretpath_routes_version", {}, static_cast<double>(table.version().value()));
     if (versionBefore.value() > 0) {
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -26,6 +26,10 @@
     Duration age{0};
     /// Size of the routes as they were transferred.
     std::size_t bytes = 0;
+    /// How long the routes took to arrive from the store once their answer had begun; zero from another node.
+    Duration transferTime{0};
+    /// How long it took to parse the routes.
+    Duration parseTime{0};
 };
 
 /// The log lines and metrics of CatalogController; docs/OPERATIONS.md describes each line.
--- a/src/sidecar/catalogsource.h
+++ b/src/sidecar/catalogsource.h
@@ -20,6 +20,10 @@
     RouteTablePointer table;
     /// The text is sent to other nodes, which parse it themselves.
     std::string text;
+    /// How long the answer with the text took to arrive, once it had begun; zero if it came from another node.
+    Milliseconds transferTime{0};
+    /// How long parsing took by the clock; a small VM gets its processor only for a part of this time.
+    Milliseconds parseTime{0};
 };
 
 /// Receives what a CatalogSource reads. Thread safety: none.
--- a/tests/sidecar/fakecatalog.cpp
+++ b/tests/sidecar/fakecatalog.cpp
@@ -70,7 +70,7 @@
         if (!table) {
             return table.error();
         }
-        return PublishedRoutes{std::move(table).value(), std::move(text)};
+        return PublishedRoutes{std::move(table).value(), std::move(text), {}, {}};
     }
 
 private:
@@ -107,7 +107,7 @@
 {
     version_ = version;
     notifyReaders([this](CatalogSink &sink) {
-        sink.onRoutesRead({Platform::routesFromJson(routesText()).value(), routesText()});
+        sink.onRoutesRead({Platform::routesFromJson(routesText()).value(), routesText(), {}, {}});
     });
 }
 
