--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -12,6 +13,7 @@
 
 #include "http/httpserver.h"
 #include "http/tcpendpoint.h"
+#include "instances/catalogtimes.h"
 #include "standins/standinrelay.h"
 #include "standins/standinstore.h"
 
@@ -60,10 +62,18 @@
             changedIds.push_back(change.id.value());
         }
     }
-    void onSourceLost(std::string_view /*reason*/) override { isLost = true; }
+    void onSourceLost(std::string_view /*reason*/) override
+    {
+        isLost = true;
+        ++losses;
+    }
     void onSourceRestored() override { isLost = false; }
     void onEntryRefused(std::string_view key, std::string_view /*reason*/) override { refusedKeys.emplace_back(key); }
-    void onStoreCalled(std::string_view /*call*/, std::string_view outcome) override { ++calls[std::string(outcome)]; }
+    void onStoreCalled(std::string_view call, std::string_view outcome) override
+    {
+        ++calls[std::string(outcome)];
+        ++callsByName[std::string(call)];
+    }
 
     RouteVersion version;
     std::size_t listed = 0;
@@ -72,7 +82,9 @@
     std::vector<std::string> refusedKeys;
     /// The number of calls for each outcome.
     std::map<std::string, int> calls;
+    std::map<std::string, int> callsByName;
     bool isLost = false;
+    int losses = 0;
 };
 
 /// A stand-in store, a relay in front of it, and a watcher that reads through the relay.
@@ -268,3 +280,40 @@
         CHECK(fixture.runUntil([&] { return !fixture.sink.isLost && fixture.sink.version == next; }, MaxDelay));
     }
 }
+
+// Guards against a reader that takes its own lack of processor time for a loss of the store, and starts reading anew.
+TEST_CASE("a watcher whose node was busy for longer than a ping may take does not report the store as lost")
+{
+    constexpr int Repeats = 4;
+    constexpr Milliseconds AnswerDelay{300};
+    constexpr Milliseconds BusyTime{800};
+    Fixture fixture;
+    fixture.store.put("op/config", routesText("05"));
+    fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(5); }));
+    fixture.store.setDelay(AnswerDelay);
+    fixture.store.setMode(StoreMode::Slow);
+    for (int time = 0; time < Repeats; ++time) {
+        const std::uint64_t calls = fixture.store.calls();
+        REQUIRE(fixture.runUntil([&] { return fixture.store.calls() > calls; }));
+        std::this_thread::sleep_for(BusyTime);
+        fixture.context.run_for(AnswerDelay);
+    }
+    CHECK(fixture.sink.losses == 0);
+}
+
+// Guards against a reader whose link and processor are taken up by reading the same large table again.
+TEST_CASE("a change of many routes is read once")
+{
+    constexpr Milliseconds LongestGathering = CatalogTimes().maxGatherTime;
+    Fixture fixture;
+    fixture.store.put("op/config", largeRoutesText(0x10));
+    fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(0x10); }));
+    fixture.context.run_for(LongestGathering);
+    const int reads = fixture.sink.callsByName["read"];
+    fixture.store.put("op/config", largeRoutesText(0x11));
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(0x11); }));
+    fixture.context.run_for(2 * LongestGathering);
+    CHECK(fixture.sink.callsByName["read"] == reads);
+}
--- a/tests/sidecar/catalogtest.cpp
+++ b/tests/sidecar/catalogtest.cpp
@@ -10,6 +10,27 @@
 using namespace Egretpath;
 namespace asio = boost::asio;
 
+namespace
+{
+
+/// A reader and a follower with many routes, on links on which the complete table takes longer to transfer than a node
+/// takes to answer.
+struct SlowlyLinkedDeployment : Deployment
+{
+    SlowlyLinkedDeployment()
+    {
+        constexpr std::size_t ManyRoutes = 2800;
+        constexpr std::uint64_t LinkBytesPerSecond = 30'000;
+        putBehindLink(first, one, "statements", LinkBytesPerSecond);
+        putBehindLink(second, two, "statements", LinkBytesPerSecond);
+        catalog.unusedRoutes = ManyRoutes;
+        catalog.publishRoutes(11);
+        catalog.publishList();
+    }
+};
+
+}
+
 // Guards against older routes replacing newer ones: the store returns with an older copy, or a peer that was cut off
 // sends its old routes.
 TEST_CASE("routes never go back to an older version")
@@ -215,6 +236,46 @@
     });
 }
 
+// Guards against a follower that gives up its source while the bytes of a large answer arrive, and asks for all of them
+// again elsewhere.
+TEST_CASE("a follower waits for a large answer as long as its bytes arrive")
+{
+    constexpr std::size_t AddedRoutes = 1400;
+    constexpr Milliseconds ActiveWithin{3000};
+    SlowlyLinkedDeployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.waitUntil([&] { return deployment.catalog.readerCount() == 1; }));
+        deployment.catalog.unusedRoutes += AddedRoutes;
+        deployment.catalog.publishRoutes(20);
+        for (Milliseconds waited{0}; waited < ActiveWithin; waited += Milliseconds(100)) {
+            co_await deployment.sleep(Milliseconds(100));
+            CHECK(deployment.catalog.readerCount() == 1);
+        }
+        for (const TestNode *node : {&deployment.first, &deployment.second}) {
+            checkStatus(co_await deployment.send(node->callers, "GET", "/v20/1", node->callers.value()), 200);
+        }
+    });
+}
+
+// Guards against routes that are late because each change sends and parses the complete table at each step.
+TEST_CASE("a change of one route among many reaches a follower over a slow link at once")
+{
+    constexpr Milliseconds ActiveWithin{500};
+    SlowlyLinkedDeployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.waitUntil([&] { return deployment.catalog.readerCount() == 1; }));
+        for (std::uint64_t version = 20; version < 24; ++version) {
+            deployment.catalog.publishRoutes(version);
+            co_await deployment.sleep(ActiveWithin);
+            const std::string target = "/v" + std::to_string(version) + "/1";
+            for (const TestNode *node : {&deployment.first, &deployment.second}) {
+                checkStatus(co_await deployment.send(node->callers, "GET", target, target + node->callers.value()),
+                            200);
+            }
+        }
+    });
+}
+
 // Guards against a fleet in which every node calls an unavailable store, or in which nodes do not notice that the store
 // is back.
 TEST_CASE("while the store is unavailable, nodes keep their sources, and get its updates when it is back")
