platform: a reader waits while the store's bytes arrive, and is not misled by its own stalls

Cause: fixed times watch over a reader whose work grows with the table: .6 s for a ping, 2 s for an answer. Each that strikes ends all reads under way, which begin anew with all bytes. A ping timed out while the node parsed its own routes, or behind the bytes of the answer that it competes with. A silent store is noticed as before.

--- a/src/http/httpclientcall.cpp
+++ b/src/http/httpclientcall.cpp
@@ -66,6 +66,16 @@
     }
 }
 
+void HttpClientCall::waitWhileBytesArrive(Duration maxSilence)
+{
+    connection_->waitWhileBytesArrive(maxSilence);
+}
+
+TimePoint HttpClientCall::lastArrival() const
+{
+    return connection_->lastArrival();
+}
+
 bool HttpClientCall::isFirstByteSent() const
 {
     return connection_->isFirstByteSent();
--- a/src/http/httpclientcall.h
+++ b/src/http/httpclientcall.h
@@ -59,6 +59,13 @@
     /// Reads the complete body. Errors: also TooLarge if it is longer than @p maxSize.
     [[nodiscard]] boost::asio::awaitable<Result<std::string>> readCompleteBody(Bytes maxSize);
 
+    /// Lets the deadline follow the answer: from now on it is at least @p maxSilence after each arrival of bytes. A
+    /// deadline that passed while this process did not get to run is extended too, so that an answer which arrived
+    /// meanwhile is read. For calls whose result is worth waiting for as long as it arrives, however large it is.
+    void waitWhileBytesArrive(Duration maxSilence);
+    /// When bytes of an answer last arrived on this connection.
+    [[nodiscard]] TimePoint lastArrival() const;
+
     /// Whether a byte of the request was sent. From then on the server may run the request.
     [[nodiscard]] bool isFirstByteSent() const;
     /// Whether the connection was used by an earlier call.
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::uint16_t SwitchingProtocolsStatus = 101;
 constexpr std::uint16_t FirstFinalStatus = 200;
+/// How late a timer may fire before the process counts as having been stalled, and the time that it then gets to read
+/// what arrived meanwhile.
+constexpr Milliseconds StallTolerance{100};
 
 /// Whether a request of this method carries no framing field (Content-Length, Transfer-Encoding) when it has no body.
 bool methodImpliesNoBody(const std::string &method)
@@ -69,6 +72,7 @@
 {
     onIdleExpired_ = nullptr;
     parser_.reset();
+    maxSilence_.reset();
     bytesSent_ = 0;
     isRequestFinished_ = false;
     isReused_ = true;
@@ -201,6 +205,7 @@
         co_return endedEarly ? failure(Reason::BadAnswer, "the response ended early: " + error.message())
                              : socketFailure(error);
     }
+    recordArrival();
     if (parser_->feed(buffer_) != MessageProblem::None) {
         close();
         co_return failure(Reason::BadAnswer, "malformed response");
@@ -243,6 +248,15 @@
     }
 }
 
+void HttpClientConnection::recordArrival()
+{
+    lastArrival_ = std::chrono::steady_clock::now();
+    if (maxSilence_) {
+        deadline_ = std::max<TimePoint>(deadline_, lastArrival_ + *maxSilence_);
+        timer_.expireAt(deadline_);
+    }
+}
+
 void HttpClientConnection::cancel()
 {
     isCancelled_ = true;
@@ -271,6 +285,12 @@
         onExpired();
         return;
     }
+    // A timer that fires late shows that this process did not run. An answer may have arrived meanwhile.
+    if (maxSilence_ && std::chrono::steady_clock::now() - deadline_ > StallTolerance) {
+        deadline_ = std::chrono::steady_clock::now() + StallTolerance;
+        timer_.expireAt(deadline_);
+        return;
+    }
     hasTimedOut_ = true;
     closeSocket(socket_);
 }
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -56,6 +56,8 @@
     [[nodiscard]] boost::asio::awaitable<Result<std::string>> readBody();
     [[nodiscard]] bool isFirstByteSent() const { return bytesSent_ > 0; }
     [[nodiscard]] bool isConnectionReused() const { return isReused_; }
+    void waitWhileBytesArrive(Duration maxSilence) { maxSilence_ = maxSilence; }
+    [[nodiscard]] TimePoint lastArrival() const { return lastArrival_; }
     void cancel();
 
     [[nodiscard]] const Endpoint &endpoint() const { return endpoint_; }
@@ -66,6 +68,7 @@
     [[nodiscard]] Failure failure(Reason reason, std::string detail) const;
     [[nodiscard]] Failure socketFailure(const boost::system::error_code &error) const;
     void onTimeout();
+    void recordArrival();
 
     boost::asio::ip::tcp::socket socket_;
     Endpoint endpoint_;
@@ -75,6 +78,9 @@
     SocketTimer timer_;
     std::function<void()> onIdleExpired_;
     TimePoint deadline_ = TimePoint::max();
+    /// Set if the deadline follows the arrival of bytes.
+    std::optional<Duration> maxSilence_;
+    TimePoint lastArrival_;
 
     std::optional<ResponseParser> parser_;
     std::string pendingHead_;
--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -317,3 +317,17 @@
     fixture.context.run_for(2 * LongestGathering);
     CHECK(fixture.sink.callsByName["read"] == reads);
 }
+
+// Guards against a reader that gives up a large answer while its bytes arrive, and then asks for all of them again.
+TEST_CASE("a table is read although it takes longer to arrive than a call may wait for its answer")
+{
+    constexpr std::uint64_t BytesPerSecond = 100'000;
+    Fixture fixture;
+    RelayConditions conditions;
+    conditions.bytesPerSecond = BytesPerSecond;
+    fixture.relay.setConditions(conditions);
+    fixture.store.put("op/config", largeRoutesText(0x10));
+    fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+    CHECK(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(0x10); }));
+    CHECK(fixture.sink.losses == 0);
+}
