rpc: a follower waits for a large answer as long as its bytes arrive

Cause: the class of routes-late-once-there-are-many, which smaller answers had only moved: a follower gave its source up after .4 or 1.1 s whether bytes arrived or not, and asked another node for all of them; also after it had itself not run for so long. Change: the deadline of a query between nodes waits while a message of 4 KiB or more arrives, at most 5 s, and gives a process that was stalled .1 s to read what came. A silent source is left after the same time as before. The relay of the tests passes bytes on a limited link in 20 pieces a second instead of pieces of 16 KiB, as a link does. The test failed before (a second node read the store), passes now.

--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -74,6 +74,14 @@
 /// A larger body is sent on the bulk connection.
 constexpr std::size_t MaxRegularBodyBytes = std::size_t{16} * 1024;
 
+/// A message of at least this size may take longer to arrive than its receiver waits for an answer.
+constexpr std::size_t LargeMessageBytes = std::size_t{4} * 1024;
+/// The longest time for which a large message that is arriving is waited for, beyond the deadline.
+constexpr Milliseconds MaxArrivalTime{5000};
+/// How late a timer may fire before the process counts as having been stalled, and the time that it then gets to read
+/// what arrived meanwhile.
+constexpr Milliseconds StallTolerance{100};
+
 /// Which of the connections to a peer a call uses.
 ///
 /// Messages on one connection arrive in the order in which they were sent. A large body takes a quarter of a second on
@@ -126,6 +134,12 @@
         return now - std::max(*answerDueTimes.begin(), stream.lastArrival()) > MaxSilence;
     }
 
+    /// Whether a large message has been arriving within the last @p maxPause.
+    [[nodiscard]] bool isReceivingLargeMessage(TimePoint now, Duration maxPause) const
+    {
+        return stream.expectedBytes() >= LargeMessageBytes && now - stream.lastArrival() < maxPause;
+    }
+
     bool isLost = false;
     TimePoint lastUse;
     /// For each call without an answer, the time from which its answer can be expected.
@@ -155,6 +169,74 @@
     std::multiset<TimePoint>::iterator position_;
 };
 
+/// Rejects a control request at its deadline, but not while a large message arrives on its connection, nor before this
+/// process has read what arrived while it did not run.
+///
+/// Guards against a source that is left while its answer arrives: all bytes of the answer would be sent again by
+/// another node, and compete with those of the first one.
+class PatientDeadline : public std::enable_shared_from_this<PatientDeadline>
+{
+public:
+    /// @p maxPause: the longest pause between the bytes of a large message.
+    PatientDeadline(const asio::any_io_executor &executor, std::shared_ptr<const PeerConnection> connection,
+                    TimePoint deadline, Duration maxPause, std::function<void()> onPassed)
+        : timer_(executor)
+        , connection_(std::move(connection))
+        , deadline_(deadline)
+        , latestDeadline_(deadline + MaxArrivalTime)
+        , maxPause_(maxPause)
+        , onPassed_(std::move(onPassed))
+    {
+    }
+
+    void startWait()
+    {
+        timer_.expires_at(deadline_);
+        timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error) {
+                self->onTimer();
+            }
+        });
+    }
+
+private:
+    void onTimer()
+    {
+        const TimePoint now = std::chrono::steady_clock::now();
+        const bool hasStalled = now - deadline_ > StallTolerance;
+        if (now >= latestDeadline_ || !(hasStalled || connection_->isReceivingLargeMessage(now, maxPause_))) {
+            onPassed_();
+            return;
+        }
+        deadline_ = now + (hasStalled ? Duration{StallTolerance} : maxPause_);
+        startWait();
+    }
+
+    asio::steady_timer timer_;
+    std::shared_ptr<const PeerConnection> connection_;
+    TimePoint deadline_;
+    TimePoint latestDeadline_;
+    Duration maxPause_;
+    std::function<void()> onPassed_;
+};
+
+template<typename Value>
+kj::Promise<Value> rejectWhenSilent(const asio::any_io_executor &executor,
+                                    std::shared_ptr<const PeerConnection> connection, TimePoint deadline,
+                                    Duration maxPause)
+{
+    auto pair = kj::newPromiseAndFulfiller<Value>();
+    // Shared, since std::function requires a copyable action.
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<Value>>>(kj::mv(pair.fulfiller));
+    auto patientDeadline =
+        std::make_shared<PatientDeadline>(executor, std::move(connection), deadline, maxPause, [fulfiller] {
+            (*fulfiller)->reject(KJ_EXCEPTION(OVERLOADED, "deadline passed"));
+        });
+    patientDeadline->startWait();
+    return pair.promise.attach(kj::mv(patientDeadline));
+}
+
 template<typename Value>
 kj::Promise<Value> rejectAtDeadline(const asio::any_io_executor &executor, TimePoint deadline)
 {
@@ -349,7 +431,13 @@
     const OpenCall open(connection.value(), wait);
     const PeerStream &stream = connection.value()->stream;
     const std::uint64_t bytesBefore = stream.bytesTransferred();
-    Result<Value> answer = co_await awaitAnswer(send(connection.value()->node), deadline, nullptr);
+    const Duration maxPause = deadline - std::chrono::steady_clock::now() - wait;
+    PromiseResult<Value> result =
+        co_await awaitPromise(send(connection.value()->node)
+                                  .exclusiveJoin(rejectWhenSilent<Value>(implementation->executor(), connection.value(),
+                                                                         deadline, maxPause)));
+    Result<Value> answer = result.value ? Result<Value>(std::move(*result.value))
+                                        : Result<Value>(toFailure(*result.error, nullptr, deadline));
     if (!answer) {
         // The byte count tells a silent peer from an answer that is too large for the link.
         Failure failure = answer.error();
--- a/src/rpc/peerstream.cpp
+++ b/src/rpc/peerstream.cpp
@@ -130,6 +130,7 @@
 
 kj::Promise<size_t> PeerStream::tryRead(void *buffer, size_t minBytes, size_t maxBytes)
 {
+    expectedBytes_ = minBytes;
     if (!coding_) {
         auto codingByte = kj::heap<kj::byte>();
         kj::byte *destination = codingByte.get();
--- a/src/rpc/peerstream.h
+++ b/src/rpc/peerstream.h
@@ -45,6 +45,8 @@
     /// Bytes on the wire, that is, after encoding; see AsioStream.
     [[nodiscard]] std::uint64_t bytesTransferred() const { return socket_.bytesTransferred(); }
     [[nodiscard]] TimePoint lastArrival() const { return socket_.lastArrival(); }
+    /// Number of bytes that the pending read waits for. While a message arrives, the size of its remaining part.
+    [[nodiscard]] std::size_t expectedBytes() const { return expectedBytes_; }
 
 private:
     class Deflater;
@@ -54,6 +56,7 @@
     kj::Promise<size_t> readInflated(kj::byte *buffer, size_t minBytes, size_t maxBytes, size_t alreadyRead);
 
     AsioStream socket_;
+    std::size_t expectedBytes_ = 0;
     std::optional<PeerCoding> coding_;
     /// Whether the next write has to send the coding first.
     bool shouldSendCoding_ = false;
--- a/tests/standins/relaydirection.cpp
+++ b/tests/standins/relaydirection.cpp
@@ -1,5 +1,6 @@
 #include "standins/relaydirection.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -21,10 +22,21 @@
 {
 
 constexpr std::size_t ReadBytes = 16384;
+/// On a link of limited bandwidth bytes arrive steadily: in so many pieces a second.
+constexpr std::uint64_t PiecesPerSecond = 20;
+constexpr std::size_t MinPieceBytes = 512;
 /// Maximum number of bytes that one direction holds back. Beyond it, nothing more is read, so that the sender slows
 /// down.
 constexpr std::size_t MaxBufferedBytes = std::size_t{16} * 1024 * 1024;
 
+std::size_t pieceBytes(const RelayConditions &conditions)
+{
+    if (conditions.bytesPerSecond == 0) {
+        return ReadBytes;
+    }
+    return std::clamp<std::size_t>(conditions.bytesPerSecond / PiecesPerSecond, MinPieceBytes, ReadBytes);
+}
+
 }
 
 RelayDirection::RelayDirection(Socket from, Socket to, std::shared_ptr<const RelayConditions> conditions,
@@ -66,8 +78,8 @@
             error = {};
             continue;
         }
-        const std::size_t count =
-            co_await from_->async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t count = co_await from_->async_read_some(asio::buffer(buffer, pieceBytes(*conditions_)),
+                                                                  asio::redirect_error(asio::use_awaitable, error));
         bufferedBytes_ += count;
         const TimePoint due = std::chrono::steady_clock::now() + conditions_->delay;
         if (count > 0) {
@@ -119,5 +131,4 @@
     }
     chunks_.clear();
 }
-
 }
