--- a/src/routes/routetable.cpp
+++ b/src/routes/routetable.cpp
@@ -130,7 +130,8 @@
 const Route *RouteTable::find(std::string_view host, std::string_view prefix) const
 {
     const auto isBefore = [host, prefix](const HostRoutePointer &route) {
-        return std::tie(route->host, route->route.prefix) < std::tie(host, prefix);
+        const std::string_view routeHost = route->host;
+        return routeHost != host ? routeHost < host : route->route.prefix < prefix;
     };
     const auto found = std::partition_point(routes_.begin(), routes_.end(), isBefore);
     const bool isMatch = found != routes_.end() && (*found)->host == host && (*found)->route.prefix == prefix;
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -133,7 +133,10 @@
         request.knownState = isNotAvailable ? WireConversion::readStoreState(params.getKnown()) : StoreState::Available;
         request.takesChanges = params.getTakesChanges();
         return toPromise(executor_, service_.catalog(request)).then([context, request](Catalog catalog) mutable {
-            KJ_REQUIRE(request.takesChanges || catalog.routes.empty(), "the asking node can't read changes of routes");
+            if (!request.takesChanges && !catalog.routes.empty()) {
+                kj::throwRecoverableException(
+                    KJ_EXCEPTION(UNIMPLEMENTED, "changes of routes, which the asker can't read"));
+            }
             WireConversion::write(context.getResults().initCatalog(), catalog);
         });
     }
