tests: upstreams that name a limit or say that they leave (known red)

Three tests fail on this code: 40 runs in 2 s at a limit of 4 a second, no refusal where all upstreams are limited, 20 runs after an upstream said that it leaves.

--- a/tests/sidecar/fakeupstream.cpp
+++ b/tests/sidecar/fakeupstream.cpp
@@ -66,8 +66,14 @@
     const std::string request(exchange.head().headers.find(AttemptId).value_or(std::string_view()));
     head.headers.add("X-Egretpath-Instance-Load",
                      std::to_string(runningRequests_) + ",0,6," + std::to_string(slowdown));
+    if (!namedLimit.empty()) {
+        head.headers.add("Server-Limit", namedLimit);
+    }
+    if (saysItLeaves) {
+        head.headers.add("Server-Leaving", "1");
+    }
     if (exchange.head().target == "/health") {
-        head.status = 200;
+        head.status = saysItLeaves ? 503 : 200;
         (void)co_await exchange.respond(head, "");
         co_return;
     }
--- a/tests/sidecar/fakeupstream.h
+++ b/tests/sidecar/fakeupstream.h
@@ -45,6 +45,10 @@
     Milliseconds restartTime{100};
     /// Answers lack the digest that proves that they are the upstream's.
     bool omitsDigest = false;
+    /// The requests a second that the upstream says it takes; empty if it names no limit.
+    std::string namedLimit;
+    /// Whether the upstream says that it leaves.
+    bool saysItLeaves = false;
     /// The slowdown that the upstream reports, in percent of the baseline.
     std::uint16_t slowdown = 100;
 
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -285,6 +285,87 @@
     });
 }
 
+// Guards against an upstream in need that gets more requests than the limit that it names.
+TEST_CASE("an upstream that names a limit gets no more requests than that from all nodes together")
+{
+    constexpr int LimitPerSecond = 4;
+    constexpr int Rounds = 40;
+    constexpr Milliseconds RoundTime{50};
+    // Those that were sent before the limit was known, and one more at the start and the end of the time measured.
+    constexpr int RunsBeyondLimit = 4;
+    Deployment deployment;
+    deployment.one.namedLimit = std::to_string(LimitPerSecond);
+    deployment.run([&]() -> asio::awaitable<void> {
+        int answered = 0;
+        const TimePoint start = std::chrono::steady_clock::now();
+        for (int round = 0; round < Rounds; ++round) {
+            for (const TestNode *node : {&deployment.first, &deployment.second}) {
+                const Reply reply = co_await deployment.send(node->callers, "GET", "/read/1",
+                                                             std::to_string(round) + node->callers.value());
+                answered += reply.status == 200 ? 1 : 0;
+            }
+            co_await deployment.sleep(RoundTime);
+        }
+        const auto seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+        CHECK(deployment.one.totalRuns() <= static_cast<int>(seconds * LimitPerSecond) + RunsBeyondLimit);
+        CHECK(deployment.one.totalRuns() >= LimitPerSecond);
+        CHECK(answered == 2 * Rounds);
+    });
+}
+
+// Guards against an upstream that is limited for good, and one whose requests are held although all others are limited.
+TEST_CASE("requests beyond the limit of all upstreams are refused at once, and served again when it goes away")
+{
+    Deployment deployment;
+    deployment.one.namedLimit = "0.5";
+    deployment.two.namedLimit = "0.5";
+    deployment.run([&]() -> asio::awaitable<void> {
+        int refused = 0;
+        for (int number = 0; number < 12; ++number) {
+            const Reply reply =
+                co_await deployment.send(deployment.first.callers, "GET", "/read/1", "a" + std::to_string(number));
+            const bool isRefusal = reply.status == 503 && reply.headers.contains("Retry-After");
+            refused += isRefusal ? 1 : 0;
+        }
+        CHECK(refused >= 6);
+        deployment.one.namedLimit.clear();
+        deployment.two.namedLimit.clear();
+        co_await deployment.sleep(Milliseconds(2500));
+        int answered = 0;
+        for (int number = 0; number < 12; ++number) {
+            const Reply reply =
+                co_await deployment.send(deployment.first.callers, "GET", "/read/1", "b" + std::to_string(number));
+            answered += reply.status == 200 ? 1 : 0;
+        }
+        CHECK(answered >= 11);
+    });
+}
+
+// Guards against an upstream that says in its answers that it leaves, and still gets requests until the list says so.
+TEST_CASE("an upstream that says that it leaves gets no more requests, and gets some again when it stays")
+{
+    constexpr int Requests = 20;
+    Deployment deployment;
+    deployment.one.saysItLeaves = true;
+    deployment.run([&]() -> asio::awaitable<void> {
+        for (int number = 0; number < Requests; ++number) {
+            const Reply reply =
+                co_await deployment.send(deployment.first.callers, "GET", "/read/1", "a" + std::to_string(number));
+            checkStatus(reply, 200);
+        }
+        CHECK(deployment.one.totalRuns() <= 1);
+        deployment.one.saysItLeaves = false;
+        co_await deployment.sleep(Milliseconds(1500));
+        const int runs = deployment.one.totalRuns();
+        for (int number = 0; number < Requests; ++number) {
+            checkStatus(
+                co_await deployment.send(deployment.first.callers, "GET", "/read/1", "b" + std::to_string(number)),
+                200);
+        }
+        CHECK(deployment.one.totalRuns() > runs);
+    });
+}
+
 // Guards against requests that are queued for an upstream when it starts to drain, and reach it long after it
 // announced this.
 TEST_CASE("requests that are queued for an upstream that drains go to another upstream")
