egress, admission: an upstream gets no more requests than the limit that it names

Cause: Server-Limit was not read; the upstream was used by its slots and pace alone. Change: platform/ reads it into a rate; the node beside the upstream, through which all its requests pass, keeps the rate (UpstreamRateLimit: two at once, none saved up), asked on arrival and again before the hand-over, for tries that were queued when the limit came as well. Requests beyond it are refused at once as not run, with the time until the next one; load reports carry that time, so that other nodes place elsewhere. An answer without it ends the limit; below one request in four seconds one still goes, as only an answer can tell.

--- a/src/core/identity.h
+++ b/src/core/identity.h
@@ -53,6 +53,8 @@
     std::uint32_t arrivalDelayMicroseconds = 0;
     /// Share of failures among the upstream's latest answers, in percent.
     std::uint8_t failurePercent = 0;
+    /// Time until the upstream may get a request by the rate limit that it named; zero: now, or it named none.
+    std::uint32_t limitedForMicroseconds = 0;
 };
 
 }
--- a/src/dialect/upstreamdialect.h
+++ b/src/dialect/upstreamdialect.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "core/clock.h"
+#include "core/requestrate.h"
 #include "core/strongtype.h"
 #include "http/httphead.h"
 
@@ -44,6 +45,10 @@
     /// The id of the answered request; empty if the answer names none.
     RequestId request;
     std::optional<UpstreamLoadSample> load;
+    /// The rate of requests that the upstream takes from all nodes together; nothing if it names none.
+    std::optional<RequestRate> limit;
+    /// Whether the upstream says that it leaves.
+    bool isLeaving = false;
     /// The upstream that answered; empty if the answer does not name it.
     UpstreamName upstream;
 };
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -74,6 +74,9 @@
 {
     if (record != nullptr) {
         slots_.setSlots(record->slots);
+        if (record->id != presence_.name()) {
+            rateLimit_.clear();
+        }
     }
     presence_.onListed(record);
     slots_.refuseWaiting([this](const UpstreamName &target) { return presence_.rejection(target); });
@@ -89,6 +92,9 @@
     LoadReport report = slots_.queue().report(route, currentTime());
     report.draining = isDraining_;
     report.arrivalDelayMicroseconds = static_cast<std::uint32_t>(arrivalDelayMicroseconds_);
+    const Duration limitedFor = rateLimit_.timeUntilNext(currentTime());
+    report.limitedForMicroseconds =
+        static_cast<std::uint32_t>(std::chrono::duration_cast<Microseconds>(limitedFor).count());
     return report;
 }
 
@@ -204,6 +210,33 @@
     }
 }
 
+void EgressRole::applyNamedLimit(const UpstreamAnswerMetadata &metadata)
+{
+    if (metadata.isWrongUpstream || !metadata.isAuthentic) {
+        return;
+    }
+    const std::optional<RequestRate> before = rateLimit_.limit();
+    rateLimit_.onAnswer(metadata.limit, currentTime());
+    if (before == metadata.limit) {
+        return;
+    }
+    StructuredLine line("limit");
+    line.add("upstream", presence_.name().value());
+    line.add("per_second", metadata.limit ? std::to_string(metadata.limit->value()) : "none");
+    log_.info(line);
+    metrics_.set("egretpath_upstream_limit_per_second", {}, metadata.limit ? metadata.limit->value() : 0.0);
+}
+
+std::optional<Failure> EgressRole::rateLimitRejection() const
+{
+    const Duration wait = rateLimit_.timeUntilNext(currentTime());
+    if (wait <= Duration{0}) {
+        return std::nullopt;
+    }
+    return notRun(Reason::Overloaded, "the limit that the upstream names is used up",
+                  std::chrono::ceil<Milliseconds>(wait));
+}
+
 void EgressRole::recordArrival(Duration delay)
 {
     const double sample = std::chrono::duration<double, std::micro>(std::min<Duration>(delay, MaxArrivalDelay)).count();
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "admission/upstreamaccount.h"
+#include "admission/upstreamratelimit.h"
 #include "dialect/upstreamdialect.h"
 #include "egress/upstreamexitmonitor.h"
 #include "egress/upstreamhealth.h"
@@ -106,6 +107,10 @@
     void recordOverdue();
     void updateAccount(const UpstreamLoadSample &load);
     void applyAnswerMetadata(const UpstreamAnswerMetadata &metadata);
+    /// Takes the limit that the upstream names in an answer to a request, or that it names none.
+    void applyNamedLimit(const UpstreamAnswerMetadata &metadata);
+    /// The refusal of a request that the upstream's limit leaves no room for now; nothing if there is room.
+    [[nodiscard]] std::optional<Failure> rateLimitRejection() const;
     void recordArrival(Duration delay);
     /// Logs the requests that the upstream held when it exited, and informs the listener.
     void reportUpstreamExit(UpstreamCrashId crash, const std::vector<HeldRequest> &held);
@@ -131,6 +136,7 @@
     std::uint64_t lastCallId_ = 0;
     TimePoint slowdownUpdatedAt_;
     UpstreamPresence presence_;
+    UpstreamRateLimit rateLimit_;
     double arrivalDelayMicroseconds_ = 0.0;
     bool isDraining_ = false;
     bool isProbing_ = false;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -154,6 +154,9 @@
     if (auto rejection = quarantineRejection()) {
         co_return rejection;
     }
+    if (auto rejection = role_.rateLimitRejection()) {
+        co_return rejection;
+    }
     role_.updateFailureShare();
     const WorkOffer offer = makeOffer();
     if (head_.dryRun) {
@@ -212,6 +215,9 @@
     if (auto rejection = quarantineRejection()) {
         co_return rejection;
     }
+    if (auto rejection = role_.rateLimitRejection()) {
+        co_return rejection;
+    }
     httpCall_ = std::move(opened).value();
     cancellation_->setAction([weak = weak_from_this()] {
         const auto request = weak.lock();
@@ -220,6 +226,7 @@
         }
     });
     handedOverAt_ = currentTime();
+    role_.rateLimit_.onHandOver(handedOverAt_);
     co_return std::nullopt;
 }
 
@@ -281,6 +288,7 @@
         const bool isOwn = metadata.request.value().empty() || metadata.request == head_.requestId;
         if (isOwn) {
             endTracking(true);
+            role_.applyNamedLimit(metadata);
         }
         std::string body;
         while (true) {
--- a/src/routing/placementview.cpp
+++ b/src/routing/placementview.cpp
@@ -64,6 +64,8 @@
     }
     record.slots = std::max(report.slots, 1U);
     record.reportTime = now;
+    const TimePoint limitedUntil = now + Microseconds(report.limitedForMicroseconds);
+    record.ejectedUntil = std::max<TimePoint>(record.ejectedUntil, limitedUntil);
     record.inFlightAtReport = record.inFlight;
 }
 
--- a/src/routing/placementview.h
+++ b/src/routing/placementview.h
@@ -63,7 +63,8 @@
     /// A request was sent to @p upstream. Exactly one onEnded() follows.
     void onSent(const UpstreamName &upstream);
     void onEnded(const UpstreamName &upstream);
-    /// The node beside @p upstream reported its load.
+    /// The node beside @p upstream reported its load. An upstream that takes no request for a while, by the rate limit
+    /// that it named, is ejected for this time.
     void onReport(const UpstreamName &upstream, const LoadReport &report, TimePoint now);
     /// The upstream failed a request: with an error answer, an incomplete answer, or none.
     void onFailed(const UpstreamName &upstream, TimePoint now);
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -35,6 +35,8 @@
   # Time until the VM's slow period is expected to end, if calls wait for the end at the node; otherwise zero.
   settledPacePercent @10 :UInt16;
   # The slowdown that is expected after the slow period; pacePercent if there is no slow period to wait for.
+  limitedFor @11 :UInt32;
+  # Time until the upstream may get a request by the rate limit that it named; zero: now, or it named none.
 }
 
 struct CatalogMark {
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -137,6 +137,7 @@
     wire.setFailurePercent(report.failurePercent);
     wire.setArrivalDelay(report.arrivalDelayMicroseconds);
     wire.setSpellLeft(report.slowPeriodLeftMicroseconds);
+    wire.setLimitedFor(report.limitedForMicroseconds);
     wire.setSettledPacePercent(report.recoveredSlowdownPercent);
 }
 
@@ -153,6 +154,7 @@
     report.failurePercent = wire.getFailurePercent();
     report.arrivalDelayMicroseconds = wire.getArrivalDelay();
     report.slowPeriodLeftMicroseconds = wire.getSpellLeft();
+    report.limitedForMicroseconds = wire.getLimitedFor();
     report.recoveredSlowdownPercent = wire.getSettledPacePercent();
     return report;
 }
--- /dev/null
+++ b/tests/admission/upstreamratelimittest.cpp
@@ -0,0 +1,73 @@
+#include "admission/upstreamratelimit.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Egretpath;
+
+namespace
+{
+
+const TimePoint Start = TimePoint{} + std::chrono::hours{1};
+
+/// The number of requests that @p limit lets through in @p time, if one comes each millisecond.
+int requestsIn(UpstreamRateLimit &limit, TimePoint start, Milliseconds time)
+{
+    int count = 0;
+    for (Milliseconds passed{0}; passed < time; passed += Milliseconds{1}) {
+        const TimePoint now = start + passed;
+        if (limit.timeUntilNext(now) <= Duration{0}) {
+            limit.onHandOver(now);
+            ++count;
+        }
+    }
+    return count;
+}
+
+}
+
+TEST_CASE("an upstream that names no limit may get any number of requests")
+{
+    UpstreamRateLimit limit;
+    CHECK(requestsIn(limit, Start, Milliseconds(100)) == 100);
+    limit.onAnswer(RequestRate(1.0), Start);
+    limit.onAnswer(std::nullopt, Start);
+    CHECK(requestsIn(limit, Start, Milliseconds(100)) == 100);
+}
+
+TEST_CASE("a named limit is used up and not exceeded, also a fraction of a request a second")
+{
+    for (const double perSecond : {0.5, 2.1, 4.9, 100.0}) {
+        UpstreamRateLimit limit;
+        limit.onAnswer(RequestRate(perSecond), Start);
+        const int requests = requestsIn(limit, Start, Milliseconds(10'000));
+        CHECK(requests >= static_cast<int>(perSecond * 10.0));
+        CHECK(requests <= static_cast<int>(perSecond * 10.0) + 2);
+    }
+}
+
+TEST_CASE("time without requests is not saved up for a burst")
+{
+    UpstreamRateLimit limit;
+    limit.onAnswer(RequestRate(2.0), Start);
+    CHECK(requestsIn(limit, Start + std::chrono::seconds{60}, Milliseconds(100)) == 2);
+}
+
+// Guards against an upstream whose limit was raised and that waits for the requests of the lower one.
+TEST_CASE("a raised limit counts at once")
+{
+    UpstreamRateLimit limit;
+    limit.onAnswer(RequestRate(0.3), Start);
+    CHECK(requestsIn(limit, Start, Milliseconds(1000)) == 2);
+    limit.onAnswer(RequestRate(50.0), Start + std::chrono::seconds{1});
+    CHECK(requestsIn(limit, Start + std::chrono::seconds{1}, Milliseconds(1000)) >= 49);
+}
+
+// Guards against an upstream that gets no request any more, so that none of its answers can end the limit.
+TEST_CASE("an upstream with a limit of zero gets a request now and then")
+{
+    UpstreamRateLimit limit;
+    limit.onAnswer(RequestRate(0.0), Start);
+    const int requests = requestsIn(limit, Start, Milliseconds(20'000));
+    CHECK(requests >= 2);
+    CHECK(requests <= 7);
+}
