egress: an upstream that says in its answers that it leaves gets no more requests

Cause: Server-Leaving was not read; only the list told. Change: the node beside the upstream takes it from answers and from its probes, refuses for it on arrival, before the hand-over, and what waits. A probe that finds it healthy and no longer leaving ends that; so does another upstream at the address. The test's first request may now be refused, as a probe tells before it; all that follow are refused, and it is served again when it stays.

--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -20,6 +20,7 @@
 {
 
 constexpr Bytes MaxProbeAnswer{4096};
+constexpr std::uint16_t HealthyStatus = 200;
 /// Weight of the newest call in the smoothed delay. About the last ten calls count, which is some tenths of a second on
 /// a busy node.
 constexpr double ArrivalDelayGain = 0.1;
@@ -79,7 +80,7 @@
         }
     }
     presence_.onListed(record);
-    slots_.refuseWaiting([this](const UpstreamName &target) { return presence_.rejection(target); });
+    refuseWaitingForDeparted();
 }
 
 void EgressRole::setMaxConnections(std::uint32_t maxConnections)
@@ -183,6 +184,9 @@
             if (answer && body) {
                 const UpstreamAnswerMetadata metadata = dialect_.read(answer.value());
                 applyAnswerMetadata(metadata);
+                // An upstream that leaves gets no more requests, so that only a probe can show that it stays.
+                const bool isHealthy = answer.value().status == HealthyStatus;
+                applyLeaving(metadata.isLeaving || (presence_.saysItLeaves() && !isHealthy));
                 if (metadata.load && settings_.keepsAccount) {
                     updateAccount(*metadata.load);
                 }
@@ -210,11 +214,33 @@
     }
 }
 
-void EgressRole::applyNamedLimit(const UpstreamAnswerMetadata &metadata)
+void EgressRole::applyStatements(const UpstreamAnswerMetadata &metadata)
 {
     if (metadata.isWrongUpstream || !metadata.isAuthentic) {
         return;
     }
+    applyNamedLimit(metadata);
+    applyLeaving(metadata.isLeaving);
+}
+
+void EgressRole::applyLeaving(bool isLeaving)
+{
+    if (presence_.saysItLeaves() == isLeaving) {
+        return;
+    }
+    presence_.onLeavingStated(isLeaving);
+    log_.info(
+        StructuredLine("upstream-says").add("id", presence_.name().value()).add("leaves", isLeaving ? "yes" : "no"));
+    refuseWaitingForDeparted();
+}
+
+void EgressRole::refuseWaitingForDeparted()
+{
+    slots_.refuseWaiting([this](const UpstreamName &target) { return presence_.rejection(target); });
+}
+
+void EgressRole::applyNamedLimit(const UpstreamAnswerMetadata &metadata)
+{
     const std::optional<RequestRate> before = rateLimit_.limit();
     rateLimit_.onAnswer(metadata.limit, currentTime());
     if (before == metadata.limit) {
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -107,8 +107,13 @@
     void recordOverdue();
     void updateAccount(const UpstreamLoadSample &load);
     void applyAnswerMetadata(const UpstreamAnswerMetadata &metadata);
-    /// Takes the limit that the upstream names in an answer to a request, or that it names none.
+    /// Takes what the upstream says of itself in an answer to a request: the limit that it names, or that it names
+    /// none, and whether it leaves.
+    void applyStatements(const UpstreamAnswerMetadata &metadata);
     void applyNamedLimit(const UpstreamAnswerMetadata &metadata);
+    void applyLeaving(bool isLeaving);
+    /// Refuses the requests that wait for an upstream which leaves or has left.
+    void refuseWaitingForDeparted();
     /// The refusal of a request that the upstream's limit leaves no room for now; nothing if there is room.
     [[nodiscard]] std::optional<Failure> rateLimitRejection() const;
     void recordArrival(Duration delay);
--- a/src/egress/upstreampresence.cpp
+++ b/src/egress/upstreampresence.cpp
@@ -20,9 +20,16 @@
     }
 }
 
+void UpstreamPresence::onLeavingStated(bool isLeaving)
+{
+    // An upstream may answer before the list names it.
+    leaving_ = isLeaving ? std::optional(name()) : std::nullopt;
+}
+
 std::optional<Failure> UpstreamPresence::rejection(const UpstreamName &target) const
 {
-    if (hasDeparted(target)) {
+    const bool hasSaidSo = leaving_ && (target.value().empty() || *leaving_ == target);
+    if (hasDeparted(target) || hasSaidSo) {
         return notRun(Reason::NoUpstream, "the upstream leaves");
     }
     // A replacement has started at the address while its predecessor is still listed. The replacement would refuse the
--- a/src/egress/upstreampresence.h
+++ b/src/egress/upstreampresence.h
@@ -21,6 +21,12 @@
     /// Records that @p upstream sent an answer from the address.
     void onAnswered(const UpstreamName &upstream) { answering_ = upstream; }
 
+    /// Records whether the listed upstream says in an answer that it leaves. It may say so sooner or later than the
+    /// list.
+    void onLeavingStated(bool isLeaving);
+    /// Whether the upstream that is listed says that it leaves.
+    [[nodiscard]] bool saysItLeaves() const { return leaving_ && *leaving_ == name(); }
+
     /// Returns the upstream that was listed last at the address; empty if there was none yet.
     [[nodiscard]] UpstreamName name() const { return listed_.value_or(UpstreamName()); }
     /// Returns why a request for @p target must not be handed over, or nothing if it may be handed over. An empty
@@ -35,6 +41,8 @@
     std::optional<UpstreamName> listed_;
     /// The last upstream that was not listed as ready, or was removed from the list.
     std::optional<UpstreamName> departed_;
+    /// The upstream that said that it leaves and has not answered otherwise since.
+    std::optional<UpstreamName> leaving_;
     /// The last upstream that answered.
     std::optional<UpstreamName> answering_;
 };
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -288,7 +288,7 @@
         const bool isOwn = metadata.request.value().empty() || metadata.request == head_.requestId;
         if (isOwn) {
             endTracking(true);
-            role_.applyNamedLimit(metadata);
+            role_.applyStatements(metadata);
         }
         std::string body;
         while (true) {
