--- a/tests/adapter/platformdialecttest.cpp
+++ b/tests/adapter/platformdialecttest.cpp
@@ -94,6 +94,21 @@
     CHECK(dialect.read(answerWith(500, {})).isAuthentic);
 }
 
+TEST_CASE("the limit that an upstream names and that it leaves are read, and text that is no number names no limit")
+{
+    const PlatformUpstreamDialect dialect;
+    const UpstreamAnswerMetadata limited = dialect.read(answerWith(200, {{"Server-Limit", "2.1"}}));
+    CHECK(limited.limit == RequestRate(2.1));
+    CHECK_FALSE(limited.isLeaving);
+    CHECK(dialect.read(answerWith(200, {{"Server-Limit", "0"}})).limit == RequestRate(0.0));
+    for (const char *bad : {"", "x", "-1", "2.1x", "nan", "inf"}) {
+        INFO(bad);
+        CHECK_FALSE(dialect.read(answerWith(200, {{"Server-Limit", bad}})).limit);
+    }
+    CHECK_FALSE(dialect.read(answerWith(200, {})).limit);
+    CHECK(dialect.read(answerWith(200, {{"Server-Leaving", "1"}})).isLeaving);
+}
+
 // Guards against a success that the upstream did not send in this form: a proxy on the way compressed the answer, or
 // another program listens at the address. Such an answer lacks the upstream's digest and must not reach a caller as a
 // success.
