routes, routing, egress: requests run only in the regions of their route

Cause: `allowed_regions` of a route was read nowhere; `Route` had no place for it, and candidates were all ready upstreams of a service.

Change: `RouteRegions` is a typed part of `Route`, through the adapter, the table, changed rows, the wire between nodes, the CSV table, `diff`, `place` lines (`trace`). `findCandidates()` is the one place that lists candidates, for first tries, retries, dry runs and streamed bodies. The node beside the upstream looks again on arrival and before the hand-over; a version of the routes travels with the request, and the newer table decides. With no upstream left in the regions the request is refused at once, true, with a retry delay of a second. No list or an empty one means all regions (the platform writes an empty one for routes without); any other kind of value refuses the routes, so that the old ones stay. A region that no zone is in is logged.

The content hash that travels leaves the regions out: nodes of an earlier version can't reproduce it and would refuse all changes.

--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::array<std::string_view, 3> VerdictWords{"answered", "not-run", "may-have-run"};
 
-constexpr std::array<std::string_view, 23> ReasonWords{
+constexpr std::array<std::string_view, 24> ReasonWords{
     "none",
     "bad-request",
     "overloaded",
@@ -35,6 +35,7 @@
     "no-route",
     "lost-at-upstream",
     "ends-upstreams",
+    "outside-regions",
 };
 
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -69,10 +69,12 @@
     LostAtUpstream,
     /// Upstreams exited while they ran the request.
     CrashesUpstreams,
+    /// The route of the request may not be served in the upstream's region.
+    OutsideRegions,
 };
 
 /// The last enumerator, used to check reasons received from nodes of other versions.
-inline constexpr Reason LastReason = Reason::CrashesUpstreams;
+inline constexpr Reason LastReason = Reason::OutsideRegions;
 
 /// How a call failed. Every error on the path of a call carries one.
 struct Failure
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -10,6 +10,7 @@
 
 #include "core/currenttime.h"
 #include "egress/upstreamrequest.h"
+#include "routing/upstreamcandidates.h"
 
 namespace Egretpath
 {
@@ -36,8 +37,8 @@
 
 }
 
-EgressRole::EgressRole(asio::any_io_executor executor, EgressSettings settings, NodeIdentity self,
-                       const UpstreamDialect &dialect, EventLog &log, Metrics &metrics, const Quarantine &quarantine,
+EgressRole::EgressRole(asio::any_io_executor executor, EgressSettings settings, NodeIdentity self, Location location,
+                       EgressSources sources, const UpstreamDialect &dialect, EventLog &log, Metrics &metrics,
                        Random random)
     : executor_(std::move(executor))
     , settings_(std::move(settings))
@@ -47,7 +48,8 @@
     , metrics_(metrics)
     , slots_(executor_, settings_.queue)
     , pool_(executor_, poolLimits(settings_))
-    , quarantine_(quarantine)
+    , location_(std::move(location))
+    , sources_(sources)
     , recentAnswers_(random())
     , exitMonitor_(
           executor_, pool_, settings_.upstream, random,
@@ -253,6 +255,16 @@
     metrics_.set("egretpath_upstream_limit_per_second", {}, metadata.limit ? metadata.limit->value() : 0.0);
 }
 
+std::optional<Failure> EgressRole::locationRejection(const CallHead &head) const
+{
+    const RouteTablePointer &routes = sources_.routes;
+    if (!routes || routes->version() < head.routesVersion) {
+        return std::nullopt;
+    }
+    const Route *route = routes->match(head.headers.find("Host").value_or(std::string_view()), head.target);
+    return route != nullptr ? Egretpath::locationRejection(location_, *route) : std::nullopt;
+}
+
 std::optional<Failure> EgressRole::rateLimitRejection() const
 {
     const Duration wait = rateLimit_.timeUntilNext(currentTime());
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -20,6 +20,7 @@
 #include "idempotency/latenessguard.h"
 #include "quarantine/quarantine.h"
 #include "quarantine/recentanswers.h"
+#include "routes/routetable.h"
 #include "rpc/peerservice.h"
 #include "telemetry/eventlog.h"
 #include "telemetry/metrics.h"
@@ -29,6 +30,13 @@
 
 class UpstreamRequest;
 
+/// The data that the egress role reads and never writes.
+struct EgressSources
+{
+    const RouteTablePointer &routes;
+    const Quarantine &quarantine;
+};
+
 /// The address of the upstream, and how the node probes it and queues requests for it.
 struct EgressSettings
 {
@@ -61,9 +69,8 @@
 class EgressRole
 {
 public:
-    EgressRole(boost::asio::any_io_executor executor, EgressSettings settings, NodeIdentity self,
-               const UpstreamDialect &dialect, EventLog &log, Metrics &metrics, const Quarantine &quarantine,
-               Random random);
+    EgressRole(boost::asio::any_io_executor executor, EgressSettings settings, NodeIdentity self, Location location,
+               EgressSources sources, const UpstreamDialect &dialect, EventLog &log, Metrics &metrics, Random random);
     ~EgressRole();
     EgressRole(const EgressRole &) = delete;
     EgressRole &operator=(const EgressRole &) = delete;
@@ -114,6 +121,9 @@
     void applyLeaving(bool isLeaving);
     /// Refuses the requests that wait for an upstream which leaves or has left.
     void refuseWaitingForDeparted();
+    /// The refusal of a request whose route may not be served here; nothing if it may be, or if the ingress chose by
+    /// newer routes than this node has.
+    [[nodiscard]] std::optional<Failure> locationRejection(const CallHead &head) const;
     /// The refusal of a request that the upstream's limit leaves no room for now; nothing if there is room.
     [[nodiscard]] std::optional<Failure> rateLimitRejection() const;
     void recordArrival(Duration delay);
@@ -132,7 +142,8 @@
     Metrics &metrics_;
     WorkSlots slots_;
     HttpConnectionPool pool_;
-    const Quarantine &quarantine_;
+    Location location_;
+    EgressSources sources_;
     RecentAnswers recentAnswers_;
     UpstreamExitMonitor exitMonitor_;
     UpstreamExitMonitor::Listener upstreamExitListener_;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -147,14 +147,11 @@
     if (role_.isDraining_) {
         co_return notRun(Reason::Draining, "the node beside the upstream stops", DrainingRetryAfter);
     }
-    co_await role_.refreshSlowdown();
-    if (auto rejection = role_.presence_.rejection(head_.targetUpstream)) {
-        co_return rejection;
-    }
-    if (auto rejection = quarantineRejection()) {
+    if (auto rejection = role_.locationRejection(head_)) {
         co_return rejection;
     }
-    if (auto rejection = role_.rateLimitRejection()) {
+    co_await role_.refreshSlowdown();
+    if (auto rejection = handOverRejection()) {
         co_return rejection;
     }
     role_.updateFailureShare();
@@ -209,13 +206,7 @@
     if (currentTime() >= deadline_) {
         co_return notRun(Reason::DeadlinePassed, "deadline passed before it was handed over");
     }
-    if (auto rejection = role_.presence_.rejection(head_.targetUpstream)) {
-        co_return rejection;
-    }
-    if (auto rejection = quarantineRejection()) {
-        co_return rejection;
-    }
-    if (auto rejection = role_.rateLimitRejection()) {
+    if (auto rejection = handOverRejection()) {
         co_return rejection;
     }
     httpCall_ = std::move(opened).value();
@@ -403,7 +394,21 @@
     if (head_.dryRun) {
         return std::nullopt;
     }
-    return fingerprint_.rejection(role_.quarantine_, content(), currentTime());
+    return fingerprint_.rejection(role_.sources_.quarantine, content(), currentTime());
+}
+
+std::optional<Failure> UpstreamRequest::handOverRejection()
+{
+    if (auto rejection = role_.presence_.rejection(head_.targetUpstream)) {
+        return rejection;
+    }
+    if (auto rejection = role_.locationRejection(head_)) {
+        return rejection;
+    }
+    if (auto rejection = quarantineRejection()) {
+        return rejection;
+    }
+    return role_.rateLimitRejection();
 }
 
 void UpstreamRequest::releaseSlot(bool answered)
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -33,6 +33,8 @@
     void abort(Failure failure);
     /// Returns why the request is refused because it crashes upstreams, or nothing if it may run.
     [[nodiscard]] std::optional<Failure> quarantineRejection();
+    /// Returns why the request must not be handed over to the upstream now, or nothing if it may be.
+    [[nodiscard]] std::optional<Failure> handOverRejection();
 
 private:
     /// Returns the offer of this request to the work queue.
--- a/src/ingress/ingresscontext.cpp
+++ b/src/ingress/ingresscontext.cpp
@@ -102,6 +102,7 @@
     case Reason::Draining:
     case Reason::Cancelled:
     case Reason::CrashesUpstreams:
+    case Reason::OutsideRegions:
         break;
     default:
         view.onFailed(upstream, now);
--- a/src/ingress/requestlog.cpp
+++ b/src/ingress/requestlog.cpp
@@ -29,6 +29,9 @@
     line.add("candidates", std::uint64_t{item.candidates}).add("expected_ms", toMilliseconds(item.choice.expected));
     line.add("acceptable_ms", toMilliseconds(item.choice.declineThreshold));
     line.add("routes", item.routesVersion.value()).add("list", item.listRevision.value());
+    if (item.route.regions.isRestricted()) {
+        line.add("regions", toString(item.route.regions));
+    }
     log_.decision(line);
 }
 
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -9,6 +9,7 @@
 #include "core/bootclock.h"
 #include "core/currenttime.h"
 #include "core/durations.h"
+#include "routing/upstreamcandidates.h"
 
 namespace Egretpath
 {
@@ -54,12 +55,13 @@
     if (auto rejection = quarantineRejection(head)) {
         return rejection;
     }
-    std::vector<PlacementCandidate> listed = candidates();
-    const std::optional<PlacementChoice> choice = choose(listed);
+    const UpstreamCandidates candidates =
+        findCandidates(context_->sources.directory, content_.service, *parameters_.route);
+    const std::optional<PlacementChoice> choice = choose(candidates.allowed);
     if (!choice) {
-        return notRun(Reason::NoUpstream, listed.empty() ? "no upstream is listed" : "no upstream is left to ask");
+        return noCandidateFailure(candidates);
     }
-    const InstanceRecord *record = context_->sources.directory.find(listed[choice->candidate].upstream);
+    const InstanceRecord *record = context_->sources.directory.find(candidates.allowed[choice->candidate].upstream);
     if (record == nullptr) {
         return notRun(Reason::NoUpstream, "the upstream left the list");
     }
@@ -70,7 +72,7 @@
     const RequestTryPointer requestTry = makeTry(tryId.value().number, *record, *choice);
     ++tryCount_;
     runningTries_.push_back(requestTry);
-    logPlacement(*requestTry, *choice, caller, listed.size());
+    logPlacement(*requestTry, *choice, caller, candidates.allowed.size());
     // The head is made now: if the caller disconnects, the exchange may end before the new coroutine starts.
     asio::co_spawn(context_->executor, send(requestTry, makeHead(*requestTry, head), shared_from_this()),
                    asio::detached);
@@ -100,7 +102,7 @@
 }
 
 /// If no other upstream is left, upstreams that declined are tried again, and the chosen one must not decline again.
-std::optional<PlacementChoice> RequestTries::choose(std::vector<PlacementCandidate> &candidates)
+std::optional<PlacementChoice> RequestTries::choose(const std::vector<PlacementCandidate> &candidates)
 {
     const std::uint32_t maxDeclines = context_->settings.maxDeclines;
     PlacementRequest request;
@@ -125,15 +127,6 @@
     return choice;
 }
 
-std::vector<PlacementCandidate> RequestTries::candidates() const
-{
-    std::vector<PlacementCandidate> listed;
-    for (const InstanceRecord *record : context_->sources.directory.ready(content_.service)) {
-        listed.push_back({record->id, record->location, record->warmUp.count() > 0});
-    }
-    return listed;
-}
-
 asio::awaitable<void> RequestTries::send(RequestTryPointer requestTry, CallHead head,
                                          std::shared_ptr<RequestTries> /*self*/)
 {
@@ -241,6 +234,7 @@
     head.priority = static_cast<std::uint8_t>(std::min<std::uint32_t>(route.priority, UINT8_MAX));
     head.declineThreshold = std::chrono::duration_cast<Microseconds>(requestTry.declineThreshold);
     head.disconnectedUpstream = disconnectedUpstream_;
+    head.routesVersion = parameters_.routes->version();
     return head;
 }
 
--- a/src/ingress/requesttries.h
+++ b/src/ingress/requesttries.h
@@ -88,8 +88,7 @@
     [[nodiscard]] std::size_t reachedCount() const { return reachedUpstreams_.size(); }
 
 private:
-    [[nodiscard]] std::optional<PlacementChoice> choose(std::vector<PlacementCandidate> &candidates);
-    [[nodiscard]] std::vector<PlacementCandidate> candidates() const;
+    [[nodiscard]] std::optional<PlacementChoice> choose(const std::vector<PlacementCandidate> &candidates);
     /// Returns why the request is refused because it crashes upstreams, or nothing if it may run.
     [[nodiscard]] std::optional<Failure> quarantineRejection(const HttpRequestHead &head);
     [[nodiscard]] RequestTryPointer makeTry(TryNumber number, const InstanceRecord &record,
--- a/src/routes/routechanges.cpp
+++ b/src/routes/routechanges.cpp
@@ -22,7 +22,9 @@
             ++old;
         }
         const bool isKnown = old != before.end() && !comesBefore(*route, **old);
-        if (!isKnown || (*old)->contentHash != route->contentHash) {
+        const bool isSame =
+            isKnown && (*old)->contentHash == route->contentHash && (*old)->route.regions == route->route.regions;
+        if (!isSame) {
             changes.changed.push_back(route);
         }
         if (isKnown) {
--- a/src/routes/routerows.cpp
+++ b/src/routes/routerows.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-constexpr std::string_view Header = "host,prefix,route,kind,priority,service,weight,target_ms,timeout_ms,attempts\n";
+constexpr std::string_view Header =
+    "host,prefix,route,kind,priority,service,weight,target_ms,timeout_ms,attempts,regions\n";
 
 /// Returns @p text as a field of a CSV row, quoted if a comma, quote or line end in it would break the row.
 std::string csvField(const std::string &text)
@@ -49,7 +50,7 @@
     text << csvField(row.host) << ',' << csvField(row.route.prefix) << ',' << csvField(row.route.name.value()) << ','
          << toString(row.route.kind) << ',' << row.route.priority << ',' << csvField(row.destination.service.value())
          << ',' << row.destination.weight << ',' << row.route.targetLatency.count() << ',' << row.route.timeout.count()
-         << ',' << row.route.maxAttempts;
+         << ',' << row.route.maxAttempts << ',' << csvField(toString(row.route.regions));
     return text.str();
 }
 
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -10,6 +10,7 @@
 
 #include "core/clock.h"
 #include "core/strongtype.h"
+#include "routes/routeregions.h"
 
 namespace Egretpath
 {
@@ -56,6 +57,7 @@
     /// Maximum number of upstreams to which one request may be sent in all.
     std::uint32_t maxAttempts = 1;
     std::vector<Destination> destinations;
+    RouteRegions regions;
 };
 
 /// A route and the host whose requests it takes. Immutable, so that several tables share it.
--- /dev/null
+++ b/src/routing/upstreamcandidates.cpp
@@ -0,0 +1,47 @@
+#include "routing/upstreamcandidates.h"
+
+namespace Egretpath
+{
+
+namespace
+{
+
+/// The retry delay if a route's regions have no upstream: operators have to change the routes or start upstreams.
+constexpr Milliseconds MissingUpstreamDelay{1000};
+
+}
+
+UpstreamCandidates findCandidates(const InstanceDirectory &directory, const ServiceName &service, const Route &route)
+{
+    UpstreamCandidates candidates;
+    for (const InstanceRecord *record : directory.ready(service)) {
+        if (!route.regions.allows(record->location.region)) {
+            ++candidates.outsideRegions;
+            continue;
+        }
+        candidates.allowed.push_back({record->id, record->location, record->warmUp.count() > 0});
+    }
+    return candidates;
+}
+
+Failure noCandidateFailure(const UpstreamCandidates &candidates)
+{
+    if (!candidates.allowed.empty()) {
+        return notRun(Reason::NoUpstream, "no upstream is left to ask");
+    }
+    if (candidates.outsideRegions > 0) {
+        return notRun(Reason::OutsideRegions, "no upstream is listed in the regions of the route",
+                      MissingUpstreamDelay);
+    }
+    return notRun(Reason::NoUpstream, "no upstream is listed");
+}
+
+std::optional<Failure> locationRejection(const Location &location, const Route &route)
+{
+    if (!route.regions.allows(location.region)) {
+        return notRun(Reason::OutsideRegions, "the route may not be served in the upstream's region");
+    }
+    return std::nullopt;
+}
+
+}
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -75,6 +75,8 @@
   # A dry run: asks whether the egress would take the call now. The message has no body, and nothing is run.
   brokeOff @17 :Text;
   # The id of the upstream that last disconnected while it ran the call in an earlier try; empty if none did.
+  routesVersion @18 :UInt64;
+  # The version of the routes by which the ingress chose the upstream; zero from nodes of an earlier version.
 }
 
 struct Failure {
@@ -188,6 +190,8 @@
   priority @6 :UInt32;
   maxAttempts @7 :UInt32;
   destinations @8 :List(RouteDestination);
+  regions @9 :List(Text);
+  # The only regions in which the route may be served; empty: all.
 }
 
 struct RouteKey {
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -64,6 +64,8 @@
     /// The upstream that last disconnected while it ran this call in an earlier try; empty if none did. This call, or
     /// another one that ran at the same time, may have crashed the upstream.
     UpstreamName disconnectedUpstream;
+    /// The version of the routes by which the ingress chose the upstream.
+    RouteVersion routesVersion;
 };
 
 /// Status and header fields of an answer.
--- a/src/rpc/routecoding.cpp
+++ b/src/rpc/routecoding.cpp
@@ -47,6 +47,11 @@
         destinations[index].setService(destination.service.value());
         destinations[index++].setWeight(destination.weight);
     }
+    auto regions = wire.initRegions(sizeOf(route.regions.names()));
+    index = 0;
+    for (const RegionName &region : route.regions.names()) {
+        regions.set(index++, region.value());
+    }
 }
 
 /// A kind that this version does not know is read as Unsafe, the kind that is handled most carefully.
@@ -69,6 +74,11 @@
     for (const auto destination : wire.getDestinations()) {
         route.destinations.push_back({ServiceName(readText(destination.getService())), destination.getWeight()});
     }
+    std::vector<RegionName> regions;
+    for (const auto region : wire.getRegions()) {
+        regions.emplace_back(readText(region));
+    }
+    route.regions = RouteRegions(std::move(regions));
     return makeHostRoute(readText(wire.getHost()), std::move(route));
 }
 
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -178,6 +178,7 @@
     wire.setTargetLatency(head.targetLatencyLeft.count());
     wire.setQuestion(head.dryRun);
     wire.setBrokeOff(head.disconnectedUpstream.value());
+    wire.setRoutesVersion(head.routesVersion.value());
     wire.setAcceptable(static_cast<std::uint64_t>(std::max<Microseconds::rep>(0, head.declineThreshold.count())));
 }
 
@@ -202,6 +203,7 @@
     head.declineThreshold = Microseconds(wire.getAcceptable());
     head.dryRun = wire.getQuestion();
     head.disconnectedUpstream = UpstreamName(readText(wire.getBrokeOff()));
+    head.routesVersion = RouteVersion(wire.getRoutesVersion());
     return head;
 }
 
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/cataloglog.h"
 
 #include <chrono>
+#include <set>
 
 namespace Egretpath
 {
@@ -39,6 +40,23 @@
     }
 }
 
+void CatalogLog::logUnknownRegions(const RouteTable &table, const std::vector<ZoneRegion> &zones)
+{
+    std::set<RegionName> known;
+    for (const ZoneRegion &zone : zones) {
+        known.insert(zone.region);
+    }
+    table.forEachRoute([this, &known](const std::string &host, const Route &route) {
+        for (const RegionName &region : route.regions.names()) {
+            if (known.insert(region).second) {
+                StructuredLine line("region-unknown");
+                line.add("region", region.value()).add("route", route.name.value()).add("host", host);
+                log_.warning(line);
+            }
+        }
+    });
+}
+
 void CatalogLog::logUpstreamChange(const InstanceChange &change, const UpdateOrigin &origin)
 {
     StructuredLine line("upstream");
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -3,10 +3,12 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "instances/instancedirectory.h"
 #include "instances/storestate.h"
 #include "routes/routetable.h"
+#include "settings/sidecarsettings.h"
 #include "telemetry/eventlog.h"
 #include "telemetry/metrics.h"
 
@@ -45,6 +47,8 @@
 
     /// @p versionBefore is zero for the first routes of this process, which are left out of the update age metric.
     void logRoutes(const RouteTable &table, RouteVersion versionBefore, const UpdateOrigin &origin);
+    /// Warns of regions that a route names and no zone of @p zones is in: the route is served nowhere because of them.
+    void logUnknownRegions(const RouteTable &table, const std::vector<ZoneRegion> &zones);
     void logUpstreamChange(const InstanceChange &change, const UpdateOrigin &origin);
     void recordListAge(const UpdateOrigin &origin);
     /// Logs that the list as a whole changed; @p change is the kind of change.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -97,8 +97,9 @@
         , platform_(std::move(platform))
         , state_(settings, drawIncarnation(), systemSeed())
         , peerClient_(context)
-        , egress_(executor_, egressSettings(settings, decisions), state_.self, *platform_.upstreams, state_.log,
-                  state_.metrics, state_.quarantine, Random(state_.random()))
+        , egress_(executor_, egressSettings(settings, decisions), state_.self, state_.location,
+                  EgressSources{state_.routes, state_.quarantine}, *platform_.upstreams, state_.log, state_.metrics,
+                  Random(state_.random()))
         , ingress_(executor_, localNode(state_), IngressSources{state_.routes, state_.directory, state_.quarantine},
                    *platform_.callers, egress_, peerClient_, state_.log, state_.metrics, Random(state_.random()),
                    decisions.ingress)
--- a/tests/adapter/publishedroutestest.cpp
+++ b/tests/adapter/publishedroutestest.cpp
@@ -82,3 +82,32 @@
                                         R"({"service":"new","weight":10}])",
                                         "[]")));
 }
+
+TEST_CASE("the regions in which a route may be served are read, and no list or an empty one names all")
+{
+    const auto table = routesFromJson(
+        replaced(Config, R"("max_attempts":2)", R"("max_attempts":2,"allowed_regions":["south","north","south"])"));
+    REQUIRE(table);
+    const Route *pay = table.value()->match("pay.example", "/plans/7");
+    REQUIRE(pay != nullptr);
+    CHECK(pay->regions.names() == std::vector{RegionName("north"), RegionName("south")});
+    CHECK_FALSE(pay->regions.allows(RegionName("west")));
+    const Route *read = table.value()->match("read.example", "/statements/7");
+    REQUIRE(read != nullptr);
+    CHECK(read->regions.allows(RegionName("west")));
+    const auto empty = routesFromJson(replaced(Config, R"("max_attempts":2)", R"("allowed_regions":[])"));
+    REQUIRE(empty);
+    CHECK_FALSE(empty.value()->match("pay.example", "/plans/7")->regions.isRestricted());
+}
+
+// Guards against a value that can't be read and then counts as every region.
+TEST_CASE("regions of another kind than a list of names refuse the routes")
+{
+    for (const char *value : {"null", "\"north\"", "7", "{}", "[7]", "[\"\"]", "[[\"north\"]]", "[\"north\",null]"}) {
+        INFO(value);
+        const auto table =
+            routesFromJson(replaced(Config, R"("max_attempts":2)", std::string(R"("allowed_regions":)") + value));
+        REQUIRE_FALSE(table);
+        CHECK(table.error().detail.find("allowed_regions is not a list of names of regions") != std::string::npos);
+    }
+}
--- a/tests/client/commandlinetest.cpp
+++ b/tests/client/commandlinetest.cpp
@@ -72,7 +72,7 @@
 {
     return R"({"version":")" + version + R"(","listeners":[{"hostname":"h","rules":[{"name":"read","kind":"safe",)"
         + R"("target_latency":"300ms","priority":2,"match":{"prefix":"/read/"},"action":{"service":")" + service
-        + R"(","timeout":"800ms","max_attempts":3}}]}],"clusters":[]})";
+        + R"(","timeout":"800ms","max_attempts":3,"allowed_regions":["south","north"]}}]}],"clusters":[]})";
 }
 
 }
@@ -101,8 +101,8 @@
     const Answer answer = run({"table", directory.write("routes.json", routes("0a", "statements"))});
     CHECK(answer.code == ExitCode::Success);
     CHECK(answer.out
-          == "host,prefix,route,kind,priority,service,weight,target_ms,timeout_ms,attempts\n"
-             "h,/read/,read,safe,2,statements,1,300,800,3\n");
+          == "host,prefix,route,kind,priority,service,weight,target_ms,timeout_ms,attempts,regions\n"
+             "h,/read/,read,safe,2,statements,1,300,800,3,north south\n");
     CHECK(run({"table"}).code == ExitCode::BadUsage);
 }
 
@@ -113,7 +113,9 @@
     const std::string after = directory.write("after.json", routes("0b", "archive"));
     const Answer answer = run({"diff", before, after});
     CHECK(answer.code == ExitCode::NegativeResult);
-    CHECK(answer.out == "- h,/read/,read,safe,2,statements,1,300,800,3\n+ h,/read/,read,safe,2,archive,1,300,800,3\n");
+    CHECK(answer.out
+          == "- h,/read/,read,safe,2,statements,1,300,800,3,north south\n"
+             "+ h,/read/,read,safe,2,archive,1,300,800,3,north south\n");
     CHECK(run({"diff", before, before}).code == ExitCode::Success);
     CHECK(run({"diff", after, before}).out.starts_with("version 10 is not above 11"));
 }
--- /dev/null
+++ b/tests/routing/upstreamcandidatestest.cpp
@@ -0,0 +1,76 @@
+#include "routing/upstreamcandidates.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace Egretpath;
+
+namespace
+{
+
+const ServiceName Plans("plans");
+
+InstanceChange upstreamIn(const std::string &id, const std::string &region, const std::string &zone)
+{
+    InstanceRecord record;
+    record.id = UpstreamName(id);
+    record.service = Plans;
+    record.location = {RegionName(region), ZoneName(zone)};
+    record.address = Endpoint(id);
+    record.revision = StoreRevision(1);
+    return {record.id, record.revision, record};
+}
+
+InstanceDirectory directoryOf(const std::vector<InstanceChange> &upstreams)
+{
+    InstanceDirectory directory;
+    for (const InstanceChange &upstream : upstreams) {
+        directory.applyChange(upstream, TimePoint());
+    }
+    return directory;
+}
+
+Route routeIn(std::vector<RegionName> regions)
+{
+    Route route;
+    route.regions = RouteRegions(std::move(regions));
+    return route;
+}
+
+}
+
+TEST_CASE("only upstreams in the regions of the route are candidates")
+{
+    const InstanceDirectory directory =
+        directoryOf({upstreamIn("i-1", "north", "north-a"), upstreamIn("i-2", "south", "south-a")});
+    const UpstreamCandidates all = findCandidates(directory, Plans, routeIn({}));
+    CHECK(all.allowed.size() == 2);
+    const UpstreamCandidates some = findCandidates(directory, Plans, routeIn({RegionName("south")}));
+    REQUIRE(some.allowed.size() == 1);
+    CHECK(some.allowed.front().upstream == UpstreamName("i-2"));
+    CHECK(some.outsideRegions == 1);
+}
+
+// Guards against a route that is served elsewhere because none of its regions has an upstream, or exists.
+TEST_CASE("a route whose regions have no upstream has no candidates, and its requests are refused with a retry delay")
+{
+    const InstanceDirectory directory = directoryOf({upstreamIn("i-1", "north", "north-a")});
+    const UpstreamCandidates none = findCandidates(directory, Plans, routeIn({RegionName("nowhere")}));
+    CHECK(none.allowed.empty());
+    const Failure failure = noCandidateFailure(none);
+    CHECK(failure.verdict == Verdict::NotRun);
+    CHECK(failure.reason == Reason::OutsideRegions);
+    CHECK(failure.retryAfter > Milliseconds{0});
+}
+
+TEST_CASE("a node whose region the route does not name refuses its requests")
+{
+    const Location here{RegionName("north"), ZoneName("north-a")};
+    CHECK_FALSE(locationRejection(here, routeIn({})));
+    CHECK_FALSE(locationRejection(here, routeIn({RegionName("north")})));
+    const auto rejection = locationRejection(here, routeIn({RegionName("south")}));
+    REQUIRE(rejection);
+    CHECK(rejection->reason == Reason::OutsideRegions);
+    CHECK(rejection->verdict == Verdict::NotRun);
+}
--- a/tests/rpc/routecodingtest.cpp
+++ b/tests/rpc/routecodingtest.cpp
@@ -23,6 +23,7 @@
         route.timeout = Milliseconds(800);
         route.priority = 2;
         route.maxAttempts = 3;
+        route.regions = RouteRegions({RegionName("north")});
         route.destinations = {{ServiceName("statements"), 3}, {ServiceName("plans"), 1}};
         host.routes.push_back(std::move(route));
     }
@@ -53,6 +54,7 @@
     REQUIRE(second.has_value());
     CHECK(second.value()->contentHash() == after->contentHash());
     CHECK(second.value()->limits().idleTime == Milliseconds(1234));
+    CHECK(second.value()->routes().front()->route.regions == RouteRegions({RegionName("north")}));
 }
 
 TEST_CASE("a change of one route among many takes few bytes")
--- a/tests/sidecar/fakecatalog.cpp
+++ b/tests/sidecar/fakecatalog.cpp
@@ -82,6 +82,8 @@
     bool isReachable_;
 };
 
+const Location FakeCatalog::UsualLocation{RegionName("north"), ZoneName("north-a")};
+
 std::unique_ptr<CatalogSource> FakeCatalog::makeSource()
 {
     return std::make_unique<FakeSource>(*this);
@@ -101,8 +103,8 @@
         + R"({"name":"read","kind":"safe","target_latency":"300ms","priority":2,"match":{"prefix":"/read/"},)"
           R"("action":{"service":"statements","timeout":"800ms","max_attempts":3}},)"
           R"({"name":"pay","kind":"unsafe","target_latency":"300ms","priority":1,"match":{"prefix":"/pay/"},)"
-          R"("action":{"service":"statements","timeout":"800ms","max_attempts":3}},)"
-          R"({"name":"v","kind":"safe","target_latency":"300ms","match":{"prefix":"/v)"
+          R"("action":{"service":"statements","timeout":"800ms","max_attempts":3,"allowed_regions":)"
+        + payRegions + R"(}},{"name":"v","kind":"safe","target_latency":"300ms","match":{"prefix":"/v)"
         + std::to_string(version_) + R"(/"},"action":{"service":"statements","timeout":"800ms"}}]}],"clusters":[]})";
 }
 
@@ -128,12 +130,13 @@
     notifyReaders([this](CatalogSink &sink) { sink.onListRead(snapshot()); });
 }
 
-void FakeCatalog::add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service)
+void FakeCatalog::add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service,
+                      const Location &location)
 {
     InstanceRecord record;
     record.id = UpstreamName(upstream.id());
     record.service = ServiceName(service);
-    record.location = {RegionName("north"), ZoneName("north-a")};
+    record.location = location;
     record.address = upstream.address();
     record.node = node;
     record.slots = 6;
--- a/tests/sidecar/fakecatalog.h
+++ b/tests/sidecar/fakecatalog.h
@@ -20,9 +20,13 @@
 class FakeCatalog
 {
 public:
+    /// The location of upstreams for which a test names none.
+    static const Location UsualLocation;
+
     void publishRoutes(std::uint64_t version);
     void publishList();
-    void add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service);
+    void add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service,
+             const Location &location = UsualLocation);
     void remove(const std::string &id);
     /// The upstream announces that it drains.
     void drain(const std::string &id);
@@ -53,6 +57,8 @@
     bool isUnreachable = false;
     /// The number of routes that nobody uses, published in addition to those of the tests.
     std::size_t unusedRoutes = 0;
+    /// The regions in which the route of /pay/ may be served, as a JSON list.
+    std::string payRegions = "[]";
 
 private:
     friend class FakeSource;
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -38,13 +38,13 @@
 }
 
 SidecarSettings settingsOf(const TestNode &node, const FakeUpstream &upstream, const std::string &service,
-                           const std::vector<Endpoint> &seeds)
+                           const std::vector<Endpoint> &seeds, const Location &location)
 {
     SidecarSettings settings;
     settings.name = "node-" + upstream.id();
     settings.service = ServiceName(service);
-    settings.region = RegionName("north");
-    settings.zone = ZoneName("north-a");
+    settings.region = location.region;
+    settings.zone = location.zone;
     settings.callers = node.callers;
     settings.ready = node.ready;
     settings.peers = node.peers;
@@ -72,18 +72,18 @@
 }
 
 TestNode &SidecarFixture::addNode(const FakeUpstream &upstream, const std::string &service,
-                                  const std::vector<Endpoint> &seeds)
+                                  const std::vector<Endpoint> &seeds, const Location &location)
 {
     TestNode &node = *nodes_.emplace_back(std::make_unique<TestNode>());
     node.callers = uniqueEndpoint();
     node.ready = uniqueEndpoint();
     node.peers = uniqueEndpoint();
-    catalog.add(upstream, node.peers, service);
+    catalog.add(upstream, node.peers, service, location);
     SidecarPlatform platform;
     platform.callers = std::make_unique<Platform::PlatformCallerDialect>();
     platform.upstreams = std::make_unique<Platform::PlatformUpstreamDialect>();
     platform.catalog = catalog.makeSource();
-    node.sidecar = std::make_unique<Sidecar>(eventLoop_.context(), settingsOf(node, upstream, service, seeds),
+    node.sidecar = std::make_unique<Sidecar>(eventLoop_.context(), settingsOf(node, upstream, service, seeds, location),
                                              std::move(platform));
     if (!node.sidecar->start()) {
         throw std::runtime_error("a node could not listen");
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -46,8 +46,8 @@
 
     FakeUpstream &addUpstream(const std::string &id);
     /// Starts a node beside @p upstream and adds the upstream to the list under @p service.
-    TestNode &addNode(const FakeUpstream &upstream, const std::string &service,
-                      const std::vector<Endpoint> &seeds = {});
+    TestNode &addNode(const FakeUpstream &upstream, const std::string &service, const std::vector<Endpoint> &seeds = {},
+                      const Location &location = FakeCatalog::UsualLocation);
     /// Makes other nodes reach @p node, which is beside @p upstream, over a link of this bandwidth.
     void putBehindLink(const TestNode &node, const FakeUpstream &upstream, const std::string &service,
                        std::uint64_t bytesPerSecond);
