instances, routing, egress, platform: nothing is sent to the upstreams of an evacuated zone

Cause: `op/evacuate/ZONE` was read nowhere.

The watch of the routes covers the common prefix of all that operators write, so that no further calls are made; evacuations are reported before routes. They are few and travel whole in each answer between nodes; answers name the latest change, so that a node whose source is silent asks another one. A node that does not know them yet is not ready, refuses its callers with 503, and refuses what other nodes send. `findCandidates()` leaves evacuated zones out; the node beside the upstream refuses on arrival and before the hand-over, and what waits there. What runs is finished. If all zones of a route's regions are evacuated, requests are refused at once with a retry delay of a second. Nodes of a zone stay ready and place elsewhere. Lines `evacuated`, `zone-unknown`; status `evacuated`; metric `egretpath_zones_evacuated`.

Weighed: a watch of its own (one call more for each change and 25 s at each reader); a part of the list (its removals are held while the store is away, which is wrong here); evacuations as changes between nodes (needs a history; the whole is some 30 bytes).

A node of an earlier version does not tell evacuations: a node that starts among such nodes reads the store itself.

--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::array<std::string_view, 3> VerdictWords{"answered", "not-run", "may-have-run"};
 
-constexpr std::array<std::string_view, 24> ReasonWords{
+constexpr std::array<std::string_view, 25> ReasonWords{
     "none",
     "bad-request",
     "overloaded",
@@ -36,6 +36,7 @@
     "lost-at-upstream",
     "ends-upstreams",
     "outside-regions",
+    "zone-evacuated",
 };
 
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -71,10 +71,12 @@
     CrashesUpstreams,
     /// The route of the request may not be served in the upstream's region.
     OutsideRegions,
+    /// Operators evacuate the upstream's zone, or it is not known yet whether they do.
+    ZoneEvacuated,
 };
 
 /// The last enumerator, used to check reasons received from nodes of other versions.
-inline constexpr Reason LastReason = Reason::OutsideRegions;
+inline constexpr Reason LastReason = Reason::ZoneEvacuated;
 
 /// How a call failed. Every error on the path of a call carries one.
 struct Failure
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -255,8 +255,27 @@
     metrics_.set("egretpath_upstream_limit_per_second", {}, metadata.limit ? metadata.limit->value() : 0.0);
 }
 
+void EgressRole::evacuatedZonesChanged()
+{
+    slots_.refuseWaiting([this](const UpstreamName & /*target*/) { return evacuationRejection(); });
+}
+
+std::optional<Failure> EgressRole::evacuationRejection() const
+{
+    if (!sources_.evacuatedZones.isKnown()) {
+        return notRun(Reason::ZoneEvacuated, "it is not known yet whether the zone is evacuated");
+    }
+    if (sources_.evacuatedZones.contains(location_.zone)) {
+        return notRun(Reason::ZoneEvacuated, "the zone of the upstream is evacuated");
+    }
+    return std::nullopt;
+}
+
 std::optional<Failure> EgressRole::locationRejection(const CallHead &head) const
 {
+    if (auto rejection = evacuationRejection()) {
+        return rejection;
+    }
     const RouteTablePointer &routes = sources_.routes;
     if (!routes || routes->version() < head.routesVersion) {
         return std::nullopt;
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -18,6 +18,7 @@
 #include "egress/workslots.h"
 #include "http/httpconnectionpool.h"
 #include "idempotency/latenessguard.h"
+#include "instances/evacuatedzones.h"
 #include "quarantine/quarantine.h"
 #include "quarantine/recentanswers.h"
 #include "routes/routetable.h"
@@ -34,6 +35,7 @@
 struct EgressSources
 {
     const RouteTablePointer &routes;
+    const EvacuatedZones &evacuatedZones;
     const Quarantine &quarantine;
 };
 
@@ -82,6 +84,9 @@
     /// Sets what the instance list says about the upstream's address; null if it lists no upstream there. Waiting
     /// requests for an upstream that leaves are refused.
     void setInstanceRecord(const InstanceRecord *record);
+    /// Call this after the evacuated zones changed. If this zone is one of them, waiting requests are refused; requests
+    /// at the upstream are finished.
+    void evacuatedZonesChanged();
     void setHealthPath(std::string path) { settings_.healthPath = std::move(path); }
     void setMaxConnections(std::uint32_t maxConnections);
     /// Starts or stops refusing new requests.
@@ -121,8 +126,10 @@
     void applyLeaving(bool isLeaving);
     /// Refuses the requests that wait for an upstream which leaves or has left.
     void refuseWaitingForDeparted();
-    /// The refusal of a request whose route may not be served here; nothing if it may be, or if the ingress chose by
-    /// newer routes than this node has.
+    /// The refusal of any request while this zone is evacuated; nothing if it is not.
+    [[nodiscard]] std::optional<Failure> evacuationRejection() const;
+    /// The refusal of a request that may not be served here, since this zone is evacuated or the route names other
+    /// regions; nothing if it may be. Routes older than those by which the ingress chose don't count.
     [[nodiscard]] std::optional<Failure> locationRejection(const CallHead &head) const;
     /// The refusal of a request that the upstream's limit leaves no room for now; nothing if there is room.
     [[nodiscard]] std::optional<Failure> rateLimitRejection() const;
--- a/src/ingress/ingresscontext.cpp
+++ b/src/ingress/ingresscontext.cpp
@@ -95,6 +95,7 @@
         break;
     case Reason::WrongIncarnation:
     case Reason::NoUpstream:
+    case Reason::ZoneEvacuated:
         view.onDraining(upstream, DrainingHold, now);
         break;
     case Reason::Declined:
--- a/src/ingress/ingresscontext.h
+++ b/src/ingress/ingresscontext.h
@@ -13,6 +13,7 @@
 #include "ingress/callertimeouts.h"
 #include "ingress/ingresssettings.h"
 #include "ingress/requestlog.h"
+#include "instances/evacuatedzones.h"
 #include "instances/instancedirectory.h"
 #include "quarantine/quarantine.h"
 #include "routes/routetable.h"
@@ -42,6 +43,7 @@
 {
     const RouteTablePointer &routes;
     const InstanceDirectory &directory;
+    const EvacuatedZones &evacuatedZones;
     const Quarantine &quarantine;
 };
 
--- a/src/ingress/requestparameters.cpp
+++ b/src/ingress/requestparameters.cpp
@@ -47,12 +47,13 @@
         return caller.error();
     }
     parameters.caller = std::move(caller).value();
-    if (!parameters.routes) {
+    if (!parameters.routes || !context.sources.evacuatedZones.isKnown()) {
         if (context.noRoutesListener) {
             context.noRoutesListener();
         }
         const Milliseconds retryAfter = retryDelay(context, parameters, DefaultRetryDelay);
-        return notRun(Reason::NoTable, "no routes are in force yet", retryAfter);
+        return notRun(Reason::NoTable, "no routes are active yet, or it is not known yet which zones are evacuated",
+                      retryAfter);
     }
     parameters.route = parameters.routes->match(head.headers.find("Host").value_or(std::string_view()), head.target);
     if (parameters.route == nullptr) {
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -55,8 +55,8 @@
     if (auto rejection = quarantineRejection(head)) {
         return rejection;
     }
-    const UpstreamCandidates candidates =
-        findCandidates(context_->sources.directory, content_.service, *parameters_.route);
+    const UpstreamCandidates candidates = findCandidates(context_->sources.directory, context_->sources.evacuatedZones,
+                                                         content_.service, *parameters_.route);
     const std::optional<PlacementChoice> choice = choose(candidates.allowed);
     if (!choice) {
         return noCandidateFailure(candidates);
--- a/src/routing/upstreamcandidates.cpp
+++ b/src/routing/upstreamcandidates.cpp
@@ -8,10 +8,13 @@
 
 /// The retry delay if a route's regions have no upstream: operators have to change the routes or start upstreams.
 constexpr Milliseconds MissingUpstreamDelay{1000};
+/// The retry delay if all zones that a request may be served in are evacuated. Evacuations last seconds or longer.
+constexpr Milliseconds EvacuationDelay{1000};
 
 }
 
-UpstreamCandidates findCandidates(const InstanceDirectory &directory, const ServiceName &service, const Route &route)
+UpstreamCandidates findCandidates(const InstanceDirectory &directory, const EvacuatedZones &evacuatedZones,
+                                  const ServiceName &service, const Route &route)
 {
     UpstreamCandidates candidates;
     for (const InstanceRecord *record : directory.ready(service)) {
@@ -19,6 +22,10 @@
             ++candidates.outsideRegions;
             continue;
         }
+        if (evacuatedZones.contains(record->location.zone)) {
+            ++candidates.evacuated;
+            continue;
+        }
         candidates.allowed.push_back({record->id, record->location, record->warmUp.count() > 0});
     }
     return candidates;
@@ -29,6 +36,9 @@
     if (!candidates.allowed.empty()) {
         return notRun(Reason::NoUpstream, "no upstream is left to ask");
     }
+    if (candidates.evacuated > 0) {
+        return notRun(Reason::ZoneEvacuated, "all zones that have an upstream for it are evacuated", EvacuationDelay);
+    }
     if (candidates.outsideRegions > 0) {
         return notRun(Reason::OutsideRegions, "no upstream is listed in the regions of the route",
                       MissingUpstreamDelay);
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -44,6 +44,8 @@
   # it from any other node.
   routes @0 :UInt64;
   list @1 :UInt64;
+  evacuations @2 :UInt64;
+  # The latest change of an evacuation that the node knows.
 }
 
 struct CallHead {
@@ -171,6 +173,22 @@
   # As in CallOutcome, for the sender.
   routeChanges @16 :Data;
   # A message whose root is RouteChanges, compressed with zlib; empty if the requesting node has the sender's routes.
+  evacuations @17 :Evacuations;
+  # Null if the sender does not know which zones are evacuated, as a node of an earlier version.
+}
+
+struct Evacuation {
+  zone @0 :Text;
+  revision @1 :UInt64;
+  # The change that began it.
+}
+
+struct Evacuations {
+  # All evacuations that are under way at a revision of the store.
+  revision @0 :UInt64;
+  lastChange @1 :UInt64;
+  # The latest change that is known: the beginning or the end of an evacuation.
+  zones @2 :List(Evacuation);
 }
 
 struct RouteDestination {
@@ -245,7 +263,8 @@
 interface Node {
   call @0 (head :CallHead, body :Data, answer :AnswerSink) -> (outcome :CallOutcome);
   probe @1 () -> (identity :Identity, report :LoadReport);
-  catalog @2 (haveRoutes :UInt64, haveRevision :UInt64, wait :UInt32, known :UInt8, takesChanges :Bool)
+  catalog @2 (haveRoutes :UInt64, haveRevision :UInt64, wait :UInt32, known :UInt8, takesChanges :Bool,
+      haveEvacuations :UInt64)
       -> (catalog :Catalog);
   # Returns when the node has something newer, when its store state differs from known, or after wait milliseconds.
   # Nodes of an earlier version don't set takesChanges, since they can't read routeChanges. The call then fails if there
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -487,6 +487,7 @@
         message.setWait(static_cast<std::uint32_t>(request.wait.count()));
         message.setKnown(static_cast<std::uint8_t>(request.knownState));
         message.setTakesChanges(request.takesChanges);
+        message.setHaveEvacuations(request.have.evacuations.value());
         return message.send().then([](auto &&response) { return WireConversion::read(response.getCatalog()); });
     };
     co_return co_await sendControlRequest<Catalog>(implementation_, std::move(peer), deadline, request.wait, send);
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -10,6 +10,7 @@
 #include "core/identity.h"
 #include "core/verdict.h"
 #include "http/httpheaders.h"
+#include "instances/evacuatedzones.h"
 #include "instances/instancedirectory.h"
 #include "instances/storestate.h"
 #include "quarantine/suspectedrequest.h"
@@ -19,7 +20,7 @@
 namespace Egretpath
 {
 
-/// The versions of the routes and of the instance list that a node has.
+/// The versions of the routes, of the instance list and of the evacuated zones that a node has.
 ///
 /// Every answer carries the versions of its sender, so that a node whose own source stopped sending updates learns from
 /// any other node that it missed a change.
@@ -27,6 +28,10 @@
 {
     RouteVersion routes;
     StoreRevision list;
+    /// The latest change of an evacuation that the sender knows. In a request: the revision up to which it knows all.
+    StoreRevision evacuations;
+
+    friend bool operator==(const CatalogVersions &, const CatalogVersions &) = default;
 };
 
 /// The head of a call as it travels from ingress to egress.
@@ -123,6 +128,8 @@
     /// Whether the changes are the complete list. Otherwise they are the changes after the requesting node's revision.
     bool isSnapshot = false;
     std::vector<InstanceChange> changes;
+    /// All evacuations, which are few; nothing if the sender does not know them.
+    std::optional<EvacuationSnapshot> evacuations;
     /// The state of the platform's store as the sender knows it.
     StoreState store = StoreState::Unavailable;
     /// Number of nodes between the sender and the store: 0 for a sender that reads the store itself.
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -127,7 +127,8 @@
     {
         const auto params = context.getParams();
         CatalogRequest request;
-        request.have = {RouteVersion(params.getHaveRoutes()), StoreRevision(params.getHaveRevision())};
+        request.have = {RouteVersion(params.getHaveRoutes()), StoreRevision(params.getHaveRevision()),
+                        StoreRevision(params.getHaveEvacuations())};
         request.wait = std::min(Milliseconds(params.getWait()), MaxCatalogWait);
         const bool isNotAvailable = params.getKnown() != static_cast<std::uint8_t>(StoreState::Available);
         request.knownState = isNotAvailable ? WireConversion::readStoreState(params.getKnown()) : StoreState::Available;
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -51,11 +51,12 @@
 {
     wire.setRoutes(versions.routes.value());
     wire.setList(versions.list.value());
+    wire.setEvacuations(versions.evacuations.value());
 }
 
 CatalogVersions readVersions(Wire::CatalogMark::Reader wire)
 {
-    return {RouteVersion(wire.getRoutes()), StoreRevision(wire.getList())};
+    return {RouteVersion(wire.getRoutes()), StoreRevision(wire.getList()), StoreRevision(wire.getEvacuations())};
 }
 
 void write(Wire::InstanceRecord::Builder wire, const InstanceRecord &record)
@@ -88,6 +89,29 @@
     return record;
 }
 
+void write(Wire::Evacuations::Builder wire, const EvacuationSnapshot &snapshot)
+{
+    wire.setRevision(snapshot.revision.value());
+    wire.setLastChange(snapshot.lastChange.value());
+    auto zones = wire.initZones(static_cast<unsigned>(snapshot.evacuations.size()));
+    unsigned index = 0;
+    for (const Evacuation &evacuation : snapshot.evacuations) {
+        zones[index].setZone(evacuation.zone.value());
+        zones[index++].setRevision(evacuation.revision.value());
+    }
+}
+
+EvacuationSnapshot readEvacuations(Wire::Evacuations::Reader wire)
+{
+    EvacuationSnapshot snapshot;
+    snapshot.revision = StoreRevision(wire.getRevision());
+    snapshot.lastChange = StoreRevision(wire.getLastChange());
+    for (const auto zone : wire.getZones()) {
+        snapshot.evacuations.push_back({ZoneName(readText(zone.getZone())), StoreRevision(zone.getRevision())});
+    }
+    return snapshot;
+}
+
 void write(Wire::SuspectedRequest::Builder wire, const SuspectedRequest &request)
 {
     wire.setFingerprintHigh(request.fingerprint.digest.high);
@@ -260,6 +284,9 @@
     wire.setRevision(catalog.versions.list.value());
     wire.setWhole(catalog.isSnapshot);
     wire.setInOrder(catalog.store == StoreState::Available);
+    if (catalog.evacuations) {
+        write(wire.initEvacuations(), *catalog.evacuations);
+    }
     wire.setStore(static_cast<std::uint8_t>(catalog.store));
     wire.setReader(catalog.reader.value());
     wire.setStoreAge(static_cast<std::uint32_t>(catalog.storeAge.count()));
@@ -288,7 +315,12 @@
 Catalog read(Wire::Catalog::Reader wire)
 {
     Catalog catalog;
-    catalog.versions = {RouteVersion(wire.getRoutesVersion()), StoreRevision(wire.getRevision())};
+    catalog.versions.routes = RouteVersion(wire.getRoutesVersion());
+    catalog.versions.list = StoreRevision(wire.getRevision());
+    if (wire.hasEvacuations()) {
+        catalog.evacuations = readEvacuations(wire.getEvacuations());
+        catalog.versions.evacuations = catalog.evacuations->lastChange;
+    }
     catalog.routes.bytes = readBytes(wire.getRouteChanges());
     catalog.publishedRoutes.bytes = readBytes(wire.getRoutes());
     catalog.isSnapshot = wire.getWhole();
--- a/src/sidecar/catalogcontents.cpp
+++ b/src/sidecar/catalogcontents.cpp
@@ -29,12 +29,14 @@
     if (state_.directory.hasList()) {
         versions.list = state_.directory.revision();
     }
+    versions.evacuations = state_.evacuatedZones.lastChange();
     return versions;
 }
 
 CatalogVersions CatalogContents::versionsForQuery() const
 {
     CatalogVersions versions = this->versions();
+    versions.evacuations = state_.evacuatedZones.reached();
     if (needsAllRoutes_) {
         versions.routes = RouteVersion();
     }
@@ -44,7 +46,8 @@
 bool CatalogContents::isBehind(const CatalogVersions &versions) const
 {
     const CatalogVersions own = this->versions();
-    return own.routes < versions.routes || own.list < versions.list;
+    return own.routes < versions.routes || own.list < versions.list
+        || state_.evacuatedZones.reached() < versions.evacuations;
 }
 
 bool CatalogContents::hasUpdatesFor(const CatalogVersions &have) const
@@ -53,12 +56,16 @@
     const bool needsAll = have.routes.value() == 0 && have.list.value() == 0;
     const bool newerRoutes = own.routes > have.routes;
     const bool newerList = own.list > have.list;
-    return needsAll ? newerRoutes && newerList : newerRoutes || newerList;
+    const bool newerEvacuations = own.evacuations > have.evacuations;
+    return needsAll ? newerRoutes && newerList : newerRoutes || newerList || newerEvacuations;
 }
 
 void CatalogContents::writeUpdates(const CatalogVersions &have, Catalog &catalog)
 {
     catalog.versions = versions();
+    if (state_.evacuatedZones.isKnown()) {
+        catalog.evacuations = state_.evacuatedZones.snapshot();
+    }
     if (catalog.versions.routes > have.routes) {
         catalog.routes = routeHistory_.changesSince(have.routes);
         catalog.routesAge = timeSince(routesReadAt_);
@@ -166,9 +173,45 @@
 bool CatalogContents::applyFromPeer(const Endpoint &peer, const Catalog &catalog)
 {
     const RouteVersion routesBefore = versions().routes;
+    // The evacuations come first, so that no routes are used without them.
+    const bool areEvacuationsNew = catalog.evacuations && applyEvacuations(*catalog.evacuations, peer.value());
     applyRoutesFromPeer(peer, catalog);
     const bool isListNew = applyListFromPeer(peer, catalog);
-    return isListNew || routesBefore < versions().routes;
+    return areEvacuationsNew || isListNew || routesBefore < versions().routes;
+}
+
+void CatalogContents::applyEvacuationsFromStore(const EvacuationSnapshot &snapshot)
+{
+    (void)applyEvacuations(snapshot, UpdateOrigin::Platform);
+}
+
+void CatalogContents::applyEvacuationChangesFromStore(const std::vector<EvacuationChange> &changes,
+                                                      StoreRevision reached)
+{
+    bool hasChanged = false;
+    for (const EvacuationChange &change : changes) {
+        hasChanged = state_.evacuatedZones.applyChange(change) || hasChanged;
+    }
+    state_.evacuatedZones.advanceTo(reached);
+    if (hasChanged) {
+        evacuationsChanged(UpdateOrigin::Platform);
+    }
+}
+
+bool CatalogContents::applyEvacuations(const EvacuationSnapshot &snapshot, std::string_view from)
+{
+    const bool wasKnown = state_.evacuatedZones.isKnown();
+    const bool hasChanged = state_.evacuatedZones.applySnapshot(snapshot);
+    if (hasChanged || !wasKnown) {
+        evacuationsChanged(from);
+    }
+    return hasChanged;
+}
+
+void CatalogContents::evacuationsChanged(std::string_view from)
+{
+    log_.logEvacuations(state_.evacuatedZones, state_.settings.zones, from);
+    onChanged_();
 }
 
 bool CatalogContents::applyListFromPeer(const Endpoint &peer, const Catalog &catalog)
--- a/src/sidecar/catalogcontents.h
+++ b/src/sidecar/catalogcontents.h
@@ -13,8 +13,8 @@
 namespace Egretpath
 {
 
-/// The routes and the instance list of a node. Applies updates from the store and from other nodes, and writes the
-/// updates that another node lacks.
+/// The routes, the evacuated zones and the instance list of a node. Applies updates from the store and from other
+/// nodes, and writes the updates that another node lacks.
 ///
 /// Routes never go back: only a larger version replaces the active one. Thread safety: none. Precondition: references
 /// outlive the object. Errors: an update that can't be used is logged, and the active routes and list stay.
@@ -25,10 +25,12 @@
     CatalogContents(SidecarState &state, const CatalogSource &source, CatalogLog &log,
                     std::function<void()> onListChanged, std::function<void()> onChanged);
 
-    /// The next three functions apply what this node itself read from the store.
+    /// The next five functions apply what this node itself read from the store.
     void applyRoutesFromStore(PublishedRoutes routes);
     void applyListFromStore(const InstanceSnapshot &snapshot);
     void applyChangesFromStore(const std::vector<InstanceChange> &changes, StoreRevision reached);
+    void applyEvacuationsFromStore(const EvacuationSnapshot &snapshot);
+    void applyEvacuationChangesFromStore(const std::vector<EvacuationChange> &changes, StoreRevision reached);
     /// Applies the updates of @p catalog, an answer of @p peer. Returns whether anything was new.
     bool applyFromPeer(const Endpoint &peer, const Catalog &catalog);
     /// Drops held records whose hold time is over.
@@ -50,6 +52,9 @@
     void applyRoutesFromPeer(const Endpoint &peer, const Catalog &catalog);
     void applyRouteChanges(const Endpoint &peer, const Catalog &catalog);
     void applyPublishedRoutes(const Endpoint &peer, const Catalog &catalog);
+    /// Returns whether the set of evacuated zones changed.
+    bool applyEvacuations(const EvacuationSnapshot &snapshot, std::string_view from);
+    void evacuationsChanged(std::string_view from);
     bool applyListFromPeer(const Endpoint &peer, const Catalog &catalog);
     /// Called after the history has taken @p table.
     void activateRoutes(RouteTablePointer table, const UpdateOrigin &origin);
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -140,6 +140,16 @@
     wakeWaitingRequests();
 }
 
+void CatalogController::onEvacuationsRead(const EvacuationSnapshot &snapshot)
+{
+    contents_.applyEvacuationsFromStore(snapshot);
+}
+
+void CatalogController::onEvacuationChangesRead(const std::vector<EvacuationChange> &changes, StoreRevision reached)
+{
+    contents_.applyEvacuationChangesFromStore(changes, reached);
+}
+
 void CatalogController::listChanged()
 {
     const std::optional<Endpoint> before = plan_.following();
@@ -265,10 +275,11 @@
 }
 
 /// Used while this node starts. Follows @p peer whatever the state of its store: a node that took routes but follows
-/// nobody would get no further updates.
+/// nobody would get no further updates. A node of an earlier version does not tell which zones are evacuated; this node
+/// then reads the store itself.
 void CatalogController::followIfHasRoutes(const Endpoint &peer, const Catalog &catalog)
 {
-    if (catalog.versions.routes.value() > 0) {
+    if (catalog.versions.routes.value() > 0 && catalog.evacuations) {
         handleAnswer(peer, catalog);
     }
 }
@@ -311,8 +322,7 @@
     co_await checkOwnStoreAccess(catalog.value());
     const CatalogVersions versionsBefore = contents_.versions();
     handleAnswer(query.node, catalog.value());
-    const bool hasChanged =
-        versionsBefore.routes < contents_.versions().routes || versionsBefore.list < contents_.versions().list;
+    const bool hasChanged = versionsBefore != contents_.versions();
     const bool isSourceNew = before != plan_.following();
     // Guards against a busy loop: an answer that came at once and changed nothing, for example since its routes can't
     // be parsed here, would come again at once.
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -56,6 +56,8 @@
     void onRoutesRead(PublishedRoutes routes) override;
     void onListRead(const InstanceSnapshot &snapshot) override;
     void onChangesRead(const std::vector<InstanceChange> &changes, StoreRevision reached) override;
+    void onEvacuationsRead(const EvacuationSnapshot &snapshot) override;
+    void onEvacuationChangesRead(const std::vector<EvacuationChange> &changes, StoreRevision reached) override;
     void onSourceLost(std::string_view reason) override;
     void onSourceRestored() override;
     void onEntryRefused(std::string_view key, std::string_view reason) override { log_.logRefusedEntry(key, reason); }
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/cataloglog.h"
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 
@@ -57,6 +58,25 @@
     });
 }
 
+void CatalogLog::logEvacuations(const EvacuatedZones &evacuated, const std::vector<ZoneRegion> &zones,
+                                std::string_view from)
+{
+    std::string names;
+    for (const Evacuation &evacuation : evacuated.snapshot().evacuations) {
+        const ZoneName &zone = evacuation.zone;
+        names.append(names.empty() ? "" : " ").append(zone.value());
+        const bool isKnown =
+            std::any_of(zones.begin(), zones.end(), [&](const auto &entry) { return entry.zone == zone; });
+        if (!isKnown) {
+            log_.warning(StructuredLine("zone-unknown").add("zone", zone.value()).add("why", "it is evacuated"));
+        }
+    }
+    StructuredLine line("evacuated");
+    line.add("zones", names).add("from", from).add("revision", evacuated.lastChange().value());
+    log_.info(line);
+    metrics_.set("egretpath_zones_evacuated", {}, static_cast<double>(evacuated.size()));
+}
+
 void CatalogLog::logUpstreamChange(const InstanceChange &change, const UpdateOrigin &origin)
 {
     StructuredLine line("upstream");
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "instances/evacuatedzones.h"
 #include "instances/instancedirectory.h"
 #include "instances/storestate.h"
 #include "routes/routetable.h"
@@ -49,6 +50,8 @@
     void logRoutes(const RouteTable &table, RouteVersion versionBefore, const UpdateOrigin &origin);
     /// Warns of regions that a route names and no zone of @p zones is in: the route is served nowhere because of them.
     void logUnknownRegions(const RouteTable &table, const std::vector<ZoneRegion> &zones);
+    /// Logs the evacuated zones, and warns of those that are not among @p zones.
+    void logEvacuations(const EvacuatedZones &evacuated, const std::vector<ZoneRegion> &zones, std::string_view from);
     void logUpstreamChange(const InstanceChange &change, const UpdateOrigin &origin);
     void recordListAge(const UpdateOrigin &origin);
     /// Logs that the list as a whole changed; @p change is the kind of change.
--- a/src/sidecar/catalogsource.h
+++ b/src/sidecar/catalogsource.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "core/clock.h"
+#include "instances/evacuatedzones.h"
 #include "instances/instancedirectory.h"
 #include "routes/routetable.h"
 
@@ -36,6 +37,10 @@
     virtual void onListRead(const InstanceSnapshot &snapshot) = 0;
     /// @p reached: all changes up to this revision are in @p changes or were reported before.
     virtual void onChangesRead(const std::vector<InstanceChange> &changes, StoreRevision reached) = 0;
+    /// All evacuations were read.
+    virtual void onEvacuationsRead(const EvacuationSnapshot &snapshot) = 0;
+    /// @p reached: as for onChangesRead().
+    virtual void onEvacuationChangesRead(const std::vector<EvacuationChange> &changes, StoreRevision reached) = 0;
     /// The platform's store can't be read. Called once for each loss.
     virtual void onSourceLost(std::string_view reason) = 0;
     /// The store answers again.
@@ -46,7 +51,7 @@
     virtual void onStoreCalled(std::string_view call, std::string_view outcome) = 0;
 };
 
-/// Reads routes and the instance list from a platform's store. One implementation for each platform.
+/// Reads routes, evacuations and the instance list from a platform's store. One implementation for each platform.
 /// Thread safety: none.
 class CatalogSource
 {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -98,9 +98,10 @@
         , state_(settings, drawIncarnation(), systemSeed())
         , peerClient_(context)
         , egress_(executor_, egressSettings(settings, decisions), state_.self, state_.location,
-                  EgressSources{state_.routes, state_.quarantine}, *platform_.upstreams, state_.log, state_.metrics,
-                  Random(state_.random()))
-        , ingress_(executor_, localNode(state_), IngressSources{state_.routes, state_.directory, state_.quarantine},
+                  EgressSources{state_.routes, state_.evacuatedZones, state_.quarantine}, *platform_.upstreams,
+                  state_.log, state_.metrics, Random(state_.random()))
+        , ingress_(executor_, localNode(state_),
+                   IngressSources{state_.routes, state_.directory, state_.evacuatedZones, state_.quarantine},
                    *platform_.callers, egress_, peerClient_, state_.log, state_.metrics, Random(state_.random()),
                    decisions.ingress)
         , catalog_(executor_, state_, *platform_.catalog, peerClient_, decisions, [this] { catalogChanged(); })
@@ -246,6 +247,7 @@
         }
         reportReady();
         egress_.setInstanceRecord(state_.directory.findByAddress(state_.settings.upstream));
+        egress_.evacuatedZonesChanged();
         ingress_.catalogChanged();
     }
 
@@ -296,6 +298,7 @@
                                          {"ready", state_.isReady()},
                                          {"routes", versions.routes.value()},
                                          {"list", versions.list.value()},
+                                         {"evacuated", evacuatedZonesText()},
                                          {"source", catalog_.sourceName()},
                                          {"reads", catalog_.readsStore()},
                                          {"store", toString(catalog_.storeState())},
@@ -303,6 +306,16 @@
         return boost::json::serialize(status);
     }
 
+    /// The evacuated zones, separated by spaces.
+    [[nodiscard]] std::string evacuatedZonesText() const
+    {
+        std::string text;
+        for (const Evacuation &evacuation : state_.evacuatedZones.snapshot().evacuations) {
+            text.append(text.empty() ? "" : " ").append(evacuation.zone.value());
+        }
+        return text;
+    }
+
     asio::awaitable<void> serveMetrics(HttpExchange &exchange)
     {
         HttpResponseHead head;
--- a/src/sidecar/sidecarstate.h
+++ b/src/sidecar/sidecarstate.h
@@ -2,6 +2,7 @@
 
 #include "core/identity.h"
 #include "core/random.h"
+#include "instances/evacuatedzones.h"
 #include "instances/instancedirectory.h"
 #include "quarantine/quarantine.h"
 #include "routes/routetable.h"
@@ -31,6 +32,8 @@
     RouteTablePointer routes;
     /// Written by CatalogController.
     InstanceDirectory directory;
+    /// Written by CatalogController.
+    EvacuatedZones evacuatedZones;
     /// Written by QuarantineController.
     Quarantine quarantine;
     /// Whether the node was told to stop. Written by Sidecar.
@@ -39,7 +42,10 @@
     /// The address at which other nodes reach this one.
     [[nodiscard]] Endpoint ownAddress() const;
     /// Whether callers may be sent to this node.
-    [[nodiscard]] bool isReady() const { return routes && directory.hasList() && !isStopping; }
+    [[nodiscard]] bool isReady() const
+    {
+        return routes && directory.hasList() && evacuatedZones.isKnown() && !isStopping;
+    }
 };
 
 }
--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -62,6 +62,14 @@
             changedIds.push_back(change.id.value());
         }
     }
+    void onEvacuationsRead(const EvacuationSnapshot &snapshot) override { evacuated.applySnapshot(snapshot); }
+    void onEvacuationChangesRead(const std::vector<EvacuationChange> &changes, StoreRevision reached) override
+    {
+        for (const EvacuationChange &change : changes) {
+            evacuated.applyChange(change);
+        }
+        evacuated.advanceTo(reached);
+    }
     void onSourceLost(std::string_view /*reason*/) override
     {
         isLost = true;
@@ -75,6 +83,7 @@
         ++callsByName[std::string(call)];
     }
 
+    EvacuatedZones evacuated;
     RouteVersion version;
     std::size_t listed = 0;
     int listReads = 0;
@@ -153,6 +162,32 @@
     CHECK(fixture.sink.listed == 2);
 }
 
+// Guards against an evacuation that needs calls of its own, or that is lost with the store's history.
+TEST_CASE("a watcher reports evacuations with the routes, their ends, and what the history no longer tells")
+{
+    Fixture fixture;
+    const ZoneName one("north-a");
+    const ZoneName two("north-b");
+    fixture.store.put("op/config", routesText("05"));
+    fixture.store.put("op/evacuate/north-a", "{}");
+    fixture.store.put("op/evacuate/", "{}");
+    fixture.store.put("op/other", "?");
+    fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+    CHECK(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(5) && fixture.sink.listReads == 1; }));
+    CHECK(fixture.sink.evacuated.contains(one));
+    CHECK(fixture.sink.evacuated.size() == 1);
+    CHECK(fixture.sink.refusedKeys == std::vector<std::string>{"op/evacuate/"});
+    CHECK(fixture.store.calls() <= 6);
+    fixture.store.put("op/evacuate/north-b", "not JSON");
+    fixture.store.remove("op/evacuate/north-a");
+    CHECK(fixture.runUntil([&] { return !fixture.sink.evacuated.contains(one); }));
+    CHECK(fixture.sink.evacuated.contains(two));
+    fixture.store.remove("op/evacuate/north-b");
+    fixture.store.compact();
+    CHECK(fixture.runUntil([&] { return fixture.sink.evacuated.size() == 0; }));
+    CHECK(fixture.sink.version == RouteVersion(5));
+}
+
 // The store rejects the calls of all nodes for eight seconds. Guards against nodes that keep calling it for routes and
 // for the list: in a small fleet these calls cost more than all others of the day.
 TEST_CASE("while the store is lost, only one of the watches calls it, and both continue when it answers again")
--- a/tests/routing/upstreamcandidatestest.cpp
+++ b/tests/routing/upstreamcandidatestest.cpp
@@ -31,6 +31,18 @@
     return directory;
 }
 
+EvacuatedZones evacuated(std::vector<ZoneName> zones)
+{
+    EvacuationSnapshot snapshot;
+    snapshot.revision = StoreRevision(3);
+    for (ZoneName &zone : zones) {
+        snapshot.evacuations.push_back({std::move(zone), StoreRevision(2)});
+    }
+    EvacuatedZones result;
+    result.applySnapshot(snapshot);
+    return result;
+}
+
 Route routeIn(std::vector<RegionName> regions)
 {
     Route route;
@@ -44,9 +56,9 @@
 {
     const InstanceDirectory directory =
         directoryOf({upstreamIn("i-1", "north", "north-a"), upstreamIn("i-2", "south", "south-a")});
-    const UpstreamCandidates all = findCandidates(directory, Plans, routeIn({}));
+    const UpstreamCandidates all = findCandidates(directory, evacuated({}), Plans, routeIn({}));
     CHECK(all.allowed.size() == 2);
-    const UpstreamCandidates some = findCandidates(directory, Plans, routeIn({RegionName("south")}));
+    const UpstreamCandidates some = findCandidates(directory, evacuated({}), Plans, routeIn({RegionName("south")}));
     REQUIRE(some.allowed.size() == 1);
     CHECK(some.allowed.front().upstream == UpstreamName("i-2"));
     CHECK(some.outsideRegions == 1);
@@ -56,7 +68,7 @@
 TEST_CASE("a route whose regions have no upstream has no candidates, and its requests are refused with a retry delay")
 {
     const InstanceDirectory directory = directoryOf({upstreamIn("i-1", "north", "north-a")});
-    const UpstreamCandidates none = findCandidates(directory, Plans, routeIn({RegionName("nowhere")}));
+    const UpstreamCandidates none = findCandidates(directory, evacuated({}), Plans, routeIn({RegionName("nowhere")}));
     CHECK(none.allowed.empty());
     const Failure failure = noCandidateFailure(none);
     CHECK(failure.verdict == Verdict::NotRun);
@@ -74,3 +86,21 @@
     CHECK(rejection->reason == Reason::OutsideRegions);
     CHECK(rejection->verdict == Verdict::NotRun);
 }
+
+TEST_CASE("upstreams in evacuated zones are no candidates, and if only they are left the request is refused")
+{
+    const InstanceDirectory directory =
+        directoryOf({upstreamIn("i-1", "north", "north-a"), upstreamIn("i-2", "north", "north-b"),
+                     upstreamIn("i-3", "south", "south-a")});
+    const Route north = routeIn({RegionName("north")});
+    const UpstreamCandidates one = findCandidates(directory, evacuated({ZoneName("north-a")}), Plans, north);
+    REQUIRE(one.allowed.size() == 1);
+    CHECK(one.allowed.front().upstream == UpstreamName("i-2"));
+    const UpstreamCandidates none =
+        findCandidates(directory, evacuated({ZoneName("north-a"), ZoneName("north-b")}), Plans, north);
+    CHECK(none.allowed.empty());
+    const Failure failure = noCandidateFailure(none);
+    CHECK(failure.verdict == Verdict::NotRun);
+    CHECK(failure.reason == Reason::ZoneEvacuated);
+    CHECK(failure.retryAfter > Milliseconds{0});
+}
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -322,12 +322,17 @@
         f.service.catalogAnswer.storeAvailableFor = Milliseconds(70);
         f.service.catalogAnswer.quarantine = QuarantineDigest(80);
         f.service.catalogAnswer.hops = 2;
-        const CatalogRequest request{{RouteVersion(4), StoreRevision(7)}, Milliseconds(20), StoreState::Unavailable};
+        const EvacuationSnapshot evacuations{
+            StoreRevision(12), StoreRevision(11), {{ZoneName("north-a"), StoreRevision(10)}}};
+        f.service.catalogAnswer.evacuations = evacuations;
+        const CatalogRequest request{
+            {RouteVersion(4), StoreRevision(7), StoreRevision(6)}, Milliseconds(20), StoreState::Unavailable};
         const auto catalog =
             co_await f.client.catalog(ServerEndpoint, request, std::chrono::steady_clock::now() + Milliseconds(1000));
         REQUIRE(catalog.has_value());
         CHECK(f.service.lastCatalogRequest.have.routes == RouteVersion(4));
         CHECK(f.service.lastCatalogRequest.have.list == StoreRevision(7));
+        CHECK(f.service.lastCatalogRequest.have.evacuations == StoreRevision(6));
         CHECK(f.service.lastCatalogRequest.wait == Milliseconds(20));
         CHECK(f.service.lastCatalogRequest.knownState == StoreState::Unavailable);
         const Catalog &received = catalog.value();
@@ -344,6 +349,10 @@
         CHECK(received.storeAvailableFor == Milliseconds(70));
         CHECK(received.quarantine == QuarantineDigest(80));
         CHECK(received.hops == 2);
+        REQUIRE(received.evacuations.has_value());
+        CHECK(received.evacuations->revision == evacuations.revision);
+        CHECK(received.versions.evacuations == evacuations.lastChange);
+        CHECK(received.evacuations->evacuations == evacuations.evacuations);
         REQUIRE(received.changes.size() == 2);
         REQUIRE(received.changes[0].record.has_value());
         CHECK(received.changes[0].record->node == record.node);
--- a/tests/sidecar/fakecatalog.cpp
+++ b/tests/sidecar/fakecatalog.cpp
@@ -45,6 +45,7 @@
             sink_->onSourceRestored();
         }
         sinks.push_back(sink_);
+        sink_->onEvacuationsRead(catalog_.evacuationSnapshot());
         if (catalog_.version_ > 0) {
             sink_->onRoutesRead(parseRoutes(catalog_.routesText()).value());
         }
@@ -130,6 +131,29 @@
     notifyReaders([this](CatalogSink &sink) { sink.onListRead(snapshot()); });
 }
 
+void FakeCatalog::evacuate(const std::string &zone, bool begins)
+{
+    const StoreRevision revision(++revision_);
+    if (begins) {
+        evacuations_[zone] = revision;
+    } else {
+        evacuations_.erase(zone);
+    }
+    notifyReaders([&](CatalogSink &sink) {
+        sink.onEvacuationChangesRead({{ZoneName(zone), revision, begins}}, revision);
+    });
+}
+
+EvacuationSnapshot FakeCatalog::evacuationSnapshot() const
+{
+    EvacuationSnapshot snapshot;
+    snapshot.revision = StoreRevision(revision_);
+    for (const auto &[zone, revision] : evacuations_) {
+        snapshot.evacuations.push_back({ZoneName(zone), revision});
+    }
+    return snapshot;
+}
+
 void FakeCatalog::add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service,
                       const Location &location)
 {
@@ -207,6 +231,7 @@
         return;
     }
     reportRestored();
+    notifyReaders([this](CatalogSink &sink) { sink.onEvacuationsRead(evacuationSnapshot()); });
     publishRoutes(version_);
     publishList();
 }
--- a/tests/sidecar/fakecatalog.h
+++ b/tests/sidecar/fakecatalog.h
@@ -25,6 +25,8 @@
 
     void publishRoutes(std::uint64_t version);
     void publishList();
+    /// The operators begin or end the evacuation of @p zone.
+    void evacuate(const std::string &zone, bool begins = true);
     void add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service,
              const Location &location = UsualLocation);
     void remove(const std::string &id);
@@ -64,6 +66,7 @@
     friend class FakeSource;
 
     [[nodiscard]] InstanceSnapshot snapshot() const;
+    [[nodiscard]] EvacuationSnapshot evacuationSnapshot() const;
     /// Marks the upstream as draining and returns this change.
     [[nodiscard]] InstanceChange markDraining(const std::string &id);
     [[nodiscard]] std::string routesText() const;
@@ -76,8 +79,9 @@
     std::vector<CatalogSink *> allSinks_;
     std::set<std::size_t> silentNodes_;
     std::map<std::string, InstanceRecord> records_;
+    std::map<std::string, StoreRevision> evacuations_;
     std::uint64_t version_ = 0;
-    std::uint64_t revision_ = 0;
+    std::uint64_t revision_ = 1;
     bool isListPublished_ = false;
     bool isUnavailable_ = false;
 };
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -126,6 +127,11 @@
     }
 }
 
+void SidecarFixture::start(const std::function<asio::awaitable<void>()> &action)
+{
+    asio::co_spawn(eventLoop_.context(), action, asio::detached);
+}
+
 asio::awaitable<void> SidecarFixture::sleep(Milliseconds duration)
 {
     asio::steady_timer timer(eventLoop_.context(), duration);
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -52,6 +52,8 @@
     void putBehindLink(const TestNode &node, const FakeUpstream &upstream, const std::string &service,
                        std::uint64_t bytesPerSecond);
     void run(const std::function<boost::asio::awaitable<void>()> &scenario);
+    /// Runs @p action beside the scenario.
+    void start(const std::function<boost::asio::awaitable<void>()> &action);
     [[nodiscard]] boost::asio::awaitable<void> sleep(Milliseconds duration);
     [[nodiscard]] boost::asio::awaitable<bool> waitUntil(std::function<bool()> condition);
     [[nodiscard]] boost::asio::awaitable<Reply> send(Endpoint node, std::string method, std::string target,
