admission, egress, platform: a cold upstream gets no more than its cold rate

Cause: `cold_per_s` and the warm-up in health answers were read nowhere; the list's warm-up only slowed placement.

Change: `ServiceEntry::coldRate` through adapter, table and wire. `UpstreamWarmth` learns from health answers whether the upstream is warm; that holds for six requests, and a check is due after three, so that an upstream which becomes cold at any moment gets at most six before its node knows. Unknown counts as cold: at the start of a node, of an upstream, after a lost connection or a lost or unreadable health answer. `UpstreamRateLimit` has several grounds, the lowest rate holds; what the upstream got in the second before counts. `UpstreamRate` joins both and logs (`warm-up`, `limit`). Load reports tell other nodes for how long not to ask, as for named limits. A refusal names the rest of the warm-up as its retry delay: earlier there is no room.

Held at the cold rate itself and two requests at once, not up to the users' bound (1.5 times the rate and 8 more): the rest of the bound is what a node that was killed and started again may have sent before.

A rate or warm-up that can't be read: the routes are refused, the old stay; the upstream counts as cold.

Tests: `sidecar` coldupstreamtest.cpp, `admission` upstreamwarmthtest.cpp and two of upstreamratelimittest.cpp (whose others call setRate() in place of onAnswer(); the bounds are the same), `adapter`, `rpc`, `routes`.

--- a/src/admission/upstreamratelimit.cpp
+++ b/src/admission/upstreamratelimit.cpp
@@ -15,42 +15,78 @@
 constexpr Milliseconds MaxInterval{4000};
 /// Number of requests that may follow each other at once.
 constexpr int RequestsAtOnce = 2;
+/// A cold upstream counts the requests that it got within this time.
+constexpr std::chrono::seconds RecentTime{1};
 
 }
 
-void UpstreamRateLimit::onAnswer(std::optional<RequestRate> limit, TimePoint now)
+void UpstreamRateLimit::setRate(RateGround ground, std::optional<RequestRate> rate, TimePoint now)
 {
-    if (limit && !limit_) {
-        usedUpAt_ = now;
+    const bool wasLimited = lowestRate().has_value();
+    rates_.at(static_cast<std::size_t>(ground)) = rate;
+    if (!lowestRate()) {
+        return;
     }
-    limit_ = limit;
-    if (limit_) {
-        // A raised limit shortens the wait for what was handed over under the lower one.
-        usedUpAt_ = std::min(usedUpAt_, now + RequestsAtOnce * interval());
+    if (!wasLimited) {
+        usedUpAt_ = ground == RateGround::Cold ? usedUpByRecentRequests(now) : now;
+        return;
     }
+    // A raised limit shortens the wait for what was handed over under the lower one.
+    usedUpAt_ = std::min(usedUpAt_, std::max(now + RequestsAtOnce * interval(), usedUpByRecentRequests(now)));
+}
+
+const std::optional<RequestRate> &UpstreamRateLimit::rate(RateGround ground) const
+{
+    return rates_.at(static_cast<std::size_t>(ground));
 }
 
 void UpstreamRateLimit::onHandOver(TimePoint now)
 {
-    if (limit_) {
+    forgetOldRequests(now);
+    recentRequests_.push_back(now);
+    if (lowestRate()) {
         usedUpAt_ = std::max(usedUpAt_, now) + interval();
     }
 }
 
 Duration UpstreamRateLimit::timeUntilNext(TimePoint now) const
 {
-    if (!limit_) {
+    if (!lowestRate()) {
         return Duration{0};
     }
     const Duration wait = usedUpAt_ - now - (RequestsAtOnce - 1) * interval();
     return std::max(wait, Duration{0});
 }
 
+std::optional<RequestRate> UpstreamRateLimit::lowestRate() const
+{
+    std::optional<RequestRate> lowest;
+    for (const std::optional<RequestRate> &rate : rates_) {
+        if (rate && (!lowest || *rate < *lowest)) {
+            lowest = rate;
+        }
+    }
+    return lowest;
+}
+
 Duration UpstreamRateLimit::interval() const
 {
-    const double perSecond = limit_->value();
     const double minPerSecond = 1.0 / inSeconds(Duration{MaxInterval});
-    return fromSeconds(1.0 / std::max(perSecond, minPerSecond));
+    return fromSeconds(1.0 / std::max(lowestRate()->value(), minPerSecond));
+}
+
+TimePoint UpstreamRateLimit::usedUpByRecentRequests(TimePoint now)
+{
+    forgetOldRequests(now);
+    const Duration used = interval() * static_cast<Duration::rep>(recentRequests_.size());
+    return now + std::clamp<Duration>(used - RecentTime, Duration{0}, RecentTime);
+}
+
+void UpstreamRateLimit::forgetOldRequests(TimePoint now)
+{
+    while (!recentRequests_.empty() && now - recentRequests_.front() >= RecentTime) {
+        recentRequests_.pop_front();
+    }
 }
 
 }
--- a/src/dialect/upstreamdialect.h
+++ b/src/dialect/upstreamdialect.h
@@ -49,6 +49,9 @@
     std::optional<RequestRate> limit;
     /// Whether the upstream says that it leaves.
     bool isLeaving = false;
+    /// How much longer the upstream is cold, in a health answer: zero if the answer does not tell, nothing if it can't
+    /// be read.
+    std::optional<Milliseconds> warmUpLeft = Milliseconds{0};
     /// The upstream that answered; empty if the answer does not name it.
     UpstreamName upstream;
 };
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -54,6 +54,7 @@
     , exitMonitor_(
           executor_, pool_, settings_.upstream, random,
           [this](UpstreamCrashId crash, const std::vector<HeldRequest> &held) { reportUpstreamExit(crash, held); })
+    , rate_(log_, metrics_)
     , probeFinished_(executor_, asio::steady_timer::time_point::max())
 {
     slots_.onUpstreamUpdatesNeeded([this] {
@@ -78,10 +79,13 @@
     if (record != nullptr) {
         slots_.setSlots(record->slots);
         if (record->id != presence_.name()) {
-            rateLimit_.clear();
+            rate_.onReplaced(record->id);
         }
     }
     presence_.onListed(record);
+    if (record != nullptr && rate_.wantsHealthCheck()) {
+        startProbe();
+    }
     refuseWaitingForDeparted();
 }
 
@@ -95,19 +99,22 @@
     LoadReport report = slots_.queue().report(route, currentTime());
     report.draining = isDraining_;
     report.arrivalDelayMicroseconds = static_cast<std::uint32_t>(arrivalDelayMicroseconds_);
-    const Duration limitedFor = rateLimit_.timeUntilNext(currentTime());
+    const Duration limitedFor = rate_.timeUntilNext();
     report.limitedForMicroseconds =
         static_cast<std::uint32_t>(std::chrono::duration_cast<Microseconds>(limitedFor).count());
     return report;
 }
 
-asio::awaitable<void> EgressRole::refreshSlowdown()
+asio::awaitable<void> EgressRole::refreshUpstreamState()
 {
-    const TimePoint now = currentTime();
-    if (now - slowdownUpdatedAt_ < settings_.slowdownMaxAge) {
+    const bool isSlowdownOld = currentTime() - slowdownUpdatedAt_ >= settings_.slowdownMaxAge;
+    const bool shouldWait = isSlowdownOld || rate_.needsHealthCheck(settings_.slowdownMaxAge);
+    if (shouldWait || rate_.wantsHealthCheck()) {
+        startProbe();
+    }
+    if (!shouldWait) {
         co_return;
     }
-    startProbe();
     asio::steady_timer probeWaitTimer(executor_, settings_.maxProbeWait);
     probeWaitTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -175,6 +182,7 @@
     // requests.
     const TimePoint deadline = currentTime() + Milliseconds(500);
     metrics_.count("egretpath_upstream_probes_total");
+    bool isAnswered = false;
     auto opened = co_await pool_.open(settings_.upstream, deadline);
     if (opened) {
         HttpClientCall &call = *opened.value();
@@ -184,8 +192,10 @@
             const auto answer = co_await call.readHead();
             const auto body = co_await call.readCompleteBody(MaxProbeAnswer);
             if (answer && body) {
+                isAnswered = true;
                 const UpstreamAnswerMetadata metadata = dialect_.read(answer.value());
                 applyAnswerMetadata(metadata);
+                rate_.onHealthAnswer(metadata.warmUpLeft);
                 // An upstream that leaves gets no more requests, so that only a probe can show that it stays.
                 const bool isHealthy = answer.value().status == HealthyStatus;
                 applyLeaving(metadata.isLeaving || (presence_.saysItLeaves() && !isHealthy));
@@ -195,6 +205,9 @@
             }
         }
     }
+    if (!isAnswered) {
+        rate_.onDisconnected();
+    }
     isProbing_ = false;
     probeFinished_.cancel();
 }
@@ -221,7 +234,7 @@
     if (metadata.isWrongUpstream || !metadata.isAuthentic) {
         return;
     }
-    applyNamedLimit(metadata);
+    rate_.onAnswer(metadata.limit);
     applyLeaving(metadata.isLeaving);
 }
 
@@ -241,20 +254,6 @@
     slots_.refuseWaiting([this](const UpstreamName &target) { return presence_.rejection(target); });
 }
 
-void EgressRole::applyNamedLimit(const UpstreamAnswerMetadata &metadata)
-{
-    const std::optional<RequestRate> before = rateLimit_.limit();
-    rateLimit_.onAnswer(metadata.limit, currentTime());
-    if (before == metadata.limit) {
-        return;
-    }
-    StructuredLine line("limit");
-    line.add("upstream", presence_.name().value());
-    line.add("per_second", metadata.limit ? std::to_string(metadata.limit->value()) : "none");
-    log_.info(line);
-    metrics_.set("egretpath_upstream_limit_per_second", {}, metadata.limit ? metadata.limit->value() : 0.0);
-}
-
 void EgressRole::evacuatedZonesChanged()
 {
     slots_.refuseWaiting([this](const UpstreamName & /*target*/) { return evacuationRejection(); });
@@ -284,16 +283,6 @@
     return route != nullptr ? Egretpath::locationRejection(location_, *route) : std::nullopt;
 }
 
-std::optional<Failure> EgressRole::rateLimitRejection() const
-{
-    const Duration wait = rateLimit_.timeUntilNext(currentTime());
-    if (wait <= Duration{0}) {
-        return std::nullopt;
-    }
-    return notRun(Reason::Overloaded, "the limit that the upstream names is used up",
-                  std::chrono::ceil<Milliseconds>(wait));
-}
-
 void EgressRole::recordArrival(Duration delay)
 {
     const double sample = std::chrono::duration<double, std::micro>(std::min<Duration>(delay, MaxArrivalDelay)).count();
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -10,11 +10,11 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "admission/upstreamaccount.h"
-#include "admission/upstreamratelimit.h"
 #include "dialect/upstreamdialect.h"
 #include "egress/upstreamexitmonitor.h"
 #include "egress/upstreamhealth.h"
 #include "egress/upstreampresence.h"
+#include "egress/upstreamrate.h"
 #include "egress/workslots.h"
 #include "http/httpconnectionpool.h"
 #include "idempotency/latenessguard.h"
@@ -89,6 +89,8 @@
     void evacuatedZonesChanged();
     void setHealthPath(std::string path) { settings_.healthPath = std::move(path); }
     void setMaxConnections(std::uint32_t maxConnections);
+    /// See UpstreamRate::setColdRate().
+    void setColdRate(std::optional<RequestRate> rate) { rate_.setColdRate(rate); }
     /// Starts or stops refusing new requests.
     void setDraining(bool draining) { isDraining_ = draining; }
     /// Calls @p listener when the upstream has exited while it had requests; see UpstreamExitMonitor::Listener.
@@ -108,8 +110,9 @@
     };
 
     [[nodiscard]] CallId nextCallId() { return CallId(++lastCallId_); }
-    /// Probes the upstream if the known slowdown is old. Returns after at most settings_.maxProbeWait.
-    boost::asio::awaitable<void> refreshSlowdown();
+    /// Probes the upstream if the known slowdown is old, or if it is not known whether the upstream is warm. Returns
+    /// after at most settings_.maxProbeWait.
+    boost::asio::awaitable<void> refreshUpstreamState();
     boost::asio::awaitable<void> probe();
     void startProbe();
     /// Probes repeatedly while a request waits for a change that only a probe can show.
@@ -122,7 +125,6 @@
     /// Takes what the upstream says of itself in an answer to a request: the limit that it names, or that it names
     /// none, and whether it leaves.
     void applyStatements(const UpstreamAnswerMetadata &metadata);
-    void applyNamedLimit(const UpstreamAnswerMetadata &metadata);
     void applyLeaving(bool isLeaving);
     /// Refuses the requests that wait for an upstream which leaves or has left.
     void refuseWaitingForDeparted();
@@ -131,8 +133,6 @@
     /// The refusal of a request that may not be served here, since this zone is evacuated or the route names other
     /// regions; nothing if it may be. Routes older than those by which the ingress chose don't count.
     [[nodiscard]] std::optional<Failure> locationRejection(const CallHead &head) const;
-    /// The refusal of a request that the upstream's limit leaves no room for now; nothing if there is room.
-    [[nodiscard]] std::optional<Failure> rateLimitRejection() const;
     void recordArrival(Duration delay);
     /// Logs the requests that the upstream held when it exited, and informs the listener.
     void reportUpstreamExit(UpstreamCrashId crash, const std::vector<HeldRequest> &held);
@@ -159,7 +159,7 @@
     std::uint64_t lastCallId_ = 0;
     TimePoint slowdownUpdatedAt_;
     UpstreamPresence presence_;
-    UpstreamRateLimit rateLimit_;
+    UpstreamRate rate_;
     double arrivalDelayMicroseconds_ = 0.0;
     bool isDraining_ = false;
     bool isProbing_ = false;
--- /dev/null
+++ b/src/egress/upstreamrate.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <optional>
+
+#include "admission/upstreamratelimit.h"
+#include "admission/upstreamwarmth.h"
+#include "core/verdict.h"
+#include "telemetry/eventlog.h"
+#include "telemetry/metrics.h"
+
+namespace Egretpath
+{
+
+/// Holds the rate of requests to the upstream beside this node on all grounds, and logs their changes.
+///
+/// An upstream that is not known to be warm counts as cold. Preconditions: references outlive the object. Thread
+/// safety: none. Errors: none.
+class UpstreamRate
+{
+public:
+    UpstreamRate(EventLog &log, Metrics &metrics);
+
+    /// The requests a second that the upstream takes while it is cold; nothing if any number.
+    void setColdRate(std::optional<RequestRate> rate);
+    /// Another upstream has the address.
+    void onReplaced(const UpstreamName &upstream);
+    /// The upstream may have started again.
+    void onDisconnected();
+    /// The upstream named @p limit in an answer to a request, or named none.
+    void onAnswer(std::optional<RequestRate> limit);
+    /// The upstream said in a health answer how much longer it is cold; nothing if that could not be read.
+    void onHealthAnswer(std::optional<Milliseconds> warmUpLeft);
+    /// A request is handed over to the upstream.
+    void onHandOver();
+
+    /// Returns why no request may be handed over now, with the time after which one may; nothing if one may.
+    [[nodiscard]] std::optional<Failure> rejection() const;
+    [[nodiscard]] Duration timeUntilNext() const;
+    /// Whether a health answer would show soon, or now, whether the upstream is warm.
+    [[nodiscard]] bool wantsHealthCheck() const { return coldRate_ && warmth_.needsHealthCheck(); }
+    /// Whether a request should wait for a health answer. Such an answer is not older than @p maxAge.
+    [[nodiscard]] bool needsHealthCheck(Duration maxAge) const;
+
+private:
+    /// Passes the cold rate on to the limit while the upstream is not known to be warm.
+    void updateColdRate();
+
+    EventLog &log_;
+    Metrics &metrics_;
+    UpstreamName upstream_;
+    UpstreamRateLimit limit_;
+    UpstreamWarmth warmth_;
+    std::optional<RequestRate> coldRate_;
+};
+
+}
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -150,7 +150,7 @@
     if (auto rejection = role_.locationRejection(head_)) {
         co_return rejection;
     }
-    co_await role_.refreshSlowdown();
+    co_await role_.refreshUpstreamState();
     if (auto rejection = handOverRejection()) {
         co_return rejection;
     }
@@ -217,7 +217,7 @@
         }
     });
     handedOverAt_ = currentTime();
-    role_.rateLimit_.onHandOver(handedOverAt_);
+    role_.rate_.onHandOver();
     co_return std::nullopt;
 }
 
@@ -237,6 +237,7 @@
     }
     if (!result && upstreamDisconnected(result.error())) {
         const bool answeredRecently = role_.recentAnswers_.contains(content(), currentTime());
+        role_.rate_.onDisconnected();
         role_.exitMonitor_.onConnectionBroken({head_.requestId, fingerprint_.get(content()), answeredRecently});
     }
     co_return result;
@@ -408,7 +409,7 @@
     if (auto rejection = quarantineRejection()) {
         return rejection;
     }
-    return role_.rateLimitRejection();
+    return role_.rate_.rejection();
 }
 
 void UpstreamRequest::releaseSlot(bool answered)
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -4,11 +4,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/clock.h"
+#include "core/requestrate.h"
 #include "core/strongtype.h"
 #include "routes/routeregions.h"
 
@@ -66,7 +68,7 @@
     /// In lower case, without a port.
     std::string host;
     Route route;
-    /// Hash of all the above; the same in all processes.
+    /// Hash of all the above but the regions, which nodes of an earlier version don't know; the same in all processes.
     std::uint64_t contentHash = 0;
 };
 
@@ -82,6 +84,8 @@
     std::string healthPath = "/health";
     /// Maximum number of connections that one upstream accepts from all its callers together.
     std::uint32_t maxConnections = 64;
+    /// The requests that one upstream takes from all its callers together while it is cold; nothing if any number.
+    std::optional<RequestRate> coldRate;
 
     friend bool operator==(const ServiceEntry &, const ServiceEntry &) = default;
 };
@@ -134,8 +138,8 @@
     [[nodiscard]] const std::vector<HostRoutePointer> &routes() const { return routes_; }
     [[nodiscard]] const Services &services() const { return services_; }
     [[nodiscard]] std::size_t routeCount() const { return routes_.size(); }
-    /// Hash of the complete content; the same in all processes. Tables with different content have different hashes,
-    /// but for chance.
+    /// Hash of the content, without regions of routes and cold rates of services, which nodes of an earlier version
+    /// don't know; the same in all processes. Tables that differ in the rest have different hashes, but for chance.
     [[nodiscard]] std::uint64_t contentHash() const { return contentHash_; }
 
 private:
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -221,6 +221,8 @@
   name @0 :Text;
   healthPath @1 :Text;
   maxConnections @2 :UInt32;
+  coldPerSecond @3 :Float64 = -1;
+  # The requests a second that a cold upstream takes; negative: any number.
 }
 
 struct RouteChanges {
--- a/src/rpc/routecoding.cpp
+++ b/src/rpc/routecoding.cpp
@@ -104,7 +104,11 @@
     for (const ServiceEntry &service : changes.changedServices) {
         services[index].setName(service.name.value());
         services[index].setHealthPath(service.healthPath);
-        services[index++].setMaxConnections(service.maxConnections);
+        services[index].setMaxConnections(service.maxConnections);
+        if (service.coldRate) {
+            services[index].setColdPerSecond(service.coldRate->value());
+        }
+        ++index;
     }
 }
 
@@ -139,8 +143,10 @@
         changes.removed.push_back({readText(key.getHost()), readText(key.getPrefix())});
     }
     for (const auto service : wire.getChangedServices()) {
-        changes.changedServices.push_back(
-            {ServiceName(readText(service.getName())), readText(service.getHealthPath()), service.getMaxConnections()});
+        const double coldRate = service.getColdPerSecond();
+        changes.changedServices.push_back({ServiceName(readText(service.getName())), readText(service.getHealthPath()),
+                                           service.getMaxConnections(),
+                                           coldRate >= 0.0 ? std::optional(RequestRate(coldRate)) : std::nullopt});
     }
     for (const auto name : wire.getRemovedServices()) {
         changes.removedServices.emplace_back(readText(name));
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -243,6 +243,7 @@
             if (const ServiceEntry *service = state_.routes->service(state_.settings.service)) {
                 egress_.setHealthPath(service->healthPath);
                 egress_.setMaxConnections(service->maxConnections);
+                egress_.setColdRate(service->coldRate);
             }
         }
         reportReady();
--- a/tests/adapter/platformdialecttest.cpp
+++ b/tests/adapter/platformdialecttest.cpp
@@ -109,6 +109,19 @@
     CHECK(dialect.read(answerWith(200, {{"Server-Leaving", "1"}})).isLeaving);
 }
 
+TEST_CASE("the warm-up that an upstream names is read, and text that is no time leaves it unknown")
+{
+    const PlatformUpstreamDialect dialect;
+    CHECK(dialect.read(answerWith(200, {})).warmUpLeft == Milliseconds(0));
+    CHECK(dialect.read(answerWith(200, {{"X-Egretpath-Warmup-Ms", "0"}})).warmUpLeft == Milliseconds(0));
+    CHECK(dialect.read(answerWith(200, {{"X-Egretpath-Warmup-Ms", "1200"}})).warmUpLeft == Milliseconds(1200));
+    CHECK(dialect.read(answerWith(503, {{"X-Egretpath-Warmup-Ms", "0.5"}})).warmUpLeft == Milliseconds(1));
+    for (const char *bad : {"", "x", "-1", "3s", "nan", "inf"}) {
+        INFO(bad);
+        CHECK_FALSE(dialect.read(answerWith(200, {{"X-Egretpath-Warmup-Ms", bad}})).warmUpLeft);
+    }
+}
+
 // Guards against a success that the upstream did not send in this form: a proxy on the way compressed the answer, or
 // another program listens at the address. Such an answer lacks the upstream's digest and must not reach a caller as a
 // success.
--- a/tests/adapter/publishedroutestest.cpp
+++ b/tests/adapter/publishedroutestest.cpp
@@ -111,3 +111,25 @@
         CHECK(table.error().detail.find("allowed_regions is not a list of names of regions") != std::string::npos);
     }
 }
+
+// Guards against a rate that can't be read and then counts as no limit.
+TEST_CASE("the requests that a cold upstream takes are read, and a rate that is no number refuses the routes")
+{
+    const auto withRate = [](const std::string &value) {
+        return routesFromJson(
+            replaced(Config, R"("max_connections":220)", R"("max_connections":220,"cold_per_s":)" + value));
+    };
+    const auto coldRateOf = [](const Result<RouteTablePointer> &table) {
+        return table.value()->service(ServiceName("plans"))->coldRate;
+    };
+    CHECK(coldRateOf(routesFromJson(Config)) == std::nullopt);
+    CHECK(coldRateOf(withRate("11.5")) == RequestRate(11.5));
+    CHECK(coldRateOf(withRate("11")) == RequestRate(11.0));
+    CHECK(coldRateOf(withRate("0")) == RequestRate(0.0));
+    for (const char *value : {"-1", "null", "\"11\"", "[]"}) {
+        INFO(value);
+        const auto table = withRate(value);
+        REQUIRE_FALSE(table);
+        CHECK(table.error().detail.find("cold_per_s is not a number of requests") != std::string::npos);
+    }
+}
--- a/tests/admission/upstreamratelimittest.cpp
+++ b/tests/admission/upstreamratelimittest.cpp
@@ -29,8 +29,8 @@
 {
     UpstreamRateLimit limit;
     CHECK(requestsIn(limit, Start, Milliseconds(100)) == 100);
-    limit.onAnswer(RequestRate(1.0), Start);
-    limit.onAnswer(std::nullopt, Start);
+    limit.setRate(RateGround::Named, RequestRate(1.0), Start);
+    limit.setRate(RateGround::Named, std::nullopt, Start);
     CHECK(requestsIn(limit, Start, Milliseconds(100)) == 100);
 }
 
@@ -38,7 +38,7 @@
 {
     for (const double perSecond : {0.5, 2.1, 4.9, 100.0}) {
         UpstreamRateLimit limit;
-        limit.onAnswer(RequestRate(perSecond), Start);
+        limit.setRate(RateGround::Named, RequestRate(perSecond), Start);
         const int requests = requestsIn(limit, Start, Milliseconds(10'000));
         CHECK(requests >= static_cast<int>(perSecond * 10.0));
         CHECK(requests <= static_cast<int>(perSecond * 10.0) + 2);
@@ -48,7 +48,7 @@
 TEST_CASE("time without requests is not saved up for a burst")
 {
     UpstreamRateLimit limit;
-    limit.onAnswer(RequestRate(2.0), Start);
+    limit.setRate(RateGround::Named, RequestRate(2.0), Start);
     CHECK(requestsIn(limit, Start + std::chrono::seconds{60}, Milliseconds(100)) == 2);
 }
 
@@ -56,9 +56,9 @@
 TEST_CASE("a raised limit counts at once")
 {
     UpstreamRateLimit limit;
-    limit.onAnswer(RequestRate(0.3), Start);
+    limit.setRate(RateGround::Named, RequestRate(0.3), Start);
     CHECK(requestsIn(limit, Start, Milliseconds(1000)) == 2);
-    limit.onAnswer(RequestRate(50.0), Start + std::chrono::seconds{1});
+    limit.setRate(RateGround::Named, RequestRate(50.0), Start + std::chrono::seconds{1});
     CHECK(requestsIn(limit, Start + std::chrono::seconds{1}, Milliseconds(1000)) >= 49);
 }
 
@@ -66,8 +66,38 @@
 TEST_CASE("an upstream with a limit of zero gets a request now and then")
 {
     UpstreamRateLimit limit;
-    limit.onAnswer(RequestRate(0.0), Start);
+    limit.setRate(RateGround::Named, RequestRate(0.0), Start);
     const int requests = requestsIn(limit, Start, Milliseconds(20'000));
     CHECK(requests >= 2);
     CHECK(requests <= 7);
 }
+
+TEST_CASE("the lowest rate of several grounds holds")
+{
+    UpstreamRateLimit limit;
+    limit.setRate(RateGround::Named, RequestRate(5.0), Start);
+    limit.setRate(RateGround::Cold, RequestRate(20.0), Start);
+    const int both = requestsIn(limit, Start, Milliseconds(4000));
+    CHECK(both >= 20);
+    CHECK(both <= 22);
+    const TimePoint later = Start + std::chrono::seconds{4};
+    limit.setRate(RateGround::Named, std::nullopt, later);
+    const int cold = requestsIn(limit, later, Milliseconds(4000));
+    CHECK(cold >= 78);
+    CHECK(cold <= 82);
+    limit.setRate(RateGround::Cold, std::nullopt, later + std::chrono::seconds{4});
+    CHECK(requestsIn(limit, later + std::chrono::seconds{4}, Milliseconds(100)) == 100);
+}
+
+// Guards against an upstream that becomes cold right after it got many requests, and gets its cold rate on top of them.
+TEST_CASE("what a cold upstream got just before counts as part of its rate")
+{
+    constexpr int Before = 10;
+    UpstreamRateLimit limit;
+    CHECK(requestsIn(limit, Start, Milliseconds(Before)) == Before);
+    const TimePoint cold = Start + Milliseconds(Before);
+    limit.setRate(RateGround::Cold, RequestRate(8.0), cold);
+    const int inFirstSecond = requestsIn(limit, cold, Milliseconds(1000 - Before));
+    CHECK(Before + inFirstSecond <= 8 + Before);
+    CHECK(requestsIn(limit, cold + std::chrono::seconds{2}, Milliseconds(1000)) >= 8);
+}
--- a/tests/routes/routechangestest.cpp
+++ b/tests/routes/routechangestest.cpp
@@ -56,6 +56,24 @@
     CHECK(made.value()->contentHash() == after->contentHash());
 }
 
+// Guards against a change that is not passed on, since the hash of a route leaves its regions out.
+TEST_CASE("a change of only the regions of a route, or of the cold rate of a service, is a change")
+{
+    const auto before = tableOf(5, {routeTo("/a/", "one")}, {serviceNamed("one")});
+    Route route = routeTo("/a/", "one");
+    route.regions = RouteRegions({RegionName("north")});
+    ServiceEntry service = serviceNamed("one");
+    service.coldRate = RequestRate(2.5);
+    const auto after = tableOf(6, {route}, {service});
+    const RouteChanges changes = changesBetween(before.get(), *after);
+    CHECK(changes.changed.size() == 1);
+    CHECK(changes.changedServices.size() == 1);
+    const auto made = tableAfter(before.get(), changes);
+    REQUIRE(made.has_value());
+    CHECK(made.value()->match("h.example", "/a/1")->regions == route.regions);
+    CHECK(made.value()->service(ServiceName("one"))->coldRate == RequestRate(2.5));
+}
+
 TEST_CASE("without an older table the changes are the complete table")
 {
     const auto table = tableOf(5, {routeTo("/a/", "one"), routeTo("/b/", "one")}, {serviceNamed("one")});
--- a/tests/rpc/routecodingtest.cpp
+++ b/tests/rpc/routecodingtest.cpp
@@ -30,6 +30,7 @@
     ServiceEntry service;
     service.name = ServiceName("statements");
     service.maxConnections = 7;
+    service.coldRate = RequestRate(2.5);
     CallerLimits limits;
     limits.idleTime = Milliseconds(1234);
     return std::make_shared<const RouteTable>(RouteVersion(version), std::vector<RouteTable::Host>{host},
@@ -54,6 +55,7 @@
     REQUIRE(second.has_value());
     CHECK(second.value()->contentHash() == after->contentHash());
     CHECK(second.value()->limits().idleTime == Milliseconds(1234));
+    CHECK(second.value()->service(ServiceName("statements"))->coldRate == RequestRate(2.5));
     CHECK(second.value()->routes().front()->route.regions == RouteRegions({RegionName("north")}));
 }
 
--- a/tests/sidecar/fakecatalog.cpp
+++ b/tests/sidecar/fakecatalog.cpp
@@ -90,6 +90,11 @@
     return std::make_unique<FakeSource>(*this);
 }
 
+std::string FakeCatalog::clusterText() const
+{
+    return coldRate.empty() ? std::string() : R"({"name":"statements","cold_per_s":)" + coldRate + "}";
+}
+
 std::string FakeCatalog::routesText() const
 {
     std::ostringstream unused;
@@ -106,7 +111,8 @@
           R"({"name":"pay","kind":"unsafe","target_latency":"300ms","priority":1,"match":{"prefix":"/pay/"},)"
           R"("action":{"service":"statements","timeout":"800ms","max_attempts":3,"allowed_regions":)"
         + payRegions + R"(}},{"name":"v","kind":"safe","target_latency":"300ms","match":{"prefix":"/v)"
-        + std::to_string(version_) + R"(/"},"action":{"service":"statements","timeout":"800ms"}}]}],"clusters":[]})";
+        + std::to_string(version_) + R"(/"},"action":{"service":"statements","timeout":"800ms"}}]}],"clusters":[)"
+        + clusterText() + "]}";
 }
 
 PublishedRoutes FakeCatalog::publishedRoutes() const
--- a/tests/sidecar/fakecatalog.h
+++ b/tests/sidecar/fakecatalog.h
@@ -59,6 +59,8 @@
     bool isUnreachable = false;
     /// The number of routes that nobody uses, published in addition to those of the tests.
     std::size_t unusedRoutes = 0;
+    /// The requests a second that a cold upstream takes; empty if any number.
+    std::string coldRate;
     /// The regions in which the route of /pay/ may be served, as a JSON list.
     std::string payRegions = "[]";
 
@@ -70,6 +72,7 @@
     /// Marks the upstream as draining and returns this change.
     [[nodiscard]] InstanceChange markDraining(const std::string &id);
     [[nodiscard]] std::string routesText() const;
+    [[nodiscard]] std::string clusterText() const;
     [[nodiscard]] PublishedRoutes publishedRoutes() const;
     void notifyReaders(const std::function<void(CatalogSink &)> &action);
 
--- a/tests/sidecar/fakeupstream.cpp
+++ b/tests/sidecar/fakeupstream.cpp
@@ -74,6 +74,9 @@
     }
     if (exchange.head().target == "/health") {
         head.status = saysItLeaves ? 503 : 200;
+        if (!warmUpLeft.empty()) {
+            head.headers.add("X-Egretpath-Warmup-Ms", warmUpLeft);
+        }
         (void)co_await exchange.respond(head, "");
         co_return;
     }
--- a/tests/sidecar/fakeupstream.h
+++ b/tests/sidecar/fakeupstream.h
@@ -47,6 +47,8 @@
     bool omitsDigest = false;
     /// The requests a second that the upstream says it takes; empty if it names no limit.
     std::string namedLimit;
+    /// How much longer the upstream is cold, as its health answers say; empty if they don't tell.
+    std::string warmUpLeft;
     /// Whether the upstream says that it leaves.
     bool saysItLeaves = false;
     /// The slowdown that the upstream reports, in percent of the baseline.
