soak: zones are evacuated, upstreams are cold, name limits and leave by their answers

The stand-in says of itself what the platform's instances say. Old seeds keep their plans (`--known-kinds`).

--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -31,6 +31,8 @@
 constexpr Milliseconds AddressReuseDelay{2000};
 /// Time between the crash of an upstream by a request and the start of the next one.
 constexpr Milliseconds CrashRestartDelay{700};
+/// How long upstreams are cold after an evacuation.
+constexpr Milliseconds WarmUpTime{1500};
 constexpr Milliseconds StormInterval{300};
 constexpr unsigned ManyIdleRoutes = 300;
 constexpr unsigned UsualIdleRoutes = 8;
@@ -71,6 +73,10 @@
     {FaultKind::UpstreamReplaced, &FaultInjector::replaceUpstream, FaultCategory::Upstream, false},
     {FaultKind::UpstreamCrash, &FaultInjector::crashUpstream, FaultCategory::Upstream, false},
     {FaultKind::UpstreamCrashedByRequest, &FaultInjector::crashByRequest, FaultCategory::Upstream, true},
+    {FaultKind::ZoneEvacuated, &FaultInjector::evacuateZone, FaultCategory::Upstream, true},
+    {FaultKind::UpstreamCold, &FaultInjector::coolUpstream, FaultCategory::Upstream, false},
+    {FaultKind::UpstreamLimits, &FaultInjector::limitUpstream, FaultCategory::Upstream, false},
+    {FaultKind::UpstreamLeavesByAnswer, &FaultInjector::stateLeaving, FaultCategory::Upstream, false},
     {FaultKind::CallerBurst, &FaultInjector::burstCallers, FaultCategory::Upstream, true},
     {FaultKind::CallersLeave, &FaultInjector::disconnectCallers, FaultCategory::Upstream, true},
     {FaultKind::RoutesChange, &FaultInjector::changeRoutes, FaultCategory::Planned, true},
@@ -342,6 +348,63 @@
     deployment_.unregisterUpstream(crashedUpstream);
 }
 
+/// The upstreams of the zone are cold when the evacuation ends.
+asio::awaitable<void> FaultInjector::evacuateZone(PlannedFault fault)
+{
+    const std::string zone = deployment_.member(fault.node).zone;
+    if (!evacuatedZones_.insert(zone).second) {
+        co_return;
+    }
+    store_.put("op/evacuate/" + zone, "{}");
+    checker_.upstreamPromises().beginEvacuation(zone, currentTime());
+    co_await sleepFor(fault.length);
+    for (const auto &member : deployment_.members()) {
+        if (member->zone == zone) {
+            startWarmUp(*member, WarmUpTime);
+        }
+    }
+    checker_.upstreamPromises().endEvacuation(zone);
+    store_.remove("op/evacuate/" + zone);
+    evacuatedZones_.erase(zone);
+}
+
+void FaultInjector::startWarmUp(Member &member, Milliseconds length)
+{
+    const TimePoint now = currentTime();
+    member.upstream->statements().coldUntil = now + length;
+    checker_.upstreamPromises().startWarmUp(member.upstreamId, now, now + length);
+}
+
+/// The upstream becomes cold without a restart; only its health answers tell.
+asio::awaitable<void> FaultInjector::coolUpstream(PlannedFault fault)
+{
+    startWarmUp(deployment_.member(fault.node), fault.length);
+    co_await sleepFor(fault.length);
+}
+
+asio::awaitable<void> FaultInjector::limitUpstream(PlannedFault fault)
+{
+    constexpr double Limit = 2.5;
+    Member &member = deployment_.member(fault.node);
+    const UpstreamName upstream = member.upstreamId;
+    member.upstream->statements().limit = Limit;
+    checker_.upstreamPromises().nameLimit(upstream, Limit, currentTime());
+    co_await sleepFor(fault.length);
+    member.upstream->statements().limit = 0.0;
+    checker_.upstreamPromises().nameLimit(upstream, std::nullopt, currentTime());
+}
+
+asio::awaitable<void> FaultInjector::stateLeaving(PlannedFault fault)
+{
+    Member &member = deployment_.member(fault.node);
+    const UpstreamName upstream = member.upstreamId;
+    member.upstream->statements().isLeaving = true;
+    checker_.upstreamPromises().stateLeaving(upstream, true, currentTime());
+    co_await sleepFor(fault.length);
+    member.upstream->statements().isLeaving = false;
+    checker_.upstreamPromises().stateLeaving(upstream, false, currentTime());
+}
+
 asio::awaitable<void> FaultInjector::burstCallers(PlannedFault fault)
 {
     callers_.setRateFactor(BurstRateFactor);
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <set>
+#include <string>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -58,6 +59,11 @@
     boost::asio::awaitable<void> replaceUpstream(PlannedFault fault);
     boost::asio::awaitable<void> crashUpstream(PlannedFault fault);
     boost::asio::awaitable<void> crashByRequest(PlannedFault fault);
+    boost::asio::awaitable<void> evacuateZone(PlannedFault fault);
+    boost::asio::awaitable<void> coolUpstream(PlannedFault fault);
+    boost::asio::awaitable<void> limitUpstream(PlannedFault fault);
+    boost::asio::awaitable<void> stateLeaving(PlannedFault fault);
+    void startWarmUp(Member &member, Milliseconds length);
     boost::asio::awaitable<void> burstCallers(PlannedFault fault);
     boost::asio::awaitable<void> disconnectCallers(PlannedFault fault);
     boost::asio::awaitable<void> changeRoutes(PlannedFault fault);
@@ -78,6 +84,8 @@
     DeploymentOptions options_;
     /// Members whose upstream is being replaced or restarted. Another such fault at the same member does nothing.
     std::set<NodeNumber> replacedUpstreams_;
+    /// Zones that are being evacuated. Another evacuation of the same zone does nothing.
+    std::set<std::string> evacuatedZones_;
     /// Members whose process is being stopped.
     std::set<NodeNumber> stoppingNodes_;
 };
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -43,6 +43,10 @@
     "routes-grow",
     "upstream-hangs",
     "upstream-crashed-by-request",
+    "zone-evacuated",
+    "upstream-cold",
+    "upstream-limits",
+    "upstream-leaves-by-answer",
 };
 
 /// Faults last 0.3 to 4 s. This range includes times shorter and longer than the timeouts between nodes and than a
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -49,9 +49,13 @@
     // New kinds are added at the end, so that the seeds of earlier failures keep their plans.
     UpstreamHangs,
     UpstreamCrashedByRequest,
+    ZoneEvacuated,
+    UpstreamCold,
+    UpstreamLimits,
+    UpstreamLeavesByAnswer,
 };
 
-inline constexpr std::size_t FaultKindCount = 33;
+inline constexpr std::size_t FaultKindCount = 37;
 
 [[nodiscard]] std::string_view toString(FaultKind kind);
 /// Returns nothing for an unknown name. Thread safety: safe.
--- a/tests/soak/promisechecker.cpp
+++ b/tests/soak/promisechecker.cpp
@@ -56,6 +56,7 @@
     : bounds_(bounds)
     , faultHistory_(faultHistory)
     , stallDetector_(stallDetector)
+    , upstreamPromises_({.slack = bounds.slack}, faultHistory)
     , versions_(versions)
     , start_(currentTime())
 {
@@ -81,9 +82,10 @@
     checkNotFound(known);
 }
 
-void PromiseChecker::recordPlacement(const UpstreamName &upstream, NodeNumber node)
+void PromiseChecker::recordPlacement(const UpstreamName &upstream, NodeNumber node, const std::string &zone)
 {
     upstreamNodes_[upstream] = node;
+    upstreamPromises_.place(upstream, node, zone);
 }
 
 void PromiseChecker::recordDraining(const UpstreamName &upstream, TimePoint at)
@@ -124,6 +126,17 @@
     (attempt.arrivals++ == 0 ? arrivals.requests : arrivals.retries).push_back(currentTime());
     checkRequest(attempt, upstream, request);
     checkDeadline(attempt, upstream, request);
+    if (!request.isMisdirected) {
+        checkUpstream(attempt, upstream);
+    }
+}
+
+void PromiseChecker::checkUpstream(const Attempt &attempt, const UpstreamName &upstream)
+{
+    const UpstreamArrival arrival{upstream, attempt.sent.route, attempt.sent.node, attempt.sent.at, currentTime()};
+    for (const UpstreamPromises::Finding &finding : upstreamPromises_.check(arrival)) {
+        recordAttemptViolation(finding.promise, attempt, finding.detail);
+    }
 }
 
 void PromiseChecker::checkRequest(const Attempt &attempt, const UpstreamName &upstream, const ArrivedRequest &request)
--- a/tests/soak/promisechecker.h
+++ b/tests/soak/promisechecker.h
@@ -12,6 +12,7 @@
 #include "soak/faulthistory.h"
 #include "soak/publishedversions.h"
 #include "soak/stalldetector.h"
+#include "soak/upstreampromises.h"
 #include "standins/standinupstream.h"
 
 namespace Egretpath
@@ -89,8 +90,8 @@
 
     void recordSent(const SentAttempt &attempt);
     void recordResult(const RequestId &attempt, const AttemptResult &result);
-    /// Records that @p upstream runs beside @p node.
-    void recordPlacement(const UpstreamName &upstream, NodeNumber node);
+    /// Records that @p upstream runs beside @p node in @p zone.
+    void recordPlacement(const UpstreamName &upstream, NodeNumber node, const std::string &zone);
     /// Records that @p upstream announced, itself or through its store entry, that it is draining.
     void recordDraining(const UpstreamName &upstream, TimePoint at);
     /// Records a violation: the process of @p node exited although the soak did not ask for it, or in another way than
@@ -106,6 +107,9 @@
     void onAnswered(const UpstreamAnswer &answer) override;
     void onCrashedBy(const UpstreamName &upstream, const ArrivedRequest &request) override;
 
+    /// The promises about what upstreams get, for the soak to record what it does to them.
+    [[nodiscard]] UpstreamPromises &upstreamPromises() { return upstreamPromises_; }
+
     /// Runs the checks that are only possible at the end of the run.
     void finish();
     [[nodiscard]] const std::vector<std::string> &violations() const { return violations_; }
@@ -175,6 +179,7 @@
         TimePoint at;
     };
 
+    void checkUpstream(const Attempt &attempt, const UpstreamName &upstream);
     void checkRequest(const Attempt &attempt, const UpstreamName &upstream, const ArrivedRequest &request);
     void checkDeadline(const Attempt &attempt, const UpstreamName &upstream, const ArrivedRequest &request);
     /// Precondition: the attempt's latest run has just started at @p upstream.
@@ -197,6 +202,7 @@
     PromiseBounds bounds_;
     const FaultHistory &faultHistory_;
     StallDetector &stallDetector_;
+    UpstreamPromises upstreamPromises_;
     const PublishedVersions &versions_;
     TimePoint start_;
     std::unordered_map<RequestId, Attempt> attempts_;
--- a/tests/soak/routepublisher.cpp
+++ b/tests/soak/routepublisher.cpp
@@ -9,6 +9,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "core/currenttime.h"
+#include "soak/upstreampromises.h"
 
 namespace Egretpath
 {
@@ -47,13 +48,14 @@
     return "unsafe";
 }
 
-CallerRoute makeRoute(const char *key, RequestKind kind, const char *service, double share)
+CallerRoute makeRoute(const char *key, RequestKind kind, const char *service, double share, const char *region = "")
 {
     CallerRoute route;
     route.key = RouteKey(key);
     route.kind = kind;
     route.service = ServiceName(service);
     route.share = share;
+    route.region = region;
     return route;
 }
 
@@ -70,6 +72,7 @@
 {
     json::object action{
         {"service", route.service.value()}, {"timeout", milliseconds(route.timeout)}, {"max_attempts", 3}};
+    action["allowed_regions"] = route.region.empty() ? json::array() : json::array{route.region};
     return {{"name", route.key.value()},
             {"kind", kindName(route.kind)},
             {"target_latency", milliseconds(route.target)},
@@ -87,7 +90,7 @@
     , routes_{makeRoute("read", RequestKind::Safe, "statements", 0.5),
               makeRoute("pay", RequestKind::Unsafe, "arrangements", 0.25),
               makeRoute("upload", RequestKind::Upload, "intake", 0.08),
-              makeRoute("file", RequestKind::Unsafe, "intake", 0.12),
+              makeRoute("file", RequestKind::Unsafe, "intake", 0.12, "north"),
               makeShortTimeoutRoute("rate", "arrangements"),
               makeShortTimeoutRoute("eligible", "intake")}
 {
@@ -131,7 +134,10 @@
     }
     json::array clusters;
     for (const char *service : {"statements", "arrangements", "intake"}) {
-        clusters.push_back(json::object{{"name", service}, {"health_check_path", "/health"}, {"max_connections", 220}});
+        clusters.push_back(json::object{{"name", service},
+                                        {"health_check_path", "/health"},
+                                        {"max_connections", 220},
+                                        {"cold_per_s", UpstreamBounds().coldRate}});
     }
     json::object listener{{"hostname", host()}, {"rules", std::move(rules)}};
     const json::object config{{"version", versionText(version_)},
--- a/tests/soak/routepublisher.h
+++ b/tests/soak/routepublisher.h
@@ -25,6 +25,8 @@
     std::uint32_t priority = 2;
     /// Share of all requests; zero for a route that only upstreams call.
     double share = 0.0;
+    /// The only region in which the route may be served; empty: all.
+    std::string region;
 };
 
 /// Publishes versions of the routes in the store, as operators do. Thread safety: none.
--- a/tests/soak/soakdeployment.cpp
+++ b/tests/soak/soakdeployment.cpp
@@ -191,7 +191,7 @@
     options.seed = options_.seed * 1000 + member.number;
     options.onCrashed = [this, &member] { onUpstreamCrashed_(member); };
     member.upstreamId = options.id;
-    checker_.recordPlacement(options.id, member.number);
+    checker_.recordPlacement(options.id, member.number, member.zone);
     member.upstream.reset();
     member.upstream = std::make_unique<StandinUpstream>(context_.get_executor(), std::move(options), checker_,
                                                         makeInnerCall_(member.number));
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -50,6 +50,11 @@
     , injector_(context_, deployment_, store_, routePublisher_, callers_, faultHistory_, checker_, options_.deployment)
     , probes_(context_.get_executor(), HttpPoolLimits())
 {
+    for (const CallerRoute &route : routePublisher_.routes()) {
+        if (!route.region.empty()) {
+            checker_.upstreamPromises().restrict(route.key, route.region);
+        }
+    }
     if (!options_.withoutFaults) {
         plan_ = drawFaults(options_.faults, makeRandom(options_.deployment.seed, 3));
     }
--- a/tests/standins/standinupstream.cpp
+++ b/tests/standins/standinupstream.cpp
@@ -95,6 +95,7 @@
     void drain() { isDraining_ = true; }
     [[nodiscard]] const StandinUpstreamOptions &options() const { return options_; }
     [[nodiscard]] UpstreamFaults &faults() { return faults_; }
+    [[nodiscard]] UpstreamStatements &statements() { return statements_; }
 
 private:
     /// Occupies one slot while it exists.
@@ -122,7 +123,10 @@
     {
         const auto self = shared_from_this();
         if (exchange.head().target == "/health") {
-            HttpResponseHead head = answerHead(isDraining_ ? UnavailableStatus : OkStatus, RequestId());
+            const bool isLeaving = isDraining_ || statements_.isLeaving;
+            HttpResponseHead head = answerHead(isLeaving ? UnavailableStatus : OkStatus, RequestId());
+            const auto left = std::chrono::ceil<Milliseconds>(statements_.coldUntil - currentTime());
+            head.headers.add("X-Egretpath-Warmup-Ms", std::to_string(std::max<Milliseconds::rep>(left.count(), 0)));
             (void)co_await exchange.respond(std::move(head), std::string());
             co_return;
         }
@@ -132,7 +136,7 @@
         }
         const ArrivedRequest request = parseRequest(exchange, body.value());
         observer_.onArrived(options_.id, options_.service, request);
-        if (headerValue(exchange, "X-Egretpath-Target-Instance") != options_.id.value()) {
+        if (request.isMisdirected) {
             co_await refuse(exchange, request.attempt, MisdirectedStatus);
         } else if (faults_.isRefusing || running_ + waiting_ >= options_.slots + options_.queue) {
             co_await refuse(exchange, request.attempt, UnavailableStatus);
@@ -159,7 +163,7 @@
         exchange.onCallerDisconnected(nullptr);
     }
 
-    [[nodiscard]] static ArrivedRequest parseRequest(const HttpExchange &exchange, const std::string &body)
+    [[nodiscard]] ArrivedRequest parseRequest(const HttpExchange &exchange, const std::string &body) const
     {
         ArrivedRequest request;
         request.attempt = RequestId(headerValue(exchange, AttemptId));
@@ -170,6 +174,7 @@
         if (const auto left = parseUnsigned(headerValue(exchange, "X-Egretpath-Deadline-Ms"))) {
             request.timeLeft = Milliseconds(*left);
         }
+        request.isMisdirected = headerValue(exchange, "X-Egretpath-Target-Instance") != options_.id.value();
         return request;
     }
 
@@ -277,6 +282,12 @@
         head.headers.add("X-Egretpath-Instance-Load",
                          std::to_string(running_) + "," + std::to_string(waiting_) + ","
                              + std::to_string(options_.slots) + "," + std::to_string(slowdown));
+        if (statements_.limit > 0.0) {
+            head.headers.add("Server-Limit", std::to_string(statements_.limit));
+        }
+        if (statements_.isLeaving) {
+            head.headers.add("Server-Leaving", "1");
+        }
         return head;
     }
 
@@ -302,6 +313,7 @@
     InnerCall innerCall_;
     Random random_;
     UpstreamFaults faults_;
+    UpstreamStatements statements_;
     std::unique_ptr<HttpServer> server_;
     std::uint32_t running_ = 0;
     std::uint32_t waiting_ = 0;
@@ -340,6 +352,11 @@
     implementation_->drain();
 }
 
+UpstreamStatements &StandinUpstream::statements()
+{
+    return implementation_->statements();
+}
+
 void StandinUpstream::crash()
 {
     implementation_->crash();
--- a/tests/standins/standinupstream.h
+++ b/tests/standins/standinupstream.h
@@ -30,6 +30,8 @@
     ServiceName callerService;
     /// Time left until the deadline; negative if the request had no deadline.
     Milliseconds timeLeft{-1};
+    /// Whether the request is meant for another upstream, so that it is refused.
+    bool isMisdirected = false;
 };
 
 /// An answer that an upstream sent.
@@ -77,6 +79,16 @@
     double hangingShare = 0.0;
 };
 
+/// What an upstream says of itself in its answers.
+struct UpstreamStatements
+{
+    /// The requests a second that it takes; zero: it names no limit.
+    double limit = 0.0;
+    bool isLeaving = false;
+    /// It is cold until this time, as its health answers say.
+    TimePoint coldUntil;
+};
+
 struct StandinUpstreamOptions
 {
     UpstreamName id;
@@ -110,6 +122,7 @@
 
     [[nodiscard]] const StandinUpstreamOptions &options() const;
     [[nodiscard]] UpstreamFaults &faults();
+    [[nodiscard]] UpstreamStatements &statements();
     /// Starts to drain: health checks fail from now on, requests are still served.
     void drain();
     /// Closes all connections at once, as when the process crashes.
