admission, egress: requests wait for their turn at a cold upstream, dependent callers longer

Cause: a request that came some milliseconds before the next turn was refused, and with little news of many upstreams three tries seldom hit one with a turn left.

Change: requests take turns. One waits for its turn for up to an eighth of the time to its target, a dependent caller (a call of an upstream, whose work is lost without an answer) for up to a third of the time to its deadline, so that while much more is asked for than there is, dependent ones get nearly all turns. Late ones, and those that another upstream answers sooner, don't wait. A turn is taken only if there would be a slot. Since requests with turns may wait for slots and then go together, a hand-over to a cold upstream also needs room in the last second (its rate and 3); in the first second of a process half of the rate and 3, since its predecessor may have used up a whole one: together under 1.5 times the rate and 8 at any rate.

The test of the cold rate now begins a second after the start and asks for the whole rate in one second, as before.

--- a/src/admission/upstreamratelimit.cpp
+++ b/src/admission/upstreamratelimit.cpp
@@ -17,9 +17,18 @@
 constexpr int RequestsAtOnce = 2;
 /// A cold upstream counts the requests that it got within this time.
 constexpr std::chrono::seconds RecentTime{1};
+/// In this time, a cold upstream may get this number of requests beyond its rate.
+constexpr double MaxExcess = 3.0;
+/// The part of the rate that is used in the first second of a process.
+constexpr double ShareAfterStart = 0.5;
 
 }
 
+UpstreamRateLimit::UpstreamRateLimit(TimePoint startedAt)
+    : startedAt_(startedAt)
+{
+}
+
 void UpstreamRateLimit::setRate(RateGround ground, std::optional<RequestRate> rate, TimePoint now)
 {
     const bool wasLimited = lowestRate().has_value();
@@ -31,7 +40,7 @@
         usedUpAt_ = ground == RateGround::Cold ? usedUpByRecentRequests(now) : now;
         return;
     }
-    // A raised limit shortens the wait for what was handed over under the lower one.
+    // A raised limit shortens the wait for the turns that were taken under the lower one.
     usedUpAt_ = std::min(usedUpAt_, std::max(now + RequestsAtOnce * interval(), usedUpByRecentRequests(now)));
 }
 
@@ -44,9 +53,29 @@
 {
     forgetOldRequests(now);
     recentRequests_.push_back(now);
-    if (lowestRate()) {
-        usedUpAt_ = std::max(usedUpAt_, now) + interval();
+}
+
+TimePoint UpstreamRateLimit::takeTurn(TimePoint now)
+{
+    if (!lowestRate()) {
+        return now;
+    }
+    const TimePoint due = now + timeUntilNext(now);
+    usedUpAt_ = std::max(usedUpAt_, now) + interval();
+    return due;
+}
+
+bool UpstreamRateLimit::hasRoom(TimePoint now)
+{
+    if (!rate(RateGround::Cold)) {
+        return true;
     }
+    forgetOldRequests(now);
+    // An earlier process may have handed over as much as is allowed just before this one started.
+    const bool mayHavePredecessor = now - startedAt_ < RecentTime;
+    const double rateShare = mayHavePredecessor ? ShareAfterStart : 1.0;
+    const double allowed = rateShare * lowestRate()->value() + MaxExcess;
+    return static_cast<double>(recentRequests_.size()) < allowed;
 }
 
 Duration UpstreamRateLimit::timeUntilNext(TimePoint now) const
--- a/src/admission/upstreamratelimit.h
+++ b/src/admission/upstreamratelimit.h
@@ -25,33 +25,42 @@
 ///
 /// Load pattern: an upstream in need, or one that has just started, takes only a few requests a second from all nodes
 /// together. All its requests pass through the node beside it, so the rate is held there, without messages between
-/// nodes. Requests beyond it are not held: other upstreams may have room, and a queue would not get shorter. Two
-/// requests may follow each other at once, so that little of the rate is left unused when requests come irregularly.
+/// nodes. Each request takes a turn. Turns are an interval apart, but two may follow each other at once, so that little
+/// of the rate is left unused when requests come irregularly. Requests that have taken a turn may wait for other things
+/// and then be handed over together, so a hand-over also needs room in the last second.
 ///
 /// Thread safety: none; one owner. Errors: none.
 class UpstreamRateLimit
 {
 public:
+    /// @p startedAt: when this process started. What an earlier process handed over in the second before is not known.
+    explicit UpstreamRateLimit(TimePoint startedAt);
     /// From now on the upstream may get @p rate on this ground; nothing if there is no limit on it.
     void setRate(RateGround ground, std::optional<RequestRate> rate, TimePoint now);
+    /// Takes the next turn for a request and returns when it is due, which is now if there is no limit.
+    TimePoint takeTurn(TimePoint now);
     /// A request is handed over to the upstream.
     void onHandOver(TimePoint now);
 
     /// The rate on this ground.
     [[nodiscard]] const std::optional<RequestRate> &rate(RateGround ground) const;
-    /// The time until the upstream may get the next request; zero if it may get one now.
+    [[nodiscard]] bool isLimited() const { return lowestRate().has_value(); }
+    /// The time until the next turn is due; zero if it is due now.
     [[nodiscard]] Duration timeUntilNext(TimePoint now) const;
+    /// Whether a request that has a turn may be handed over now.
+    [[nodiscard]] bool hasRoom(TimePoint now);
 
 private:
     [[nodiscard]] std::optional<RequestRate> lowestRate() const;
-    /// Precondition: there is a rate.
+    /// The time between two turns. Precondition: there is a rate.
     [[nodiscard]] Duration interval() const;
     /// When the requests of the last second are used up at a rate that holds from @p now on.
     [[nodiscard]] TimePoint usedUpByRecentRequests(TimePoint now);
     void forgetOldRequests(TimePoint now);
 
     std::array<std::optional<RequestRate>, RateGroundCount> rates_;
-    /// When the requests handed over so far are used up at the rate.
+    TimePoint startedAt_;
+    /// When the turns taken so far are used up at the rate.
     TimePoint usedUpAt_;
     /// When the requests of the last second were handed over.
     std::deque<TimePoint> recentRequests_;
--- a/src/egress/upstreamrate.cpp
+++ b/src/egress/upstreamrate.cpp
@@ -3,14 +3,13 @@
 #include <algorithm>
 #include <string>
 
-#include "core/currenttime.h"
-
 namespace Egretpath
 {
 
 UpstreamRate::UpstreamRate(EventLog &log, Metrics &metrics)
     : log_(log)
     , metrics_(metrics)
+    , limit_(currentTime())
 {
 }
 
@@ -73,12 +72,24 @@
     updateColdRate();
 }
 
-std::optional<Failure> UpstreamRate::rejection() const
+TimePoint UpstreamRate::takeTurn()
+{
+    return limit_.takeTurn(currentTime());
+}
+
+std::optional<Failure> UpstreamRate::rejection(Duration maxWait) const
 {
     const Duration wait = timeUntilNext();
-    if (wait <= Duration{0}) {
-        return std::nullopt;
-    }
+    return wait > maxWait ? std::optional(refusal(wait)) : std::nullopt;
+}
+
+std::optional<Failure> UpstreamRate::handOverRejection()
+{
+    return limit_.hasRoom(currentTime()) ? std::nullopt : std::optional(refusal(timeUntilNext()));
+}
+
+Failure UpstreamRate::refusal(Duration wait) const
+{
     if (!limit_.rate(RateGround::Cold)) {
         return notRun(Reason::Overloaded, "the limit that the upstream names is used up",
                       std::chrono::ceil<Milliseconds>(wait));
@@ -89,11 +100,6 @@
                   std::chrono::ceil<Milliseconds>(std::max(wait, warmUpLeft)));
 }
 
-Duration UpstreamRate::timeUntilNext() const
-{
-    return limit_.timeUntilNext(currentTime());
-}
-
 bool UpstreamRate::needsHealthCheck(Duration maxAge) const
 {
     return coldRate_ && !warmth_.isWarm() && currentTime() - warmth_.answeredAt() >= maxAge;
--- a/src/egress/upstreamrate.h
+++ b/src/egress/upstreamrate.h
@@ -4,6 +4,7 @@
 
 #include "admission/upstreamratelimit.h"
 #include "admission/upstreamwarmth.h"
+#include "core/currenttime.h"
 #include "core/verdict.h"
 #include "telemetry/eventlog.h"
 #include "telemetry/metrics.h"
@@ -30,12 +31,19 @@
     void onAnswer(std::optional<RequestRate> limit);
     /// The upstream said in a health answer how much longer it is cold; nothing if that could not be read.
     void onHealthAnswer(std::optional<Milliseconds> warmUpLeft);
+    /// Takes the next turn for a request and returns when it is due.
+    TimePoint takeTurn();
     /// A request is handed over to the upstream.
     void onHandOver();
 
-    /// Returns why no request may be handed over now, with the time after which one may; nothing if one may.
-    [[nodiscard]] std::optional<Failure> rejection() const;
-    [[nodiscard]] Duration timeUntilNext() const;
+    /// Returns why a request that can wait for @p maxWait gets no turn, with the time after which to come back; nothing
+    /// if a turn is due by then.
+    [[nodiscard]] std::optional<Failure> rejection(Duration maxWait) const;
+    /// Returns why a request that has a turn must not be handed over now; nothing if it may be.
+    [[nodiscard]] std::optional<Failure> handOverRejection();
+    /// Whether requests need turns.
+    [[nodiscard]] bool isLimited() const { return limit_.isLimited(); }
+    [[nodiscard]] Duration timeUntilNext() const { return limit_.timeUntilNext(currentTime()); }
     /// Whether a health answer would show soon, or now, whether the upstream is warm.
     [[nodiscard]] bool wantsHealthCheck() const { return coldRate_ && warmth_.needsHealthCheck(); }
     /// Whether a request should wait for a health answer. Such an answer is not older than @p maxAge.
@@ -44,6 +52,7 @@
 private:
     /// Passes the cold rate on to the limit while the upstream is not known to be warm.
     void updateColdRate();
+    [[nodiscard]] Failure refusal(Duration wait) const;
 
     EventLog &log_;
     Metrics &metrics_;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -30,6 +30,9 @@
 /// slowdown. Hardly any work takes so long.
 constexpr double OverdueFactor = 2.5;
 constexpr Milliseconds MinOverdueTime{150};
+/// A request waits for its turn at an upstream with a limited rate for up to this part of the time left.
+constexpr int DependentWaitDivisor = 3;
+constexpr int WaitDivisor = 8;
 
 /// Whether the upstream, not this node, ended the connection.
 bool upstreamDisconnected(const Failure &failure)
@@ -156,11 +159,17 @@
     }
     role_.updateFailureShare();
     const WorkOffer offer = makeOffer();
+    if (auto rejection = role_.rate_.rejection(maxTurnWait(offer))) {
+        co_return rejection;
+    }
     if (head_.dryRun) {
         co_return role_.slots_.queue()
             .rejection(offer, currentTime())
             .value_or(notRun(Reason::None, "it would be taken"));
     }
+    if (auto rejection = co_await waitForTurn(offer)) {
+        co_return rejection;
+    }
     role_.waitingRequests_.emplace(callId_, this);
     std::optional<Failure> rejection = co_await role_.slots_.acquire(offer, head_.targetUpstream, cancellation_);
     role_.waitingRequests_.erase(callId_);
@@ -168,6 +177,46 @@
     co_return rejection;
 }
 
+/// Load pattern: all upstreams of a service are cold after a loss of power, and take a part of what they are asked for.
+/// A call of another upstream, whose work is lost without an answer, waits longer for a turn than a request whose
+/// caller may come back, so that few of the latter get turns while there are many of the former. A request that is late
+/// already, or would be answered sooner elsewhere, waits for none.
+Duration UpstreamRequest::maxTurnWait(const WorkOffer &offer) const
+{
+    const TimePoint now = currentTime();
+    // The deadline of such a caller is its target: to it, a late answer is worth no more than none.
+    const bool isDependent = targetTime_ >= deadline_;
+    Duration wait = isDependent ? (deadline_ - now) / DependentWaitDivisor : (targetTime_ - now) / WaitDivisor;
+    if (offer.declineThreshold > Duration{0}) {
+        wait = std::min(wait, offer.declineThreshold - role_.slots_.queue().expected(offer, now));
+    }
+    return std::max(wait, Duration{0});
+}
+
+/// A turn is taken only if the request would get a slot, so that none is lost.
+asio::awaitable<std::optional<Failure>> UpstreamRequest::waitForTurn(const WorkOffer &offer)
+{
+    if (!role_.rate_.isLimited()) {
+        co_return std::nullopt;
+    }
+    if (auto rejection = role_.slots_.queue().rejection(offer, currentTime())) {
+        co_return rejection;
+    }
+    const TimePoint due = role_.rate_.takeTurn();
+    if (due <= currentTime()) {
+        co_return std::nullopt;
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(role_.executor_, due);
+    cancellation_->setAction([timer] { timer->cancel(); });
+    boost::system::error_code ignored;
+    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    cancellation_->clearAction();
+    if (cancellation_->isCancelled()) {
+        co_return notRun(Reason::Cancelled, "cancelled before it was handed over");
+    }
+    co_return handOverRejection();
+}
+
 WorkOffer UpstreamRequest::makeOffer() const
 {
     WorkOffer offer;
@@ -209,6 +258,9 @@
     if (auto rejection = handOverRejection()) {
         co_return rejection;
     }
+    if (auto rejection = role_.rate_.handOverRejection()) {
+        co_return rejection;
+    }
     httpCall_ = std::move(opened).value();
     cancellation_->setAction([weak = weak_from_this()] {
         const auto request = weak.lock();
@@ -409,7 +461,7 @@
     if (auto rejection = quarantineRejection()) {
         return rejection;
     }
-    return role_.rate_.rejection();
+    return std::nullopt;
 }
 
 void UpstreamRequest::releaseSlot(bool answered)
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -33,6 +33,11 @@
     void abort(Failure failure);
     /// Returns why the request is refused because it crashes upstreams, or nothing if it may run.
     [[nodiscard]] std::optional<Failure> quarantineRejection();
+    /// How long the request can wait for its turn if the rate of the upstream is limited.
+    [[nodiscard]] Duration maxTurnWait(const WorkOffer &offer) const;
+    /// If the rate of the upstream is limited, takes a turn and waits until it is due. Returns why the request gets
+    /// none, or why it must not be handed over any more.
+    boost::asio::awaitable<std::optional<Failure>> waitForTurn(const WorkOffer &offer);
     /// Returns why the request must not be handed over to the upstream now, or nothing if it may be.
     [[nodiscard]] std::optional<Failure> handOverRejection();
 
--- a/tests/sidecar/coldupstreamtest.cpp
+++ b/tests/sidecar/coldupstreamtest.cpp
@@ -15,6 +15,9 @@
 /// The requests that a cold upstream gets in addition to its rate: the burst, and those before the node knows.
 constexpr int ColdSlack = 9;
 
+/// In the first second of a process a cold upstream gets less, since an earlier process may have used its rate.
+constexpr Milliseconds FirstSecond{1000};
+
 /// A deployment whose service has a cold rate.
 struct ColdDeployment : Deployment
 {
@@ -55,6 +58,7 @@
     deployment.catalog.remove("i-2");
     deployment.one.warmUpLeft = "3000";
     deployment.run([&]() -> asio::awaitable<void> {
+        co_await deployment.sleep(FirstSecond);
         co_await deployment.sendForOneSecond();
         const int coldRuns = deployment.one.totalRuns();
         CHECK(coldRuns >= ColdRate);
@@ -106,3 +110,33 @@
         CHECK(deployment.answered >= 190);
     });
 }
+
+// Guards against a call of another upstream that gets no turn at a cold one, since callers that may come back took
+// them: the work that waits for the call is then lost.
+TEST_CASE("while more is asked of a cold upstream than it takes, dependent callers are served before others")
+{
+    constexpr int Rounds = 60;
+    ColdDeployment deployment;
+    deployment.catalog.remove("i-2");
+    deployment.one.warmUpLeft = "5000";
+    int dependent = 0;
+    int others = 0;
+    deployment.run([&]() -> asio::awaitable<void> {
+        co_await deployment.sleep(FirstSecond);
+        const auto ask = [&deployment](int &answered, std::string path, std::string id, Milliseconds timeout) {
+            deployment.start([&deployment, &answered, path, id, timeout]() -> asio::awaitable<void> {
+                const Reply reply = co_await deployment.send(deployment.first.callers, "GET", path, id, timeout);
+                answered += reply.status == 200 ? 1 : 0;
+            });
+        };
+        for (int round = 0; round < Rounds; ++round) {
+            // The callers of the first route fail soon after its target latency, 300 ms.
+            ask(dependent, "/v11/1", "d" + std::to_string(round), Milliseconds(320));
+            ask(others, "/read/1", "o" + std::to_string(round), Milliseconds(4000));
+            co_await deployment.sleep(Milliseconds(50));
+        }
+        co_await deployment.sleep(Milliseconds(400));
+    });
+    CHECK(dependent + others <= 3 * ColdRate + ColdSlack);
+    CHECK(dependent > 2 * others);
+}
