core, ingress: where an upstream's rate is used up, up to eight upstreams are asked

What callers saw: after a loss of all power, lookups found no turn in four tries, and their parents ended with 500.

Change: such a refusal has a reason of its own, `limited`, and after it up to eight tries are made in place of four: a refusal costs one round trip, and each upstream has turns of its own. Nodes of an earlier version are told `overloaded`, since they take a reason that they don't know for the last one that they do, `ends-upstreams`, and would ask nobody else.

--- a/src/client/lossescommand.cpp
+++ b/src/client/lossescommand.cpp
@@ -93,7 +93,7 @@
 {
     const std::string_view reason = logField(line, "reason");
     losses.declined += reason == "declined" ? 1 : 0;
-    losses.refusedBesideUpstream += reason == "overloaded" ? 1 : 0;
+    losses.refusedBesideUpstream += reason == "overloaded" || reason == "limited" ? 1 : 0;
     losses.longWaits += logNumber(line, "waited_ms") >= LongWaitMilliseconds ? 1 : 0;
 }
 
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::array<std::string_view, 3> VerdictWords{"answered", "not-run", "may-have-run"};
 
-constexpr std::array<std::string_view, 25> ReasonWords{
+constexpr std::array<std::string_view, 26> ReasonWords{
     "none",
     "bad-request",
     "overloaded",
@@ -37,6 +37,7 @@
     "ends-upstreams",
     "outside-regions",
     "zone-evacuated",
+    "limited",
 };
 
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -73,10 +73,14 @@
     OutsideRegions,
     /// Operators evacuate the upstream's zone, or it is not known yet whether they do.
     ZoneEvacuated,
+    /// The rate of requests that the upstream may get is used up.
+    RateLimited,
 };
 
 /// The last enumerator, used to check reasons received from nodes of other versions.
-inline constexpr Reason LastReason = Reason::ZoneEvacuated;
+inline constexpr Reason LastReason = Reason::RateLimited;
+/// The last one that nodes know which don't name the version of the routes with a call.
+inline constexpr Reason LastReasonOfEarlierNodes = Reason::CrashesUpstreams;
 
 /// How a call failed. Every error on the path of a call carries one.
 struct Failure
--- a/src/egress/upstreamrate.cpp
+++ b/src/egress/upstreamrate.cpp
@@ -91,12 +91,12 @@
 Failure UpstreamRate::refusal(Duration wait) const
 {
     if (!limit_.rate(RateGround::Cold)) {
-        return notRun(Reason::Overloaded, "the limit that the upstream names is used up",
+        return notRun(Reason::RateLimited, "the limit that the upstream names is used up",
                       std::chrono::ceil<Milliseconds>(wait));
     }
     // Only a warm upstream has room for those that come back.
     const Duration warmUpLeft = warmth_.warmUpLeft(currentTime());
-    return notRun(Reason::Overloaded, "the upstream is cold, and what it takes meanwhile is used up",
+    return notRun(Reason::RateLimited, "the upstream is cold, and what it takes meanwhile is used up",
                   std::chrono::ceil<Milliseconds>(std::max(wait, warmUpLeft)));
 }
 
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -112,7 +112,7 @@
 {
     const auto self = shared_from_this();
     if (auto rejection = co_await admit()) {
-        CallOutcome ended = outcome(std::move(*rejection));
+        CallOutcome ended = outcome(readableByIngress(std::move(*rejection)));
         logEnd(ended);
         co_return ended;
     }
@@ -129,7 +129,7 @@
         }
     }
     cancellation_->clearAction();
-    CallOutcome ended = result ? std::move(result).value() : outcome(result.error());
+    CallOutcome ended = result ? std::move(result).value() : outcome(readableByIngress(result.error()));
     const auto *failure = std::get_if<Failure>(&ended.result);
     releaseSlot(failure == nullptr);
     logEnd(ended);
@@ -450,6 +450,17 @@
     return fingerprint_.rejection(role_.sources_.quarantine, content(), currentTime());
 }
 
+/// An ingress of an earlier version would take a reason that it does not know for CrashesUpstreams, and ask nobody
+/// else.
+Failure UpstreamRequest::readableByIngress(Failure failure) const
+{
+    const bool isEarlierIngress = head_.routesVersion == RouteVersion();
+    if (isEarlierIngress && failure.reason > LastReasonOfEarlierNodes) {
+        failure.reason = Reason::Overloaded;
+    }
+    return failure;
+}
+
 std::optional<Failure> UpstreamRequest::handOverRejection()
 {
     if (auto rejection = role_.presence_.rejection(head_.targetUpstream)) {
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -38,6 +38,7 @@
     /// If the rate of the upstream is limited, takes a turn and waits until it is due. Returns why the request gets
     /// none, or why it must not be handed over any more.
     boost::asio::awaitable<std::optional<Failure>> waitForTurn(const WorkOffer &offer);
+    [[nodiscard]] Failure readableByIngress(Failure failure) const;
     /// Returns why the request must not be handed over to the upstream now, or nothing if it may be.
     [[nodiscard]] std::optional<Failure> handOverRejection();
 
--- a/src/ingress/ingresscontext.cpp
+++ b/src/ingress/ingresscontext.cpp
@@ -100,6 +100,7 @@
         break;
     case Reason::Declined:
     case Reason::Overloaded:
+    case Reason::RateLimited:
     case Reason::Draining:
     case Reason::Cancelled:
     case Reason::CrashesUpstreams:
--- a/src/ingress/ingresssettings.h
+++ b/src/ingress/ingresssettings.h
@@ -12,6 +12,9 @@
     /// How often a request may be declined before an upstream has to take it. Each try that may be declined costs a
     /// round trip over a link, and the answers of three upstreams show the load of most nearby upstreams.
     std::uint32_t maxDeclines = 3;
+    /// A request is refused after this number of tries if the last one was refused because of the upstream's rate
+    /// limit.
+    std::uint32_t maxLimitedTries = 8;
     /// A node declines a request only if another upstream is better by this factor. Otherwise equally loaded upstreams
     /// would pass requests around.
     double declineMargin = 1.1;
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -277,6 +277,10 @@
         return false;
     }
     if (!reachedUpstream(requestTry, failure)) {
+        // Another upstream may have a turn left, and asking costs little.
+        if (failure.reason == Reason::RateLimited) {
+            return tryCount_ < context_->settings.maxLimitedTries;
+        }
         // After maxDeclines tries the request is sent to the best of all upstreams, which must not decline it. If
         // that upstream can't take the request in time, the others can't either.
         return !(failure.reason == Reason::Overloaded && tryCount_ > context_->settings.maxDeclines);
