egress: requests that were queued before an upstream's rate was limited need a turn as well

What upstreams would see: a burst of all requests that wait for slots when it names a limit, or becomes cold.

Change: a request without a turn takes one that is due just before the hand-over, or is refused.

--- a/src/egress/upstreamrate.cpp
+++ b/src/egress/upstreamrate.cpp
@@ -83,9 +83,19 @@
     return wait > maxWait ? std::optional(refusal(wait)) : std::nullopt;
 }
 
-std::optional<Failure> UpstreamRate::handOverRejection()
+std::optional<Failure> UpstreamRate::handOverRejection(bool hasTurn)
 {
-    return limit_.hasRoom(currentTime()) ? std::nullopt : std::optional(refusal(timeUntilNext()));
+    if (!limit_.hasRoom(currentTime())) {
+        return refusal(timeUntilNext());
+    }
+    if (hasTurn) {
+        return std::nullopt;
+    }
+    auto rejection = this->rejection(Duration{0});
+    if (!rejection) {
+        takeTurn();
+    }
+    return rejection;
 }
 
 Failure UpstreamRate::refusal(Duration wait) const
--- a/src/egress/upstreamrate.h
+++ b/src/egress/upstreamrate.h
@@ -39,8 +39,9 @@
     /// Returns why a request that can wait for @p maxWait gets no turn, with the time after which to come back; nothing
     /// if a turn is due by then.
     [[nodiscard]] std::optional<Failure> rejection(Duration maxWait) const;
-    /// Returns why a request that has a turn must not be handed over now; nothing if it may be.
-    [[nodiscard]] std::optional<Failure> handOverRejection();
+    /// Returns why a request must not be handed over now; nothing if it may be. One that does not have a turn yet takes
+    /// one that is due.
+    [[nodiscard]] std::optional<Failure> handOverRejection(bool hasTurn);
     /// Whether requests need turns.
     [[nodiscard]] bool isLimited() const { return limit_.isLimited(); }
     [[nodiscard]] Duration timeUntilNext() const { return limit_.timeUntilNext(currentTime()); }
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -203,6 +203,7 @@
         co_return rejection;
     }
     const TimePoint due = role_.rate_.takeTurn();
+    hasTurn_ = true;
     if (due <= currentTime()) {
         co_return std::nullopt;
     }
@@ -258,7 +259,8 @@
     if (auto rejection = handOverRejection()) {
         co_return rejection;
     }
-    if (auto rejection = role_.rate_.handOverRejection()) {
+    // A request that was queued before the rate was limited has no turn yet.
+    if (auto rejection = role_.rate_.handOverRejection(std::exchange(hasTurn_, false))) {
         co_return rejection;
     }
     httpCall_ = std::move(opened).value();
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -33,20 +33,21 @@
     void abort(Failure failure);
     /// Returns why the request is refused because it crashes upstreams, or nothing if it may run.
     [[nodiscard]] std::optional<Failure> quarantineRejection();
+
+private:
+    /// Returns the offer of this request to the work queue.
+    [[nodiscard]] WorkOffer makeOffer() const;
+    /// Takes a slot. Returns why the request ends here, or nothing if it has a slot.
+    boost::asio::awaitable<std::optional<Failure>> admit();
     /// How long the request can wait for its turn if the rate of the upstream is limited.
     [[nodiscard]] Duration maxTurnWait(const WorkOffer &offer) const;
     /// If the rate of the upstream is limited, takes a turn and waits until it is due. Returns why the request gets
     /// none, or why it must not be handed over any more.
     boost::asio::awaitable<std::optional<Failure>> waitForTurn(const WorkOffer &offer);
+    /// Returns @p failure with a reason that the ingress knows.
     [[nodiscard]] Failure readableByIngress(Failure failure) const;
     /// Returns why the request must not be handed over to the upstream now, or nothing if it may be.
     [[nodiscard]] std::optional<Failure> handOverRejection();
-
-private:
-    /// Returns the offer of this request to the work queue.
-    [[nodiscard]] WorkOffer makeOffer() const;
-    /// Takes a slot. Returns why the request ends here, or nothing if it has a slot.
-    boost::asio::awaitable<std::optional<Failure>> admit();
     /// Connects to the upstream, sends the request and reads the answer.
     boost::asio::awaitable<Result<CallOutcome>> connectAndExchange(HttpConnectionChoice choice);
     boost::asio::awaitable<std::optional<Failure>> connect(HttpConnectionChoice choice);
@@ -90,6 +91,8 @@
     /// Expires when the upstream takes much longer than expected.
     boost::asio::steady_timer overdueTimer_;
     bool holdsSlot_ = false;
+    /// Whether the request has a turn that it has not used yet; see UpstreamRate.
+    bool hasTurn_ = false;
     bool isWriting_ = false;
     bool isAtUpstream_ = false;
     bool isOverdue_ = false;
--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -321,6 +321,32 @@
     });
 }
 
+// Guards against requests that wait for a slot when the upstream names its limit, and reach it in one burst after that.
+TEST_CASE("requests that are queued when an upstream names a limit are kept to it")
+{
+    constexpr int Requests = 10;
+    constexpr int Slots = 4;
+    // One at the start and one at the end of the time measured.
+    constexpr int RunsBeyondSlots = 2;
+    Deployment deployment;
+    deployment.one.runDuration = Milliseconds(200);
+    deployment.one.namedLimit = "0.5";
+    deployment.catalog.remove("i-2");
+    deployment.run([&]() -> asio::awaitable<void> {
+        int ended = 0;
+        for (int number = 0; number < Requests; ++number) {
+            deployment.start([&deployment, &ended, number]() -> asio::awaitable<void> {
+                (void)co_await deployment.send(deployment.first.callers, "POST", "/pay/1",
+                                               "queued-" + std::to_string(number));
+                ++ended;
+            });
+        }
+        checkHappened(co_await deployment.waitUntil([&] { return ended == Requests; }));
+    });
+    CHECK(deployment.one.totalRuns() >= Slots);
+    CHECK(deployment.one.totalRuns() <= Slots + RunsBeyondSlots);
+}
+
 // Guards against an upstream that is limited for good, and one whose requests are held although all others are limited.
 TEST_CASE("requests beyond the limit of all upstreams are refused at once, and served again when it goes away")
 {
