client, sidecar: status shows evacuated zones, and an upstream that gets only a number of requests a second

`egretpath status` prints which zones each node takes to be evacuated, and whether its upstream is limited since it is cold or named a limit.

--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -56,6 +56,8 @@
     read.source = textOf(status, "source");
     read.reads = flagOf(status, "reads");
     read.store = textOf(status, "store");
+    read.evacuated = textOf(status, "evacuated");
+    read.limited = textOf(status, "limited");
     read.quarantined = numberOf(status, "quarantined");
     return read;
 }
--- a/src/client/nodestatus.h
+++ b/src/client/nodestatus.h
@@ -31,6 +31,11 @@
     bool reads = false;
     /// The state of the store as the node knows it: "in-order", "settling" or "away".
     std::string store;
+    /// The zones that the node takes to be evacuated, separated by spaces.
+    std::string evacuated;
+    /// Why the upstream beside the node gets only a number of requests a second: "cold" or "named"; empty if it gets
+    /// any.
+    std::string limited;
     /// The number of requests that the node refuses because they crash upstreams.
     std::uint64_t quarantined = 0;
 };
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -98,6 +98,8 @@
     /// Ends all waiting and running requests that the quarantine now refuses.
     void endQuarantinedRequests();
     [[nodiscard]] LoadReport report(const RouteName &route) const;
+    /// See UpstreamRate::limitedBy().
+    [[nodiscard]] std::string_view limitedBy() const { return rate_.limitedBy(); }
     /// Whether no request waits or runs here.
     [[nodiscard]] bool isIdle() const { return slots_.queue().isIdle(); }
 
--- a/src/egress/upstreamrate.cpp
+++ b/src/egress/upstreamrate.cpp
@@ -72,6 +72,14 @@
     updateColdRate();
 }
 
+std::string_view UpstreamRate::limitedBy() const
+{
+    if (limit_.rate(RateGround::Cold)) {
+        return "cold";
+    }
+    return limit_.rate(RateGround::Named) ? "named" : "";
+}
+
 TimePoint UpstreamRate::takeTurn()
 {
     return limit_.takeTurn(currentTime());
--- a/src/egress/upstreamrate.h
+++ b/src/egress/upstreamrate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string_view>
 
 #include "admission/upstreamratelimit.h"
 #include "admission/upstreamwarmth.h"
@@ -42,6 +43,8 @@
     /// Returns why a request must not be handed over now; nothing if it may be. One that does not have a turn yet takes
     /// one that is due.
     [[nodiscard]] std::optional<Failure> handOverRejection(bool hasTurn);
+    /// Why requests need turns: "cold" or "named"; empty if they need none.
+    [[nodiscard]] std::string_view limitedBy() const;
     /// Whether requests need turns.
     [[nodiscard]] bool isLimited() const { return limit_.isLimited(); }
     [[nodiscard]] Duration timeUntilNext() const { return limit_.timeUntilNext(currentTime()); }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -300,6 +300,7 @@
                                          {"routes", versions.routes.value()},
                                          {"list", versions.list.value()},
                                          {"evacuated", evacuatedZonesText()},
+                                         {"limited", egress_.limitedBy()},
                                          {"source", catalog_.sourceName()},
                                          {"reads", catalog_.readsStore()},
                                          {"store", toString(catalog_.storeState())},
