--- a/bench/node/rpcbench.cpp
+++ b/bench/node/rpcbench.cpp
@@ -43,7 +43,12 @@
         co_return outcome;
     }
     PeerProbe probe() override { return {identity(), {}}; }
-    asio::awaitable<Catalog> catalog(CatalogRequest /*request*/) override { co_return Catalog(); }
+    asio::awaitable<Catalog> catalog(CatalogRequest /*request*/) override
+    {
+        Catalog catalog;
+        catalog.evacuations.emplace();
+        co_return catalog;
+    }
     QuarantineUpdate quarantine(const QuarantineUpdate & /*update*/) override { return {}; }
 };
 
