--- a/src/instances/evacuatedzones.cpp
+++ b/src/instances/evacuatedzones.cpp
@@ -70,4 +70,13 @@
     return snapshot;
 }
 
+std::string toString(const EvacuatedZones &zones)
+{
+    std::string text;
+    for (const Evacuation &evacuation : zones.snapshot().evacuations) {
+        text.append(text.empty() ? "" : " ").append(evacuation.zone.value());
+    }
+    return text;
+}
+
 }
--- a/src/instances/evacuatedzones.h
+++ b/src/instances/evacuatedzones.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <string>
 #include <vector>
 
 #include "instances/instancerecord.h"
@@ -73,4 +74,7 @@
     StoreRevision lastChange_;
 };
 
+/// The names of the evacuated zones, separated by spaces. Thread safety: as a const access to @p zones.
+[[nodiscard]] std::string toString(const EvacuatedZones &zones);
+
 }
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -61,10 +61,8 @@
 void CatalogLog::logEvacuations(const EvacuatedZones &evacuated, const std::vector<ZoneRegion> &zones,
                                 std::string_view from)
 {
-    std::string names;
     for (const Evacuation &evacuation : evacuated.snapshot().evacuations) {
         const ZoneName &zone = evacuation.zone;
-        names.append(names.empty() ? "" : " ").append(zone.value());
         const bool isKnown =
             std::any_of(zones.begin(), zones.end(), [&](const auto &entry) { return entry.zone == zone; });
         if (!isKnown) {
@@ -72,7 +70,7 @@
         }
     }
     StructuredLine line("evacuated");
-    line.add("zones", names).add("from", from).add("revision", evacuated.lastChange().value());
+    line.add("zones", toString(evacuated)).add("from", from).add("revision", evacuated.lastChange().value());
     log_.info(line);
     metrics_.set("egretpath_zones_evacuated", {}, static_cast<double>(evacuated.size()));
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -7,8 +7,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <boost/system/system_error.hpp>
 
 #include "core/currenttime.h"
@@ -16,11 +14,11 @@
 #include "egress/egressrole.h"
 #include "http/httpserver.h"
 #include "ingress/ingressrole.h"
-#include "routes/routerows.h"
 #include "routing/link.h"
 #include "rpc/peerclient.h"
 #include "rpc/peerserver.h"
 #include "sidecar/catalogcontroller.h"
+#include "sidecar/operatorpages.h"
 #include "sidecar/quarantinecontroller.h"
 #include "sidecar/sidecarstate.h"
 
@@ -106,12 +104,14 @@
                    decisions.ingress)
         , catalog_(executor_, state_, *platform_.catalog, peerClient_, decisions, [this] { catalogChanged(); })
         , quarantine_(executor_, state_, peerClient_, [this] { egress_.endQuarantinedRequests(); })
+        , operatorPages_(state_, catalog_, egress_, ingress_, quarantine_)
         , peerServer_(context, *this, MaxPeerConnections)
         , callerServer_(executor_, callerLimits(CallerLimits()),
                         [this](HttpExchange &exchange) { return ingress_.serve(exchange); })
         , readinessServer_(executor_, probeLimits(),
                            [this](HttpExchange &exchange) { return serveReadiness(exchange); })
-        , operatorServer_(executor_, probeLimits(), [this](HttpExchange &exchange) { return serveOperators(exchange); })
+        , operatorServer_(executor_, probeLimits(),
+                          [this](HttpExchange &exchange) { return operatorPages_.serve(exchange); })
     {
         applyRetryLimits();
         ingress_.setLinkPrices(state_.settings.linkPrices);
@@ -270,69 +270,6 @@
         [[maybe_unused]] const Result<void> sent = co_await exchange.respond(head, std::string());
     }
 
-    asio::awaitable<void> serveOperators(HttpExchange &exchange)
-    {
-        if (exchange.head().target == "/status") {
-            return servePage(exchange, "application/json", statusText());
-        }
-        if (exchange.head().target == "/table") {
-            return servePage(exchange, "text/csv", state_.routes ? toCsv(*state_.routes) : std::string());
-        }
-        if (exchange.head().target == "/quarantine") {
-            return servePage(exchange, "text/csv", quarantine_.csvText());
-        }
-        return serveMetrics(exchange);
-    }
-
-    static asio::awaitable<void> servePage(HttpExchange &exchange, std::string type, std::string text)
-    {
-        HttpResponseHead head;
-        head.headers.add("Content-Type", std::move(type));
-        [[maybe_unused]] const Result<void> sent = co_await exchange.respond(std::move(head), std::move(text));
-    }
-
-    [[nodiscard]] std::string statusText() const
-    {
-        const CatalogVersions versions = catalog_.versions();
-        const boost::json::object status{{"node", state_.settings.name},
-                                         {"incarnation", std::to_string(state_.self.incarnation.value())},
-                                         {"ready", state_.isReady()},
-                                         {"routes", versions.routes.value()},
-                                         {"list", versions.list.value()},
-                                         {"evacuated", evacuatedZonesText()},
-                                         {"limited", egress_.limitedBy()},
-                                         {"source", catalog_.sourceName()},
-                                         {"reads", catalog_.readsStore()},
-                                         {"store", toString(catalog_.storeState())},
-                                         {"quarantined", state_.quarantine.refusedCount()}};
-        return boost::json::serialize(status);
-    }
-
-    /// The evacuated zones, separated by spaces.
-    [[nodiscard]] std::string evacuatedZonesText() const
-    {
-        std::string text;
-        for (const Evacuation &evacuation : state_.evacuatedZones.snapshot().evacuations) {
-            text.append(text.empty() ? "" : " ").append(evacuation.zone.value());
-        }
-        return text;
-    }
-
-    asio::awaitable<void> serveMetrics(HttpExchange &exchange)
-    {
-        HttpResponseHead head;
-        head.headers.add("Content-Type", "text/plain; version=0.0.4");
-        state_.metrics.set("egretpath_requests_open", {}, static_cast<double>(ingress_.openRequests()));
-        state_.metrics.set("egretpath_upstreams", {}, static_cast<double>(state_.directory.size()));
-        const LoadReport report = egress_.report(RouteName());
-        state_.metrics.set("egretpath_requests_quarantined", {}, static_cast<double>(state_.quarantine.refusedCount()));
-        state_.metrics.set("egretpath_upstream_running", {}, report.inFlight);
-        state_.metrics.set("egretpath_upstream_queued", {}, report.queued);
-        state_.metrics.set("egretpath_log_lines_dropped", {}, static_cast<double>(state_.log.droppedDecisions()));
-        state_.metrics.set("egretpath_log_lines_lost", {}, static_cast<double>(state_.log.linesLost()));
-        [[maybe_unused]] const Result<void> sent = co_await exchange.respond(std::move(head), state_.metrics.text());
-    }
-
     asio::awaitable<void> closeIdleConnections()
     {
         asio::steady_timer timer(executor_);
@@ -383,6 +320,7 @@
     IngressRole ingress_;
     CatalogController catalog_;
     QuarantineController quarantine_;
+    OperatorPages operatorPages_;
     PeerServer peerServer_;
     HttpServer callerServer_;
     HttpServer readinessServer_;
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -66,7 +66,7 @@
         return quarantineAnswer;
     }
 
-    CatalogVersions versions{RouteVersion(3), StoreRevision(9)};
+    CatalogVersions versions{RouteVersion(3), StoreRevision(9), StoreRevision(8)};
     CallHead lastHead;
     QuarantineUpdate lastUpdate;
     QuarantineUpdate quarantineAnswer;
@@ -308,7 +308,7 @@
         record.state = InstanceState::Draining;
         record.warmUp = Milliseconds(300);
         record.revision = StoreRevision(8);
-        f.service.catalogAnswer.versions = {RouteVersion(5), StoreRevision(9)};
+        f.service.catalogAnswer.versions = {RouteVersion(5), StoreRevision(9), StoreRevision(11)};
         f.service.catalogAnswer.routes = PackedRoutes{"{routes}"};
         f.service.catalogAnswer.routesAge = Milliseconds(40);
         f.service.catalogAnswer.listAge = Milliseconds(50);
