sidecar, platform: follow lines tell which node reads the store and how long ago, lost lines how long it was silent

Of the incident in which a region's routes were late the logs did not say when the reader last had an answer of the store, nor how old what a new source knows is: both had to be worked out from several files, and a node in a circle looks like one that follows a reader. Two nodes that follow each other now name the same reader with a growing store_read_ms. No decision changes.

--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -45,6 +45,7 @@
     , plan_(state.location.region, decisions.readers, decisions.catalog, Random(state.random()))
     , bootstrap_(executor, state, times_, bootstrapCallbacks())
     , startedAt_(currentTime())
+    , lastStoreAnswer_(startedAt_)
     , changeSignal_(executor, asio::steady_timer::time_point::max())
 {
 }
@@ -168,7 +169,7 @@
 void CatalogController::onSourceLost(std::string_view reason)
 {
     plan_.onOwnReadsFailed(currentTime());
-    log_.logSourceLost(reason);
+    log_.logSourceLost(reason, timeSince(lastStoreAnswer_));
     applyStoreState();
     wakeWaitingRequests();
 }
@@ -366,7 +367,8 @@
         return;
     }
     if (plan_.following()) {
-        log_.logFollowStarted(*plan_.following(), plan_.hops());
+        const Duration sinceStoreRead = currentTime() - plan_.lastStoreReadAt();
+        log_.logFollowStarted(*plan_.following(), plan_.hops(), plan_.reader(), sinceStoreRead);
     } else {
         log_.logFollowEnded(*before, reason, currentTime() - plan_.lastStoreReadAt());
     }
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "core/currenttime.h"
 #include "instances/catalogplan.h"
 #include "rpc/peerclient.h"
 #include "sidecar/catalogbootstrap.h"
@@ -62,6 +63,7 @@
     void onSourceRestored() override;
     void onEntryRefused(std::string_view key, std::string_view reason) override { log_.logRefusedEntry(key, reason); }
     void onStoreCalled(std::string_view call, std::string_view outcome) override { log_.countStoreCall(call, outcome); }
+    void onStoreAnswered() override { lastStoreAnswer_ = currentTime(); }
 
 private:
     /// A node that has newer versions than this one. `since` is when this node first learned of newer versions, from
@@ -121,6 +123,8 @@
     CatalogPlan plan_;
     CatalogBootstrap bootstrap_;
     TimePoint startedAt_;
+    /// When the store last answered a call of this node; before the first answer, when the node started.
+    TimePoint lastStoreAnswer_;
     StoreReading reading_ = StoreReading::None;
     /// Whether the seeds were asked. From then on the plan decides whether this node reads the store.
     bool hasBootstrapped_ = false;
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -96,9 +96,13 @@
     log_.info(line);
 }
 
-void CatalogLog::logFollowStarted(const Endpoint &followed, unsigned hops)
+void CatalogLog::logFollowStarted(const Endpoint &followed, unsigned hops, const Endpoint &reader,
+                                  Duration sinceStoreRead)
 {
-    log_.info(StructuredLine("follow").add("reader", followed.value()).add("hops", std::uint64_t{hops}));
+    StructuredLine line("follow");
+    line.add("reader", followed.value()).add("hops", std::uint64_t{hops});
+    line.add("reads_store", reader.value()).add("store_read_ms", millisecondsOf(sinceStoreRead));
+    log_.info(line);
 }
 
 void CatalogLog::logFollowEnded(const Endpoint &followed, std::string_view reason, Duration silentFor)
@@ -134,9 +138,11 @@
     metrics_.count("egretpath_store_calls_total", labels);
 }
 
-void CatalogLog::logSourceLost(std::string_view reason)
+void CatalogLog::logSourceLost(std::string_view reason, Duration silentFor)
 {
-    log_.warning(StructuredLine("platform").add("state", "lost").add("why", reason));
+    StructuredLine line("platform");
+    line.add("state", "lost").add("why", reason).add("unheard_ms", millisecondsOf(silentFor));
+    log_.warning(line);
 }
 
 void CatalogLog::logSourceRestored(Duration lostFor)
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -56,7 +56,8 @@
     void recordListAge(const UpdateOrigin &origin);
     /// Logs that the list as a whole changed; @p change is the kind of change.
     void logList(const InstanceDirectory &directory, std::string_view from, std::string_view change);
-    void logFollowStarted(const Endpoint &followed, unsigned hops);
+    /// @p reader reads the store for the node that is followed, and last did so before @p sinceStoreRead.
+    void logFollowStarted(const Endpoint &followed, unsigned hops, const Endpoint &reader, Duration sinceStoreRead);
     void logFollowEnded(const Endpoint &followed, std::string_view reason, Duration silentFor);
     /// The state of the store that this node reports to others.
     void logStoreState(StoreState state);
@@ -64,7 +65,8 @@
     void logCutOff(bool isCutOff);
     void setReadsStore(bool readsStore);
     void countStoreCall(std::string_view call, std::string_view outcome);
-    void logSourceLost(std::string_view reason);
+    /// @p silentFor is the time since the store last answered this node.
+    void logSourceLost(std::string_view reason, Duration silentFor);
     void logSourceRestored(Duration lostFor);
     void logCatchUp(const Endpoint &peer);
     void logRefusedEntry(std::string_view key, std::string_view reason);
--- a/src/sidecar/catalogsource.h
+++ b/src/sidecar/catalogsource.h
@@ -49,6 +49,8 @@
     virtual void onEntryRefused(std::string_view key, std::string_view reason) = 0;
     /// A call to the store ended. @p call names its purpose and @p outcome its result; both are for metrics.
     virtual void onStoreCalled(std::string_view call, std::string_view outcome) = 0;
+    /// The store answered a call of any kind.
+    virtual void onStoreAnswered() = 0;
 };
 
 /// Reads routes, evacuations and the instance list from a platform's store. One implementation for each platform.
--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -82,6 +82,7 @@
         ++calls[std::string(outcome)];
         ++callsByName[std::string(call)];
     }
+    void onStoreAnswered() override { ++answers; }
 
     EvacuatedZones evacuated;
     RouteVersion version;
@@ -94,6 +95,7 @@
     std::map<std::string, int> callsByName;
     bool isLost = false;
     int losses = 0;
+    int answers = 0;
 };
 
 /// A stand-in store, a relay in front of it, and a watcher that reads through the relay.
