instances: tests of how late changes are while a region's reader is refused, cut off or suspended, red

The virtual fleet now has what the incident's record shows: readers that gather, a store that is silent to one node and is noticed by a ping, the time until a new reader has its first answer, nodes that stop in the middle of a query.

--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -19,6 +19,11 @@
 constexpr Milliseconds WatchInterval{20};
 constexpr Milliseconds FirstRetryDelay{60};
 constexpr Milliseconds PlanInterval{100};
+/// The same as those of the adapter that reads the store.
+constexpr Milliseconds PingInterval{500};
+/// From the decision to read until the first answer: a connection, a ping and a read of all items in another region.
+constexpr Milliseconds FirstReadTime{50};
+constexpr Milliseconds PingTimeout{600};
 
 RegionName regionOf(int number, int regions)
 {
@@ -65,10 +70,7 @@
 {
     const int source = numbers_.at(query.node);
     if (dead_.contains(source)) {
-        time_.at(now() + query.wait + times_.followMargin, [this, asker, query] {
-            nodes_[asker]->plan.onNoAnswer(query.node, now());
-            time_.at(now(), [this, asker] { step(asker); });
-        });
+        noteUnanswered(asker, query, now() + query.wait + times_.followMargin);
         return;
     }
     const std::uint64_t askerRevision = nodes_[asker]->revision;
@@ -78,10 +80,22 @@
     });
 }
 
+void CatalogFleet::noteUnanswered(int asker, const SourceQuery &query, TimePoint at)
+{
+    time_.at(at, [this, asker, query] {
+        nodes_[asker]->plan.onNoAnswer(query.node, now());
+        time_.at(now(), [this, asker] { step(asker); });
+    });
+}
+
 void CatalogFleet::answerWhenUpdated(int asker, int source, SourceQuery query, std::uint64_t askerRevision,
                                      TimePoint end)
 {
     constexpr Milliseconds CheckInterval{5};
+    if (dead_.contains(source)) {
+        noteUnanswered(asker, query, end + times_.followMargin);
+        return;
+    }
     const Node &node = *nodes_[source];
     const bool hasUpdate = node.revision > askerRevision || node.plan.store(now(), false) != query.knownState;
     if (!hasUpdate && now() < end) {
@@ -95,7 +109,7 @@
     time_.at(now() + oneWayDelay(source, asker), [this, asker, query, report, revision] {
         Node &node = *nodes_[asker];
         node.plan.onAnswer(query.node, report, now());
-        node.revision = std::max(node.revision, revision);
+        advance(asker, revision);
         applyReading(asker);
         // The controller pauses in the same way after an answer without changes.
         time_.at(now() + (query.wait.count() > 0 ? Milliseconds{1} : PlanInterval), [this, asker] { step(asker); });
@@ -111,9 +125,10 @@
     if (wanted != StoreReading::None && !reads) {
         node.plan.beginReading(now());
         node.failures = 0;
+        node.changesInRow = 0;
         const std::uint64_t round = ++node.readingRound;
         ++storeCalls_;
-        time_.at(now(), [this, number, round] { readStore(number, round); });
+        time_.at(now() + FirstReadTime, [this, number, round] { readStore(number, round); });
     } else if (wanted == StoreReading::None && reads) {
         ++node.readingRound;
     }
@@ -125,6 +140,10 @@
     if (dead_.contains(number) || round != node.readingRound) {
         return;
     }
+    if (cutOff_.contains(number)) {
+        failToReadStore(number, round);
+        return;
+    }
     if (isStoreAvailableTo_(number)) {
         node.failures = 0;
         if (node.plan.ownReadsFailingSince()) {
@@ -132,9 +151,13 @@
             // Reads of the routes and of the list, and the start of a watch for each.
             storeCalls_ += 4;
         }
-        storeCalls_ += node.revision < published_ ? 1 : 0;
-        node.revision = published_;
-        time_.at(now() + WatchInterval, [this, number, round] { readStore(number, round); });
+        Milliseconds pause = WatchInterval;
+        if (node.revision < published_) {
+            ++storeCalls_;
+            advance(number, published_);
+            pause = std::min(times_.maxGatherTime, times_.gatherTime * ++node.changesInRow);
+        }
+        time_.at(now() + pause, [this, number, round] { readStore(number, round); });
         return;
     }
     ++storeCalls_;
@@ -145,6 +168,65 @@
     ++node.failures;
 }
 
+void CatalogFleet::failToReadStore(int number, std::uint64_t round)
+{
+    std::uniform_real_distribution<double> share(0.0, 1.0);
+    const Duration untilPing = std::chrono::duration_cast<Duration>(PingInterval * share(random_));
+    time_.at(now() + untilPing + PingTimeout, [this, number, round] {
+        Node &node = *nodes_[number];
+        if (dead_.contains(number) || round != node.readingRound) {
+            return;
+        }
+        ++storeCalls_;
+        if (!node.plan.ownReadsFailingSince()) {
+            node.plan.onOwnReadsFailed(now());
+        }
+        time_.at(now() + retryDelayOf(node), [this, number, round] { readStore(number, round); });
+        ++node.failures;
+    });
+}
+
+void CatalogFleet::publish()
+{
+    ++published_;
+    publishedAt_.push_back(now());
+}
+
+void CatalogFleet::publishSeries(Milliseconds interval, TimePoint end)
+{
+    if (now() < end) {
+        publish();
+        time_.at(now() + interval, [this, interval, end] { publishSeries(interval, end); });
+    }
+}
+
+void CatalogFleet::advance(int number, std::uint64_t revision)
+{
+    Node &node = *nodes_[number];
+    if (revision > node.revision) {
+        node.maxLag = std::max(node.maxLag, lagOf(node));
+        node.revision = revision;
+    }
+}
+
+Duration CatalogFleet::lagOf(const Node &node) const
+{
+    // The first revision was there before the fleet.
+    const bool lacksChange = node.revision > 0 && node.revision < published_;
+    return lacksChange ? now() - publishedAt_[node.revision - 1] : Duration{0};
+}
+
+Milliseconds CatalogFleet::maxLag() const
+{
+    Duration longest{0};
+    for (int number = 0; number < static_cast<int>(nodes_.size()); ++number) {
+        if (!dead_.contains(number)) {
+            longest = std::max({longest, nodes_[number]->maxLag, lagOf(*nodes_[number])});
+        }
+    }
+    return std::chrono::duration_cast<Milliseconds>(longest);
+}
+
 Milliseconds CatalogFleet::retryDelayOf(const Node &node)
 {
     constexpr unsigned MaxDoublings = 8;
@@ -205,6 +287,23 @@
     return static_cast<int>(nodes_.size() - dead_.size());
 }
 
+int CatalogFleet::readerOfRegion(int region) const
+{
+    const std::set<int> all = readers();
+    return *std::find_if(all.begin(), all.end(), [&](int number) { return number % regions_ == region; });
+}
+
+std::vector<int> CatalogFleet::followersOf(int node) const
+{
+    std::vector<int> followers;
+    for (int number = 0; number < static_cast<int>(nodes_.size()); ++number) {
+        if (!dead_.contains(number) && nodes_[number]->plan.following() == nodeAddress(node)) {
+            followers.push_back(number);
+        }
+    }
+    return followers;
+}
+
 std::set<int> CatalogFleet::readers() const
 {
     std::set<int> readers;
--- a/tests/instances/catalogfleet.h
+++ b/tests/instances/catalogfleet.h
@@ -14,7 +14,7 @@
 {
 
 /// Many CatalogPlans in virtual time, with a simulated store and network delays. It counts the calls to the store,
-/// the nodes that report each store state and the nodes that have the latest change.
+/// the nodes that report each store state and the nodes that have the latest change, and measures how late changes are.
 class CatalogFleet
 {
 public:
@@ -29,10 +29,14 @@
     {
         isStoreAvailableTo_ = std::move(isAvailableTo);
     }
-    /// The node sends no more queries and no more answers.
+    /// The node sends no more queries and no more answers. Nobody is told.
     void kill(int node) { dead_.insert(node); }
+    /// From now on the store does not answer the node's calls, without an error.
+    void cutFromStore(int node) { cutOff_.insert(node); }
     /// Adds a change to the store.
-    void publish() { ++published_; }
+    void publish();
+    /// Adds a change every @p interval until @p end.
+    void publishSeries(Milliseconds interval, TimePoint end);
 
     /// Calls to the store since the start, including probes.
     [[nodiscard]] std::uint64_t storeCalls() const { return storeCalls_; }
@@ -43,6 +47,12 @@
     [[nodiscard]] int livingNodeCount() const;
     /// Nodes that are regular readers.
     [[nodiscard]] std::set<int> readers() const;
+    /// The regular reader of region @p region.
+    [[nodiscard]] int readerOfRegion(int region) const;
+    /// Living nodes that follow @p node now.
+    [[nodiscard]] std::vector<int> followersOf(int node) const;
+    /// The longest time for which a living node lacked a change.
+    [[nodiscard]] Milliseconds maxLag() const;
 
 private:
     struct Node
@@ -56,7 +66,9 @@
         StoreReading reading = StoreReading::None;
         std::uint64_t readingRound = 0;
         unsigned failures = 0;
+        unsigned changesInRow = 0;
         std::uint64_t revision = 0;
+        Duration maxLag{0};
     };
 
     void step(int number);
@@ -65,6 +77,12 @@
     void answerWhenUpdated(int asker, int source, SourceQuery query, std::uint64_t askerRevision, TimePoint end);
     void applyReading(int number);
     void readStore(int number, std::uint64_t round);
+    /// The store is silent to the node: a ping fails after a while, and so do further calls.
+    void failToReadStore(int number, std::uint64_t round);
+    void noteUnanswered(int asker, const SourceQuery &query, TimePoint at);
+    void advance(int number, std::uint64_t revision);
+    /// How long @p node lacks the oldest change after its revision.
+    [[nodiscard]] Duration lagOf(const Node &node) const;
     void probeStore(int number);
     [[nodiscard]] Milliseconds retryDelayOf(const Node &node);
     [[nodiscard]] Duration oneWayDelay(int from, int to) const;
@@ -77,9 +95,12 @@
     std::map<Endpoint, int> numbers_;
     std::vector<std::unique_ptr<Node>> nodes_;
     std::set<int> dead_;
+    std::set<int> cutOff_;
     std::function<bool(int)> isStoreAvailableTo_;
     std::uint64_t storeCalls_ = 0;
     std::uint64_t published_ = 1;
+    /// When the changes after the first one were published.
+    std::vector<TimePoint> publishedAt_;
     VirtualTime time_;
 };
 
--- /dev/null
+++ b/tests/instances/propagationtest.cpp
@@ -0,0 +1,168 @@
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "catalogfleet.h"
+
+using namespace Egretpath;
+
+namespace
+{
+
+constexpr int Nodes = 18;
+constexpr int Regions = 3;
+constexpr int Seeds = 100;
+constexpr std::chrono::seconds SettleTime{3};
+constexpr std::chrono::seconds SeriesLength{6};
+constexpr Milliseconds ChangeInterval{150};
+/// A change is to be active at every node within this time while nothing fails, while one thing fails, and while two
+/// things fail. It is half of the users' bound for the latter.
+constexpr Milliseconds BoundWithoutFault{500};
+constexpr Milliseconds BoundWithFault{1000};
+constexpr Milliseconds BoundWithTwoFaults{1500};
+
+/// What fails in a region, at a moment that depends on the seed.
+using Fault = std::function<void(CatalogFleet &)>;
+
+int forwarderOfRegion(const CatalogFleet &fleet, int region)
+{
+    const std::vector<int> followers = fleet.followersOf(fleet.readerOfRegion(region));
+    return *std::max_element(followers.begin(), followers.end(), [&fleet](int left, int right) {
+        return fleet.followersOf(left).size() < fleet.followersOf(right).size();
+    });
+}
+
+void cutReaderFromStore(CatalogFleet &fleet)
+{
+    fleet.cutFromStore(fleet.readerOfRegion(0));
+}
+
+void refuseReader(CatalogFleet &fleet)
+{
+    const int reader = fleet.readerOfRegion(0);
+    fleet.setStoreAvailability([reader](int node) { return node != reader; });
+}
+
+void refuseAllReaders(CatalogFleet &fleet)
+{
+    const std::set<int> readers = fleet.readers();
+    fleet.setStoreAvailability([readers](int node) { return !readers.contains(node); });
+}
+
+void freezeReader(CatalogFleet &fleet)
+{
+    fleet.kill(fleet.readerOfRegion(0));
+}
+
+void freezeForwarder(CatalogFleet &fleet)
+{
+    fleet.kill(forwarderOfRegion(fleet, 0));
+}
+
+void cutReaderAndFreezeForwarder(CatalogFleet &fleet)
+{
+    const int forwarder = forwarderOfRegion(fleet, 0);
+    cutReaderFromStore(fleet);
+    fleet.kill(forwarder);
+}
+
+/// Moments that are spread over the waits of a node.
+Milliseconds momentOf(int seed)
+{
+    constexpr int Step = 37;
+    constexpr int Range = 1500;
+    return Milliseconds(seed * Step % Range);
+}
+
+/// The longest lags during a series of changes, one for each seed, the shortest first.
+std::vector<Milliseconds> lagsInSeries(const Fault &fault)
+{
+    std::vector<Milliseconds> lags;
+    for (int seed = 1; seed <= Seeds; ++seed) {
+        CatalogFleet fleet(Nodes, Regions, static_cast<std::uint64_t>(seed));
+        fleet.runUntil(fleet.now() + SettleTime);
+        const TimePoint end = fleet.now() + SeriesLength;
+        fleet.publishSeries(ChangeInterval, end);
+        fleet.runUntil(fleet.now() + Milliseconds(2000) + momentOf(seed));
+        fault(fleet);
+        fleet.runUntil(end + SettleTime);
+        lags.push_back(fleet.maxLag());
+    }
+    std::sort(lags.begin(), lags.end());
+    return lags;
+}
+
+/// The longest lags of one change that is published after a fault, one for each seed, the shortest first.
+std::vector<Milliseconds> lagsOfOneChange(const Fault &fault)
+{
+    std::vector<Milliseconds> lags;
+    for (int seed = 1; seed <= Seeds; ++seed) {
+        CatalogFleet fleet(Nodes, Regions, static_cast<std::uint64_t>(seed));
+        fleet.runUntil(fleet.now() + SettleTime + momentOf(seed));
+        fault(fleet);
+        fleet.runUntil(fleet.now() + momentOf(seed * 3));
+        fleet.publish();
+        fleet.runUntil(fleet.now() + SettleTime);
+        lags.push_back(fleet.maxLag());
+    }
+    std::sort(lags.begin(), lags.end());
+    return lags;
+}
+
+std::string summary(const std::vector<Milliseconds> &lags)
+{
+    const auto at = [&lags](double share) {
+        return std::to_string(lags[static_cast<std::size_t>(share * static_cast<double>(lags.size() - 1))].count());
+    };
+    return "median " + at(0.5) + " ms, p90 " + at(0.9) + " ms, longest " + at(1.0) + " ms";
+}
+
+void checkLongest(const std::vector<Milliseconds> &lags, Milliseconds bound)
+{
+    INFO(summary(lags));
+    CHECK(lags.back() <= bound);
+}
+
+}
+
+// Guards against nodes that lost the same reader and take each other for a source.
+TEST_CASE("a change reaches all nodes in time although the store refuses a region's reader")
+{
+    checkLongest(lagsOfOneChange(refuseReader), BoundWithFault);
+}
+
+TEST_CASE("a change reaches all nodes in time although the store refuses all regular readers")
+{
+    checkLongest(lagsOfOneChange(refuseAllReaders), BoundWithFault);
+}
+
+// Guards against a first change that waits until a series of changes has been gathered.
+TEST_CASE("changes in a series reach all nodes without delay while nothing fails")
+{
+    checkLongest(lagsInSeries([](CatalogFleet & /*fleet*/) {}), BoundWithoutFault);
+}
+
+// Guards against a reader that tells its followers that there is no update while the store does not answer it.
+TEST_CASE("changes in a series reach all nodes in time although a region's reader is cut off from the store")
+{
+    checkLongest(lagsInSeries(cutReaderFromStore), BoundWithFault);
+}
+
+// Guards against followers that wait for a node that is suspended although other nodes have the change.
+TEST_CASE("changes in a series reach all nodes in time although a node that passes them on is suspended")
+{
+    checkLongest(lagsInSeries(freezeForwarder), BoundWithFault);
+}
+
+TEST_CASE("changes in a series reach all nodes in time although a region's reader is suspended")
+{
+    checkLongest(lagsInSeries(freezeReader), BoundWithFault);
+}
+
+TEST_CASE("changes in a series reach all nodes in time although a reader is cut off and a node below it suspended")
+{
+    checkLongest(lagsInSeries(cutReaderAndFreezeForwarder), BoundWithTwoFaults);
+}
