instances: nodes that lost the same reader no longer take each other for a source

Cause: a node that looks for a source reports the state that it last heard, so that its own followers stay; another node that looks for one took that for a proof. Class: evidence that is passed on as if it were one's own.

Change: each report names the reader that it goes back to, and how long ago that read the store, and no node on the way can make that time newer. A node remembers the reader that it lost and when; a report that goes back to the same reader from before that time is not usable, and the next substitute is asked at once. Nothing new travels.

Ruled out: a smaller MaxHops, which only shortens a longer circle and not one of two; not reporting the last state while searching, since then all followers of a node that searches for 50 ms leave it too.

--- a/src/instances/catalogplan.cpp
+++ b/src/instances/catalogplan.cpp
@@ -71,16 +71,30 @@
     }
 }
 
-bool CatalogPlan::isUsable(const SourceReport &report) const
+bool CatalogPlan::isUsable(const SourceReport &report, TimePoint now) const
 {
     // A node whose reader is this node can't report anything new.
     const bool isValid = report.age < times_.maxReportAge && report.hops < MaxHops && report.reader != own_;
-    return report.store != StoreState::Unavailable && isValid;
+    return report.store != StoreState::Unavailable && isValid && !dependsOnLostReader(report, now);
+}
+
+/// Guards against nodes that lost the same reader and follow each other: each reports what it last heard of the store,
+/// and none of them gets a further update.
+bool CatalogPlan::dependsOnLostReader(const SourceReport &report, TimePoint now) const
+{
+    return lostReader_ && report.reader == lostReader_->reader && now - report.age <= lostReader_->at;
+}
+
+void CatalogPlan::recordLostReader(TimePoint at)
+{
+    if (hasAvailableSource()) {
+        lostReader_ = LostReader{report_.reader, at};
+    }
 }
 
 void CatalogPlan::onAnswer(const Endpoint &node, const SourceReport &report, TimePoint now)
 {
-    if (isUsable(report)) {
+    if (isUsable(report, now)) {
         follow(node, report, now);
     } else {
         recordUnavailableReport(node, report, now);
@@ -92,6 +106,7 @@
     election_.recordAnswer(node);
     following_ = node;
     report_ = report;
+    lostReader_.reset();
     lastStoreReadAt_ = now - report.age;
     sourceStoreAvailableSince_ = now - report.storeAvailableFor;
     lastStoreAvailable_ = std::max(lastStoreAvailable_, lastStoreReadAt_);
@@ -105,6 +120,9 @@
 void CatalogPlan::recordUnavailableReport(const Endpoint &node, const SourceReport &report, TimePoint now)
 {
     election_.recordFailure(node, now);
+    if (following_ == node) {
+        recordLostReader(now);
+    }
     hasNoSource_ = false;
     if (!std::exchange(hasUnavailableReport_, true)) {
         scheduleStoreProbe(now);
@@ -126,6 +144,8 @@
 {
     election_.recordFailure(node, now);
     if (following_ == node) {
+        // A node on the way to the reader has failed before its answer was due. The reader itself may still be alive.
+        recordLostReader(report_.reader == node ? now : now - times_.followMargin);
         following_.reset();
         isSearchExhausted_ = false;
     }
--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -112,7 +112,17 @@
     [[nodiscard]] const std::optional<TimePoint> &ownReadsFailingSince() const { return ownReadsFailingSince_; }
 
 private:
-    [[nodiscard]] bool isUsable(const SourceReport &report) const;
+    /// A reader whose updates no longer reach this node, and when this node learned of it.
+    struct LostReader
+    {
+        Endpoint reader;
+        TimePoint at;
+    };
+
+    [[nodiscard]] bool isUsable(const SourceReport &report, TimePoint now) const;
+    /// Whether @p report is from before the loss of the reader that this node lost.
+    [[nodiscard]] bool dependsOnLostReader(const SourceReport &report, TimePoint now) const;
+    void recordLostReader(TimePoint at);
     [[nodiscard]] bool hasAvailableSource() const { return following_ && report_.store != StoreState::Unavailable; }
     [[nodiscard]] bool isActiveReader() const { return hasList_ && election_.isReader() && (isListed_ || !following_); }
     [[nodiscard]] bool isReadingStore() const
@@ -144,6 +154,8 @@
     std::optional<TimePoint> ownReadsFailingSince_;
     /// Whether the store has answered this node since the node began to read.
     bool hasRead_ = false;
+    /// Nothing while this node has a usable source.
+    std::optional<LostReader> lostReader_;
     /// Whether a source has reported the store as unavailable, and none has reported otherwise since.
     bool hasUnavailableReport_ = false;
     /// Whether all substitutes were queried since that report, without a usable answer.
