sidecar, instances, platform: a reader whose store is late gets updates from another reader, and its followers stay

The reader checked the store each .5 s, waited .6 s for an answer, then .25 s until a lost store counts as lost, and told its five followers all that time that there was no update; then it told them that the store is unavailable, at the very moment at which it began to look for another source itself, so that they left it. Class: one verdict (the store is lost) both for what is expensive to get wrong and for what costs one query.

Change: doubt comes before the verdict. A check is due each .25 s; one that is not answered after .2 s, or a call that failed, lets the reader query other readers at once and follow one until the store answers again. The store counts as lost as before. Its followers have nothing to do: they hear what it hears. A node without a proof that its chain ends at a node that reads now says so in its answers; its followers stay, other nodes don't take it for a source.

Ruled out: a shorter ping timeout, since a slow store (60 times) would count as lost for all readers at once; followers that ask two sources side by side all the time, at twice the bytes.

--- a/src/instances/catalogplan.cpp
+++ b/src/instances/catalogplan.cpp
@@ -62,7 +62,21 @@
 void CatalogPlan::onOwnReadsRecovered(TimePoint now)
 {
     ownReadsFailingSince_.reset();
+    isStoreOverdue_ = false;
     recordStoreRead(now);
+    endSearch();
+}
+
+void CatalogPlan::recordStoreAnswer(TimePoint now)
+{
+    lastStoreAnswerAt_ = now;
+    if (std::exchange(isStoreOverdue_, false) && isActiveReader() && isReadingStore()) {
+        endSearch();
+    }
+}
+
+void CatalogPlan::endSearch()
+{
     isSearchExhausted_ = false;
     election_.clearFailures();
     if (isActiveReader()) {
@@ -71,10 +85,14 @@
     }
 }
 
-bool CatalogPlan::isUsable(const SourceReport &report, TimePoint now) const
+bool CatalogPlan::isUsable(const Endpoint &node, const SourceReport &report, TimePoint now) const
 {
     // A node whose reader is this node can't report anything new.
     const bool isValid = report.age < times_.maxReportAge && report.hops < MaxHops && report.reader != own_;
+    // A source that has to search for a while keeps its followers, but gets no further ones.
+    if (report.isSearching && following_ != node) {
+        return false;
+    }
     return report.store != StoreState::Unavailable && isValid && !dependsOnLostReader(report, now);
 }
 
@@ -94,7 +112,11 @@
 
 void CatalogPlan::onAnswer(const Endpoint &node, const SourceReport &report, TimePoint now)
 {
-    if (isUsable(report, now)) {
+    // The answer was still on its way when this reader's search ended.
+    if (isActiveReader() && isReadingStore()) {
+        return;
+    }
+    if (isUsable(node, report, now)) {
         follow(node, report, now);
     } else {
         recordUnavailableReport(node, report, now);
@@ -171,8 +193,7 @@
 std::optional<SourceQuery> CatalogPlan::nextQuery(TimePoint now)
 {
     if (isActiveReader()) {
-        const bool isLostForLong = ownReadsFailingSince_ && now - *ownReadsFailingSince_ >= times_.storeLossTolerance;
-        return isLostForLong || (ownReadsFailingSince_ && hasAvailableSource()) ? search(now) : std::nullopt;
+        return ownReadsFailingSince_ || isStoreOverdue_ ? search(now) : std::nullopt;
     }
     if (const auto source = election_.source(now)) {
         return query(*source);
@@ -271,8 +292,11 @@
 
 Milliseconds CatalogPlan::age(TimePoint now) const
 {
-    const bool isRoot = isReadingStore() || !following_;
-    return isRoot ? Milliseconds{0} : std::chrono::duration_cast<Milliseconds>(now - lastStoreReadAt_);
+    if (isReadingStore()) {
+        return Milliseconds{0};
+    }
+    const TimePoint readAt = following_ ? lastStoreReadAt_ : lastStoreAnswerAt_.value_or(now);
+    return std::chrono::duration_cast<Milliseconds>(now - readAt);
 }
 
 }
--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -34,6 +34,9 @@
     Milliseconds age{0};
     /// How long the reader has read the store without a failure.
     Milliseconds storeAvailableFor{0};
+    /// Whether the answering node has no source now that is known to read the store. The state of the store is then the
+    /// last that it knew.
+    bool isSearching = false;
 };
 
 /// A query to another node for updates of the catalog and of the store's state.
@@ -70,6 +73,11 @@
     void beginReading(TimePoint now);
     /// This node has read something from the store.
     void recordStoreRead(TimePoint now);
+    /// The store has answered a call of this node, of any kind.
+    void recordStoreAnswer(TimePoint now);
+    /// An answer of the store to this node is overdue. Until the store answers or counts as lost, a reader also queries
+    /// other readers, so that its followers don't miss updates meanwhile.
+    void onStoreOverdue() { isStoreOverdue_ = true; }
     /// This node's own calls to the store fail from @p now on, or succeed again.
     void onOwnReadsFailed(TimePoint now);
     void onOwnReadsRecovered(TimePoint now);
@@ -90,9 +98,15 @@
     [[nodiscard]] StoreState store(TimePoint now, bool isRecovering) const;
     /// Number of nodes between this node and the store; 0 while this node reads the store or follows no node.
     [[nodiscard]] std::uint8_t hops() const;
+    /// Whether this node neither reads the store now nor has a source that is known to.
+    [[nodiscard]] bool isSearching() const
+    {
+        return !isReadingStore() && (!hasAvailableSource() || report_.isSearching);
+    }
     /// The node that reads the store for this one; this node's own address while it reads itself or follows no node.
     [[nodiscard]] Endpoint reader() const;
-    /// Time since the reader last read the store; zero while this node reads itself or follows no node.
+    /// Time since the reader last read the store; zero while this node reads it. A node that reads but gets no answers
+    /// counts from the last one.
     [[nodiscard]] Milliseconds age(TimePoint now) const;
     /// How long the reader has read the store without a failure; zero if no node reads it.
     [[nodiscard]] Milliseconds storeAvailableFor(TimePoint now) const;
@@ -119,7 +133,7 @@
         TimePoint at;
     };
 
-    [[nodiscard]] bool isUsable(const SourceReport &report, TimePoint now) const;
+    [[nodiscard]] bool isUsable(const Endpoint &node, const SourceReport &report, TimePoint now) const;
     /// Whether @p report is from before the loss of the reader that this node lost.
     [[nodiscard]] bool dependsOnLostReader(const SourceReport &report, TimePoint now) const;
     void recordLostReader(TimePoint at);
@@ -127,8 +141,10 @@
     [[nodiscard]] bool isActiveReader() const { return hasList_ && election_.isReader() && (isListed_ || !following_); }
     [[nodiscard]] bool isReadingStore() const
     {
-        return reading() != StoreReading::None && hasRead_ && !ownReadsFailingSince_;
+        return reading() != StoreReading::None && hasRead_ && !ownReadsFailingSince_ && !isStoreOverdue_;
     }
+    /// Ends the search for other sources, since this node reads the store itself again.
+    void endSearch();
     [[nodiscard]] std::optional<SourceQuery> query(const Endpoint &node) const;
     [[nodiscard]] std::optional<SourceQuery> search(TimePoint now);
     void follow(const Endpoint &node, const SourceReport &report, TimePoint now);
@@ -152,6 +168,9 @@
     /// Since when this node has read the store without a failure; nothing while it does not read or its calls fail.
     std::optional<TimePoint> ownStoreAvailableSince_;
     std::optional<TimePoint> ownReadsFailingSince_;
+    /// When the store last answered this node.
+    std::optional<TimePoint> lastStoreAnswerAt_;
+    bool isStoreOverdue_ = false;
     /// Whether the store has answered this node since the node began to read.
     bool hasRead_ = false;
     /// Nothing while this node has a usable source.
--- a/src/instances/catalogtimes.h
+++ b/src/instances/catalogtimes.h
@@ -14,6 +14,11 @@
     /// Interval at which held records (see InstanceDirectory) are checked and at which a node without another source
     /// queries peers.
     Milliseconds checkInterval{300};
+    /// Interval between checks by a reader whether the store still answers it. A check costs a tenth of a call.
+    Milliseconds storeCheckInterval{250};
+    /// A store that has not answered a check for this long is in doubt: many times a usual answer, and shorter than the
+    /// time after which it counts as lost, since it costs only a query to another node.
+    Milliseconds storeDoubtTime{200};
     /// The store must be unreachable for this long before it counts as lost. Most losses are one refused call.
     Milliseconds storeLossTolerance{250};
     /// Timeout of a query that is answered at once.
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -175,6 +175,9 @@
   # A message whose root is RouteChanges, compressed with zlib; empty if the requesting node has the sender's routes.
   evacuations @17 :Evacuations;
   # Null if the sender does not know which zones are evacuated, as a node of an earlier version.
+  searching @18 :Bool;
+  # The sender does not read the store now and has no source that is known to: store is the state that it last knew.
+  # Nodes of an earlier version don't set it.
 }
 
 struct Evacuation {
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -132,6 +132,9 @@
     std::optional<EvacuationSnapshot> evacuations;
     /// The state of the platform's store as the sender knows it.
     StoreState store = StoreState::Unavailable;
+    /// Whether the sender neither reads the store now nor has a source that is known to. The state of the store is then
+    /// the last that it knew.
+    bool isSearching = false;
     /// Number of nodes between the sender and the store: 0 for a sender that reads the store itself.
     std::uint8_t hops = 0;
     /// The node that reads the store for the sender; empty if none does.
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -291,6 +291,7 @@
     wire.setReader(catalog.reader.value());
     wire.setStoreAge(static_cast<std::uint32_t>(catalog.storeAge.count()));
     wire.setQuarantine(catalog.quarantine.value());
+    wire.setSearching(catalog.isSearching);
     wire.setInOrderFor(static_cast<std::uint32_t>(catalog.storeAvailableFor.count()));
     wire.setHops(catalog.hops);
     wire.setRoutesAge(static_cast<std::uint32_t>(catalog.routesAge.count()));
@@ -328,6 +329,7 @@
     catalog.reader = Endpoint(readText(wire.getReader()));
     catalog.storeAge = Milliseconds(wire.getStoreAge());
     catalog.quarantine = QuarantineDigest(wire.getQuarantine());
+    catalog.isSearching = wire.getSearching();
     catalog.storeAvailableFor = Milliseconds(wire.getInOrderFor());
     catalog.hops = wire.getHops();
     catalog.routesAge = Milliseconds(wire.getRoutesAge());
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -25,7 +25,8 @@
 
 SourceReport reportOf(const Catalog &catalog)
 {
-    return {catalog.store, catalog.hops, catalog.reader, catalog.storeAge, catalog.storeAvailableFor};
+    return {catalog.store,      catalog.hops, catalog.reader, catalog.storeAge, catalog.storeAvailableFor,
+            catalog.isSearching};
 }
 
 }
@@ -46,6 +47,7 @@
     , bootstrap_(executor, state, times_, bootstrapCallbacks())
     , startedAt_(currentTime())
     , lastStoreAnswer_(startedAt_)
+    , queryPause_(executor)
     , changeSignal_(executor, asio::steady_timer::time_point::max())
 {
 }
@@ -108,6 +110,7 @@
     catalog.reader = plan_.reader();
     catalog.storeAge = plan_.age(currentTime());
     catalog.storeAvailableFor = plan_.storeAvailableFor(currentTime());
+    catalog.isSearching = plan_.isSearching();
     catalog.quarantine = state_.quarantine.digest();
     catalog.heldFor = timeSince(askedAt);
     contents_.writeUpdates(request.have, catalog);
@@ -185,6 +188,21 @@
     wakeWaitingRequests();
 }
 
+void CatalogController::onStoreAnswered()
+{
+    const std::optional<Endpoint> before = plan_.following();
+    lastStoreAnswer_ = currentTime();
+    plan_.recordStoreAnswer(lastStoreAnswer_);
+    logFollowingChange(before, "the store answers this node again");
+}
+
+void CatalogController::onStoreOverdue()
+{
+    plan_.onStoreOverdue();
+    log_.logStoreOverdue(timeSince(lastStoreAnswer_));
+    queryPause_.cancel();
+}
+
 /// Guards against mass expiry: while the store is unavailable, leases can't be renewed, and the leases of upstreams
 /// that are alive expire.
 void CatalogController::applyStoreState()
@@ -287,7 +305,6 @@
 
 asio::awaitable<void> CatalogController::followOthers()
 {
-    asio::steady_timer timer(executor_);
     while (true) {
         std::optional<SourceQuery> query;
         if (state_.directory.hasList()) {
@@ -301,8 +318,9 @@
             shouldContinue = co_await querySource(std::move(*query));
         }
         if (!shouldContinue) {
-            timer.expires_after(times_.followPause);
-            co_await timer.async_wait(asio::use_awaitable);
+            boost::system::error_code ignored;
+            queryPause_.expires_after(times_.followPause);
+            co_await queryPause_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
     }
 }
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -63,7 +63,8 @@
     void onSourceRestored() override;
     void onEntryRefused(std::string_view key, std::string_view reason) override { log_.logRefusedEntry(key, reason); }
     void onStoreCalled(std::string_view call, std::string_view outcome) override { log_.countStoreCall(call, outcome); }
-    void onStoreAnswered() override { lastStoreAnswer_ = currentTime(); }
+    void onStoreAnswered() override;
+    void onStoreOverdue() override;
 
 private:
     /// A node that has newer versions than this one. `since` is when this node first learned of newer versions, from
@@ -134,6 +135,8 @@
     /// Whether the store was last reported to the directory as lost.
     bool isStoreLost_ = false;
     std::optional<NewerPeer> newerPeer_;
+    /// The pause between queries; cancelled when the store is in doubt, so that other nodes are queried at once.
+    boost::asio::steady_timer queryPause_;
     /// Wakes the requests that wait for an update. Never expires; cancelled when the routes, the list or the store's
     /// state change.
     boost::asio::steady_timer changeSignal_;
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -145,6 +145,12 @@
     log_.warning(line);
 }
 
+void CatalogLog::logStoreOverdue(Duration silentFor)
+{
+    log_.info(StructuredLine("platform").add("state", "overdue").add("unheard_ms", millisecondsOf(silentFor)));
+    metrics_.count("egretpath_store_overdue_total");
+}
+
 void CatalogLog::logSourceRestored(Duration lostFor)
 {
     log_.info(StructuredLine("platform").add("state", "back").add("away_ms", millisecondsOf(lostFor)));
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -67,6 +67,8 @@
     void countStoreCall(std::string_view call, std::string_view outcome);
     /// @p silentFor is the time since the store last answered this node.
     void logSourceLost(std::string_view reason, Duration silentFor);
+    /// The store is late with an answer.
+    void logStoreOverdue(Duration silentFor);
     void logSourceRestored(Duration lostFor);
     void logCatchUp(const Endpoint &peer);
     void logRefusedEntry(std::string_view key, std::string_view reason);
--- a/src/sidecar/catalogsource.h
+++ b/src/sidecar/catalogsource.h
@@ -51,6 +51,8 @@
     virtual void onStoreCalled(std::string_view call, std::string_view outcome) = 0;
     /// The store answered a call of any kind.
     virtual void onStoreAnswered() = 0;
+    /// An answer of the store takes unusually long. Whether the store is lost is not known yet.
+    virtual void onStoreOverdue() = 0;
 };
 
 /// Reads routes, evacuations and the instance list from a platform's store. One implementation for each platform.
--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -13,6 +13,7 @@
 
 #include "http/httpserver.h"
 #include "http/tcpendpoint.h"
+#include "instances/catalogtimes.h"
 #include "standins/standinrelay.h"
 #include "standins/standinstore.h"
 
@@ -82,6 +83,7 @@
         ++callsByName[std::string(call)];
     }
     void onStoreAnswered() override { ++answers; }
+    void onStoreOverdue() override { ++overdueAnswers; }
 
     EvacuatedZones evacuated;
     RouteVersion version;
@@ -95,6 +97,7 @@
     bool isLost = false;
     int losses = 0;
     int answers = 0;
+    int overdueAnswers = 0;
 };
 
 /// A stand-in store, a relay in front of it, and a watcher that reads through the relay.
@@ -230,6 +233,27 @@
     CHECK(fixture.runUntil([&] { return !fixture.sink.isLost && fixture.sink.version == RouteVersion(6); }));
 }
 
+// Guards against a reader that tells its followers for a second that there is no update, while its calls to the store
+// hang.
+TEST_CASE("a watcher reports soon that the store is late, before it reports the store as lost")
+{
+    constexpr Milliseconds Slack{100};
+    const CatalogTimes times;
+    Fixture fixture;
+    fixture.store.put("op/config", routesText("05"));
+    fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(5); }));
+    fixture.context.run_for(Milliseconds(600));
+    CHECK(fixture.sink.overdueAnswers == 0);
+    RelayConditions cut;
+    cut.partitioned = true;
+    fixture.relay.setConditions(cut);
+    CHECK(fixture.runUntil([&] { return fixture.sink.overdueAnswers == 1; },
+                           times.storeCheckInterval + times.storeDoubtTime + Slack));
+    CHECK_FALSE(fixture.sink.isLost);
+    CHECK(fixture.runUntil([&] { return fixture.sink.isLost; }));
+}
+
 TEST_CASE("a suspended watcher makes no calls, and resumes at the revision that other nodes have reached")
 {
     Fixture fixture;
--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -19,10 +19,9 @@
 constexpr Milliseconds WatchInterval{20};
 constexpr Milliseconds FirstRetryDelay{60};
 constexpr Milliseconds PlanInterval{100};
-/// The same as those of the adapter that reads the store.
-constexpr Milliseconds PingInterval{500};
 /// From the decision to read until the first answer: a connection, a ping and a read of all items in another region.
 constexpr Milliseconds FirstReadTime{50};
+/// The same as that of the adapter that reads the store.
 constexpr Milliseconds PingTimeout{600};
 
 RegionName regionOf(int number, int regions)
@@ -145,6 +144,7 @@
     }
     if (isStoreAvailableTo_(number)) {
         node.failures = 0;
+        node.plan.recordStoreAnswer(now());
         if (node.plan.ownReadsFailingSince()) {
             node.plan.onOwnReadsRecovered(now());
             // Reads of the routes and of the list, and the start of a watch for each.
@@ -170,7 +170,12 @@
 void CatalogFleet::failToReadStore(int number, std::uint64_t round)
 {
     std::uniform_real_distribution<double> share(0.0, 1.0);
-    const Duration untilPing = std::chrono::duration_cast<Duration>(PingInterval * share(random_));
+    const Duration untilPing = std::chrono::duration_cast<Duration>(times_.storeCheckInterval * share(random_));
+    time_.at(now() + untilPing + times_.storeDoubtTime, [this, number, round] {
+        if (round == nodes_[number]->readingRound) {
+            nodes_[number]->plan.onStoreOverdue();
+        }
+    });
     time_.at(now() + untilPing + PingTimeout, [this, number, round] {
         Node &node = *nodes_[number];
         if (dead_.contains(number) || round != node.readingRound) {
@@ -253,7 +258,8 @@
 SourceReport CatalogFleet::reportOf(int number) const
 {
     const CatalogPlan &plan = nodes_[number]->plan;
-    return {plan.store(now(), false), plan.hops(), plan.reader(), plan.age(now())};
+    return {plan.store(now(), false),      plan.hops(),       plan.reader(), plan.age(now()),
+            plan.storeAvailableFor(now()), plan.isSearching()};
 }
 
 int CatalogFleet::readingNodeCount() const
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -320,6 +320,7 @@
         f.service.catalogAnswer.reader = Endpoint("10.0.0.1:7620");
         f.service.catalogAnswer.storeAge = Milliseconds(60);
         f.service.catalogAnswer.storeAvailableFor = Milliseconds(70);
+        f.service.catalogAnswer.isSearching = true;
         f.service.catalogAnswer.quarantine = QuarantineDigest(80);
         f.service.catalogAnswer.hops = 2;
         const EvacuationSnapshot evacuations{
@@ -347,6 +348,7 @@
         CHECK(received.reader == Endpoint("10.0.0.1:7620"));
         CHECK(received.storeAge == Milliseconds(60));
         CHECK(received.storeAvailableFor == Milliseconds(70));
+        CHECK(received.isSearching);
         CHECK(received.quarantine == QuarantineDigest(80));
         CHECK(received.hops == 2);
         REQUIRE(received.evacuations.has_value());
--- a/tests/sidecar/catalogtest.cpp
+++ b/tests/sidecar/catalogtest.cpp
@@ -132,6 +132,29 @@
     });
 }
 
+// Guards against a region that gets no updates from the moment at which the store falls silent to its reader until the
+// store counts as lost.
+TEST_CASE("a reader whose store is late gets updates from another region's reader, and its followers stay")
+{
+    Deployment deployment;
+    const Location south{RegionName("south"), ZoneName("south-a")};
+    TestNode &elsewhere = deployment.addNode(deployment.addUpstream("i-3"), "statements", {}, south);
+    deployment.catalog.publishList();
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.waitUntil([&] { return deployment.catalog.readerCount() == 2; }));
+        const std::size_t reader = deployment.catalog.isReading(0) ? 0 : 1;
+        deployment.catalog.stopUpdatesTo(reader);
+        deployment.catalog.reportOverdue(reader);
+        co_await deployment.sleep(Milliseconds(50));
+        deployment.catalog.publishRoutes(20);
+        co_await deployment.sleep(Milliseconds(150));
+        for (const TestNode *node : {&deployment.first, &deployment.second, &elsewhere}) {
+            checkStatus(co_await deployment.send(node->callers, "GET", "/v20/1", "n-" + node->callers.value()), 200);
+        }
+        CHECK(deployment.catalog.readerCount() == 2);
+    });
+}
+
 // Guards against a node that uses old routes for half a minute after a change that reached all other nodes. Its watch
 // at the store waits on a connection that a device on the way has dropped without notice.
 TEST_CASE("a node whose source sends no updates learns from other nodes that it missed a change")
--- a/tests/sidecar/fakecatalog.h
+++ b/tests/sidecar/fakecatalog.h
@@ -39,6 +39,8 @@
     /// Like reportLost(), but only for the node with number @p node. Nodes are numbered from 0 in the order of
     /// makeSource().
     void reportLost(std::size_t node);
+    /// Reports to the node with number @p node that the store is late with an answer.
+    void reportOverdue(std::size_t node) { allSinks_.at(node)->onStoreOverdue(); }
     /// Reports to all readers that the store answers again.
     void reportRestored();
     /// Makes the store unavailable for all nodes, or available again.
