sidecar, instances, rpc: while a source's answer is late, other nodes are asked beside it

What callers would see: old routes at the nodes below one that is suspended or cut off, for 1.1 s and the time until the next source has answered. Cause: one time (.7 + .4 s, which allows for lost packets) both for leaving a source and for doing anything at all. Class: one verdict both for what is expensive to get wrong and for what costs one query.

Change: an answer that is .1 s late is overdue; the next source and a reader of another region are asked beside it, without waiting, and their updates taken; nobody is left or followed for it. Not while a large message from the source arrives, nor after a stall of the node itself.

Ruled out: queries each .4 s, 4.2 KB/s a node at 22,000.

--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/random.h"
@@ -89,6 +90,11 @@
 
     /// The next query to send, or nothing if no node is to be queried now. Precondition: listChanged() was called.
     [[nodiscard]] std::optional<SourceQuery> nextQuery(TimePoint now);
+    /// The nodes to query for updates while the answer of @p overdue is late. They are not followed for their answers.
+    [[nodiscard]] std::vector<Endpoint> alternatives(const Endpoint &overdue, TimePoint now) const
+    {
+        return election_.alternatives(overdue, now);
+    }
     [[nodiscard]] StoreReading reading() const;
     /// Whether to probe the store now. Returns true once for each probe.
     [[nodiscard]] bool wantsStoreProbe(TimePoint now);
--- a/src/instances/catalogtimes.h
+++ b/src/instances/catalogtimes.h
@@ -24,7 +24,10 @@
     /// Timeout of a query that is answered at once.
     Milliseconds peerTimeout{600};
     /// A source without updates answers after this time at the latest, so that a frozen source is noticed.
-    Milliseconds followWait{700};
+    Milliseconds followWait{600};
+    /// An answer that comes this much later than it was due is overdue. Longer than a round trip between regions, and
+    /// shorter than followMargin, since a query beside the late one costs little.
+    Milliseconds answerDoubtTime{100};
     /// Added to followWait for the round trip with one lost packet.
     Milliseconds followMargin{400};
     /// The store counts as available for this long after its reader last read it. Each step from the reader to a node
@@ -66,7 +69,8 @@
     Milliseconds step{100};
 };
 
-/// The longest time that a change takes to reach the last node while one node on the path is dead, given @p times.
+/// The longest time that a change takes to reach the last node while one node on the path, or the store to its reader,
+/// is silent, given @p times.
 /// Thread safety: safe.
 [[nodiscard]] Milliseconds maxPropagationTime(const CatalogTimes &times, const PropagationPath &path);
 
--- a/src/instances/readerelection.cpp
+++ b/src/instances/readerelection.cpp
@@ -32,6 +32,7 @@
 {
     sources_.clear();
     substitutes_.clear();
+    otherRegionReaders_.clear();
     const std::vector<Endpoint> ranked = rankedNodes(directory, own);
     const auto rank = static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), own) - ranked.begin());
     const std::size_t readers = (ranked.size() + settings_.nodesPerReader - 1) / settings_.nodesPerReader;
@@ -69,7 +70,9 @@
     }
     addSubstitute(ranked[(reader + 1) % readers], own);
     for (std::size_t number = 0; number < std::min(otherReaders.size(), settings_.maxOtherRegionReaders); ++number) {
-        addSubstitute(otherReaders[(rank + number) % otherReaders.size()], own);
+        const Endpoint &other = otherReaders[(rank + number) % otherReaders.size()];
+        addSubstitute(other, own);
+        otherRegionReaders_.push_back(other);
     }
 }
 
@@ -103,15 +106,30 @@
     return nodes;
 }
 
+bool ReaderElection::isEligible(const Endpoint &node, TimePoint now) const
+{
+    const auto backoff = backoffs_.find(node);
+    return backoff == backoffs_.end() || backoff->second.until <= now;
+}
+
 std::optional<Endpoint> ReaderElection::firstEligible(const std::vector<Endpoint> &nodes, TimePoint now) const
 {
-    for (const Endpoint &node : nodes) {
-        const auto backoff = backoffs_.find(node);
-        if (backoff == backoffs_.end() || backoff->second.until <= now) {
-            return node;
+    const auto found =
+        std::find_if(nodes.begin(), nodes.end(), [&](const Endpoint &node) { return isEligible(node, now); });
+    return found == nodes.end() ? std::nullopt : std::optional(*found);
+}
+
+std::vector<Endpoint> ReaderElection::alternatives(const Endpoint &overdue, TimePoint now) const
+{
+    std::vector<Endpoint> nodes;
+    for (const std::vector<Endpoint> *candidates : {&sources_, &otherRegionReaders_}) {
+        const auto found = std::find_if(candidates->begin(), candidates->end(),
+                                        [&](const Endpoint &node) { return node != overdue && isEligible(node, now); });
+        if (found != candidates->end()) {
+            nodes.push_back(*found);
         }
     }
-    return std::nullopt;
+    return nodes;
 }
 
 void ReaderElection::recordFailure(const Endpoint &node, TimePoint now)
--- a/src/instances/readerelection.h
+++ b/src/instances/readerelection.h
@@ -54,6 +54,9 @@
     /// The node to query when none of the sources can read the store: a standby, another reader of this region or a
     /// reader of another region.
     [[nodiscard]] std::optional<Endpoint> substitute(TimePoint now) const { return firstEligible(substitutes_, now); }
+    /// The nodes to query while the answer of @p overdue is late: the next source, which other nodes may have missed an
+    /// update with, and a reader of another region, which has not. Fewer if there are none.
+    [[nodiscard]] std::vector<Endpoint> alternatives(const Endpoint &overdue, TimePoint now) const;
     /// @p node did not answer, or has no usable data from the store.
     void recordFailure(const Endpoint &node, TimePoint now);
     /// @p node gave a usable answer.
@@ -79,6 +82,7 @@
     void chooseSubstitutes(const std::vector<Endpoint> &ranked, std::size_t rank, std::size_t readers,
                            const std::vector<Endpoint> &otherReaders);
     void addSubstitute(const Endpoint &node, const Endpoint &own);
+    [[nodiscard]] bool isEligible(const Endpoint &node, TimePoint now) const;
     [[nodiscard]] std::optional<Endpoint> firstEligible(const std::vector<Endpoint> &nodes, TimePoint now) const;
 
     RegionName region_;
@@ -87,6 +91,8 @@
     std::vector<Endpoint> sources_;
     /// Nodes that this node also queries while no source can read the store.
     std::vector<Endpoint> substitutes_;
+    /// Those of them that are readers of other regions.
+    std::vector<Endpoint> otherRegionReaders_;
     bool isStandby_ = false;
     std::map<Endpoint, Backoff> backoffs_;
 };
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -343,6 +343,13 @@
         });
     }
 
+    [[nodiscard]] bool isReceivingLargeMessage(const Endpoint &peer, Duration maxPause) const
+    {
+        const auto found = connections_.find({peer, TrafficClass::Regular});
+        return found != connections_.end()
+            && found->second->isReceivingLargeMessage(std::chrono::steady_clock::now(), maxPause);
+    }
+
     [[nodiscard]] std::size_t connectionCount() const { return connections_.size(); }
 
     [[nodiscard]] std::uint64_t bytesTransferred() const
@@ -525,6 +532,11 @@
     implementation_->closeIdle(now, idle);
 }
 
+bool PeerClient::isReceivingLargeMessage(const Endpoint &peer, Duration maxPause) const
+{
+    return implementation_->isReceivingLargeMessage(peer, maxPause);
+}
+
 std::size_t PeerClient::connectionCount() const
 {
     return implementation_->connectionCount();
--- a/src/rpc/peerclient.h
+++ b/src/rpc/peerclient.h
@@ -53,6 +53,8 @@
     void setPaidLinks(std::function<bool(const Endpoint &)> isPaidLink);
     /// Closes connections that no call has used for @p idle, and connections that are lost.
     void closeIdle(TimePoint now, Duration idle);
+    /// Whether a large message from @p peer is arriving, with no pause of more than @p maxPause until now.
+    [[nodiscard]] bool isReceivingLargeMessage(const Endpoint &peer, Duration maxPause) const;
     [[nodiscard]] std::size_t connectionCount() const;
     /// Bytes read and written on all connections since the start.
     [[nodiscard]] std::uint64_t bytesTransferred() const;
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -329,8 +329,16 @@
 {
     const std::optional<Endpoint> before = plan_.following();
     const TimePoint askedAt = currentTime();
+    const TimePoint dueAt = askedAt + query.wait + times_.answerDoubtTime;
+    asio::steady_timer overdueTimer(executor_, dueAt);
+    overdueTimer.async_wait([this, source = query.node, dueAt](const boost::system::error_code &error) {
+        if (!error) {
+            queryAlternatives(source, dueAt);
+        }
+    });
     const Result<Catalog> catalog =
         co_await ask(query.node, makeRequest(query.wait, query.knownState), query.wait + times_.followMargin);
+    overdueTimer.cancel();
     if (!catalog) {
         plan_.onNoAnswer(query.node, currentTime());
         logFollowingChange(before, catalog.error().detail);
@@ -348,6 +356,32 @@
     co_return hasChanged || isSourceNew || currentTime() - askedAt >= times_.followPause;
 }
 
+/// Guards against a node that waits for a suspended source although other nodes have updates: a source counts as silent
+/// only after a time that allows for lost packets, which is long against the time in which updates have to arrive.
+void CatalogController::queryAlternatives(const Endpoint &source, TimePoint dueAt)
+{
+    const TimePoint now = currentTime();
+    // If this process did not run for a while, the answer may have arrived and only not been read yet.
+    const bool hasStalled = now - dueAt > times_.answerDoubtTime;
+    if (hasStalled || peerClient_.isReceivingLargeMessage(source, times_.followMargin)) {
+        return;
+    }
+    for (Endpoint &peer : plan_.alternatives(source, now)) {
+        log_.logOverdueAnswer(source, peer);
+        asio::co_spawn(executor_, takeUpdatesFrom(std::move(peer)), asio::detached);
+    }
+}
+
+asio::awaitable<void> CatalogController::takeUpdatesFrom(Endpoint peer)
+{
+    const Result<Catalog> catalog =
+        co_await ask(peer, makeRequest(Milliseconds{0}, StoreState::Available), times_.peerTimeout);
+    if (catalog) {
+        co_await checkOwnStoreAccess(catalog.value());
+        (void)applyCatalog(peer, catalog.value());
+    }
+}
+
 void CatalogController::handleAnswer(const Endpoint &peer, const Catalog &catalog)
 {
     const TimePoint now = currentTime();
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -84,6 +84,9 @@
     boost::asio::awaitable<void> followOthers();
     /// Returns whether to send the next query without a pause.
     boost::asio::awaitable<bool> querySource(SourceQuery query);
+    /// Queries other nodes if the answer of @p source, which was to come by @p dueAt, is late, and takes their updates.
+    void queryAlternatives(const Endpoint &source, TimePoint dueAt);
+    boost::asio::awaitable<void> takeUpdatesFrom(Endpoint peer);
     /// Called before @p catalog is applied. If the catalog removes upstreams that did not announce that they drain, or
     /// if this node counts as cut off, checks whether this node can reach the store.
     boost::asio::awaitable<void> checkOwnStoreAccess(const Catalog &catalog);
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -115,6 +115,12 @@
     log_.info(line);
 }
 
+void CatalogLog::logOverdueAnswer(const Endpoint &overdue, const Endpoint &queried)
+{
+    log_.info(StructuredLine("overdue").add("source", overdue.value()).add("queried", queried.value()));
+    metrics_.count("egretpath_source_overdue_total");
+}
+
 void CatalogLog::logStoreState(StoreState state)
 {
     log_.info(StructuredLine("store").add("state", toString(state)));
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -59,6 +59,8 @@
     /// @p reader reads the store for the node that is followed, and last did so before @p sinceStoreRead.
     void logFollowStarted(const Endpoint &followed, unsigned hops, const Endpoint &reader, Duration sinceStoreRead);
     void logFollowEnded(const Endpoint &followed, std::string_view reason, Duration silentFor);
+    /// The answer of @p overdue is late, and @p queried is queried beside it.
+    void logOverdueAnswer(const Endpoint &overdue, const Endpoint &queried);
     /// The state of the store that this node reports to others.
     void logStoreState(StoreState state);
     /// Whether only this node's own connection to the store is lost.
--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -68,6 +68,9 @@
 void CatalogFleet::ask(int asker, const SourceQuery &query)
 {
     const int source = numbers_.at(query.node);
+    const std::uint64_t queryNumber = nodes_[asker]->endedQueries;
+    time_.at(now() + query.wait + times_.answerDoubtTime,
+             [this, asker, overdue = query.node, queryNumber] { queryAlternatives(asker, overdue, queryNumber); });
     if (dead_.contains(source)) {
         noteUnanswered(asker, query, now() + query.wait + times_.followMargin);
         return;
@@ -79,9 +82,25 @@
     });
 }
 
+void CatalogFleet::queryAlternatives(int asker, const Endpoint &overdue, std::uint64_t queryNumber)
+{
+    if (dead_.contains(asker) || nodes_[asker]->endedQueries != queryNumber) {
+        return;
+    }
+    for (const Endpoint &peer : nodes_[asker]->plan.alternatives(overdue, now())) {
+        const int other = numbers_.at(peer);
+        if (dead_.contains(other)) {
+            continue;
+        }
+        time_.at(now() + 2 * oneWayDelay(asker, other),
+                 [this, asker, other] { advance(asker, nodes_[other]->revision); });
+    }
+}
+
 void CatalogFleet::noteUnanswered(int asker, const SourceQuery &query, TimePoint at)
 {
     time_.at(at, [this, asker, query] {
+        ++nodes_[asker]->endedQueries;
         nodes_[asker]->plan.onNoAnswer(query.node, now());
         time_.at(now(), [this, asker] { step(asker); });
     });
@@ -107,6 +126,7 @@
     const std::uint64_t revision = node.revision;
     time_.at(now() + oneWayDelay(source, asker), [this, asker, query, report, revision] {
         Node &node = *nodes_[asker];
+        ++node.endedQueries;
         node.plan.onAnswer(query.node, report, now());
         advance(asker, revision);
         applyReading(asker);
--- a/tests/instances/catalogfleet.h
+++ b/tests/instances/catalogfleet.h
@@ -65,6 +65,8 @@
         CatalogPlan plan;
         StoreReading reading = StoreReading::None;
         std::uint64_t readingRound = 0;
+        /// Number of queries that were answered or given up.
+        std::uint64_t endedQueries = 0;
         unsigned failures = 0;
         std::uint64_t revision = 0;
         Duration maxLag{0};
@@ -78,6 +80,8 @@
     void readStore(int number, std::uint64_t round);
     /// The store is silent to the node: a ping fails after a while, and so do further calls.
     void failToReadStore(int number, std::uint64_t round);
+    /// Queries other nodes if the answer is still due.
+    void queryAlternatives(int asker, const Endpoint &overdue, std::uint64_t queryNumber);
     void noteUnanswered(int asker, const SourceQuery &query, TimePoint at);
     void advance(int number, std::uint64_t revision);
     /// How long @p node lacks the oldest change after its revision.
--- a/tests/instances/catalogtimestest.cpp
+++ b/tests/instances/catalogtimestest.cpp
@@ -8,9 +8,14 @@
 // is dead.
 TEST_CASE("a change reaches all nodes within its bound while a node on its path is dead")
 {
-    constexpr Milliseconds SmallFleetBound{2000};
+    /// Half of the users' bound, so that a second fault leaves room.
+    constexpr Milliseconds SmallFleetBound{1000};
     constexpr Milliseconds LargeFleetBound{3000};
+    // A region of six nodes with a table of some ten routes.
     PropagationPath small;
+    small.steps = 2;
+    small.step = Milliseconds(10);
+    small.read = Milliseconds(50);
     PropagationPath large;
     large.steps = 3;
     // A table of 4,200 routes on a link of 10 Mbit/s.
--- a/tests/sidecar/catalogtest.cpp
+++ b/tests/sidecar/catalogtest.cpp
@@ -155,6 +155,32 @@
     });
 }
 
+// Guards against a node that keeps old routes until its suspended source counts as silent.
+TEST_CASE("a follower whose source is suspended gets updates from another region")
+{
+    constexpr std::uint64_t AnyBandwidth = 0;
+    const CatalogTimes times;
+    Deployment deployment;
+    std::vector<StandinRelay *> links{
+        &deployment.putBehindLink(deployment.first, deployment.one, "statements", AnyBandwidth),
+        &deployment.putBehindLink(deployment.second, deployment.two, "statements", AnyBandwidth)};
+    const Location south{RegionName("south"), ZoneName("south-a")};
+    deployment.addNode(deployment.addUpstream("i-3"), "statements", {}, south);
+    deployment.catalog.publishList();
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.waitUntil([&] { return deployment.catalog.readerCount() == 2; }));
+        const std::size_t reader = deployment.catalog.isReading(0) ? 0 : 1;
+        const TestNode &follower = reader == 0 ? deployment.second : deployment.first;
+        co_await deployment.sleep(Milliseconds(100));
+        RelayConditions cut;
+        cut.partitioned = true;
+        links[reader]->setConditions(cut);
+        deployment.catalog.publishRoutes(20);
+        co_await deployment.sleep(times.followWait + times.answerDoubtTime + Milliseconds(150));
+        checkStatus(co_await deployment.send(follower.callers, "GET", "/v20/1", "suspended"), 200);
+    });
+}
+
 // Guards against a node that uses old routes for half a minute after a change that reached all other nodes. Its watch
 // at the store waits on a connection that a device on the way has dropped without notice.
 TEST_CASE("a node whose source sends no updates learns from other nodes that it missed a change")
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -92,8 +92,8 @@
     return node;
 }
 
-void SidecarFixture::putBehindLink(const TestNode &node, const FakeUpstream &upstream, const std::string &service,
-                                   std::uint64_t bytesPerSecond)
+StandinRelay &SidecarFixture::putBehindLink(const TestNode &node, const FakeUpstream &upstream,
+                                            const std::string &service, std::uint64_t bytesPerSecond)
 {
     StandinRelay &link = *links_.emplace_back(
         std::make_unique<StandinRelay>(eventLoop_.context().get_executor(), toTcpEndpoint(node.peers).value()));
@@ -101,6 +101,7 @@
     conditions.bytesPerSecond = bytesPerSecond;
     link.setConditions(conditions);
     catalog.add(upstream, link.listen(toTcpEndpoint(uniqueEndpoint()).value()), service);
+    return link;
 }
 
 void SidecarFixture::run(const std::function<asio::awaitable<void>()> &scenario)
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -48,9 +48,9 @@
     /// Starts a node beside @p upstream and adds the upstream to the list under @p service.
     TestNode &addNode(const FakeUpstream &upstream, const std::string &service, const std::vector<Endpoint> &seeds = {},
                       const Location &location = FakeCatalog::UsualLocation);
-    /// Makes other nodes reach @p node, which is beside @p upstream, over a link of this bandwidth.
-    void putBehindLink(const TestNode &node, const FakeUpstream &upstream, const std::string &service,
-                       std::uint64_t bytesPerSecond);
+    /// Makes other nodes reach @p node, which is beside @p upstream, over a link of this bandwidth. Returns the link.
+    StandinRelay &putBehindLink(const TestNode &node, const FakeUpstream &upstream, const std::string &service,
+                                std::uint64_t bytesPerSecond);
     void run(const std::function<boost::asio::awaitable<void>()> &scenario);
     /// Runs @p action beside the scenario.
     void start(const std::function<boost::asio::awaitable<void>()> &action);
