sidecar: a node that hears of newer routes asks for them after .5 s, and no longer when it has them already

Cause: the time was long since readers gathered for up to .9 s; and it counted from the first time at which anybody was ahead, also when this node had caught up since, so that during a series a reader began its watches anew each second or so. Class: a wait that was set by another wait, which has since become shorter.

Change: the time counts for the versions that this node lacks longest, ends when it has them, and is .5 s.

Evidence: sidecar 'a reader that gets its updates soon after other nodes does not start to read anew', red before (3 starts in place of 1).

--- a/src/instances/catalogtimes.h
+++ b/src/instances/catalogtimes.h
@@ -42,9 +42,9 @@
     /// The next seed is queried after this time: two round trips between regions plus the time that a small VM takes to
     /// answer.
     Milliseconds seedStagger{60};
-    /// A peer may be ahead of this node for this long before this node queries it. Readers gather changes at different
-    /// times.
-    Milliseconds peerLeadTolerance{1200};
+    /// A peer may be ahead of this node for this long before this node queries it: twice the time for which readers
+    /// gather changes, each at another moment.
+    Milliseconds peerLeadTolerance{500};
     /// Pause between a change at the store and the next read of the store. A change seldom comes alone, and each change
     /// that is read separately costs a call. The pause does not grow during a series of changes, since each of them
     /// may have to wait for all of it.
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -122,8 +122,11 @@
     if (!contents_.isBehind(versions)) {
         return;
     }
-    const TimePoint since = newerPeer_ ? newerPeer_->since : currentTime();
-    newerPeer_ = NewerPeer{peer, versions, since};
+    if (newerPeer_ && contents_.isBehind(newerPeer_->versions)) {
+        newerPeer_->peer = peer;
+        return;
+    }
+    newerPeer_ = NewerPeer{peer, versions, currentTime()};
 }
 
 void CatalogController::onRoutesRead(PublishedRoutes routes)
@@ -257,6 +260,9 @@
         if (newerPeer_ && !contents_.isBehind(newerPeer_->versions)) {
             newerPeer_.reset();
         }
+        if (newerPeer_ && !contents_.isBehind(newerPeer_->versions)) {
+            newerPeer_.reset();
+        }
         if (newerPeer_ && currentTime() - newerPeer_->since >= times_.peerLeadTolerance) {
             co_await catchUp();
         }
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -67,8 +67,8 @@
     void onStoreOverdue() override;
 
 private:
-    /// A node that has newer versions than this one. `since` is when this node first learned of newer versions, from
-    /// any node.
+    /// A node that has newer versions than this one. `versions` are those that this node lacks longest, and `since` is
+    /// when it learned of them, from any node.
     struct NewerPeer
     {
         Endpoint peer;
--- a/tests/sidecar/catalogtest.cpp
+++ b/tests/sidecar/catalogtest.cpp
@@ -208,6 +208,32 @@
     });
 }
 
+// Guards against a reader that begins its watches anew whenever it has heard of a change before it read it.
+TEST_CASE("a reader that gets its updates soon after other nodes does not start to read anew")
+{
+    constexpr int Versions = 25;
+    Deployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.waitUntil([&] { return deployment.catalog.readerCount() == 1; }));
+        const std::size_t reader = deployment.catalog.isReading(0) ? 0 : 1;
+        const std::size_t follower = 1 - reader;
+        TestNode &node = reader == 0 ? deployment.first : deployment.second;
+        (reader == 0 ? deployment.one : deployment.two).status = 503;
+        const int resumesBefore = deployment.catalog.resumes(reader);
+        for (std::uint64_t version = 20; version < 20 + Versions; ++version) {
+            deployment.catalog.publishRoutesOnlyTo(follower, version);
+            for (int number = 0; number < 4; ++number) {
+                const std::string id = "c-" + std::to_string(version) + "-" + std::to_string(number);
+                (void)co_await deployment.send(node.callers, "GET", "/read/1", id);
+                co_await deployment.sleep(Milliseconds(30));
+            }
+            deployment.catalog.publishRoutesOnlyTo(reader, version);
+            co_await deployment.sleep(Milliseconds(20));
+        }
+        CHECK(deployment.catalog.resumes(reader) == resumesBefore);
+    });
+}
+
 // Guards against refusals for overload after a third of the VMs is cut off from the store. After some seconds their
 // upstreams disappear from the list, though they are alive, and all nodes send to the upstreams that are left. Cut-off
 // nodes that read the store notice the cut and go on using the expired upstreams; a cut-off node that follows a node
--- a/tests/sidecar/fakecatalog.cpp
+++ b/tests/sidecar/fakecatalog.cpp
@@ -29,6 +29,7 @@
     void resume(StoreRevision /*listReached*/, bool wasLost, Milliseconds /*maxInterval*/) override
     {
         auto &sinks = catalog_.readingSinks_;
+        ++catalog_.resumes_[sink_];
         if (!isReachable_) {
             sink_->onSourceLost("the test says so");
             return;
--- a/tests/sidecar/fakecatalog.h
+++ b/tests/sidecar/fakecatalog.h
@@ -51,6 +51,8 @@
     [[nodiscard]] std::size_t readerCount() const { return readingSinks_.size(); }
     /// Whether the node with number @p node reads the store.
     [[nodiscard]] bool isReading(std::size_t node) const;
+    /// How often the node with number @p node started to read, or started anew.
+    [[nodiscard]] int resumes(std::size_t node) const { return resumes_.at(allSinks_.at(node)); }
     /// The node with number @p node still counts as a reader, but gets no further updates.
     void stopUpdatesTo(std::size_t node) { silentNodes_.insert(node); }
     /// Publishes routes that only the node with number @p node gets, whether it reads or not.
@@ -83,6 +85,7 @@
     /// The sinks of all nodes, in the order in which the nodes were made.
     std::vector<CatalogSink *> allSinks_;
     std::set<std::size_t> silentNodes_;
+    std::map<const CatalogSink *, int> resumes_;
     std::map<std::string, InstanceRecord> records_;
     std::map<std::string, StoreRevision> evacuations_;
     std::uint64_t version_ = 0;
