instances, rpc: a node takes no source that gets its updates through it

What callers would see: old routes at most nodes of a region for 1.75 s while its reader is well. Class: evidence that is passed on as if it were one's own, as with the nodes that lost the same reader; there the reader was gone, here it is well.

Evidence: tests/instances 'a node does not follow one that gets its updates through it', red without the check (both cases).

--- a/src/instances/catalogplan.cpp
+++ b/src/instances/catalogplan.cpp
@@ -87,8 +87,7 @@
 
 bool CatalogPlan::isUsable(const Endpoint &node, const SourceReport &report, TimePoint now) const
 {
-    // A node whose reader is this node can't report anything new.
-    const bool isValid = report.age < times_.maxReportAge && report.hops < MaxHops && report.reader != own_;
+    const bool isValid = report.age < times_.maxReportAge && report.hops < MaxHops && !dependsOnThisNode(report);
     // A source that has to search for a while keeps its followers, but gets no further ones.
     if (report.isSearching && following_ != node) {
         return false;
@@ -103,6 +102,13 @@
     return lostReader_ && report.reader == lostReader_->reader && now - report.age <= lostReader_->at;
 }
 
+/// Guards against nodes that follow each other while the reader that they once had is well: the time at which it last
+/// read grows too slowly to show it.
+bool CatalogPlan::dependsOnThisNode(const SourceReport &report) const
+{
+    return report.reader == own_ || std::find(report.via.begin(), report.via.end(), hashOf(own_)) != report.via.end();
+}
+
 void CatalogPlan::recordLostReader(TimePoint at)
 {
     if (hasAvailableSource()) {
@@ -142,7 +148,7 @@
 void CatalogPlan::recordUnavailableReport(const Endpoint &node, const SourceReport &report, TimePoint now)
 {
     election_.recordFailure(node, now);
-    if (following_ == node) {
+    if (following_ == node && !dependsOnThisNode(report)) {
         recordLostReader(now);
     }
     hasNoSource_ = false;
@@ -282,6 +288,16 @@
     return isReadingStore() || !following_ ? own_ : report_.reader;
 }
 
+std::vector<NodeHash> CatalogPlan::via() const
+{
+    if (isReadingStore() || !following_ || report_.reader == *following_) {
+        return {};
+    }
+    std::vector<NodeHash> nodes{hashOf(*following_)};
+    nodes.insert(nodes.end(), report_.via.begin(), report_.via.end());
+    return nodes;
+}
+
 Milliseconds CatalogPlan::storeAvailableFor(TimePoint now) const
 {
     if (isReadingStore() && ownStoreAvailableSince_) {
--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -7,6 +7,7 @@
 #include "core/clock.h"
 #include "core/random.h"
 #include "instances/catalogtimes.h"
+#include "instances/nodehash.h"
 #include "instances/readerelection.h"
 #include "instances/storestate.h"
 
@@ -31,6 +32,8 @@
     std::uint8_t hops = 0;
     /// The node that reads the store for the answering node; empty if there is none.
     Endpoint reader;
+    /// The nodes between the answering node and that node, the nearest first.
+    std::vector<NodeHash> via;
     /// Time since the reader last read the store.
     Milliseconds age{0};
     /// How long the reader has read the store without a failure.
@@ -111,6 +114,8 @@
     }
     /// The node that reads the store for this one; this node's own address while it reads itself or follows no node.
     [[nodiscard]] Endpoint reader() const;
+    /// The nodes between this node and the reader, the nearest first.
+    [[nodiscard]] std::vector<NodeHash> via() const;
     /// Time since the reader last read the store; zero while this node reads it. A node that reads but gets no answers
     /// counts from the last one.
     [[nodiscard]] Milliseconds age(TimePoint now) const;
@@ -142,6 +147,8 @@
     [[nodiscard]] bool isUsable(const Endpoint &node, const SourceReport &report, TimePoint now) const;
     /// Whether @p report is from before the loss of the reader that this node lost.
     [[nodiscard]] bool dependsOnLostReader(const SourceReport &report, TimePoint now) const;
+    /// Whether the answering node gets its updates from this node.
+    [[nodiscard]] bool dependsOnThisNode(const SourceReport &report) const;
     void recordLostReader(TimePoint at);
     [[nodiscard]] bool hasAvailableSource() const { return following_ && report_.store != StoreState::Unavailable; }
     [[nodiscard]] bool isActiveReader() const { return hasList_ && election_.isReader() && (isListed_ || !following_); }
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -178,6 +178,8 @@
   searching @18 :Bool;
   # The sender does not read the store now and has no source that is known to: store is the state that it last knew.
   # Nodes of an earlier version don't set it.
+  via @19 :List(UInt32);
+  # Hashes of the nodes between the sender and the reader, the nearest first.
 }
 
 struct Evacuation {
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -12,6 +12,7 @@
 #include "http/httpheaders.h"
 #include "instances/evacuatedzones.h"
 #include "instances/instancedirectory.h"
+#include "instances/nodehash.h"
 #include "instances/storestate.h"
 #include "quarantine/suspectedrequest.h"
 #include "routes/packedroutes.h"
@@ -139,6 +140,8 @@
     std::uint8_t hops = 0;
     /// The node that reads the store for the sender; empty if none does.
     Endpoint reader;
+    /// The nodes between the sender and that node, the nearest first.
+    std::vector<NodeHash> via;
     /// Time since that node last read the store.
     Milliseconds storeAge{0};
     /// How long that node has been able to read the store without interruption.
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -292,6 +292,12 @@
     wire.setStoreAge(static_cast<std::uint32_t>(catalog.storeAge.count()));
     wire.setQuarantine(catalog.quarantine.value());
     wire.setSearching(catalog.isSearching);
+    if (!catalog.via.empty()) {
+        auto via = wire.initVia(static_cast<unsigned>(catalog.via.size()));
+        for (unsigned index = 0; index < via.size(); ++index) {
+            via.set(index, catalog.via[index].value());
+        }
+    }
     wire.setInOrderFor(static_cast<std::uint32_t>(catalog.storeAvailableFor.count()));
     wire.setHops(catalog.hops);
     wire.setRoutesAge(static_cast<std::uint32_t>(catalog.routesAge.count()));
@@ -330,6 +336,9 @@
     catalog.storeAge = Milliseconds(wire.getStoreAge());
     catalog.quarantine = QuarantineDigest(wire.getQuarantine());
     catalog.isSearching = wire.getSearching();
+    for (const std::uint32_t hash : wire.getVia()) {
+        catalog.via.emplace_back(hash);
+    }
     catalog.storeAvailableFor = Milliseconds(wire.getInOrderFor());
     catalog.hops = wire.getHops();
     catalog.routesAge = Milliseconds(wire.getRoutesAge());
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -25,8 +25,15 @@
 
 SourceReport reportOf(const Catalog &catalog)
 {
-    return {catalog.store,      catalog.hops, catalog.reader, catalog.storeAge, catalog.storeAvailableFor,
-            catalog.isSearching};
+    SourceReport report;
+    report.store = catalog.store;
+    report.hops = catalog.hops;
+    report.reader = catalog.reader;
+    report.via = catalog.via;
+    report.age = catalog.storeAge;
+    report.storeAvailableFor = catalog.storeAvailableFor;
+    report.isSearching = catalog.isSearching;
+    return report;
 }
 
 }
@@ -108,6 +115,7 @@
     catalog.store = state_.directory.hasList() ? storeState() : StoreState::Unavailable;
     catalog.hops = plan_.hops();
     catalog.reader = plan_.reader();
+    catalog.via = plan_.via();
     catalog.storeAge = plan_.age(currentTime());
     catalog.storeAvailableFor = plan_.storeAvailableFor(currentTime());
     catalog.isSearching = plan_.isSearching();
--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -278,8 +278,15 @@
 SourceReport CatalogFleet::reportOf(int number) const
 {
     const CatalogPlan &plan = nodes_[number]->plan;
-    return {plan.store(now(), false),      plan.hops(),       plan.reader(), plan.age(now()),
-            plan.storeAvailableFor(now()), plan.isSearching()};
+    SourceReport report;
+    report.store = plan.store(now(), false);
+    report.hops = plan.hops();
+    report.reader = plan.reader();
+    report.via = plan.via();
+    report.age = plan.age(now());
+    report.storeAvailableFor = plan.storeAvailableFor(now());
+    report.isSearching = plan.isSearching();
+    return report;
 }
 
 int CatalogFleet::readingNodeCount() const
--- a/tests/instances/catalogplantest.cpp
+++ b/tests/instances/catalogplantest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "catalogfleet.h"
+#include "fleetlist.h"
 
 using namespace Egretpath;
 
@@ -163,6 +164,37 @@
     CHECK(plan.store(now, false) == StoreState::Available);
 }
 
+// Guards against nodes that get their updates through each other while the reader that they go back to is well: a
+// node that has just started follows one that then takes it for its regular source.
+TEST_CASE("a node does not follow one that gets its updates through it")
+{
+    const InstanceDirectory directory = directoryOf(4, [](int /*node*/) { return RegionName("north"); });
+    const auto planOf = [&directory](int node) {
+        CatalogPlan plan(RegionName("north"), ReaderElectionSettings(), CatalogTimes(), Random(Seed));
+        plan.listChanged(directory, nodeAddress(node), true);
+        return plan;
+    };
+    const auto reportOf = [](const CatalogPlan &plan, TimePoint now) {
+        return SourceReport{plan.store(now, false),      plan.hops(),       plan.reader(), plan.via(), plan.age(now),
+                            plan.storeAvailableFor(now), plan.isSearching()};
+    };
+    const TimePoint now = TimePoint() + std::chrono::seconds(10);
+    CatalogPlan follower = planOf(1);
+    CatalogPlan started = planOf(2);
+    CatalogPlan further = planOf(3);
+    SourceReport ofReader;
+    ofReader.store = StoreState::Available;
+    ofReader.reader = nodeAddress(0);
+    follower.onAnswer(nodeAddress(0), ofReader, now);
+    started.onAnswer(nodeAddress(1), reportOf(follower, now), now);
+    further.onAnswer(nodeAddress(2), reportOf(started, now), now);
+    REQUIRE(further.following() == nodeAddress(2));
+    for (const auto &[node, plan] : {std::pair(2, &started), std::pair(3, &further)}) {
+        follower.onAnswer(nodeAddress(node), reportOf(*plan, now), now);
+        CHECK(follower.following() == nodeAddress(0));
+    }
+}
+
 // Guards against a node that waits indefinitely for an update: its source reported that the store is unavailable, and
 // then all other nodes stopped answering.
 TEST_CASE("the last living node reads the store itself after an outage")
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -321,6 +321,7 @@
         f.service.catalogAnswer.storeAge = Milliseconds(60);
         f.service.catalogAnswer.storeAvailableFor = Milliseconds(70);
         f.service.catalogAnswer.isSearching = true;
+        f.service.catalogAnswer.via = {NodeHash(7), NodeHash(8)};
         f.service.catalogAnswer.quarantine = QuarantineDigest(80);
         f.service.catalogAnswer.hops = 2;
         const EvacuationSnapshot evacuations{
@@ -349,6 +350,7 @@
         CHECK(received.storeAge == Milliseconds(60));
         CHECK(received.storeAvailableFor == Milliseconds(70));
         CHECK(received.isSearching);
+        CHECK(received.via == std::vector<NodeHash>{NodeHash(7), NodeHash(8)});
         CHECK(received.quarantine == QuarantineDigest(80));
         CHECK(received.hops == 2);
         REQUIRE(received.evacuations.has_value());
