ingress, sidecar: an unknown path is refused with a retry delay while other nodes may have newer routes

What callers saw in the incident: 404, which they take as final, for a route that had been confirmed, at a node that at that moment had heard in answers to calls that others have newer routes. Cause: 'not found' was said from what the node knows, whatever it knows of what it does not know. Class: a final answer from state that is known to be old.

Change: while a node has heard of newer routes than its own, or the answer of its source or of the store is overdue, a path that no route takes is refused as not run, 503 with the usual retry delay. It is true, at once, and callers come back to the route or to a 404.

Weighed: holding the request until the node knows (callers wait for nothing if the path does not exist), asking another node within the request (a round trip that the query beside an overdue source makes anyway).

Evidence: sidecar 'a node that may lack newer routes refuses an unknown path with a retry delay' (404 before).

--- a/src/ingress/ingresscontext.h
+++ b/src/ingress/ingresscontext.h
@@ -89,6 +89,8 @@
     StopAdmission stop;
     std::function<void(const Endpoint &, const CallOutcome &)> outcomeListener;
     std::function<void()> noRoutesListener;
+    /// Whether other nodes may have routes that this node lacks.
+    std::function<bool()> mayLackRoutes = [] { return false; };
     std::uint64_t lastSequence = 0;
     std::size_t openRequests = 0;
 
--- a/src/ingress/requestparameters.cpp
+++ b/src/ingress/requestparameters.cpp
@@ -56,6 +56,10 @@
                       retryAfter);
     }
     parameters.route = parameters.routes->match(head.headers.find("Host").value_or(std::string_view()), head.target);
+    if (parameters.route == nullptr && context.mayLackRoutes()) {
+        return notRun(Reason::NoTable, "no route takes this host and path, but this node may lack newer routes",
+                      retryDelay(context, parameters, DefaultRetryDelay));
+    }
     if (parameters.route == nullptr) {
         return notRun(Reason::NoRoute, "no route takes this host and path");
     }
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -137,6 +137,12 @@
     newerPeer_ = NewerPeer{peer, versions, currentTime()};
 }
 
+bool CatalogController::mayLackRoutes() const
+{
+    const bool doesPeerHaveNewer = newerPeer_ && newerPeer_->versions.routes > contents_.versions().routes;
+    return doesPeerHaveNewer || isSourceOverdue_ || plan_.isStoreOverdue();
+}
+
 void CatalogController::onRoutesRead(PublishedRoutes routes)
 {
     plan_.recordStoreRead(currentTime());
@@ -202,6 +208,7 @@
 void CatalogController::onStoreAnswered()
 {
     const std::optional<Endpoint> before = plan_.following();
+    isSourceOverdue_ = false;
     lastStoreAnswer_ = currentTime();
     plan_.recordStoreAnswer(lastStoreAnswer_);
     logFollowingChange(before, "the store answers this node again");
@@ -360,6 +367,7 @@
         // The next source is asked without a pause, unless this one failed at once.
         co_return currentTime() - askedAt >= times_.followPause;
     }
+    isSourceOverdue_ = false;
     co_await checkOwnStoreAccess(catalog.value());
     const CatalogVersions versionsBefore = contents_.versions();
     handleAnswer(query.node, catalog.value());
@@ -380,6 +388,7 @@
     if (hasStalled || peerClient_.isReceivingLargeMessage(source, times_.followMargin)) {
         return;
     }
+    isSourceOverdue_ = plan_.following() == source;
     for (Endpoint &peer : plan_.alternatives(source, now)) {
         log_.logOverdueAnswer(source, peer);
         asio::co_spawn(executor_, takeUpdatesFrom(std::move(peer)), asio::detached);
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -44,6 +44,9 @@
     [[nodiscard]] std::string sourceName() const;
     [[nodiscard]] bool readsStore() const { return reading_ != StoreReading::None; }
     [[nodiscard]] StoreState storeState() const;
+    /// Whether other nodes may have routes that this node lacks: one of them has said so, or the answer of this node's
+    /// source or of the store is overdue.
+    [[nodiscard]] bool mayLackRoutes() const;
     /// Records the versions that @p peer reported in an answer.
     void recordVersions(const Endpoint &peer, const CatalogVersions &versions);
     /// Calls @p listener with the digest of refused requests in each answer of another node.
@@ -138,6 +141,9 @@
     /// Whether the store was last reported to the directory as lost.
     bool isStoreLost_ = false;
     std::optional<NewerPeer> newerPeer_;
+    /// Whether the source that this node follows, or followed last, is late with an answer, and no other source has
+    /// answered since.
+    bool isSourceOverdue_ = false;
     /// The pause between queries; cancelled when the store is in doubt, so that other nodes are queried at once.
     boost::asio::steady_timer queryPause_;
     /// Wakes the requests that wait for an update. Never expires; cancelled when the routes, the list or the store's
--- a/tests/sidecar/catalogtest.cpp
+++ b/tests/sidecar/catalogtest.cpp
@@ -155,6 +155,25 @@
     });
 }
 
+// Guards against "not found" for a route that was added, which callers take as final, from a node that knows that
+// others have newer routes or that its source is late.
+TEST_CASE("a node that may lack newer routes refuses an unknown path with a retry delay")
+{
+    Deployment deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.waitUntil([&] { return deployment.catalog.readerCount() == 1; }));
+        const std::size_t reader = deployment.catalog.isReading(0) ? 0 : 1;
+        TestNode &node = reader == 0 ? deployment.first : deployment.second;
+        checkStatus(co_await deployment.send(node.callers, "GET", "/v20/1", "before"), 404);
+        deployment.catalog.reportOverdue(reader);
+        const Reply reply = co_await deployment.send(node.callers, "GET", "/v20/1", "in-doubt");
+        checkStatus(reply, 503);
+        CHECK(reply.headers.find("Retry-After"));
+        deployment.catalog.reportAnswered(reader);
+        checkStatus(co_await deployment.send(node.callers, "GET", "/v20/1", "after"), 404);
+    });
+}
+
 // Guards against a node that keeps old routes until its suspended source counts as silent.
 TEST_CASE("a follower whose source is suspended gets updates from another region")
 {
--- a/tests/sidecar/fakecatalog.h
+++ b/tests/sidecar/fakecatalog.h
@@ -41,6 +41,8 @@
     void reportLost(std::size_t node);
     /// Reports to the node with number @p node that the store is late with an answer.
     void reportOverdue(std::size_t node) { allSinks_.at(node)->onStoreOverdue(); }
+    /// Reports to the node with number @p node that the store answered a call.
+    void reportAnswered(std::size_t node) { allSinks_.at(node)->onStoreAnswered(); }
     /// Reports to all readers that the store answers again.
     void reportRestored();
     /// Makes the store unavailable for all nodes, or available again.
