sidecar, client: status and one log line say for how long a node has had no source that reads the store

event=search began and ended, searching_ms of /status, 'without a source for' in egretpath status, and a histogram.

--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -56,6 +56,7 @@
     read.source = textOf(status, "source");
     read.reads = flagOf(status, "reads");
     read.store = textOf(status, "store");
+    read.searchingFor = Milliseconds(numberOf(status, "searching_ms"));
     read.evacuated = textOf(status, "evacuated");
     read.limited = textOf(status, "limited");
     read.quarantined = numberOf(status, "quarantined");
--- a/src/client/nodestatus.h
+++ b/src/client/nodestatus.h
@@ -31,6 +31,8 @@
     bool reads = false;
     /// The state of the store as the node knows it: "in-order", "settling" or "away".
     std::string store;
+    /// For how long the node has had no source that is known to read the store; zero if it has one.
+    Milliseconds searchingFor{0};
     /// The zones that the node takes to be evacuated, separated by spaces.
     std::string evacuated;
     /// Why the upstream beside the node gets only a number of requests a second: "cold" or "named"; empty if it gets
--- a/src/client/statuscommand.cpp
+++ b/src/client/statuscommand.cpp
@@ -30,6 +30,9 @@
     out << status.endpoint << ' ' << status.node << " incarnation " << status.incarnation << " routes " << status.routes
         << " list " << status.list << " from " << status.source;
     out << (status.reads ? " reads" : "") << (status.store.empty() ? "" : " store " + status.store);
+    if (status.searchingFor.count() > 0) {
+        out << " without a source for " << status.searchingFor.count() << " ms";
+    }
     out << (status.evacuated.empty() ? "" : " evacuated " + status.evacuated);
     out << (status.limited.empty() ? "" : " upstream limited: " + status.limited);
     if (status.quarantined > 0) {
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -143,6 +143,11 @@
     return doesPeerHaveNewer || isSourceOverdue_ || plan_.isStoreOverdue();
 }
 
+Milliseconds CatalogController::searchingFor() const
+{
+    return searchingSince_ ? timeSince(*searchingSince_) : Milliseconds{0};
+}
+
 void CatalogController::onRoutesRead(PublishedRoutes routes)
 {
     plan_.recordStoreRead(currentTime());
@@ -331,6 +336,7 @@
         if (state_.directory.hasList()) {
             query = plan_.nextQuery(currentTime());
             applyReading();
+            recordSearch();
         }
         // This is not a single expression, since g++ 12 destroys the temporaries of a co_await in a branch that was not
         // taken.
@@ -346,6 +352,20 @@
     }
 }
 
+void CatalogController::recordSearch()
+{
+    if (plan_.isSearching() == searchingSince_.has_value()) {
+        return;
+    }
+    if (searchingSince_) {
+        log_.logSearchEnded(sourceName(), currentTime() - *searchingSince_);
+        searchingSince_.reset();
+    } else {
+        log_.logSearchBegan(plan_.reader());
+        searchingSince_ = currentTime();
+    }
+}
+
 asio::awaitable<bool> CatalogController::querySource(SourceQuery query)
 {
     const std::optional<Endpoint> before = plan_.following();
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -47,6 +47,8 @@
     /// Whether other nodes may have routes that this node lacks: one of them has said so, or the answer of this node's
     /// source or of the store is overdue.
     [[nodiscard]] bool mayLackRoutes() const;
+    /// For how long this node has had no source that is known to read the store; zero if it has one.
+    [[nodiscard]] Milliseconds searchingFor() const;
     /// Records the versions that @p peer reported in an answer.
     void recordVersions(const Endpoint &peer, const CatalogVersions &versions);
     /// Calls @p listener with the digest of refused requests in each answer of another node.
@@ -85,6 +87,8 @@
     [[nodiscard]] CatalogBootstrapCallbacks bootstrapCallbacks();
     void followIfHasRoutes(const Endpoint &peer, const Catalog &catalog);
     boost::asio::awaitable<void> followOthers();
+    /// Logs when this node begins or ends to search for a source.
+    void recordSearch();
     /// Returns whether to send the next query without a pause.
     boost::asio::awaitable<bool> querySource(SourceQuery query);
     /// Queries other nodes if the answer of @p source, which was to come by @p dueAt, is late, and takes their updates.
@@ -141,6 +145,8 @@
     /// Whether the store was last reported to the directory as lost.
     bool isStoreLost_ = false;
     std::optional<NewerPeer> newerPeer_;
+    /// Since when this node has had no source that is known to read the store; nothing while it has one.
+    std::optional<TimePoint> searchingSince_;
     /// Whether the source that this node follows, or followed last, is late with an answer, and no other source has
     /// answered since.
     bool isSourceOverdue_ = false;
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -121,6 +121,19 @@
     metrics_.count("egretpath_source_overdue_total");
 }
 
+void CatalogLog::logSearchBegan(const Endpoint &lastReader)
+{
+    log_.info(StructuredLine("search").add("state", "began").add("reads_store", lastReader.value()));
+}
+
+void CatalogLog::logSearchEnded(std::string_view source, Duration lasted)
+{
+    StructuredLine line("search");
+    line.add("state", "ended").add("source", source).add("for_ms", millisecondsOf(lasted));
+    log_.info(line);
+    metrics_.record("egretpath_source_search_seconds", {}, lasted);
+}
+
 void CatalogLog::logStoreState(StoreState state)
 {
     log_.info(StructuredLine("store").add("state", toString(state)));
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -61,6 +61,10 @@
     void logFollowEnded(const Endpoint &followed, std::string_view reason, Duration silentFor);
     /// The answer of @p overdue is late, and @p queried is queried beside it.
     void logOverdueAnswer(const Endpoint &overdue, const Endpoint &queried);
+    /// This node has no source any more that is known to read the store; @p lastReader was the last one.
+    void logSearchBegan(const Endpoint &lastReader);
+    /// It has one again: @p source, or the store itself.
+    void logSearchEnded(std::string_view source, Duration lasted);
     /// The state of the store that this node reports to others.
     void logStoreState(StoreState state);
     /// Whether only this node's own connection to the store is lost.
--- a/src/sidecar/operatorpages.cpp
+++ b/src/sidecar/operatorpages.cpp
@@ -67,6 +67,7 @@
                                      {"source", catalog_.sourceName()},
                                      {"reads", catalog_.readsStore()},
                                      {"store", toString(catalog_.storeState())},
+                                     {"searching_ms", catalog_.searchingFor().count()},
                                      {"quarantined", state_.quarantine.refusedCount()}};
     return boost::json::serialize(status);
 }
