sidecar: NewerPeers remembers which node is ahead, out of the catalog controller

No decision changes: the record, the time and the question are those of before, in a class of their own with the load pattern that it answers.

--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -50,6 +50,7 @@
     , onChanged_(std::move(onChanged))
     , contents_(
           state, source, log_, [this] { listChanged(); }, [this] { contentsChanged(); })
+    , newerPeers_(contents_, decisions.catalog.peerLeadTolerance)
     , plan_(state.location.region, decisions.readers, decisions.catalog, Random(state.random()))
     , bootstrap_(executor, state, times_, bootstrapCallbacks())
     , startedAt_(currentTime())
@@ -125,22 +126,9 @@
     co_return catalog;
 }
 
-void CatalogController::recordVersions(const Endpoint &peer, const CatalogVersions &versions)
-{
-    if (!contents_.isBehind(versions)) {
-        return;
-    }
-    if (newerPeer_ && contents_.isBehind(newerPeer_->versions)) {
-        newerPeer_->peer = peer;
-        return;
-    }
-    newerPeer_ = NewerPeer{peer, versions, currentTime()};
-}
-
 bool CatalogController::mayLackRoutes() const
 {
-    const bool doesPeerHaveNewer = newerPeer_ && newerPeer_->versions.routes > contents_.versions().routes;
-    return doesPeerHaveNewer || isSourceOverdue_ || plan_.isStoreOverdue();
+    return newerPeers_.haveNewerRoutes() || isSourceOverdue_ || plan_.isStoreOverdue();
 }
 
 Milliseconds CatalogController::searchingFor() const
@@ -277,14 +265,8 @@
         if (plan_.wantsStoreProbe(currentTime())) {
             co_await probeStore();
         }
-        if (newerPeer_ && !contents_.isBehind(newerPeer_->versions)) {
-            newerPeer_.reset();
-        }
-        if (newerPeer_ && !contents_.isBehind(newerPeer_->versions)) {
-            newerPeer_.reset();
-        }
-        if (newerPeer_ && currentTime() - newerPeer_->since >= times_.peerLeadTolerance) {
-            co_await catchUp();
+        if (const auto peer = newerPeers_.takeOverdue(currentTime())) {
+            co_await catchUp(*peer);
         }
     }
 }
@@ -550,9 +532,8 @@
 
 /// Called when a peer has had newer versions than this node for a while, which shows that this node's own source has
 /// stopped sending updates.
-asio::awaitable<void> CatalogController::catchUp()
+asio::awaitable<void> CatalogController::catchUp(Endpoint peer)
 {
-    const Endpoint peer = std::exchange(newerPeer_, std::nullopt)->peer;
     const Result<Catalog> catalog =
         co_await ask(peer, makeRequest(Milliseconds{0}, StoreState::Available), times_.peerTimeout);
     if (!catalog || !applyCatalog(peer, catalog.value())) {
@@ -582,9 +563,7 @@
 bool CatalogController::applyCatalog(const Endpoint &peer, const Catalog &catalog)
 {
     const bool hasChanged = contents_.applyFromPeer(peer, catalog);
-    if (newerPeer_ && newerPeer_->peer == peer) {
-        newerPeer_.reset();
-    }
+    newerPeers_.recordAnswer(peer);
     wakeWaitingRequests();
     return hasChanged;
 }
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -17,6 +17,7 @@
 #include "sidecar/cataloglog.h"
 #include "sidecar/catalogsource.h"
 #include "sidecar/decisionsettings.h"
+#include "sidecar/newerpeers.h"
 #include "sidecar/sidecarstate.h"
 
 namespace Egretpath
@@ -50,7 +51,10 @@
     /// For how long this node has had no source that is known to read the store; zero if it has one.
     [[nodiscard]] Milliseconds searchingFor() const;
     /// Records the versions that @p peer reported in an answer.
-    void recordVersions(const Endpoint &peer, const CatalogVersions &versions);
+    void recordVersions(const Endpoint &peer, const CatalogVersions &versions)
+    {
+        newerPeers_.record(peer, versions, currentTime());
+    }
     /// Calls @p listener with the digest of refused requests in each answer of another node.
     void onQuarantineDigest(std::function<void(const Endpoint &, QuarantineDigest)> listener)
     {
@@ -72,15 +76,6 @@
     void onStoreOverdue() override;
 
 private:
-    /// A node that has newer versions than this one. `versions` are those that this node lacks longest, and `since` is
-    /// when it learned of them, from any node.
-    struct NewerPeer
-    {
-        Endpoint peer;
-        CatalogVersions versions;
-        TimePoint since;
-    };
-
     boost::asio::awaitable<void> runPeriodicChecks();
     /// Gets routes and list from a seed, or from the store if no seed has them; then follows other nodes.
     boost::asio::awaitable<void> bootstrapAndFollow();
@@ -101,7 +96,7 @@
     /// unavailable.
     boost::asio::awaitable<void> probeStore();
     boost::asio::awaitable<void> askPeers();
-    boost::asio::awaitable<void> catchUp();
+    boost::asio::awaitable<void> catchUp(Endpoint peer);
     /// Returns the answer with its ages counted up to its arrival.
     [[nodiscard]] boost::asio::awaitable<Result<Catalog>> ask(Endpoint peer, CatalogRequest request,
                                                               Milliseconds timeout);
@@ -131,6 +126,7 @@
     std::function<void()> onChanged_;
     std::function<void(const Endpoint &, QuarantineDigest)> quarantineListener_;
     CatalogContents contents_;
+    NewerPeers newerPeers_;
     CatalogPlan plan_;
     CatalogBootstrap bootstrap_;
     TimePoint startedAt_;
@@ -144,7 +140,6 @@
     bool isCutOff_ = false;
     /// Whether the store was last reported to the directory as lost.
     bool isStoreLost_ = false;
-    std::optional<NewerPeer> newerPeer_;
     /// Since when this node has had no source that is known to read the store; nothing while it has one.
     std::optional<TimePoint> searchingSince_;
     /// Whether the source that this node follows, or followed last, is late with an answer, and no other source has
