--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -33,7 +33,7 @@
 constexpr Milliseconds CrashRestartDelay{700};
 /// How long upstreams are cold after an evacuation.
 constexpr Milliseconds WarmUpTime{1500};
-constexpr Milliseconds StormInterval{300};
+constexpr Milliseconds StormInterval{150};
 constexpr unsigned ManyIdleRoutes = 300;
 constexpr unsigned UsualIdleRoutes = 8;
 constexpr double BurstRateFactor = 2.5;
