sidecar: routes no longer wait for a check that only concerns the list

What callers would see: routes .6 s late at a follower that is cut off from the store itself, with each answer that removes an upstream, and later with each answer while it counts as cut off. Cause: before an answer was applied, the node checked whether it can reach the store, so that it does not drop upstreams whose leases expire; the check takes up to .6 s where the store is silent, and the routes of the same answer waited for it. Class: one wait for two things of which only one needs it.

Change: routes and evacuated zones are taken first; while the node counts as cut off, the check runs beside the queries.

Evidence: sidecar 'a follower that is cut off from the store gets routes at once, also while upstreams leave the list', red before (404 twice). The nodes concerned are not in touch by the users' rules; their callers are served all the same.

--- a/src/sidecar/catalogcontents.cpp
+++ b/src/sidecar/catalogcontents.cpp
@@ -171,13 +171,19 @@
 }
 
 bool CatalogContents::applyFromPeer(const Endpoint &peer, const Catalog &catalog)
+{
+    const bool areOperatorUpdatesNew = applyOperatorUpdates(peer, catalog);
+    const bool isListNew = applyListFromPeer(peer, catalog);
+    return areOperatorUpdatesNew || isListNew;
+}
+
+bool CatalogContents::applyOperatorUpdates(const Endpoint &peer, const Catalog &catalog)
 {
     const RouteVersion routesBefore = versions().routes;
     // The evacuations come first, so that no routes are used without them.
     const bool areEvacuationsNew = catalog.evacuations && applyEvacuations(*catalog.evacuations, peer.value());
     applyRoutesFromPeer(peer, catalog);
-    const bool isListNew = applyListFromPeer(peer, catalog);
-    return areEvacuationsNew || isListNew || routesBefore < versions().routes;
+    return areEvacuationsNew || routesBefore < versions().routes;
 }
 
 void CatalogContents::applyEvacuationsFromStore(const EvacuationSnapshot &snapshot)
--- a/src/sidecar/catalogcontents.h
+++ b/src/sidecar/catalogcontents.h
@@ -31,7 +31,9 @@
     void applyChangesFromStore(const std::vector<InstanceChange> &changes, StoreRevision reached);
     void applyEvacuationsFromStore(const EvacuationSnapshot &snapshot);
     void applyEvacuationChangesFromStore(const std::vector<EvacuationChange> &changes, StoreRevision reached);
-    /// Applies the updates of @p catalog, an answer of @p peer. Returns whether anything was new.
+    /// Applies the routes and evacuations of @p catalog, an answer of @p peer. Returns whether anything was new.
+    bool applyOperatorUpdates(const Endpoint &peer, const Catalog &catalog);
+    /// Applies all updates of @p catalog, an answer of @p peer. Returns whether anything was new.
     bool applyFromPeer(const Endpoint &peer, const Catalog &catalog);
     /// Drops held records whose hold time is over.
     void expire();
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -370,8 +370,10 @@
         co_return currentTime() - askedAt >= times_.followPause;
     }
     isSourceOverdue_ = false;
-    co_await checkOwnStoreAccess(catalog.value());
     const CatalogVersions versionsBefore = contents_.versions();
+    // Only the list has to wait for the check.
+    (void)contents_.applyOperatorUpdates(query.node, catalog.value());
+    co_await checkOwnStoreAccess(catalog.value());
     handleAnswer(query.node, catalog.value());
     const bool hasChanged = versionsBefore != contents_.versions();
     const bool isSourceNew = before != plan_.following();
@@ -402,6 +404,7 @@
     const Result<Catalog> catalog =
         co_await ask(peer, makeRequest(Milliseconds{0}, StoreState::Available), times_.peerTimeout);
     if (catalog) {
+        (void)contents_.applyOperatorUpdates(peer, catalog.value());
         co_await checkOwnStoreAccess(catalog.value());
         (void)applyCatalog(peer, catalog.value());
     }
@@ -459,10 +462,25 @@
 {
     const bool othersReadStore = catalog.store != StoreState::Unavailable;
     const bool removesReady = !catalog.changes.empty() && contents_.removesReadyUpstreams(catalog);
-    if (!othersReadStore || isStoreLost_ != isCutOff_ || (!isCutOff_ && !removesReady)) {
+    if (!othersReadStore || isStoreLost_ != isCutOff_) {
+        co_return;
+    }
+    if (isCutOff_) {
+        if (!isCheckingAccess_) {
+            asio::co_spawn(executor_, updateCutOff(), asio::detached);
+        }
         co_return;
     }
+    if (removesReady) {
+        co_await updateCutOff();
+    }
+}
+
+asio::awaitable<void> CatalogController::updateCutOff()
+{
+    isCheckingAccess_ = true;
     const bool isReachable = co_await source_.isReachable();
+    isCheckingAccess_ = false;
     if (isReachable == !isCutOff_) {
         co_return;
     }
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -89,9 +89,10 @@
     /// Queries other nodes if the answer of @p source, which was to come by @p dueAt, is late, and takes their updates.
     void queryAlternatives(const Endpoint &source, TimePoint dueAt);
     boost::asio::awaitable<void> takeUpdatesFrom(Endpoint peer);
-    /// Called before @p catalog is applied. If the catalog removes upstreams that did not announce that they drain, or
-    /// if this node counts as cut off, checks whether this node can reach the store.
+    /// Called before the list of @p catalog is applied. If the catalog removes upstreams that did not announce that
+    /// they drain, checks whether this node can reach the store. If this node counts as cut off, does so beside it.
     boost::asio::awaitable<void> checkOwnStoreAccess(const Catalog &catalog);
+    boost::asio::awaitable<void> updateCutOff();
     /// Sends a single cheap call to the store. Called from time to time while other nodes report the store as
     /// unavailable.
     boost::asio::awaitable<void> probeStore();
@@ -138,6 +139,8 @@
     /// Whether this node can't reach the store although other nodes can. Upstreams whose leases expire meanwhile are
     /// probably alive and only cut off from the store, like this node.
     bool isCutOff_ = false;
+    /// Whether updateCutOff() is under way.
+    bool isCheckingAccess_ = false;
     /// Whether the store was last reported to the directory as lost.
     bool isStoreLost_ = false;
     /// Since when this node has had no source that is known to read the store; nothing while it has one.
--- a/tests/sidecar/catalogtest.cpp
+++ b/tests/sidecar/catalogtest.cpp
@@ -285,6 +285,41 @@
     });
 }
 
+// Guards against routes that wait for a check that only concerns the list: the check takes long at a node that is cut
+// off from the store, and each answer that removes an upstream, or comes while the node is cut off, brought one about.
+TEST_CASE("a follower that is cut off from the store gets routes at once, also while upstreams leave the list")
+{
+    constexpr Milliseconds CheckTime{600};
+    constexpr Milliseconds ActiveWithin{150};
+    SidecarFixture fixture;
+    std::vector<TestNode *> nodes;
+    for (const char *id : {"i-1", "i-2"}) {
+        nodes.push_back(&fixture.addNode(fixture.addUpstream(id), "statements"));
+    }
+    for (const char *id : {"i-3", "i-4"}) {
+        fixture.catalog.add(fixture.addUpstream(id), nodes[0]->peers, "ledger");
+    }
+    fixture.catalog.publishRoutes(10);
+    fixture.catalog.publishList();
+    fixture.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await fixture.waitUntil([&] { return fixture.catalog.readerCount() == 1; }));
+        const TestNode &follower = *nodes[fixture.catalog.isReading(0) ? 1 : 0];
+        co_await fixture.sleep(Milliseconds(200));
+        fixture.catalog.isCutOff = true;
+        fixture.catalog.checkTime = CheckTime;
+        std::uint64_t version = 20;
+        for (const char *id : {"i-3", "i-4"}) {
+            fixture.catalog.remove(id);
+            fixture.catalog.publishRoutes(version);
+            co_await fixture.sleep(ActiveWithin);
+            const std::string path = "/v" + std::to_string(version) + "/1";
+            checkStatus(co_await fixture.send(follower.callers, "GET", path, path), 200);
+            co_await fixture.sleep(CheckTime);
+            ++version;
+        }
+    });
+}
+
 // Guards against a starting fleet in which every node reads everything from the store. A node gets a list from its seed
 // that is still empty, and so takes itself for the only node of its region.
 TEST_CASE("a node that is not listed yet keeps following the seed that it started from")
--- a/tests/sidecar/fakecatalog.cpp
+++ b/tests/sidecar/fakecatalog.cpp
@@ -4,6 +4,10 @@
 #include <sstream>
 #include <utility>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "core/digest.h"
 #include "platform/publishedroutes.h"
 
@@ -59,6 +63,11 @@
 
     boost::asio::awaitable<bool> isReachable() override
     {
+        namespace asio = boost::asio;
+        if (catalog_.checkTime.count() > 0) {
+            asio::steady_timer timer(co_await asio::this_coro::executor, catalog_.checkTime);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
         co_return isReachable_ && !catalog_.isCutOff && !catalog_.isUnavailable_;
     }
 
--- a/tests/sidecar/fakecatalog.h
+++ b/tests/sidecar/fakecatalog.h
@@ -61,6 +61,8 @@
     void publishRoutesOnlyTo(std::size_t node, std::uint64_t version);
     /// Nodes that check whether the store is reachable find that it is not.
     bool isCutOff = false;
+    /// How long such a check takes.
+    Milliseconds checkTime{0};
     /// Nodes that are made from now on can't read the store.
     bool isUnreachable = false;
     /// The number of routes that nobody uses, published in addition to those of the tests.
