instances: a node that stopped reading the store no longer waits for its late answer

Found on reading the diff, not seen in a run: a node whose reading ended while an answer of the store was overdue would have refused unknown paths with a retry delay until its next call to the store. instances 'a node that no longer reads the store does not wait for its answer'. The conditions of a usable source have names now, and a doc comment stands at its method.

--- a/src/instances/catalogplan.cpp
+++ b/src/instances/catalogplan.cpp
@@ -48,6 +48,7 @@
 {
     ownStoreAvailableSince_.reset();
     ownReadsFailingSince_ = now;
+    isStoreOverdue_ = false;
     hasRead_ = false;
 }
 
@@ -87,12 +88,11 @@
 
 bool CatalogPlan::isUsable(const Endpoint &node, const SourceReport &report, TimePoint now) const
 {
-    const bool isValid = report.age < times_.maxReportAge && report.hops < MaxHops && !dependsOnThisNode(report);
+    const bool isAvailable = report.store != StoreState::Unavailable;
+    const bool isRecent = report.age < times_.maxReportAge && report.hops < MaxHops;
     // A source that has to search for a while keeps its followers, but gets no further ones.
-    if (report.isSearching && following_ != node) {
-        return false;
-    }
-    return report.store != StoreState::Unavailable && isValid && !dependsOnLostReader(report, now);
+    const bool hasReader = !report.isSearching || following_ == node;
+    return isAvailable && isRecent && hasReader && !dependsOnThisNode(report) && !dependsOnLostReader(report, now);
 }
 
 /// Guards against nodes that lost the same reader and follow each other: each reports what it last heard of the store,
--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -134,7 +134,10 @@
     /// record expired after this time.
     [[nodiscard]] TimePoint lastStoreAvailable() const { return lastStoreAvailable_; }
     /// Whether an answer of the store to this node is overdue, and it is not known yet whether the store is lost.
-    [[nodiscard]] bool isStoreOverdue() const { return isStoreOverdue_ && !ownReadsFailingSince_; }
+    [[nodiscard]] bool isStoreOverdue() const
+    {
+        return isStoreOverdue_ && !ownReadsFailingSince_ && reading() != StoreReading::None;
+    }
     /// When this node's own calls to the store began to fail; nothing while they succeed.
     [[nodiscard]] const std::optional<TimePoint> &ownReadsFailingSince() const { return ownReadsFailingSince_; }
 
--- a/tests/instances/catalogplantest.cpp
+++ b/tests/instances/catalogplantest.cpp
@@ -34,6 +34,14 @@
     return plan;
 }
 
+/// The plan of node @p node, which is listed in @p directory.
+CatalogPlan planOf(const InstanceDirectory &directory, int node)
+{
+    CatalogPlan plan(RegionName("north"), ReaderElectionSettings(), CatalogTimes(), Random(Seed));
+    plan.listChanged(directory, nodeAddress(node), true);
+    return plan;
+}
+
 bool answersNoNode(int /*node*/)
 {
     return false;
@@ -169,19 +177,14 @@
 TEST_CASE("a node does not follow one that gets its updates through it")
 {
     const InstanceDirectory directory = directoryOf(4, [](int /*node*/) { return RegionName("north"); });
-    const auto planOf = [&directory](int node) {
-        CatalogPlan plan(RegionName("north"), ReaderElectionSettings(), CatalogTimes(), Random(Seed));
-        plan.listChanged(directory, nodeAddress(node), true);
-        return plan;
-    };
     const auto reportOf = [](const CatalogPlan &plan, TimePoint now) {
         return SourceReport{plan.store(now, false),      plan.hops(),       plan.reader(), plan.via(), plan.age(now),
                             plan.storeAvailableFor(now), plan.isSearching()};
     };
     const TimePoint now = TimePoint() + std::chrono::seconds(10);
-    CatalogPlan follower = planOf(1);
-    CatalogPlan started = planOf(2);
-    CatalogPlan further = planOf(3);
+    CatalogPlan follower = planOf(directory, 1);
+    CatalogPlan started = planOf(directory, 2);
+    CatalogPlan further = planOf(directory, 3);
     SourceReport ofReader;
     ofReader.store = StoreState::Available;
     ofReader.reader = nodeAddress(0);
@@ -195,6 +198,24 @@
     }
 }
 
+// Guards against a node that doubts its routes for good, since it stopped to read the store while an answer was late.
+TEST_CASE("a node that no longer reads the store does not wait for its answer")
+{
+    const InstanceDirectory directory = directoryOf(2, [](int /*node*/) { return RegionName("north"); });
+    const int readerNumber = planOf(directory, 0).reading() == StoreReading::Reader ? 0 : 1;
+    const TimePoint now = TimePoint() + std::chrono::seconds(10);
+    CatalogPlan plan = planOf(directory, 1 - readerNumber);
+    plan.recordStoreRead(now);
+    plan.onStoreOverdue();
+    CHECK(plan.isStoreOverdue());
+    SourceReport report;
+    report.store = StoreState::Available;
+    report.reader = nodeAddress(readerNumber);
+    plan.onAnswer(nodeAddress(readerNumber), report, now);
+    REQUIRE(plan.reading() == StoreReading::None);
+    CHECK_FALSE(plan.isStoreOverdue());
+}
+
 // Guards against a node that waits indefinitely for an update: its source reported that the store is unavailable, and
 // then all other nodes stopped answering.
 TEST_CASE("the last living node reads the store itself after an outage")
