--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -159,7 +159,7 @@
         return;
     }
     if (cutOff_.contains(number)) {
-        failToReadStore(number, round);
+        waitForSilentStore(number, round);
         return;
     }
     if (isStoreAvailableTo_(number)) {
@@ -179,6 +179,12 @@
         time_.at(now() + pause, [this, number, round] { readStore(number, round); });
         return;
     }
+    recordFailedRead(number, round);
+}
+
+void CatalogFleet::recordFailedRead(int number, std::uint64_t round)
+{
+    Node &node = *nodes_[number];
     ++storeCalls_;
     if (!node.plan.ownReadsFailingSince()) {
         node.plan.onOwnReadsFailed(now());
@@ -187,7 +193,7 @@
     ++node.failures;
 }
 
-void CatalogFleet::failToReadStore(int number, std::uint64_t round)
+void CatalogFleet::waitForSilentStore(int number, std::uint64_t round)
 {
     std::uniform_real_distribution<double> share(0.0, 1.0);
     const Duration untilPing = std::chrono::duration_cast<Duration>(times_.storeCheckInterval * share(random_));
@@ -197,16 +203,9 @@
         }
     });
     time_.at(now() + untilPing + PingTimeout, [this, number, round] {
-        Node &node = *nodes_[number];
-        if (dead_.contains(number) || round != node.readingRound) {
-            return;
-        }
-        ++storeCalls_;
-        if (!node.plan.ownReadsFailingSince()) {
-            node.plan.onOwnReadsFailed(now());
+        if (!dead_.contains(number) && round == nodes_[number]->readingRound) {
+            recordFailedRead(number, round);
         }
-        time_.at(now() + retryDelayOf(node), [this, number, round] { readStore(number, round); });
-        ++node.failures;
     });
 }
 
--- a/tests/instances/catalogfleet.h
+++ b/tests/instances/catalogfleet.h
@@ -78,8 +78,9 @@
     void answerWhenUpdated(int asker, int source, SourceQuery query, std::uint64_t askerRevision, TimePoint end);
     void applyReading(int number);
     void readStore(int number, std::uint64_t round);
-    /// The store is silent to the node: a ping fails after a while, and so do further calls.
-    void failToReadStore(int number, std::uint64_t round);
+    /// The store is silent to the node: its answer is overdue after a while, and then a ping fails.
+    void waitForSilentStore(int number, std::uint64_t round);
+    void recordFailedRead(int number, std::uint64_t round);
     /// Queries other nodes if the answer is still due.
     void queryAlternatives(int asker, const Endpoint &overdue, std::uint64_t queryNumber);
     void noteUnanswered(int asker, const SourceQuery &query, TimePoint at);
