--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -52,7 +52,7 @@
     /// @p mayLackRoutes tells whether other nodes may have routes that this node lacks. While it returns true, a
     /// request that no route takes is refused as not run, with a retry delay, since a caller takes "not found" as
     /// final.
-    void setRouteDoubt(std::function<bool()> mayLackRoutes) { context_->mayLackRoutes = std::move(mayLackRoutes); }
+    void setMayLackRoutes(std::function<bool()> mayLackRoutes) { context_->mayLackRoutes = std::move(mayLackRoutes); }
     /// Calls @p listener when a request is refused because no routes are active yet.
     void onNoRoutes(std::function<void()> listener) { context_->noRoutesListener = std::move(listener); }
     /// Announces that the process ends at @p end at the latest. From now on, requests that may take longer are refused.
--- a/src/instances/catalogplan.cpp
+++ b/src/instances/catalogplan.cpp
@@ -172,7 +172,8 @@
 {
     election_.recordFailure(node, now);
     if (following_ == node) {
-        // A node on the way to the reader has failed before its answer was due. The reader itself may still be alive.
+        // If @p node is between this node and the reader, only reports from before its answer was due are in question:
+        // the reader itself may still be alive.
         recordLostReader(report_.reader == node ? now : now - times_.followMargin);
         following_.reset();
         isSearchExhausted_ = false;
--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -93,7 +93,7 @@
 
     /// The next query to send, or nothing if no node is to be queried now. Precondition: listChanged() was called.
     [[nodiscard]] std::optional<SourceQuery> nextQuery(TimePoint now);
-    /// The nodes to query for updates while the answer of @p overdue is late. They are not followed for their answers.
+    /// The nodes to query for updates while the answer of @p overdue is late. This node does not follow them.
     [[nodiscard]] std::vector<Endpoint> alternatives(const Endpoint &overdue, TimePoint now) const
     {
         return election_.alternatives(overdue, now);
--- a/src/instances/catalogtimes.cpp
+++ b/src/instances/catalogtimes.cpp
@@ -9,8 +9,8 @@
 {
     // Changes gather while a table is read, so that the longer of the two counts.
     const Milliseconds readAndGather = std::max(times.gatherTime, path.read);
-    const Milliseconds silentSource = times.followWait + times.answerDoubtTime;
-    const Milliseconds silentStore = times.storeCheckInterval + times.storeDoubtTime;
+    const Milliseconds silentSource = times.followWait + times.answerOverdueTime;
+    const Milliseconds silentStore = times.storeCheckInterval + times.storeOverdueTime;
     // The node that is queried instead adds a step.
     const Milliseconds steps = path.step * (path.steps + 1);
     return readAndGather + std::max(silentSource, silentStore) + steps;
--- a/src/instances/catalogtimes.h
+++ b/src/instances/catalogtimes.h
@@ -16,18 +16,18 @@
     Milliseconds checkInterval{300};
     /// Interval between checks by a reader whether the store still answers it. A check costs a tenth of a call.
     Milliseconds storeCheckInterval{250};
-    /// A store that has not answered a check for this long is in doubt: many times a usual answer, and shorter than the
-    /// time after which it counts as lost, since it costs only a query to another node.
-    Milliseconds storeDoubtTime{200};
+    /// The answer to a check is overdue after this time: many times what an answer usually takes, and shorter than the
+    /// time after which the store counts as lost, since an overdue answer only causes a query to another node.
+    Milliseconds storeOverdueTime{200};
     /// The store must be unreachable for this long before it counts as lost. Most losses are one refused call.
     Milliseconds storeLossTolerance{250};
     /// Timeout of a query that is answered at once.
     Milliseconds peerTimeout{600};
     /// A source without updates answers after this time at the latest, so that a frozen source is noticed.
     Milliseconds followWait{600};
-    /// An answer that comes this much later than it was due is overdue. Longer than a round trip between regions, and
-    /// shorter than followMargin, since a query beside the late one costs little.
-    Milliseconds answerDoubtTime{100};
+    /// A source's answer is overdue this long after followWait: longer than a round trip between regions, and shorter
+    /// than followMargin, since an overdue answer only causes queries to other nodes.
+    Milliseconds answerOverdueTime{100};
     /// Added to followWait for the round trip with one lost packet.
     Milliseconds followMargin{400};
     /// The store counts as available for this long after its reader last read it. Each step from the reader to a node
--- a/src/instances/readerelection.h
+++ b/src/instances/readerelection.h
@@ -54,8 +54,8 @@
     /// The node to query when none of the sources can read the store: a standby, another reader of this region or a
     /// reader of another region.
     [[nodiscard]] std::optional<Endpoint> substitute(TimePoint now) const { return firstEligible(substitutes_, now); }
-    /// The nodes to query while the answer of @p overdue is late: the next source, which other nodes may have missed an
-    /// update with, and a reader of another region, which has not. Fewer if there are none.
+    /// The nodes to query while the answer of @p overdue is late: the next source, and a reader of another region. The
+    /// next source may depend on the same silent node; the reader does not. Fewer if there are none.
     [[nodiscard]] std::vector<Endpoint> alternatives(const Endpoint &overdue, TimePoint now) const;
     /// @p node did not answer, or has no usable data from the store.
     void recordFailure(const Endpoint &node, TimePoint now);
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -352,7 +352,7 @@
 {
     const std::optional<Endpoint> before = plan_.following();
     const TimePoint askedAt = currentTime();
-    const TimePoint dueAt = askedAt + query.wait + times_.answerDoubtTime;
+    const TimePoint dueAt = askedAt + query.wait + times_.answerOverdueTime;
     asio::steady_timer overdueTimer(executor_, dueAt);
     overdueTimer.async_wait([this, source = query.node, dueAt](const boost::system::error_code &error) {
         if (!error) {
@@ -388,7 +388,7 @@
 {
     const TimePoint now = currentTime();
     // If this process did not run for a while, the answer may have arrived and only not been read yet.
-    const bool hasStalled = now - dueAt > times_.answerDoubtTime;
+    const bool hasStalled = now - dueAt > times_.answerOverdueTime;
     if (hasStalled || peerClient_.isReceivingLargeMessage(source, times_.followMargin)) {
         return;
     }
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -88,10 +88,12 @@
     boost::asio::awaitable<bool> querySource(SourceQuery query);
     /// Queries other nodes if the answer of @p source, which was to come by @p dueAt, is late, and takes their updates.
     void queryAlternatives(const Endpoint &source, TimePoint dueAt);
+    /// Queries @p peer and takes its updates without following it.
     boost::asio::awaitable<void> takeUpdatesFrom(Endpoint peer);
     /// Called before the list of @p catalog is applied. If the catalog removes upstreams that did not announce that
     /// they drain, checks whether this node can reach the store. If this node counts as cut off, does so beside it.
     boost::asio::awaitable<void> checkOwnStoreAccess(const Catalog &catalog);
+    /// Checks whether this node can reach the store, and records whether it is cut off.
     boost::asio::awaitable<void> updateCutOff();
     /// Sends a single cheap call to the store. Called from time to time while other nodes report the store as
     /// unavailable.
@@ -148,7 +150,7 @@
     /// Whether the source that this node follows, or followed last, is late with an answer, and no other source has
     /// answered since.
     bool isSourceOverdue_ = false;
-    /// The pause between queries; cancelled when the store is in doubt, so that other nodes are queried at once.
+    /// The pause between queries; cancelled when the store is overdue, so that other nodes are queried at once.
     boost::asio::steady_timer queryPause_;
     /// Wakes the requests that wait for an update. Never expires; cancelled when the routes, the list or the store's
     /// state change.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -127,7 +127,7 @@
         egress_.onUpstreamExit([this](UpstreamCrashId crash, const std::vector<HeldRequest> &held) {
             quarantine_.upstreamExited(crash, held);
         });
-        ingress_.setRouteDoubt([this] { return catalog_.mayLackRoutes(); });
+        ingress_.setMayLackRoutes([this] { return catalog_.mayLackRoutes(); });
         ingress_.onNoRoutes([this] { catalog_.recordWaitingCaller(); });
     }
 
--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -249,7 +249,7 @@
     cut.partitioned = true;
     fixture.relay.setConditions(cut);
     CHECK(fixture.runUntil([&] { return fixture.sink.overdueAnswers == 1; },
-                           times.storeCheckInterval + times.storeDoubtTime + Slack));
+                           times.storeCheckInterval + times.storeOverdueTime + Slack));
     CHECK_FALSE(fixture.sink.isLost);
     CHECK(fixture.runUntil([&] { return fixture.sink.isLost; }));
 }
--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -69,7 +69,7 @@
 {
     const int source = numbers_.at(query.node);
     const std::uint64_t queryNumber = nodes_[asker]->endedQueries;
-    time_.at(now() + query.wait + times_.answerDoubtTime,
+    time_.at(now() + query.wait + times_.answerOverdueTime,
              [this, asker, overdue = query.node, queryNumber] { queryAlternatives(asker, overdue, queryNumber); });
     if (dead_.contains(source)) {
         noteUnanswered(asker, query, now() + query.wait + times_.followMargin);
@@ -197,7 +197,7 @@
 {
     std::uniform_real_distribution<double> share(0.0, 1.0);
     const Duration untilPing = std::chrono::duration_cast<Duration>(times_.storeCheckInterval * share(random_));
-    time_.at(now() + untilPing + times_.storeDoubtTime, [this, number, round] {
+    time_.at(now() + untilPing + times_.storeOverdueTime, [this, number, round] {
         if (round == nodes_[number]->readingRound) {
             nodes_[number]->plan.onStoreOverdue();
         }
--- a/tests/instances/catalogplantest.cpp
+++ b/tests/instances/catalogplantest.cpp
@@ -198,7 +198,8 @@
     }
 }
 
-// Guards against a node that doubts its routes for good, since it stopped to read the store while an answer was late.
+// Guards against a node that refuses unknown paths with a retry delay for good, since it stopped reading the store
+// while an answer was overdue.
 TEST_CASE("a node that no longer reads the store does not wait for its answer")
 {
     const InstanceDirectory directory = directoryOf(2, [](int /*node*/) { return RegionName("north"); });
--- a/tests/instances/propagationtest.cpp
+++ b/tests/instances/propagationtest.cpp
@@ -18,8 +18,7 @@
 constexpr std::chrono::seconds SettleTime{3};
 constexpr std::chrono::seconds SeriesLength{6};
 constexpr Milliseconds ChangeInterval{150};
-/// A change is to be active at every node within this time while nothing fails, while one thing fails, and while two
-/// things fail. It is half of the users' bound for the latter.
+/// A change has to reach every node within these times. The users' bound is two seconds; with one fault half of it.
 constexpr Milliseconds BoundWithoutFault{500};
 constexpr Milliseconds BoundWithFault{1000};
 constexpr Milliseconds BoundWithTwoFaults{1500};
--- a/tests/sidecar/catalogtest.cpp
+++ b/tests/sidecar/catalogtest.cpp
@@ -166,7 +166,7 @@
         TestNode &node = reader == 0 ? deployment.first : deployment.second;
         checkStatus(co_await deployment.send(node.callers, "GET", "/v20/1", "before"), 404);
         deployment.catalog.reportOverdue(reader);
-        const Reply reply = co_await deployment.send(node.callers, "GET", "/v20/1", "in-doubt");
+        const Reply reply = co_await deployment.send(node.callers, "GET", "/v20/1", "overdue");
         checkStatus(reply, 503);
         CHECK(reply.headers.find("Retry-After"));
         deployment.catalog.reportAnswered(reader);
@@ -201,7 +201,7 @@
         cut.partitioned = true;
         links[reader]->setConditions(cut);
         fixture.catalog.publishRoutes(20);
-        co_await fixture.sleep(times.followWait + times.answerDoubtTime + Milliseconds(150));
+        co_await fixture.sleep(times.followWait + times.answerOverdueTime + Milliseconds(150));
         checkStatus(co_await fixture.send(follower.callers, "GET", "/v20/1", "suspended"), 200);
     });
 }
