--- a/tests/soak/nodeprocess.cpp
+++ b/tests/soak/nodeprocess.cpp
@@ -2,8 +2,14 @@
 
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <cstring>
+#include <ctime>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -12,6 +18,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "core/currenttime.h"
+
 namespace Egretpath
 {
 
@@ -21,6 +29,23 @@
 constexpr mode_t LogMode = 0644;
 constexpr int ExitNotStarted = 127;
 
+/// The time of day as the node writes it, with microseconds.
+std::string timeOfDay()
+{
+    using std::chrono::microseconds;
+    constexpr microseconds::rep MicrosecondsPerSecond = 1'000'000;
+    constexpr int FractionDigits = 6;
+    const auto sinceEpoch =
+        std::chrono::duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    const std::time_t seconds = sinceEpoch / MicrosecondsPerSecond;
+    std::tm fields{};
+    gmtime_r(&seconds, &fields);
+    std::ostringstream text;
+    text << std::put_time(&fields, "%Y-%m-%dT%H:%M:%S.") << std::setw(FractionDigits) << std::setfill('0')
+         << sinceEpoch % MicrosecondsPerSecond << 'Z';
+    return std::move(text).str();
+}
+
 /// Runs in the child process and replaces it by the program. May use only calls that are safe after fork().
 [[noreturn]] void executeProgram(const char *log, const std::array<char *, 4> &arguments)
 {
@@ -60,6 +85,7 @@
     std::string settings = settings_.string();
     const std::string log = log_.string();
     const std::array<char *, 4> arguments{program.data(), option.data(), settings.data(), nullptr};
+    startedAt_ = currentTime();
     process_ = fork();
     if (process_ == 0) {
         executeProgram(log.c_str(), arguments);
@@ -69,12 +95,33 @@
         throw std::runtime_error(program + ": " + std::strerror(errno));
     }
     ++startCount_;
+    writeLogLine("process-start process=" + std::to_string(process_));
 }
 
 void NodeProcess::signal(int number)
 {
-    if (isRunning()) {
-        kill(process_, number);
+    if (!isRunning()) {
+        writeLogLine("signal number=" + std::to_string(number) + " sent=no why=\"the process does not run\"");
+        return;
+    }
+    const auto age = std::chrono::duration_cast<std::chrono::microseconds>(currentTime() - startedAt_);
+    kill(process_, number);
+    writeLogLine("signal number=" + std::to_string(number) + " sent=yes process=" + std::to_string(process_)
+                 + " since_start_us=" + std::to_string(age.count()));
+}
+
+void NodeProcess::recordExit(std::string_view reason)
+{
+    writeLogLine("process-exit process=" + std::to_string(process_) + " reason=\"" + std::string(reason) + '"');
+    process_ = 0;
+}
+
+void NodeProcess::writeLogLine(const std::string &event) const
+{
+    std::ofstream log(log_, std::ios::app);
+    log << timeOfDay() << " SOAK event=" << event << '\n';
+    if (!log.flush()) {
+        std::cerr << log_.string() << ": can't be written\n";
     }
 }
 
--- a/tests/soak/soakdeployment.cpp
+++ b/tests/soak/soakdeployment.cpp
@@ -240,7 +240,7 @@
 
 void SoakDeployment::onProcessExit(Member &member, const ProcessExit &childExit)
 {
-    member.process->recordExit();
+    member.process->recordExit(childExit.reason);
     const bool wasExpected = std::exchange(member.isExitExpected, false);
     // A process that was asked to stop exits with code 0; a process that was killed exits by SIGKILL.
     const bool exitedAsRequested = childExit.isClean || childExit.reason == KilledBySoakReason;
