daemons: a node blocks the signals that it handles before its libraries are loaded

Cause: until the handlers are installed the system's default action holds, and the program loaded 20 shared libraries before its first line. A signal that a parent had blocked before exec was never taken either.

The program is now linked to the C library only, blocks SIGHUP, SIGTERM and SIGINT, and loads the node as a module from its own folder; the node unblocks them when the handlers stand. A signal in that time waits.

Ruled out by these: handlers ahead of the libraries' initialization alone (mapping and relocating is the time), and fewer or static libraries (log4cxx has no archive in Debian; C++'s own part stays).

--- a/src/daemons/egretpath-sidecar.cpp
+++ b/src/daemons/egretpath-sidecar.cpp
@@ -1,11 +1,27 @@
-#include <CLI/CLI.hpp>
+#include <cstdio>
 
-#include "daemons/sidecarprogram.h"
+#include <dlfcn.h>
 
+#include "daemons/handledsignals.h"
+#include "daemons/sidecarmodule.h"
+
+namespace
+{
+
+constexpr int ExitCannotStart = 1;
+
+}
+
+/// The node's program. It is linked to the C library only, so that it blocks the signals that a node handles within
+/// half a millisecond. The node itself and its libraries are a module that takes several milliseconds to load.
 int main(int argc, char **argv)
 {
-    CLI::App app{
-        "The egretpath node beside an upstream: accepts requests from its VM, chooses an upstream for each, and "
-        "admits requests to its own upstream."};
-    return Egretpath::runSidecarProgram(app, argc, argv, Egretpath::DecisionSettings());
+    Egretpath::blockHandledSignals();
+    void *module = dlopen(Egretpath::SidecarModule, RTLD_NOW);
+    void *entry = module == nullptr ? nullptr : dlsym(module, Egretpath::SidecarModuleEntry);
+    if (entry == nullptr) {
+        std::fprintf(stderr, "egretpath-sidecar: cannot load its module: %s\n", dlerror());
+        return ExitCannotStart;
+    }
+    return reinterpret_cast<Egretpath::SidecarModuleMain *>(entry)(argc, argv);
 }
--- a/src/daemons/sidecarprogram.cpp
+++ b/src/daemons/sidecarprogram.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "core/systemseed.h"
+#include "daemons/handledsignals.h"
 #include "platform/platformdialect.h"
 #include "platform/storewatcher.h"
 #include "rpc/asioeventport.h"
@@ -93,6 +94,7 @@
     // is still starting.
     boost::asio::signal_set stopSignals(loop.context(), SIGTERM, SIGINT);
     boost::asio::signal_set reloadSignal(loop.context(), SIGHUP);
+    unblockHandledSignals();
     const auto settings = readSidecarSettingsFile(file);
     if (!settings) {
         return reportProblems(settings.error());
@@ -111,6 +113,7 @@
 
 int checkSettings(const std::string &file)
 {
+    unblockHandledSignals();
     const auto settings = readSidecarSettingsFile(file);
     return settings ? EXIT_SUCCESS : reportProblems(settings.error());
 }
