daemons: signals at the end of a planned stop no longer end the node

Cause: the signal sets are destroyed before the process has ended, which brings the system's default action back while the event loop, the logger and static objects are destroyed.

The handled signals are blocked again before the handlers go.

--- a/src/daemons/sidecarprogram.cpp
+++ b/src/daemons/sidecarprogram.cpp
@@ -87,6 +87,17 @@
     }
 }
 
+/// Delivers the handled signals while it exists. The handlers must stand for longer: at its end the signals are blocked
+/// again, since the system's default action would else end a process that has stopped as planned.
+class SignalDelivery
+{
+public:
+    SignalDelivery() { unblockHandledSignals(); }
+    ~SignalDelivery() { blockHandledSignals(); }
+    SignalDelivery(const SignalDelivery &) = delete;
+    SignalDelivery &operator=(const SignalDelivery &) = delete;
+};
+
 int runSidecar(const std::string &file, const DecisionSettings &decisions)
 {
     AsioEventPort loop;
@@ -94,7 +105,7 @@
     // is still starting.
     boost::asio::signal_set stopSignals(loop.context(), SIGTERM, SIGINT);
     boost::asio::signal_set reloadSignal(loop.context(), SIGHUP);
-    unblockHandledSignals();
+    const SignalDelivery delivery;
     const auto settings = readSidecarSettingsFile(file);
     if (!settings) {
         return reportProblems(settings.error());
