daemons: a changed settings file is taken without a signal

What operators saw: settings that the platform changed without a signal, or with one that came before the file was written, never came into force (the protocol allows both). Half a file that is valid by itself was taken with defaults in place of what was missing.

SettingsReloader reads the file each second and at once on SIGHUP, which is a hint now; SettingsFileState takes content that two reads .1 s apart agree on, and reports a problem once. A path that is a pipe is read on SIGHUP only, as before, since a second read of it would wait for ever.

Red before: both new cases of soak-test on the module before this change ("settings that change without a signal ...": not taken within 10 s).

--- a/src/daemons/sidecarprogram.cpp
+++ b/src/daemons/sidecarprogram.cpp
@@ -13,10 +13,12 @@
 
 #include "core/systemseed.h"
 #include "daemons/handledsignals.h"
+#include "daemons/settingsreloader.h"
 #include "platform/platformdialect.h"
 #include "platform/storewatcher.h"
 #include "rpc/asioeventport.h"
 #include "settings/endpointtext.h"
+#include "settings/settingsfile.h"
 #include "settings/sidecarsettings.h"
 #include "sidecar/sidecar.h"
 
@@ -51,16 +53,6 @@
     return ExitBadUsage;
 }
 
-void reload(Sidecar &sidecar, const std::string &file)
-{
-    const auto settings = readSidecarSettingsFile(file);
-    if (settings) {
-        sidecar.reload(settings.value());
-    } else {
-        sidecar.recordRefusedReload(settings.error());
-    }
-}
-
 /// Calls @p action each time one of @p signals arrives.
 void onSignal(boost::asio::signal_set &signals, const std::function<void()> &action)
 {
@@ -106,7 +98,11 @@
     boost::asio::signal_set stopSignals(loop.context(), SIGTERM, SIGINT);
     boost::asio::signal_set reloadSignal(loop.context(), SIGHUP);
     const SignalDelivery delivery;
-    const auto settings = readSidecarSettingsFile(file);
+    const auto text = readSettingsFile(file);
+    if (!text) {
+        return reportProblems(text.error());
+    }
+    const auto settings = readSidecarSettings(text.value(), file);
     if (!settings) {
         return reportProblems(settings.error());
     }
@@ -117,7 +113,9 @@
         return ExitCannotStart;
     }
     onSignal(stopSignals, [&sidecar] { sidecar.stop(); });
-    onSignal(reloadSignal, [&sidecar, file] { reload(sidecar, file); });
+    SettingsReloader reloader(loop.context(), sidecar, file, text.value());
+    reloader.start();
+    onSignal(reloadSignal, [&reloader] { reloader.requestReload(); });
     runLoop(loop.context(), sidecar);
     return EXIT_SUCCESS;
 }
--- a/tests/soak/nodesignalstest.cpp
+++ b/tests/soak/nodesignalstest.cpp
@@ -195,6 +195,31 @@
     CHECK(node.waitForExit() == "exit code 0");
 }
 
+// The platform may change the file without any signal, and a signal may come before the file is written.
+TEST_CASE("settings that change without a signal are taken")
+{
+    LoneNode node;
+    node.process().start();
+    REQUIRE(waitUntil([&node] { return node.hasLogged("start"); }));
+    std::ofstream(node.settings(), std::ios::app) << "[repeats]\nratio = 0.3\n";
+    CHECK(waitUntil([&node] { return node.hasLogged("reload"); }));
+    CHECK(node.stop() == "exit code 0");
+}
+
+// A problem of the file must not end the node, and the file may be mended without a signal.
+TEST_CASE("settings that can't be used are refused until they are mended")
+{
+    LoneNode node;
+    node.process().start();
+    REQUIRE(waitUntil([&node] { return node.hasLogged("start"); }));
+    std::ofstream(node.settings()) << "[node";
+    CHECK(waitUntil([&node] { return node.hasLogged("reload-refused"); }));
+    CHECK_FALSE(node.hasLogged("reload"));
+    std::ofstream(node.settings()) << Settings;
+    CHECK(waitUntil([&node] { return node.hasLogged("reload"); }));
+    CHECK(node.stop() == "exit code 0");
+}
+
 // A service manager closes the time before the program's first line by blocking the signal; the node has to unblock it.
 TEST_CASE("a reload signal that the parent of a node has blocked before exec is taken")
 {
