daemons: a node starts although its settings file is placed or completed a moment later

What operators saw: a node whose settings were gone or half written at its start ended with exit code 2, though the file was complete a moment later: the platform places it anew at each start, and a start can race with that. The node reads a file that can't be used again for .5 s; what is wrong is then reported as before.

--- a/src/daemons/settingsreloader.cpp
+++ b/src/daemons/settingsreloader.cpp
@@ -1,6 +1,5 @@
 #include "daemons/settingsreloader.h"
 
-#include <filesystem>
 #include <utility>
 
 #include "settings/settingsfile.h"
@@ -15,14 +14,6 @@
 /// Time between two reads of a file that has changed. Writing it takes less.
 constexpr Milliseconds ConfirmationDelay{100};
 
-/// Whether each read of the file returns all of it. A missing file counts, as it may be replaced at this moment.
-bool isReadableAgain(const std::string &file)
-{
-    std::error_code error;
-    const std::filesystem::file_status status = std::filesystem::status(file, error);
-    return !std::filesystem::exists(status) || std::filesystem::is_regular_file(status);
-}
-
 }
 
 SettingsReloader::SettingsReloader(boost::asio::io_context &context, Sidecar &sidecar, std::string file,
@@ -42,7 +33,7 @@
 
 void SettingsReloader::requestReload()
 {
-    if (!isReadableAgain(file_)) {
+    if (!canBeReadAgain(file_)) {
         take(readSettingsFile(file_));
         return;
     }
@@ -62,7 +53,7 @@
 
 void SettingsReloader::check()
 {
-    if (!isReadableAgain(file_)) {
+    if (!canBeReadAgain(file_)) {
         checkAfter(CheckInterval);
         return;
     }
--- a/src/daemons/sidecarprogram.cpp
+++ b/src/daemons/sidecarprogram.cpp
@@ -7,10 +7,13 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <thread>
+#include <utility>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "core/currenttime.h"
 #include "core/systemseed.h"
 #include "daemons/handledsignals.h"
 #include "daemons/settingsreloader.h"
@@ -47,6 +50,41 @@
     return platform;
 }
 
+/// The settings with which a node starts, and the text of the file that holds them.
+struct StartSettings
+{
+    std::string text;
+    SidecarSettings settings;
+};
+
+SettingsResult<StartSettings> readOnce(const std::string &file)
+{
+    auto text = readSettingsFile(file);
+    if (!text) {
+        return text.error();
+    }
+    auto settings = readSidecarSettings(text.value(), file);
+    if (!settings) {
+        return settings.error();
+    }
+    return StartSettings{std::move(text.value()), std::move(settings.value())};
+}
+
+/// Reads the settings file. One that can't be used is read again for a while: it may be written at this moment, since
+/// the platform places it anew at each start.
+SettingsResult<StartSettings> readStartSettings(const std::string &file)
+{
+    constexpr Milliseconds Patience{500};
+    constexpr Milliseconds RetryInterval{50};
+    const TimePoint limit = currentTime() + Patience;
+    auto read = readOnce(file);
+    while (!read && canBeReadAgain(file) && currentTime() < limit) {
+        std::this_thread::sleep_for(RetryInterval);
+        read = readOnce(file);
+    }
+    return read;
+}
+
 int reportProblems(const SettingsProblems &problems)
 {
     std::cerr << toString(problems) << '\n';
@@ -98,22 +136,18 @@
     boost::asio::signal_set stopSignals(loop.context(), SIGTERM, SIGINT);
     boost::asio::signal_set reloadSignal(loop.context(), SIGHUP);
     const SignalDelivery delivery;
-    const auto text = readSettingsFile(file);
-    if (!text) {
-        return reportProblems(text.error());
-    }
-    const auto settings = readSidecarSettings(text.value(), file);
-    if (!settings) {
-        return reportProblems(settings.error());
+    const auto read = readStartSettings(file);
+    if (!read) {
+        return reportProblems(read.error());
     }
-    Sidecar sidecar(loop.context(), settings.value(), makePlatform(loop.context(), settings.value(), decisions.catalog),
-                    decisions);
+    const SidecarSettings &settings = read.value().settings;
+    Sidecar sidecar(loop.context(), settings, makePlatform(loop.context(), settings, decisions.catalog), decisions);
     if (const auto started = sidecar.start(); !started) {
         std::cerr << "egretpath-sidecar: cannot listen: " << started.error().detail << '\n';
         return ExitCannotStart;
     }
     onSignal(stopSignals, [&sidecar] { sidecar.stop(); });
-    SettingsReloader reloader(loop.context(), sidecar, file, text.value());
+    SettingsReloader reloader(loop.context(), sidecar, file, read.value().text);
     reloader.start();
     onSignal(reloadSignal, [&reloader] { reloader.requestReload(); });
     runLoop(loop.context(), sidecar);
--- a/src/settings/settingsfile.cpp
+++ b/src/settings/settingsfile.cpp
@@ -1,5 +1,6 @@
 #include "settings/settingsfile.h"
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <utility>
@@ -20,6 +21,13 @@
     return std::move(text).str();
 }
 
+bool canBeReadAgain(const std::string &path)
+{
+    std::error_code error;
+    const std::filesystem::file_status status = std::filesystem::status(path, error);
+    return !std::filesystem::exists(status) || std::filesystem::is_regular_file(status);
+}
+
 std::string formatValue(const toml::node &node)
 {
     if (const auto text = node.value_exact<std::string>()) {
--- a/src/settings/settingsfile.h
+++ b/src/settings/settingsfile.h
@@ -13,6 +13,10 @@
 /// Thread safety: safe.
 [[nodiscard]] SettingsResult<std::string> readSettingsFile(const std::string &path);
 
+/// Whether each read of the file at @p path returns all of it, unlike that of a pipe. True for a missing file, as it
+/// may be about to be replaced. Thread safety: safe. Errors: none.
+[[nodiscard]] bool canBeReadAgain(const std::string &path);
+
 /// Formats a value for a problem: text without quotes, all other types as TOML. Thread safety: safe. Errors: none.
 [[nodiscard]] std::string formatValue(const toml::node &node);
 
