--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -28,6 +28,13 @@
     return R"({"version":")" + version + R"(","listeners":[],"clusters":[]})";
 }
 
+std::string routesText(int version)
+{
+    std::ostringstream text;
+    text << std::hex << version;
+    return routesText(text.str());
+}
+
 /// A text of the size of some 1,400 routes.
 std::string largeRoutesText(int version)
 {
@@ -392,3 +399,50 @@
     CHECK(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(0x10); }));
     CHECK(fixture.sink.losses == 0);
 }
+
+// Guards against a reader that takes a store whose watches bring nothing for one without changes.
+TEST_CASE("a watcher in a series of changes soon reads those that its watch does not bring")
+{
+    constexpr Milliseconds ChangeInterval{100};
+    constexpr Milliseconds MaxDelay{800};
+    constexpr int FirstVersion = 0x10;
+    constexpr int LastVersion = FirstVersion + 12;
+    Fixture fixture;
+    for (int version = FirstVersion; version <= LastVersion; ++version) {
+        fixture.store.put("op/config", routesText(version));
+        if (version == FirstVersion) {
+            fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+        }
+        fixture.context.run_for(ChangeInterval);
+    }
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(LastVersion); }));
+    fixture.store.setWatchesSilent(true);
+    for (int version = LastVersion + 1; version <= LastVersion + 2; ++version) {
+        fixture.store.put("op/config", routesText(version));
+        CHECK(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(version); }, MaxDelay));
+    }
+    CHECK(fixture.sink.losses == 0);
+    fixture.store.setWatchesSilent(false);
+    fixture.store.put("op/config", routesText(LastVersion + 3));
+    CHECK(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(LastVersion + 3); }));
+}
+
+// Each call costs: a store that is read beside a quiet watch again and again would cost more than the watch saves.
+TEST_CASE("after a series of changes a watcher makes few calls until the next change")
+{
+    constexpr Milliseconds ChangeInterval{100};
+    constexpr Milliseconds QuietTime{3000};
+    constexpr int Versions = 12;
+    Fixture fixture;
+    for (int version = 1; version <= Versions; ++version) {
+        fixture.store.put("op/config", routesText(version));
+        if (version == 1) {
+            fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+        }
+        fixture.context.run_for(ChangeInterval);
+    }
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(Versions); }));
+    const int calls = fixture.sink.callsByName["read"] + fixture.sink.callsByName["watch"];
+    fixture.context.run_for(QuietTime);
+    CHECK(fixture.sink.callsByName["read"] + fixture.sink.callsByName["watch"] - calls <= 3);
+}
--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -171,9 +171,9 @@
             storeCalls_ += 4;
         }
         Milliseconds pause = WatchInterval;
-        if (node.revision < published_) {
+        if (node.revision < watchedRevision()) {
             ++storeCalls_;
-            advance(number, published_);
+            advance(number, watchedRevision());
             pause = times_.gatherTime;
         }
         time_.at(now() + pause, [this, number, round] { readStore(number, round); });
@@ -209,6 +209,12 @@
     });
 }
 
+void CatalogFleet::silenceWatches(Milliseconds length)
+{
+    heldRevision_ = published_;
+    time_.at(now() + length, [this] { heldRevision_.reset(); });
+}
+
 void CatalogFleet::publish()
 {
     ++published_;
--- a/tests/instances/catalogfleet.h
+++ b/tests/instances/catalogfleet.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -33,6 +34,8 @@
     void kill(int node) { dead_.insert(node); }
     /// From now on the store does not answer the node's calls, without an error.
     void cutFromStore(int node) { cutOff_.insert(node); }
+    /// For @p length the store's watches bring no changes, though it answers all other calls.
+    void silenceWatches(Milliseconds length);
     /// Adds a change to the store.
     void publish();
     /// Adds a change every @p interval until @p end.
@@ -85,6 +88,8 @@
     void queryAlternatives(int asker, const Endpoint &overdue, std::uint64_t queryNumber);
     void noteUnanswered(int asker, const SourceQuery &query, TimePoint at);
     void advance(int number, std::uint64_t revision);
+    /// The newest change that a watch brings now.
+    [[nodiscard]] std::uint64_t watchedRevision() const { return heldRevision_.value_or(published_); }
     /// How long @p node lacks the oldest change after its revision.
     [[nodiscard]] Duration lagOf(const Node &node) const;
     void probeStore(int number);
@@ -103,6 +108,8 @@
     std::function<bool(int)> isStoreAvailableTo_;
     std::uint64_t storeCalls_ = 0;
     std::uint64_t published_ = 1;
+    /// The newest change that watches have brought, while they bring no others.
+    std::optional<std::uint64_t> heldRevision_;
     /// When the changes after the first one were published.
     std::vector<TimePoint> publishedAt_;
     VirtualTime time_;
--- a/tests/instances/propagationtest.cpp
+++ b/tests/instances/propagationtest.cpp
@@ -68,6 +68,26 @@
     fleet.kill(forwarder);
 }
 
+/// The store ends its watches after about this time when it forgets its history.
+constexpr Milliseconds SilentWatchTime{1200};
+
+void silenceWatches(CatalogFleet &fleet)
+{
+    fleet.silenceWatches(SilentWatchTime);
+}
+
+void silenceWatchesAndFreezeReader(CatalogFleet &fleet)
+{
+    silenceWatches(fleet);
+    freezeReader(fleet);
+}
+
+void silenceWatchesAndCutReader(CatalogFleet &fleet)
+{
+    silenceWatches(fleet);
+    cutReaderFromStore(fleet);
+}
+
 /// Moments that are spread over the waits of a node.
 Milliseconds momentOf(int seed)
 {
@@ -165,3 +185,19 @@
 {
     checkLongest(lagsInSeries(cutReaderAndFreezeForwarder), BoundWithTwoFaults);
 }
+
+// Guards against readers that take a store whose watches bring nothing for one without changes.
+TEST_CASE("changes in a series reach all nodes in time although the store's watches bring nothing for a while")
+{
+    checkLongest(lagsInSeries(silenceWatches), BoundWithFault);
+}
+
+TEST_CASE("changes in a series reach all nodes in time although watches bring nothing and a reader is suspended")
+{
+    checkLongest(lagsInSeries(silenceWatchesAndFreezeReader), BoundWithTwoFaults);
+}
+
+TEST_CASE("changes in a series reach all nodes in time although watches bring nothing and a reader is cut off")
+{
+    checkLongest(lagsInSeries(silenceWatchesAndCutReader), BoundWithTwoFaults);
+}
--- a/tests/standins/standinstore.cpp
+++ b/tests/standins/standinstore.cpp
@@ -129,6 +129,12 @@
     changed_.cancel();
 }
 
+void StandinStore::setWatchesSilent(bool silent)
+{
+    areWatchesSilent_ = silent;
+    changed_.cancel();
+}
+
 void StandinStore::compact()
 {
     compactedRevision_ = revision_;
@@ -191,8 +197,9 @@
 
 bool StandinStore::hasChange(const std::string &prefix, std::uint64_t after) const
 {
-    return std::any_of(history_.rbegin(), history_.rend(),
-                       [&](const Change &change) { return change.revision > after && change.key.starts_with(prefix); });
+    return !areWatchesSilent_ && std::any_of(history_.rbegin(), history_.rend(), [&](const Change &change) {
+        return change.revision > after && change.key.starts_with(prefix);
+    });
 }
 
 std::string StandinStore::rangeText(const std::string &prefix, const std::string &after) const
@@ -219,6 +226,9 @@
 std::string StandinStore::changesText(const std::string &prefix, std::uint64_t after) const
 {
     json::array events;
+    if (areWatchesSilent_) {
+        return json::serialize(json::object{{"events", std::move(events)}, {"at", after}});
+    }
     for (const Change &change : history_) {
         if (change.revision <= after || !change.key.starts_with(prefix)) {
             continue;
--- a/tests/standins/standinstore.h
+++ b/tests/standins/standinstore.h
@@ -47,6 +47,8 @@
     [[nodiscard]] bool contains(const std::string &key) const { return items_.contains(key); }
     void setMode(StoreMode mode);
     void setDelay(Duration delay) { delay_ = delay; }
+    /// Whether watches bring no changes, though the store answers all other calls.
+    void setWatchesSilent(bool silent);
     /// Discards the history of changes. A watch that starts from an earlier revision gets an error status.
     void compact();
     /// The wait times that watches have asked for so far, in milliseconds.
@@ -89,6 +91,7 @@
     std::uint64_t calls_ = 0;
     std::vector<std::uint64_t> requestedWaits_;
     StoreMode mode_ = StoreMode::Up;
+    bool areWatchesSilent_ = false;
     Duration delay_ = Milliseconds(300);
     /// Never expires. Cancelled when something changes.
     boost::asio::steady_timer changed_;
