--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -34,6 +34,8 @@
 /// How long upstreams are cold after an evacuation.
 constexpr Milliseconds WarmUpTime{1500};
 constexpr Milliseconds StormInterval{150};
+/// How long the watches of the store hang at most.
+constexpr Milliseconds MaxHangTime{1200};
 constexpr unsigned ManyIdleRoutes = 300;
 constexpr unsigned UsualIdleRoutes = 8;
 constexpr double BurstRateFactor = 2.5;
@@ -63,6 +65,7 @@
     {FaultKind::StoreSlow, &FaultInjector::impairStore, FaultCategory::Store, true},
     {FaultKind::StoreAnswersLost, &FaultInjector::impairStore, FaultCategory::Store, true},
     {FaultKind::StoreCompact, &FaultInjector::compactStore, FaultCategory::Store, true},
+    {FaultKind::StoreWatchesHang, &FaultInjector::hangWatches, FaultCategory::Store, true},
     {FaultKind::UpstreamSlow, &FaultInjector::impairUpstream, FaultCategory::Upstream, false},
     {FaultKind::UpstreamFailing, &FaultInjector::impairUpstream, FaultCategory::Upstream, false},
     {FaultKind::UpstreamAnswersLost, &FaultInjector::impairUpstream, FaultCategory::Upstream, false},
@@ -265,6 +268,15 @@
     store_.setMode(StoreMode::Up);
 }
 
+/// The store answers all calls but watches, and forgets its history at the end.
+asio::awaitable<void> FaultInjector::hangWatches(PlannedFault fault)
+{
+    store_.setWatchesSilent(true);
+    co_await sleepFor(std::min(fault.length, MaxHangTime));
+    store_.compact();
+    store_.setWatchesSilent(false);
+}
+
 asio::awaitable<void> FaultInjector::compactStore(PlannedFault /*fault*/)
 {
     store_.compact();
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -53,9 +53,10 @@
     UpstreamCold,
     UpstreamLimits,
     UpstreamLeavesByAnswer,
+    StoreWatchesHang,
 };
 
-inline constexpr std::size_t FaultKindCount = 37;
+inline constexpr std::size_t FaultKindCount = 38;
 
 [[nodiscard]] std::string_view toString(FaultKind kind);
 /// Returns nothing for an unknown name. Thread safety: safe.
