--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -1,6 +1,7 @@
 #include "catalogfleet.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -272,6 +273,13 @@
     return std::chrono::duration_cast<Milliseconds>(longest);
 }
 
+void CatalogFleet::forgetLags()
+{
+    for (const auto &node : nodes_) {
+        node->maxLag = Duration{0};
+    }
+}
+
 Milliseconds CatalogFleet::retryDelayOf(const Node &node)
 {
     constexpr unsigned MaxDoublings = 8;
@@ -341,9 +349,17 @@
 }
 
 int CatalogFleet::readerOfRegion(int region) const
+{
+    return readersOfRegion(region).front();
+}
+
+std::vector<int> CatalogFleet::readersOfRegion(int region) const
 {
     const std::set<int> all = readers();
-    return *std::find_if(all.begin(), all.end(), [&](int number) { return number % regions_ == region; });
+    std::vector<int> ofRegion;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(ofRegion),
+                 [&](int number) { return number % regions_ == region; });
+    return ofRegion;
 }
 
 std::vector<int> CatalogFleet::followersOf(int node) const
--- a/tests/instances/catalogfleet.h
+++ b/tests/instances/catalogfleet.h
@@ -53,10 +53,14 @@
     [[nodiscard]] std::set<int> readers() const;
     /// The regular reader of region @p region.
     [[nodiscard]] int readerOfRegion(int region) const;
+    /// All regular readers of region @p region.
+    [[nodiscard]] std::vector<int> readersOfRegion(int region) const;
     /// Living nodes that follow @p node now.
     [[nodiscard]] std::vector<int> followersOf(int node) const;
     /// The longest time for which a living node lacked a change.
     [[nodiscard]] Milliseconds maxLag() const;
+    /// From now on maxLag() counts lags that end after this moment only.
+    void forgetLags();
 
 private:
     struct Node
--- a/tests/instances/propagationtest.cpp
+++ b/tests/instances/propagationtest.cpp
@@ -23,6 +23,16 @@
 constexpr Milliseconds BoundWithFault{1000};
 constexpr Milliseconds BoundWithTwoFaults{1500};
 
+struct FleetSize
+{
+    int nodes = Nodes;
+    int regions = Regions;
+    int seeds = Seeds;
+};
+
+/// Two readers for each region.
+constexpr FleetSize LargeFleet{160, 2, 20};
+
 /// What fails in a region, at a moment that depends on the seed.
 using Fault = std::function<void(CatalogFleet &)>;
 
@@ -71,6 +81,29 @@
 /// The store ends its watches after about this time when it forgets its history.
 constexpr Milliseconds SilentWatchTime{1200};
 
+void cutAllReadersOfRegion(CatalogFleet &fleet)
+{
+    for (const int reader : fleet.readersOfRegion(0)) {
+        fleet.cutFromStore(reader);
+    }
+}
+
+void cutOneReaderAndFreezeAnother(CatalogFleet &fleet)
+{
+    const std::vector<int> readers = fleet.readersOfRegion(0);
+    fleet.cutFromStore(readers.front());
+    fleet.kill(readers.back());
+}
+
+/// All nodes that could become readers of the region next are those that follow its reader.
+void cutReaderAndFreezeSecondInRank(CatalogFleet &fleet)
+{
+    const int reader = fleet.readerOfRegion(0);
+    const std::vector<int> followers = fleet.followersOf(reader);
+    fleet.cutFromStore(reader);
+    fleet.kill(followers.front());
+}
+
 void silenceWatches(CatalogFleet &fleet)
 {
     fleet.silenceWatches(SilentWatchTime);
@@ -97,11 +130,11 @@
 }
 
 /// The longest lags during a series of changes, one for each seed, the shortest first.
-std::vector<Milliseconds> lagsInSeries(const Fault &fault)
+std::vector<Milliseconds> lagsInSeries(const Fault &fault, const FleetSize &size = {})
 {
     std::vector<Milliseconds> lags;
-    for (int seed = 1; seed <= Seeds; ++seed) {
-        CatalogFleet fleet(Nodes, Regions, static_cast<std::uint64_t>(seed));
+    for (int seed = 1; seed <= size.seeds; ++seed) {
+        CatalogFleet fleet(size.nodes, size.regions, static_cast<std::uint64_t>(seed));
         fleet.runUntil(fleet.now() + SettleTime);
         const TimePoint end = fleet.now() + SeriesLength;
         fleet.publishSeries(ChangeInterval, end);
@@ -114,6 +147,28 @@
     return lags;
 }
 
+/// The longest lags during a series of changes once other sources were found after a fault, one for each seed, the
+/// shortest first.
+std::vector<Milliseconds> lagsAfterSearch(const Fault &fault)
+{
+    constexpr Milliseconds SearchTime{1300};
+    std::vector<Milliseconds> lags;
+    for (int seed = 1; seed <= Seeds; ++seed) {
+        CatalogFleet fleet(Nodes, Regions, static_cast<std::uint64_t>(seed));
+        fleet.runUntil(fleet.now() + SettleTime);
+        const TimePoint end = fleet.now() + SeriesLength + SearchTime;
+        fleet.publishSeries(ChangeInterval, end);
+        fleet.runUntil(fleet.now() + momentOf(seed));
+        fault(fleet);
+        fleet.runUntil(fleet.now() + SearchTime);
+        fleet.forgetLags();
+        fleet.runUntil(end + SettleTime);
+        lags.push_back(fleet.maxLag());
+    }
+    std::sort(lags.begin(), lags.end());
+    return lags;
+}
+
 /// The longest lags of one change that is published after a fault, one for each seed, the shortest first.
 std::vector<Milliseconds> lagsOfOneChange(const Fault &fault)
 {
@@ -201,3 +256,29 @@
 {
     checkLongest(lagsInSeries(silenceWatchesAndCutReader), BoundWithTwoFaults);
 }
+
+// Guards against a source that failed and is tried again in place of the query to the source that works.
+TEST_CASE("changes reach all nodes without delay once another source was found for one that is suspended")
+{
+    checkLongest(lagsAfterSearch(freezeForwarder), BoundWithoutFault);
+}
+
+TEST_CASE("changes in a series reach all nodes in time although a reader is cut off and a node next to it suspended")
+{
+    checkLongest(lagsInSeries(cutReaderAndFreezeSecondInRank), BoundWithTwoFaults);
+}
+
+TEST_CASE("changes in a series reach all nodes of a large region without delay while nothing fails")
+{
+    checkLongest(lagsInSeries([](CatalogFleet & /*fleet*/) {}, LargeFleet), BoundWithoutFault);
+}
+
+TEST_CASE("changes in a series reach all nodes of a large region in time although both its readers are cut off")
+{
+    checkLongest(lagsInSeries(cutAllReadersOfRegion, LargeFleet), BoundWithTwoFaults);
+}
+
+TEST_CASE("changes in a series reach a large region in time although one reader is cut off and the other suspended")
+{
+    checkLongest(lagsInSeries(cutOneReaderAndFreezeAnother, LargeFleet), BoundWithTwoFaults);
+}
