sidecar: StoreAccess and CatalogClient, out of the catalog controller

Whether this node itself reaches the store, and how other nodes are asked, are jobs of their own. Moved, nothing changes: tests of sidecar and adapter pass as before.

--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -44,12 +44,13 @@
     : executor_(executor)
     , state_(state)
     , source_(source)
-    , peerClient_(peerClient)
+    , client_(peerClient)
     , times_(decisions.catalog)
     , log_(state.log, state.metrics)
     , onChanged_(std::move(onChanged))
     , contents_(
           state, source, log_, [this] { listChanged(); }, [this] { contentsChanged(); })
+    , access_(executor, state, source, log_, [this] { applyStoreState(); })
     , newerPeers_(contents_, decisions.catalog.peerLeadTolerance)
     , plan_(state.location.region, decisions.readers, decisions.catalog, Random(state.random()))
     , bootstrap_(executor, state, times_, bootstrapCallbacks())
@@ -65,7 +66,7 @@
     CatalogBootstrapCallbacks callbacks;
     callbacks.ask = [this](Endpoint seed) {
         const CatalogRequest catalogRequest = makeRequest(times_.seedWait, StoreState::Available);
-        return ask(std::move(seed), catalogRequest, times_.seedWait + times_.followMargin);
+        return client_.ask(std::move(seed), catalogRequest, times_.seedWait + times_.followMargin);
     };
     callbacks.applyAnswer = [this](const Endpoint &seed, const Catalog &catalog) { followIfHasRoutes(seed, catalog); };
     callbacks.isFollowing = [this] { return plan_.following().has_value(); };
@@ -219,7 +220,7 @@
 void CatalogController::applyStoreState()
 {
     const bool ownReadingFails = reading_ != StoreReading::None && plan_.ownReadsFailingSince();
-    const bool lost = ownReadingFails || isCutOff_ || plan_.isStoreReportedUnavailable();
+    const bool lost = ownReadingFails || access_.isCutOff() || plan_.isStoreReportedUnavailable();
     if (std::exchange(isStoreLost_, lost) == lost) {
         return;
     }
@@ -360,7 +361,7 @@
         }
     });
     const Result<Catalog> catalog =
-        co_await ask(query.node, makeRequest(query.wait, query.knownState), query.wait + times_.followMargin);
+        co_await client_.ask(query.node, makeRequest(query.wait, query.knownState), query.wait + times_.followMargin);
     overdueTimer.cancel();
     if (!catalog) {
         plan_.onNoAnswer(query.node, currentTime());
@@ -389,7 +390,7 @@
     const TimePoint now = currentTime();
     // If this process did not run for a while, the answer may have arrived and only not been read yet.
     const bool hasStalled = now - dueAt > times_.answerOverdueTime;
-    if (hasStalled || peerClient_.isReceivingLargeMessage(source, times_.followMargin)) {
+    if (hasStalled || client_.isReceivingLargeMessage(source, times_.followMargin)) {
         return;
     }
     isSourceOverdue_ = plan_.following() == source;
@@ -402,7 +403,7 @@
 asio::awaitable<void> CatalogController::takeUpdatesFrom(Endpoint peer)
 {
     const Result<Catalog> catalog =
-        co_await ask(peer, makeRequest(Milliseconds{0}, StoreState::Available), times_.peerTimeout);
+        co_await client_.ask(peer, makeRequest(Milliseconds{0}, StoreState::Available), times_.peerTimeout);
     if (catalog) {
         (void)contents_.applyOperatorUpdates(peer, catalog.value());
         co_await checkOwnStoreAccess(catalog.value());
@@ -454,43 +455,14 @@
     }
 }
 
-/// Guards against mass expiry: VMs that are cut off from the store can't renew their leases and disappear from the
-/// list, though they are alive and reach each other. A node among them that reads the store itself knows that it is cut
-/// off and goes on using them. A node among them that follows a node which still reads the store has to check its own
-/// access.
 asio::awaitable<void> CatalogController::checkOwnStoreAccess(const Catalog &catalog)
 {
     const bool othersReadStore = catalog.store != StoreState::Unavailable;
-    const bool removesReady = !catalog.changes.empty() && contents_.removesReadyUpstreams(catalog);
-    if (!othersReadStore || isStoreLost_ != isCutOff_) {
-        co_return;
-    }
-    if (isCutOff_) {
-        if (!isCheckingAccess_) {
-            asio::co_spawn(executor_, updateCutOff(), asio::detached);
-        }
-        co_return;
-    }
-    if (removesReady) {
-        co_await updateCutOff();
-    }
-}
-
-asio::awaitable<void> CatalogController::updateCutOff()
-{
-    isCheckingAccess_ = true;
-    const bool isReachable = co_await source_.isReachable();
-    isCheckingAccess_ = false;
-    if (isReachable == !isCutOff_) {
+    if (!othersReadStore || isStoreLost_ != access_.isCutOff()) {
         co_return;
     }
-    isCutOff_ = !isReachable;
-    if (isReachable) {
-        // The node that is followed could read the store all the time, so the upstreams that it removed are gone.
-        state_.directory.setStoreAvailableElsewhere(true);
-    }
-    log_.logCutOff(isCutOff_);
-    applyStoreState();
+    const bool removesReady = !catalog.changes.empty() && contents_.removesReadyUpstreams(catalog);
+    co_await access_.check(removesReady);
 }
 
 asio::awaitable<void> CatalogController::probeStore()
@@ -507,29 +479,11 @@
     return {contents_.versionsForQuery(), wait, knownState};
 }
 
-asio::awaitable<Result<Catalog>> CatalogController::ask(Endpoint peer, CatalogRequest request, Milliseconds timeout)
-{
-    const TimePoint askedAt = currentTime();
-    Result<Catalog> answer = co_await peerClient_.catalog(peer, request, askedAt + timeout);
-    if (answer) {
-        if (quarantineListener_) {
-            quarantineListener_(peer, answer.value().quarantine);
-        }
-        Catalog &catalog = answer.value();
-        // A VM's clock stops while the VM is suspended, so the peer's hold time may exceed the time measured here.
-        const Milliseconds travelTime = std::max(timeSince(askedAt) - catalog.heldFor, Milliseconds{0});
-        catalog.routesAge += travelTime;
-        catalog.listAge += travelTime;
-        catalog.storeAge += travelTime;
-    }
-    co_return answer;
-}
-
 asio::awaitable<void> CatalogController::askPeers()
 {
     for (const Endpoint &peer : peersToAsk()) {
         const Result<Catalog> catalog =
-            co_await ask(peer, makeRequest(Milliseconds{0}, StoreState::Available), times_.peerTimeout);
+            co_await client_.ask(peer, makeRequest(Milliseconds{0}, StoreState::Available), times_.peerTimeout);
         if (!catalog) {
             continue;
         }
@@ -553,7 +507,7 @@
 asio::awaitable<void> CatalogController::catchUp(Endpoint peer)
 {
     const Result<Catalog> catalog =
-        co_await ask(peer, makeRequest(Milliseconds{0}, StoreState::Available), times_.peerTimeout);
+        co_await client_.ask(peer, makeRequest(Milliseconds{0}, StoreState::Available), times_.peerTimeout);
     if (!catalog || !applyCatalog(peer, catalog.value())) {
         co_return;
     }
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -11,14 +11,15 @@
 
 #include "core/currenttime.h"
 #include "instances/catalogplan.h"
-#include "rpc/peerclient.h"
 #include "sidecar/catalogbootstrap.h"
+#include "sidecar/catalogclient.h"
 #include "sidecar/catalogcontents.h"
 #include "sidecar/cataloglog.h"
 #include "sidecar/catalogsource.h"
 #include "sidecar/decisionsettings.h"
 #include "sidecar/newerpeers.h"
 #include "sidecar/sidecarstate.h"
+#include "sidecar/storeaccess.h"
 
 namespace Egretpath
 {
@@ -58,7 +59,7 @@
     /// Calls @p listener with the digest of refused requests in each answer of another node.
     void onQuarantineDigest(std::function<void(const Endpoint &, QuarantineDigest)> listener)
     {
-        quarantineListener_ = std::move(listener);
+        client_.onQuarantineDigest(std::move(listener));
     }
     /// Records that a caller was refused because this node has no routes yet.
     void recordWaitingCaller() { bootstrap_.recordWaitingCaller(); }
@@ -91,19 +92,13 @@
     void queryAlternatives(const Endpoint &source, TimePoint dueAt);
     /// Queries @p peer and takes its updates without following it.
     boost::asio::awaitable<void> takeUpdatesFrom(Endpoint peer);
-    /// Called before the list of @p catalog is applied. If the catalog removes upstreams that did not announce that
-    /// they drain, checks whether this node can reach the store. If this node counts as cut off, does so beside it.
+    /// Called before the list of @p catalog is applied. See StoreAccess.
     boost::asio::awaitable<void> checkOwnStoreAccess(const Catalog &catalog);
-    /// Checks whether this node can reach the store, and records whether it is cut off.
-    boost::asio::awaitable<void> updateCutOff();
     /// Sends a single cheap call to the store. Called from time to time while other nodes report the store as
     /// unavailable.
     boost::asio::awaitable<void> probeStore();
     boost::asio::awaitable<void> askPeers();
     boost::asio::awaitable<void> catchUp(Endpoint peer);
-    /// Returns the answer with its ages counted up to its arrival.
-    [[nodiscard]] boost::asio::awaitable<Result<Catalog>> ask(Endpoint peer, CatalogRequest request,
-                                                              Milliseconds timeout);
     [[nodiscard]] std::vector<Endpoint> peersToAsk();
     [[nodiscard]] CatalogRequest makeRequest(Milliseconds wait, StoreState knownState) const;
     void handleAnswer(const Endpoint &peer, const Catalog &catalog);
@@ -124,12 +119,12 @@
     boost::asio::any_io_executor executor_;
     SidecarState &state_;
     CatalogSource &source_;
-    PeerClient &peerClient_;
+    CatalogClient client_;
     CatalogTimes times_;
     CatalogLog log_;
     std::function<void()> onChanged_;
-    std::function<void(const Endpoint &, QuarantineDigest)> quarantineListener_;
     CatalogContents contents_;
+    StoreAccess access_;
     NewerPeers newerPeers_;
     CatalogPlan plan_;
     CatalogBootstrap bootstrap_;
@@ -139,11 +134,6 @@
     StoreReading reading_ = StoreReading::None;
     /// Whether the seeds were asked. From then on the plan decides whether this node reads the store.
     bool hasBootstrapped_ = false;
-    /// Whether this node can't reach the store although other nodes can. Upstreams whose leases expire meanwhile are
-    /// probably alive and only cut off from the store, like this node.
-    bool isCutOff_ = false;
-    /// Whether updateCutOff() is under way.
-    bool isCheckingAccess_ = false;
     /// Whether the store was last reported to the directory as lost.
     bool isStoreLost_ = false;
     /// Since when this node has had no source that is known to read the store; nothing while it has one.
--- a/src/sidecar/catalogsource.h
+++ b/src/sidecar/catalogsource.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "core/clock.h"
+#include "core/verdict.h"
 #include "instances/evacuatedzones.h"
 #include "instances/instancedirectory.h"
 #include "routes/routetable.h"
