daemons: reload signals in quick succession do not shorten the time between the two reads of the settings

Found on reading the change: each signal read the file at once, so that two signals within milliseconds took what was being written. Test "signals in quick succession ...": red without the change (reload-refused logged), green with it, 3 of 3.

--- a/src/daemons/settingsreloader.cpp
+++ b/src/daemons/settingsreloader.cpp
@@ -38,7 +38,10 @@
         return;
     }
     state_.requestReload();
-    check();
+    // Signals in quick succession must not shorten the time between the two reads.
+    if (!isConfirming_) {
+        check();
+    }
 }
 
 void SettingsReloader::checkAfter(Milliseconds delay)
@@ -62,7 +65,8 @@
     if (step == SettingsFileState::Step::Take) {
         take(content);
     }
-    checkAfter(step == SettingsFileState::Step::ReadAgain ? ConfirmationDelay : CheckInterval);
+    isConfirming_ = step == SettingsFileState::Step::ReadAgain;
+    checkAfter(isConfirming_ ? ConfirmationDelay : CheckInterval);
 }
 
 void SettingsReloader::take(const SettingsResult<std::string> &content)
--- a/src/daemons/settingsreloader.h
+++ b/src/daemons/settingsreloader.h
@@ -37,6 +37,8 @@
     std::string file_;
     SettingsFileState state_;
     boost::asio::steady_timer timer_;
+    /// Whether the next check is to confirm what the last one read.
+    bool isConfirming_ = false;
 };
 
 }
--- a/tests/soak/nodesettingstest.cpp
+++ b/tests/soak/nodesettingstest.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <filesystem>
 #include <string>
 #include <thread>
@@ -19,6 +20,23 @@
     CHECK(node.stop() == "exit code 0");
 }
 
+// Half of a file may be valid by itself. Signals that come meanwhile must not make the node take it.
+TEST_CASE("signals in quick succession do not make a node take settings that are being written")
+{
+    LoneNode node;
+    node.process().start();
+    REQUIRE(waitUntil([&node] { return node.hasLogged("start"); }));
+    node.writeSettings("[node");
+    for (int signals = 0; signals < 4; ++signals) {
+        node.process().signal(SIGHUP);
+        std::this_thread::sleep_for(Milliseconds(10));
+    }
+    node.writeSettings(LoneNodeSettings);
+    CHECK(waitUntil([&node] { return node.hasLogged("reload"); }));
+    CHECK_FALSE(node.hasLogged("reload-refused"));
+    CHECK(node.stop() == "exit code 0");
+}
+
 // The platform places the file anew at each start, which can race with the start.
 TEST_CASE("a node starts although its settings are placed a moment later")
 {
