--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -449,3 +449,21 @@
     fixture.context.run_for(QuietTime);
     CHECK(fixture.sink.callsByName["read"] + fixture.sink.callsByName["watch"] - calls <= 3);
 }
+
+// The list of a large fleet has many pages. Guards against readers that read all of it after each series of changes.
+TEST_CASE("after a series of changes of the list a watcher does not read all of it")
+{
+    constexpr Milliseconds ChangeInterval{100};
+    constexpr Milliseconds QuietTime{1500};
+    constexpr int Upstreams = 12;
+    Fixture fixture;
+    fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.listReads == 1; }));
+    for (int number = 0; number < Upstreams; ++number) {
+        fixture.store.put("servers/i-" + std::to_string(number), entryText("ready"));
+        fixture.context.run_for(ChangeInterval);
+    }
+    fixture.context.run_for(QuietTime);
+    CHECK(fixture.sink.changedIds.size() == Upstreams);
+    CHECK(fixture.sink.listReads == 1);
+}
