instances: the test of a suspended follower beside a cut reader is named for what it does

Its name and comment said that the suspended node is next in rank; it is one of the reader's followers, and whether it is the standby is not checked. Names and a comment only; the check is the same.

--- a/tests/instances/propagationtest.cpp
+++ b/tests/instances/propagationtest.cpp
@@ -95,8 +95,7 @@
     fleet.kill(readers.back());
 }
 
-/// All nodes that could become readers of the region next are those that follow its reader.
-void cutReaderAndFreezeSecondInRank(CatalogFleet &fleet)
+void cutReaderAndFreezeFollower(CatalogFleet &fleet)
 {
     const int reader = fleet.readerOfRegion(0);
     const std::vector<int> followers = fleet.followersOf(reader);
@@ -265,7 +264,7 @@
 
 TEST_CASE("changes in a series reach all nodes in time although a reader is cut off and a node next to it suspended")
 {
-    checkLongest(lagsInSeries(cutReaderAndFreezeSecondInRank), BoundWithTwoFaults);
+    checkLongest(lagsInSeries(cutReaderAndFreezeFollower), BoundWithTwoFaults);
 }
 
 TEST_CASE("changes in a series reach all nodes of a large region without delay while nothing fails")
