--- a/src/core/identity.h
+++ b/src/core/identity.h
@@ -55,6 +55,10 @@
     std::uint8_t failurePercent = 0;
     /// Time until the upstream may get a request by the rate limit that it named; zero: now, or it named none.
     std::uint32_t limitedForMicroseconds = 0;
+    /// Expected wait of a request of priority 0 that arrives now, in microseconds; zero also if unknown.
+    std::uint32_t urgentWaitMicroseconds = 0;
+    /// Time that it takes to send the answers that wait for the node's link, in microseconds; zero also if unknown.
+    std::uint32_t linkBacklogMicroseconds = 0;
 };
 
 }
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -434,7 +434,7 @@
 
 CallOutcome UpstreamRequest::outcome(std::variant<Failure, CompleteAnswer, StreamedAnswer> result) const
 {
-    return {role_.self_, role_.report(head_.route), std::move(result), CatalogVersions(), QuarantineDigest()};
+    return {role_.self_, role_.report(head_.route), std::move(result), CatalogVersions(), QuarantineDigest(), false};
 }
 
 RequestContent UpstreamRequest::content() const
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -37,6 +37,10 @@
   # The slowdown that is expected after the slow period; pacePercent if there is no slow period to wait for.
   limitedFor @11 :UInt32;
   # Time until the upstream may get a request by the rate limit that it named; zero: now, or it named none.
+  urgentWait @12 :UInt32;
+  # Expected wait of a request of priority 0 that arrives now. Nodes of an earlier version don't set it.
+  linkBacklog @13 :UInt32;
+  # Time that it takes to send the answers that wait for the node's link. Nodes of an earlier version don't set it.
 }
 
 struct CatalogMark {
@@ -79,6 +83,8 @@
   # The id of the upstream that last disconnected while it ran the call in an earlier try; empty if none did.
   routesVersion @18 :UInt64;
   # The version of the routes by which the ingress chose the upstream; zero from nodes of an earlier version.
+  dependent @19 :Bool;
+  # An upstream waits for the answer and needs it for its own work. Nodes of an earlier version don't set it.
 }
 
 struct Failure {
@@ -105,6 +111,8 @@
   }
   quarantine @6 :UInt64;
   # Identifies the set of requests that the node refuses because they crash upstreams; zero: none.
+  dependentRoute @7 :Bool;
+  # The node knows that calls of this route from the calling service are dependent (see CallHead).
 }
 
 struct Answer {
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -72,6 +72,8 @@
     UpstreamName disconnectedUpstream;
     /// The version of the routes by which the ingress chose the upstream.
     RouteVersion routesVersion;
+    /// Whether an upstream waits for the answer and needs it for its own work.
+    bool isDependent = false;
 };
 
 /// Status and header fields of an answer.
@@ -102,6 +104,8 @@
     CatalogVersions catalog;
     /// The set of requests that the node refuses because they crash upstreams.
     QuarantineDigest quarantine;
+    /// Whether the node knows that calls of this route from the calling service are dependent; see CallHead.
+    bool isRouteDependent = false;
 };
 
 /// Asks another node for the routes and instances that the requesting node lacks.
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -162,6 +162,8 @@
     wire.setArrivalDelay(report.arrivalDelayMicroseconds);
     wire.setSpellLeft(report.slowPeriodLeftMicroseconds);
     wire.setLimitedFor(report.limitedForMicroseconds);
+    wire.setUrgentWait(report.urgentWaitMicroseconds);
+    wire.setLinkBacklog(report.linkBacklogMicroseconds);
     wire.setSettledPacePercent(report.recoveredSlowdownPercent);
 }
 
@@ -179,6 +181,8 @@
     report.arrivalDelayMicroseconds = wire.getArrivalDelay();
     report.slowPeriodLeftMicroseconds = wire.getSpellLeft();
     report.limitedForMicroseconds = wire.getLimitedFor();
+    report.urgentWaitMicroseconds = wire.getUrgentWait();
+    report.linkBacklogMicroseconds = wire.getLinkBacklog();
     report.recoveredSlowdownPercent = wire.getSettledPacePercent();
     return report;
 }
@@ -203,6 +207,7 @@
     wire.setQuestion(head.dryRun);
     wire.setBrokeOff(head.disconnectedUpstream.value());
     wire.setRoutesVersion(head.routesVersion.value());
+    wire.setDependent(head.isDependent);
     wire.setAcceptable(static_cast<std::uint64_t>(std::max<Microseconds::rep>(0, head.declineThreshold.count())));
 }
 
@@ -228,6 +233,7 @@
     head.dryRun = wire.getQuestion();
     head.disconnectedUpstream = UpstreamName(readText(wire.getBrokeOff()));
     head.routesVersion = RouteVersion(wire.getRoutesVersion());
+    head.isDependent = wire.getDependent();
     return head;
 }
 
@@ -247,6 +253,7 @@
     write(wire.initIdentity(), outcome.identity);
     write(wire.initCatalog(), outcome.catalog);
     wire.setQuarantine(outcome.quarantine.value());
+    wire.setDependentRoute(outcome.isRouteDependent);
     if (outcome.report) {
         write(wire.initReport(), *outcome.report);
     }
@@ -263,8 +270,12 @@
 
 CallOutcome read(Wire::CallOutcome::Reader wire)
 {
-    CallOutcome outcome{read(wire.getIdentity()), std::nullopt, StreamedAnswer{}, readVersions(wire.getCatalog()),
-                        QuarantineDigest(wire.getQuarantine())};
+    CallOutcome outcome{read(wire.getIdentity()),
+                        std::nullopt,
+                        StreamedAnswer{},
+                        readVersions(wire.getCatalog()),
+                        QuarantineDigest(wire.getQuarantine()),
+                        wire.getDependentRoute()};
     if (wire.hasReport()) {
         outcome.report = read(wire.getReport());
     }
