ingress: first attempts whose timeouts differ by up to a fifth do not count as retries

Callers saw urgent requests queued and placed as late. Callers start with timeouts that vary by up to 15 %, so that no value is typical; as soon as one came twice, each first attempt with a smaller one counted as a retry that had been under way for up to 150 ms, more than the whole target of 100 ms. Now a route's first attempts either share a timeout or lie within a fifth of the longest usual one, and only smaller ones count as retries.

--- a/src/ingress/callertimeouts.cpp
+++ b/src/ingress/callertimeouts.cpp
@@ -1,6 +1,7 @@
 #include "ingress/callertimeouts.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Egretpath
 {
@@ -13,8 +14,22 @@
 /// The maximum number of different values stored for a route. The rarest value is removed first. Without this limit
 /// callers could fill the memory with different values.
 constexpr std::size_t MaxValues = 24;
-/// A timeout counts as typical only with at least this count. Until then every request counts as a first attempt.
+/// Timeouts count as those of first attempts only with at least this count. Until then every request counts as a first
+/// attempt.
 constexpr double MinCount = 2.0;
+/// Callers start with the same timeout if at least this share of the requests, and at least this count, has it.
+constexpr double CommonShare = 0.25;
+constexpr double MinCommonCount = 3.0;
+/// Share of the requests whose timeouts are too long to be usual.
+constexpr double UnusualShare = 0.1;
+/// The shortest timeout of a first attempt, as a share of the longest, if callers start with different timeouts.
+constexpr double ShortestShare = 0.8;
+
+bool hasSmallerCount(const std::pair<const Milliseconds, double> &left,
+                     const std::pair<const Milliseconds, double> &right)
+{
+    return left.second < right.second;
+}
 
 }
 
@@ -26,26 +41,50 @@
     }
     counts[timeout] += 1.0;
     if (counts.size() > MaxValues) {
-        counts.erase(std::min_element(counts.begin(), counts.end(),
-                                      [](const auto &left, const auto &right) { return left.second < right.second; }));
+        counts.erase(std::min_element(counts.begin(), counts.end(), hasSmallerCount));
     }
-    return std::max(typical(route) - timeout, Milliseconds{0});
+    const FirstAttempts first = firstAttempts(route);
+    if (timeout >= first.shortest) {
+        return Milliseconds{0};
+    }
+    return (first.shortest + first.longest) / 2 - timeout;
 }
 
 Milliseconds CallerTimeouts::typical(const RouteName &route) const
+{
+    return firstAttempts(route).longest;
+}
+
+CallerTimeouts::FirstAttempts CallerTimeouts::firstAttempts(const RouteName &route) const
 {
     const auto found = routes_.find(route);
     if (found == routes_.end()) {
-        return Milliseconds{0};
+        return {};
     }
-    const auto entry = mostFrequent(found->second);
-    return entry == found->second.end() || entry->second < MinCount ? Milliseconds{0} : entry->first;
+    const Counts &counts = found->second;
+    const double total = std::accumulate(counts.begin(), counts.end(), 0.0,
+                                         [](double sum, const auto &entry) { return sum + entry.second; });
+    if (total < MinCount) {
+        return {};
+    }
+    const auto common = std::max_element(counts.begin(), counts.end(), hasSmallerCount);
+    if (common->second >= std::max(total * CommonShare, MinCommonCount)) {
+        return {common->first, common->first};
+    }
+    const Milliseconds longest = longestUsual(counts, total);
+    return {Milliseconds(static_cast<Milliseconds::rep>(longest.count() * ShortestShare)), longest};
 }
 
-CallerTimeouts::Counts::const_iterator CallerTimeouts::mostFrequent(const Counts &counts)
+Milliseconds CallerTimeouts::longestUsual(const Counts &counts, double total)
 {
-    return std::max_element(counts.begin(), counts.end(),
-                            [](const auto &left, const auto &right) { return left.second < right.second; });
+    double longer = 0.0;
+    for (auto entry = counts.rbegin(); entry != counts.rend(); ++entry) {
+        longer += entry->second;
+        if (longer > total * UnusualShare) {
+            return entry->first;
+        }
+    }
+    return Milliseconds{0};
 }
 
 }
--- a/tests/ingress/callertimeoutstest.cpp
+++ b/tests/ingress/callertimeoutstest.cpp
@@ -1,5 +1,7 @@
 #include "ingress/callertimeouts.h"
 
+#include <random>
+
 #include <catch2/catch.hpp>
 
 using namespace Egretpath;
@@ -61,3 +63,20 @@
     }
     CHECK(timeouts.typical(Read) == Milliseconds(2500));
 }
+
+// Guards against first attempts that count as retries because callers start with different timeouts. Of a target of
+// 100 ms nothing would be left, and the most urgent requests would be queued and placed as if they were late.
+TEST_CASE("first attempts whose timeouts are up to a fifth apart do not count as retries")
+{
+    CallerTimeouts timeouts;
+    std::minstd_rand random(1);
+    std::uniform_int_distribution<int> spread(850, 1000);
+    for (int count = 0; count < 1000; ++count) {
+        const Milliseconds elapsed = timeouts.record(Read, Milliseconds(spread(random)));
+        CHECK(elapsed == Milliseconds(0));
+    }
+    CHECK(timeouts.typical(Read) >= Milliseconds(950));
+    const Milliseconds elapsed = timeouts.record(Read, Milliseconds(500));
+    CHECK(elapsed >= Milliseconds(350));
+    CHECK(elapsed <= Milliseconds(500));
+}
