settings: the rate of the VM's link and its memory

Cause: pacing large answers and limiting the answers that a node holds need to know what the VM has. Nothing told the node.

Change: optional keys limits.link_mbps and limits.memory_mb. A rate of 0 or less, or less than 32 MB, is reported with file, line, key and what is allowed. A change takes effect with the next start.

--- a/src/settings/sidecarsettings.cpp
+++ b/src/settings/sidecarsettings.cpp
@@ -23,9 +23,14 @@
 constexpr std::string_view AllowedFingerprint = "a fingerprint of 32 hexadecimal digits, as in the log";
 constexpr std::string_view AllowedDuration = "a time such as \"1500ms\" or \"2.5s\", from 0 to 1 hour";
 constexpr std::string_view AllowedNumber = "a number from 0 to 1000000";
+constexpr std::string_view AllowedLinkRate = "a number above 0, up to 1000000";
+constexpr std::string_view AllowedMemory = "a whole number from 32 to 1000000";
 constexpr std::string_view AllowedLevel = "one of trace, debug, info, warn, error";
 constexpr std::size_t MaxNameLength = 200;
 constexpr double MaxNumber = 1e6;
+/// A node needs about this much memory by itself.
+constexpr std::int64_t MinMemoryMb = 32;
+constexpr std::int64_t MaxMemoryMb = 1'000'000;
 constexpr Milliseconds MaxDuration{3'600'000};
 constexpr std::array<std::string_view, 5> LevelNames{"trace", "debug", "info", "warn", "error"};
 
@@ -72,6 +77,7 @@
         readNumber("repeats", "slack", settings.retrySlack);
         readNumber("links", "zone_price_per_kib", settings.linkPrices.zonePerKiB);
         readNumber("links", "region_price_per_kib", settings.linkPrices.regionPerKiB);
+        readLimits(settings);
         readDuration("stop", "grace", settings.grace);
         readLog(settings);
         if (!problems_.empty()) {
@@ -182,6 +188,26 @@
         target = *number;
     }
 
+    void readLimits(SidecarSettings &settings)
+    {
+        if (const Node *node = find("limits", "link_mbps")) {
+            const auto rate = node->value<double>();
+            if (!rate || !(*rate > 0.0 && *rate <= MaxNumber)) {
+                addProblem(node, "limits", "link_mbps", AllowedLinkRate);
+            } else {
+                settings.linkMbps = *rate;
+            }
+        }
+        if (const Node *node = find("limits", "memory_mb")) {
+            const auto memory = node->value<std::int64_t>();
+            if (!memory || *memory < MinMemoryMb || *memory > MaxMemoryMb) {
+                addProblem(node, "limits", "memory_mb", AllowedMemory);
+            } else {
+                settings.memoryMb = static_cast<std::uint32_t>(*memory);
+            }
+        }
+    }
+
     void readDuration(std::string_view group, std::string_view key, Milliseconds &target)
     {
         const Node *node = find(group, key);
--- a/src/settings/sidecarsettings.h
+++ b/src/settings/sidecarsettings.h
@@ -70,6 +70,12 @@
     // [links]
     LinkPrices linkPrices;
 
+    // [limits]
+    /// The rate of the VM's link; 0 if not given. Large answers are then not paced.
+    double linkMbps = 0.0;
+    /// The memory of the VM; 0 if not given.
+    std::uint32_t memoryMb = 0;
+
     // [zones]: each key is an availability zone, its value the zone's region.
     std::vector<ZoneRegion> zones;
 
--- a/tests/settings/sidecarsettingstest.cpp
+++ b/tests/settings/sidecarsettingstest.cpp
@@ -87,6 +87,32 @@
              "such as \"10.0.0.7:8080\"");
 }
 
+TEST_CASE("the limits of the VM are optional and have to be possible")
+{
+    const auto without = readSidecarSettings(ValidSettings, "sidecar.toml");
+    REQUIRE(without);
+    CHECK(without.value().linkMbps == 0.0);
+    CHECK(without.value().memoryMb == 0);
+    const auto settings = readSidecarSettings(ValidSettings + "[limits]\nlink_mbps = 13\nmemory_mb = 160\n", "f");
+    REQUIRE(settings);
+    CHECK(settings.value().linkMbps == 13.0);
+    CHECK(settings.value().memoryMb == 160);
+    const auto bad = readSidecarSettings(ValidSettings + "[limits]\nlink_mbps = 0\nmemory_mb = 31\n", "sidecar.toml");
+    REQUIRE_FALSE(bad);
+    REQUIRE(bad.error().size() == 2);
+    CHECK(toString(bad.error()[0])
+          == "sidecar.toml: line 29, key limits.link_mbps: \"0\" is not allowed; allowed: a number above 0, up to "
+             "1000000");
+    CHECK(toString(bad.error()[1])
+          == "sidecar.toml: line 30, key limits.memory_mb: \"31\" is not allowed; allowed: a whole number from 32 to "
+             "1000000");
+    for (const char *value : {"-1", "nan", "\"13\"", "1e7"}) {
+        INFO(value);
+        CHECK_FALSE(readSidecarSettings(ValidSettings + "[limits]\nlink_mbps = " + value + "\n", "f"));
+        CHECK_FALSE(readSidecarSettings(ValidSettings + "[limits]\nmemory_mb = " + value + "\n", "f"));
+    }
+}
+
 TEST_CASE("requests that operators allow are named by fingerprints")
 {
     const std::string allowed = ValidSettings + "[quarantine]\nallow = [\"00000000000000010000000000000002\"]\n";
