routing: downloads avoid upstreams whose node has a backlog on its link

Cause: the report's linkBacklog was on the wire but neither filled nor read.

Change: EgressRole::report() fills it from the pacer, if there is one. PlacementView adds it for requests that expect a large answer. It is no part of the typical load: an upstream whose node reports none gets none.

--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -28,6 +28,9 @@
 /// Longer delays count as this delay: a call that a cut link held up says nothing about the delay of the next call.
 constexpr Milliseconds MaxArrivalDelay{500};
 
+/// The longest backlog of the link that fits in a load report; no request waits for so long.
+constexpr Milliseconds MaxBacklog{3'600'000};
+
 HttpPoolLimits poolLimits(const EgressSettings &settings)
 {
     HttpPoolLimits limits;
@@ -102,6 +105,10 @@
     const Duration limitedFor = rate_.timeUntilNext();
     report.limitedForMicroseconds =
         static_cast<std::uint32_t>(std::chrono::duration_cast<Microseconds>(limitedFor).count());
+    if (linkBacklog_) {
+        const auto backlog = std::chrono::duration_cast<Microseconds>(std::min<Duration>(linkBacklog_(), MaxBacklog));
+        report.linkBacklogMicroseconds = static_cast<std::uint32_t>(backlog.count());
+    }
     return report;
 }
 
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -97,6 +99,8 @@
     void onUpstreamExit(UpstreamExitMonitor::Listener listener) { upstreamExitListener_ = std::move(listener); }
     /// Ends all waiting and running requests that the quarantine now refuses.
     void endQuarantinedRequests();
+    /// @p backlog returns the time that it takes to send the bytes waiting for the node's link; see LoadReport.
+    void setLinkBacklog(std::function<Duration()> backlog) { linkBacklog_ = std::move(backlog); }
     [[nodiscard]] LoadReport report(const RouteName &route) const;
     /// See UpstreamRate::limitedBy().
     [[nodiscard]] std::string_view limitedBy() const { return rate_.limitedBy(); }
@@ -163,6 +167,8 @@
     UpstreamPresence presence_;
     UpstreamRate rate_;
     double arrivalDelayMicroseconds_ = 0.0;
+    /// Empty if the rate of the link is not known.
+    std::function<Duration()> linkBacklog_;
     bool isDraining_ = false;
     bool isProbing_ = false;
     bool isProbingForWaiting_ = false;
--- a/src/routing/placementview.cpp
+++ b/src/routing/placementview.cpp
@@ -109,6 +109,7 @@
     load.urgentCallsAhead = isFull ? 1.0 / slots : 0.0;
     load.callsAhead = isFull ? (1.0 + report.queued) / slots : 0.0;
     load.failureShare = report.failurePercent / Percent;
+    load.linkBacklogSeconds = inSeconds(Microseconds(report.linkBacklogMicroseconds));
     if (settings_.countsDelay) {
         load.delaySeconds = inSeconds(Microseconds(report.arrivalDelayMicroseconds));
     }
@@ -122,6 +123,7 @@
     // Links and processors of nodes differ permanently, so an old delay of this node is a better estimate than the
     // typical delay of the others.
     load.delaySeconds = record.hasReport ? record.load.delaySeconds : typicalLoad_.delaySeconds;
+    load.linkBacklogSeconds = reportWeight * record.load.linkBacklogSeconds;
     const double sinceReport = std::max(0.0, static_cast<double>(record.inFlight) - record.inFlightAtReport);
     load.callsAhead += settings_.ownRequestWeight * sinceReport / record.slots;
     load.urgentCallsAhead += settings_.ownRequestWeight * sinceReport / record.slots;
@@ -156,7 +158,8 @@
     const double queueSeconds =
         workSeconds(load, aheadSeconds) * (demand.isUrgent ? load.urgentCallsAhead : load.callsAhead);
     const double penalty = 1.0 + settings_.failureShareFactor * load.failureShare + settings_.failurePenalty * failures;
-    return fromSeconds(load.delaySeconds + (queueSeconds + workSeconds(load, baseline)) * penalty);
+    const double linkSeconds = demand.isLargeAnswer ? load.linkBacklogSeconds : 0.0;
+    return fromSeconds(load.delaySeconds + linkSeconds + (queueSeconds + workSeconds(load, baseline)) * penalty);
 }
 
 bool PlacementView::isEjected(const UpstreamName &upstream, TimePoint now) const
--- a/src/routing/placementview.h
+++ b/src/routing/placementview.h
@@ -47,6 +47,8 @@
     Duration baselineTime{0};
     /// Whether the request goes before all queued calls.
     bool isUrgent = false;
+    /// Whether the answer is so large that it waits for the link behind other large answers.
+    bool isLargeAnswer = false;
 };
 
 /// Tracks what one ingress knows of the upstreams' load: the slowdown of their VMs, and the running and queued calls.
@@ -103,6 +105,9 @@
         double failureShare = 0.0;
         /// Delay with which requests reach the upstream's node.
         double delaySeconds = 0.0;
+        /// Time that large answers wait for the link of the upstream's node. Not a part of the typical load, since only
+        /// nodes that know the rate of their link report it.
+        double linkBacklogSeconds = 0.0;
     };
 
     struct Record
--- a/tests/routing/placementtest.cpp
+++ b/tests/routing/placementtest.cpp
@@ -83,6 +83,27 @@
     CHECK(choice->declineThreshold > Milliseconds(100));
 }
 
+// Guards against short requests that avoid an upstream because of large answers, and against upstreams without a report
+// of their link that inherit the backlog of others.
+TEST_CASE("the backlog of a link counts for large answers and for the upstream that reported it")
+{
+    PlacementView view;
+    LoadReport report = reportOf(1.0);
+    report.linkBacklogMicroseconds = 400'000;
+    for (int count = 0; count < 100; ++count) {
+        view.onReport(UpstreamName("loaded"), report, at(0));
+    }
+    view.onReport(UpstreamName("free"), reportOf(1.0), at(0));
+    const auto difference = [&view](bool isLargeAnswer) {
+        const PlacementDemand demand{Milliseconds(100), false, isLargeAnswer};
+        return view.expected(UpstreamName("loaded"), demand, at(0))
+            - view.expected(UpstreamName("free"), demand, at(0));
+    };
+    CHECK(difference(false) == Duration{0});
+    CHECK(difference(true) > Milliseconds(399));
+    CHECK(difference(true) < Milliseconds(401));
+}
+
 // Guards against a region that is never left, or left too easily. Both upstreams of the region are in a slow period, in
 // which a read of 100 ms takes 400 ms and misses its target of 300 ms. Another region costs 17 ms and two kilobytes on
 // a paid link.
