ingress, sidecar: large answers are paced to callers and to other nodes

Cause: with a link of 13 Mbit/s the answers to urgent requests waited behind large ones: 58 ms on the way in the median for late urgent checks, 5 ms for those in time (baseline of docs/design/hard-load.md).

Change: with limits.link_mbps, complete answers over 16 KiB are written to callers in chunks of a response of known length, and streamed answers to callers and to other nodes chunk by chunk, each when its turn on the link has come. Request bodies, short answers and complete answers to other nodes count as short messages. The place on the link is released when the caller disconnects or the other node cancels its call. Sizes of streamed answers count for the route's typical size. Log event link, metrics egretpath_link_bulk_bytes_total and egretpath_link_backlog_seconds, fields link_* of /status, a backlog in egretpath status. Without limits.link_mbps all answers are sent as before.

--- a/src/client/statuscommand.cpp
+++ b/src/client/statuscommand.cpp
@@ -35,6 +35,9 @@
     }
     out << (status.evacuated.empty() ? "" : " evacuated " + status.evacuated);
     out << (status.limited.empty() ? "" : " upstream limited: " + status.limited);
+    if (status.linkBacklog.count() > 0) {
+        out << " link backlog " << status.linkBacklog.count() << " ms";
+    }
     if (status.quarantined > 0) {
         out << " quarantined " << status.quarantined;
     }
--- a/src/ingress/ingresscontext.h
+++ b/src/ingress/ingresscontext.h
@@ -23,6 +23,7 @@
 #include "routing/placementview.h"
 #include "routing/retrybudget.h"
 #include "rpc/peerclient.h"
+#include "transfer/linkpacer.h"
 
 namespace Egretpath
 {
@@ -87,6 +88,8 @@
     RetryBudget budget;
     CallerTimeouts callerTimeouts;
     StopAdmission stop;
+    /// Paces large answers to callers; null if the rate of the link is not known.
+    LinkPacer *linkPacer = nullptr;
     std::function<void(const Endpoint &, const CallOutcome &)> outcomeListener;
     std::function<void()> noRoutesListener;
     /// Whether other nodes may have routes that this node lacks.
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -41,6 +41,9 @@
 
     void setRetryLimits(const RetryLimits &limits);
     void setLinkPrices(const LinkPrices &prices) { context_->placement.setPrices(prices); }
+    /// Large answers to callers are sent through @p pacer, which has to outlive the role's requests. Null: all answers
+    /// are sent at once.
+    void setLinkPacer(LinkPacer *pacer) { context_->linkPacer = pacer; }
     /// Call this after the routes or the instance directory changed.
     void catalogChanged();
     /// Calls @p listener with each answer of another node. The answer carries the versions of that node's catalog and
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -53,10 +53,13 @@
         if (const auto request = weak.lock()) {
             request->isCallerDisconnected_ = true;
             request->wakeUp_.cancel();
+            request->cancelTransfer();
         }
     });
     context_->budget.onFirstTry(service_);
     co_await tryUntilEnded();
+    // A piece that still waits for its turn must not be written to the exchange, which no longer exists then.
+    cancelTransfer();
     tries_->cancelAll();
 }
 
@@ -214,7 +217,53 @@
     head.headers = std::move(complete->head.headers);
     context_->stop.recordAnswer(parameters_.route->name, currentTime() - parameters_.arrival);
     logEnd(head.status, describeAnswer(requestTry.upstream.value(), Reason::None));
-    [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), std::move(complete->body));
+    co_await sendAnswer(std::move(head), std::move(complete->body));
+}
+
+asio::awaitable<void> ProxiedRequest::sendAnswer(HttpResponseHead head, std::string body)
+{
+    if (context_->linkPacer == nullptr || body.size() <= MaxChunkBytes) {
+        if (context_->linkPacer != nullptr) {
+            context_->linkPacer->recordShortMessage(Bytes(body.size()));
+        }
+        [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), std::move(body));
+        co_return;
+    }
+    const Result<void> started = co_await exchange_.startResponse(std::move(head), body.size());
+    if (!started) {
+        co_return;
+    }
+    // If a piece is not written, the server resets the connection, since the response is incomplete.
+    const bool isWritten = co_await writePiece(std::move(body));
+    if (isWritten) {
+        [[maybe_unused]] const Result<void> finished = co_await exchange_.finishResponse();
+    }
+}
+
+asio::awaitable<bool> ProxiedRequest::writePiece(std::string piece)
+{
+    const auto self = shared_from_this();
+    PacedTransfer::ChunkWriter writer = [this](std::string chunk) -> asio::awaitable<bool> {
+        const Result<void> written = co_await exchange_.writeBody(std::move(chunk));
+        co_return written.has_value();
+    };
+    bool isWritten = false;
+    if (context_->linkPacer == nullptr) {
+        isWritten = co_await writer(std::move(piece));
+    } else {
+        if (!transfer_) {
+            transfer_ = context_->linkPacer->open(static_cast<std::uint8_t>(parameters_.route->priority));
+        }
+        isWritten = co_await transfer_->write(std::move(piece), std::move(writer));
+    }
+    co_return isWritten;
+}
+
+void ProxiedRequest::cancelTransfer()
+{
+    if (transfer_) {
+        transfer_->cancel();
+    }
 }
 
 asio::awaitable<void> ProxiedRequest::giveUp(Failure failure)
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -44,6 +44,11 @@
     void recordCallerDisconnected();
 
     boost::asio::awaitable<void> deliver(const RequestTry &requestTry, CallOutcome outcome);
+    /// Sends a complete answer. If the rate of the link is known, large bodies are paced.
+    boost::asio::awaitable<void> sendAnswer(HttpResponseHead head, std::string body);
+    /// Writes a piece of the body of a response that was started. Returns whether the caller takes more.
+    boost::asio::awaitable<bool> writePiece(std::string piece);
+    void cancelTransfer();
     boost::asio::awaitable<void> giveUp(Failure failure);
     boost::asio::awaitable<void> respond(Failure failure);
 
@@ -59,6 +64,8 @@
     std::shared_ptr<RequestTries> tries_;
     /// Wakes the loop at the deadline, or earlier when the timer is cancelled.
     boost::asio::steady_timer wakeUp_;
+    /// The paced answer of the request; null before its first byte, and if the rate of the link is not known.
+    std::shared_ptr<PacedTransfer> transfer_;
     bool isCallerDisconnected_ = false;
     bool isStreamed_ = false;
 };
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -111,7 +111,9 @@
     request.demand.isUrgent = parameters_.isUrgent();
     request.now = currentTime();
     request.targetLeft = parameters_.targetTime - request.now;
-    request.bodies = Bytes(content_.body.size() + context_->sizes.typicalAnswerSize(parameters_.route->name).value());
+    const std::uint64_t answerSize = context_->sizes.typicalAnswerSize(parameters_.route->name).value();
+    request.demand.isLargeAnswer = answerSize > MaxChunkBytes;
+    request.bodies = Bytes(content_.body.size() + answerSize);
     std::vector<UpstreamName> excluded = reachedUpstreams_;
     const bool mayBeDeclined = tryCount_ < maxDeclines;
     if (mayBeDeclined) {
@@ -164,7 +166,15 @@
         }
         head.declineThreshold = Microseconds{0};
     }
-    const auto permit = [this, requestTry](CallHead &sentHead) { return permitSending(*requestTry, sentHead); };
+    const auto permit = [this, requestTry](CallHead &sentHead) {
+        if (!permitSending(*requestTry, sentHead)) {
+            return false;
+        }
+        if (context_->linkPacer != nullptr) {
+            context_->linkPacer->recordShortMessage(Bytes(content_.body.size()));
+        }
+        return true;
+    };
     co_return co_await context_->peers.call(requestTry->node, std::move(head), content_.body,
                                             content_.makeReceiver(requestTry->number), permit, parameters_.deadline,
                                             requestTry->cancellation);
--- a/src/ingress/streamedanswerrelay.cpp
+++ b/src/ingress/streamedanswerrelay.cpp
@@ -32,8 +32,8 @@
     if (!request || !request->isStreamed_) {
         co_return false;
     }
-    const Result<void> written = co_await request->exchange_.writeBody(std::move(chunk));
-    co_return written.has_value();
+    size_ += chunk.size();
+    co_return co_await request->writePiece(std::move(chunk));
 }
 
 asio::awaitable<bool> StreamedAnswerRelay::end()
@@ -42,6 +42,9 @@
     if (!request || !request->isStreamed_) {
         co_return false;
     }
+    if (request->context_->linkPacer != nullptr) {
+        request->context_->sizes.record(request->parameters_.route->name, Bytes(size_));
+    }
     const Result<void> ended = co_await request->exchange_.finishResponse();
     co_return ended.has_value();
 }
--- a/src/ingress/streamedanswerrelay.h
+++ b/src/ingress/streamedanswerrelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 
 #include "ingress/proxiedrequest.h"
@@ -20,6 +21,8 @@
 private:
     std::weak_ptr<ProxiedRequest> request_;
     TryNumber number_;
+    /// Bytes of the answer so far.
+    std::uint64_t size_ = 0;
 };
 
 }
--- a/src/sidecar/operatorpages.cpp
+++ b/src/sidecar/operatorpages.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "core/durations.h"
 #include "routes/routerows.h"
 
 namespace Egretpath
@@ -30,12 +31,14 @@
 }
 
 OperatorPages::OperatorPages(SidecarState &state, const CatalogController &catalog, const EgressRole &egress,
-                             const IngressRole &ingress, const QuarantineController &quarantine)
+                             const IngressRole &ingress, const QuarantineController &quarantine,
+                             const LinkPacer *linkPacer)
     : state_(state)
     , catalog_(catalog)
     , egress_(egress)
     , ingress_(ingress)
     , quarantine_(quarantine)
+    , linkPacer_(linkPacer)
 {
 }
 
@@ -57,18 +60,23 @@
 std::string OperatorPages::statusText() const
 {
     const CatalogVersions versions = catalog_.versions();
-    const boost::json::object status{{"node", state_.settings.name},
-                                     {"incarnation", std::to_string(state_.self.incarnation.value())},
-                                     {"ready", state_.isReady()},
-                                     {"routes", versions.routes.value()},
-                                     {"list", versions.list.value()},
-                                     {"evacuated", toString(state_.evacuatedZones)},
-                                     {"limited", egress_.limitedBy()},
-                                     {"source", catalog_.sourceName()},
-                                     {"reads", catalog_.readsStore()},
-                                     {"store", toString(catalog_.storeState())},
-                                     {"searching_ms", catalog_.searchingFor().count()},
-                                     {"quarantined", state_.quarantine.refusedCount()}};
+    boost::json::object status{{"node", state_.settings.name},
+                               {"incarnation", std::to_string(state_.self.incarnation.value())},
+                               {"ready", state_.isReady()},
+                               {"routes", versions.routes.value()},
+                               {"list", versions.list.value()},
+                               {"evacuated", toString(state_.evacuatedZones)},
+                               {"limited", egress_.limitedBy()},
+                               {"source", catalog_.sourceName()},
+                               {"reads", catalog_.readsStore()},
+                               {"store", toString(catalog_.storeState())},
+                               {"searching_ms", catalog_.searchingFor().count()},
+                               {"quarantined", state_.quarantine.refusedCount()}};
+    if (linkPacer_ != nullptr) {
+        status["link_mbps"] = state_.settings.linkMbps;
+        status["link_backlog_ms"] = std::chrono::duration_cast<Milliseconds>(linkPacer_->backlog()).count();
+        status["link_waiting"] = linkPacer_->waitingChunks();
+    }
     return boost::json::serialize(status);
 }
 
@@ -83,6 +91,9 @@
     metrics.set("egretpath_upstream_queued", {}, report.queued);
     metrics.set("egretpath_log_lines_dropped", {}, static_cast<double>(state_.log.droppedDecisions()));
     metrics.set("egretpath_log_lines_lost", {}, static_cast<double>(state_.log.linesLost()));
+    if (linkPacer_ != nullptr) {
+        metrics.set("egretpath_link_backlog_seconds", {}, inSeconds(linkPacer_->backlog()));
+    }
     return metrics.text();
 }
 
--- a/src/sidecar/operatorpages.h
+++ b/src/sidecar/operatorpages.h
@@ -10,6 +10,7 @@
 #include "sidecar/catalogcontroller.h"
 #include "sidecar/quarantinecontroller.h"
 #include "sidecar/sidecarstate.h"
+#include "transfer/linkpacer.h"
 
 namespace Egretpath
 {
@@ -21,8 +22,9 @@
 class OperatorPages
 {
 public:
+    /// @p linkPacer is null if the rate of the link is not known.
     OperatorPages(SidecarState &state, const CatalogController &catalog, const EgressRole &egress,
-                  const IngressRole &ingress, const QuarantineController &quarantine);
+                  const IngressRole &ingress, const QuarantineController &quarantine, const LinkPacer *linkPacer);
 
     [[nodiscard]] boost::asio::awaitable<void> serve(HttpExchange &exchange);
 
@@ -36,6 +38,7 @@
     const EgressRole &egress_;
     const IngressRole &ingress_;
     const QuarantineController &quarantine_;
+    const LinkPacer *linkPacer_;
 };
 
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -21,6 +21,8 @@
 #include "sidecar/operatorpages.h"
 #include "sidecar/quarantinecontroller.h"
 #include "sidecar/sidecarstate.h"
+#include "transfer/linkpacer.h"
+#include "transfer/pacedanswerreceiver.h"
 
 namespace Egretpath
 {
@@ -94,6 +96,7 @@
         , executor_(context.get_executor())
         , platform_(std::move(platform))
         , state_(settings, drawIncarnation(), systemSeed())
+        , linkPacer_(makeLinkPacer(executor_, settings.linkMbps, state_.log, state_.metrics))
         , peerClient_(context)
         , egress_(executor_, egressSettings(settings, decisions), state_.self, state_.location,
                   EgressSources{state_.routes, state_.evacuatedZones, state_.quarantine}, *platform_.upstreams,
@@ -104,7 +107,7 @@
                    decisions.ingress)
         , catalog_(executor_, state_, *platform_.catalog, peerClient_, decisions, [this] { catalogChanged(); })
         , quarantine_(executor_, state_, peerClient_, [this] { egress_.endQuarantinedRequests(); })
-        , operatorPages_(state_, catalog_, egress_, ingress_, quarantine_)
+        , operatorPages_(state_, catalog_, egress_, ingress_, quarantine_, linkPacer_.get())
         , peerServer_(context, *this, MaxPeerConnections)
         , callerServer_(executor_, callerLimits(CallerLimits()),
                         [this](HttpExchange &exchange) { return ingress_.serve(exchange); })
@@ -115,6 +118,10 @@
     {
         applyRetryLimits();
         ingress_.setLinkPrices(state_.settings.linkPrices);
+        if (linkPacer_) {
+            ingress_.setLinkPacer(linkPacer_.get());
+            egress_.setLinkBacklog([this] { return linkPacer_->backlog(); });
+        }
         if (decisions.compressesPaidLinks) {
             peerClient_.setPaidLinks([this](const Endpoint &peer) { return isInOtherRegion(peer); });
         }
@@ -195,8 +202,15 @@
     asio::awaitable<CallOutcome> call(CallHead head, std::string body, std::shared_ptr<AnswerReceiver> answer,
                                       std::shared_ptr<Cancellation> cancellation) override
     {
+        if (linkPacer_) {
+            paceAnswer(*linkPacer_, head.priority, answer, cancellation);
+        }
         CallOutcome outcome =
             co_await egress_.call(std::move(head), std::move(body), std::move(answer), std::move(cancellation));
+        if (linkPacer_) {
+            const auto *complete = std::get_if<CompleteAnswer>(&outcome.result);
+            linkPacer_->recordShortMessage(Bytes(complete != nullptr ? complete->body.size() : 0));
+        }
         outcome.catalog = catalog_.versions();
         outcome.quarantine = state_.quarantine.digest();
         co_return outcome;
@@ -316,6 +330,8 @@
     asio::any_io_executor executor_;
     SidecarPlatform platform_;
     SidecarState state_;
+    /// Null if the rate of the link is not known.
+    std::unique_ptr<LinkPacer> linkPacer_;
     PeerClient peerClient_;
     EgressRole egress_;
     IngressRole ingress_;
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -84,8 +84,9 @@
     platform.callers = std::make_unique<Platform::PlatformCallerDialect>();
     platform.upstreams = std::make_unique<Platform::PlatformUpstreamDialect>();
     platform.catalog = catalog.makeSource();
-    node.sidecar = std::make_unique<Sidecar>(eventLoop_.context(), settingsOf(node, upstream, service, seeds, location),
-                                             std::move(platform));
+    SidecarSettings settings = settingsOf(node, upstream, service, seeds, location);
+    settings.linkMbps = linkMbps;
+    node.sidecar = std::make_unique<Sidecar>(eventLoop_.context(), settings, std::move(platform));
     if (!node.sidecar->start()) {
         throw std::runtime_error("a node could not listen");
     }
@@ -170,7 +171,7 @@
     if (!answer) {
         co_return reply;
     }
-    auto content = co_await opened.value()->readCompleteBody(Bytes(1024UL * 1024));
+    auto content = co_await opened.value()->readCompleteBody(Bytes(4096UL * 1024));
     if (content) {
         reply.status = answer.value().status;
         reply.headers = answer.value().headers;
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -62,6 +62,8 @@
     [[nodiscard]] boost::asio::awaitable<std::uint16_t> readiness(Endpoint ready);
 
     FakeCatalog catalog;
+    /// The rate of the link that the settings of nodes added from now on name; 0: none.
+    double linkMbps = 0.0;
 
 private:
     AsioEventPort eventLoop_;
