--- a/src/admission/upstreamratelimit.h
+++ b/src/admission/upstreamratelimit.h
@@ -47,6 +47,8 @@
     [[nodiscard]] bool isLimited() const { return lowestRate().has_value(); }
     /// The time until the next turn is due; zero if it is due now.
     [[nodiscard]] Duration timeUntilNext(TimePoint now) const;
+    /// The time from one turn to the next; zero if there is no limit.
+    [[nodiscard]] Duration turnInterval() const { return isLimited() ? interval() : Duration{0}; }
     /// Whether a request that has a turn may be handed over now.
     [[nodiscard]] bool hasRoom(TimePoint now);
 
