routing: a limited upstream takes urgent requests after the wait it reports

Cause: an upstream whose rate is used up was ejected for all requests, for the wait of the least urgent one.

Change: for requests of priority 0, PlacementView adds the reported urgentWait to the expected time and does not eject the upstream because of limitedFor. Without urgentWait, and for all other requests, it is ejected as before.

--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -96,7 +96,7 @@
     const PlacementCandidate &item = request.candidates[candidate];
     RatedCandidate rated;
     rated.candidate = candidate;
-    rated.isEjected = view_.isEjected(item.upstream, request.now);
+    rated.isEjected = view_.isEjected(item.upstream, request.now, request.demand.priority);
     double upstreamSeconds = inSeconds(view_.expected(item.upstream, request.demand, request.now));
     if (item.isWarmingUp && view_.isUnknown(item.upstream)) {
         upstreamSeconds *= settings_.warmUpFactor;
--- a/src/routing/placementview.cpp
+++ b/src/routing/placementview.cpp
@@ -65,7 +65,15 @@
     record.slots = std::max(report.slots, 1U);
     record.reportTime = now;
     const TimePoint limitedUntil = now + Microseconds(report.limitedForMicroseconds);
-    record.ejectedUntil = std::max<TimePoint>(record.ejectedUntil, limitedUntil);
+    record.limitedUntil = std::max<TimePoint>(record.limitedUntil, limitedUntil);
+    if (report.limitedForMicroseconds == 0) {
+        // Without a limit, the reported wait of urgent requests is one for a slot.
+        record.limitedForUrgentUntil = now;
+    } else if (report.urgentWaitMicroseconds > 0) {
+        record.limitedForUrgentUntil = now + Microseconds(report.urgentWaitMicroseconds);
+    } else {
+        record.limitedForUrgentUntil.reset();
+    }
     record.inFlightAtReport = record.inFlight;
 }
 
@@ -156,13 +164,27 @@
     const double queueSeconds =
         workSeconds(load, aheadSeconds) * (demand.isUrgent ? load.urgentCallsAhead : load.callsAhead);
     const double penalty = 1.0 + settings_.failureShareFactor * load.failureShare + settings_.failurePenalty * failures;
-    return fromSeconds(load.delaySeconds + (queueSeconds + workSeconds(load, baseline)) * penalty);
+    const Duration turn = found == records_.end() ? Duration{0} : turnWait(found->second, demand, now);
+    return turn + fromSeconds(load.delaySeconds + (queueSeconds + workSeconds(load, baseline)) * penalty);
+}
+
+Duration PlacementView::turnWait(const Record &record, const PlacementDemand &demand, TimePoint now)
+{
+    if (demand.priority > 0 || !record.limitedForUrgentUntil) {
+        return Duration{0};
+    }
+    return std::max<Duration>(*record.limitedForUrgentUntil - now, Duration{0});
 }
 
-bool PlacementView::isEjected(const UpstreamName &upstream, TimePoint now) const
+bool PlacementView::isEjected(const UpstreamName &upstream, TimePoint now, std::uint32_t priority) const
 {
     const auto found = records_.find(upstream);
-    return found != records_.end() && now < found->second.ejectedUntil;
+    if (found == records_.end()) {
+        return false;
+    }
+    const Record &record = found->second;
+    const bool ignoresLimit = priority == 0 && record.limitedForUrgentUntil;
+    return now < record.ejectedUntil || (now < record.limitedUntil && !ignoresLimit);
 }
 
 bool PlacementView::isUnknown(const UpstreamName &upstream) const
--- a/src/routing/placementview.h
+++ b/src/routing/placementview.h
@@ -47,6 +47,8 @@
     Duration baselineTime{0};
     /// Whether the request goes before all queued calls.
     bool isUrgent = false;
+    /// 0 is the most urgent.
+    std::uint32_t priority = UINT32_MAX;
 };
 
 /// Tracks what one ingress knows of the upstreams' load: the slowdown of their VMs, and the running and queued calls.
@@ -64,7 +66,7 @@
     void onSent(const UpstreamName &upstream);
     void onEnded(const UpstreamName &upstream);
     /// The node beside @p upstream reported its load. An upstream that takes no request for a while, by the rate limit
-    /// that it named, is ejected for this time.
+    /// that it named, is ejected for this time; but not for requests of priority 0 if the report gives their wait.
     void onReport(const UpstreamName &upstream, const LoadReport &report, TimePoint now);
     /// The upstream failed a request: with an error answer, an incomplete answer, or none.
     void onFailed(const UpstreamName &upstream, TimePoint now);
@@ -78,8 +80,9 @@
 
     /// Expected time from the arrival of a request at the upstream's node to its answer.
     [[nodiscard]] Duration expected(const UpstreamName &upstream, const PlacementDemand &demand, TimePoint now) const;
-    /// Whether no request should be sent to the upstream now.
-    [[nodiscard]] bool isEjected(const UpstreamName &upstream, TimePoint now) const;
+    /// Whether no request of @p priority should be sent to the upstream now.
+    [[nodiscard]] bool isEjected(const UpstreamName &upstream, TimePoint now,
+                                 std::uint32_t priority = UINT32_MAX) const;
     /// How outdated the latest report is: 0 for a report of this moment, 1 without any.
     [[nodiscard]] double staleness(const UpstreamName &upstream, TimePoint now) const;
     /// Whether no report ever came from the upstream's node.
@@ -117,8 +120,14 @@
         TimePoint failureTime;
         std::uint32_t unreachableCount = 0;
         TimePoint ejectedUntil;
+        /// Until when the limited rate has no room for another request, and for one of priority 0. The latter is not
+        /// set if the latest report of a limit did not give it.
+        TimePoint limitedUntil;
+        std::optional<TimePoint> limitedForUrgentUntil;
     };
 
+    /// How long a request with @p demand waits until the limited rate has room for it.
+    [[nodiscard]] static Duration turnWait(const Record &record, const PlacementDemand &demand, TimePoint now);
     [[nodiscard]] double recentFailures(const Record &record, TimePoint now) const;
     [[nodiscard]] Load estimatedLoad(const Record &record, TimePoint now) const;
     [[nodiscard]] Load loadFrom(const LoadReport &report) const;
--- a/tests/routing/placementtest.cpp
+++ b/tests/routing/placementtest.cpp
@@ -195,6 +195,27 @@
     CHECK_FALSE(view.isEjected(name, at(9200)));
 }
 
+// Guards against urgent requests that avoid a cold upstream because less urgent ones wait for their turns there.
+TEST_CASE("an upstream that is limited for other requests takes one of priority 0 after the wait that it reports")
+{
+    PlacementView view;
+    const UpstreamName name("near");
+    LoadReport report;
+    report.slots = 5;
+    report.limitedForMicroseconds = 300'000;
+    view.onReport(name, report, at(0));
+    CHECK(view.isEjected(name, at(10), 0));
+    const PlacementDemand urgent{Milliseconds(100), false, 0};
+    CHECK(view.expected(name, urgent, at(10)) == view.expected(name, TypicalDemand, at(10)));
+    report.urgentWaitMicroseconds = 60'000;
+    view.onReport(name, report, at(0));
+    CHECK_FALSE(view.isEjected(name, at(10), 0));
+    CHECK(view.isEjected(name, at(10), 1));
+    CHECK(view.expected(name, urgent, at(10)) - view.expected(name, TypicalDemand, at(10)) == Milliseconds(50));
+    view.onUnreachable(name, at(10));
+    CHECK(view.isEjected(name, at(20), 0));
+}
+
 TEST_CASE("running requests that no report includes yet increase the expected time")
 {
     PlacementView view;
