egress: requests wait for turns in a queue by priority

Cause: a request booked its turn on arrival, so that a later, more urgent one could only get a later turn, and a cancelled request used up its turn.

Change: UpstreamTurns lets coroutines wait in TurnQueue. A turn is taken when it is due. Waiting requests go on when the limit ends, and are refused when the upstream is replaced or leaves, the zone is evacuated or the node stops. The report's urgentWait is the larger of the waits for a slot and for a turn.

The route of the dependent callers in coldupstreamtest.cpp had the lowest priority and was preferred to one of priority 2. By priority, it now goes behind. The test guards the preference between requests of one priority, so both routes have the same priority now; its checks are unchanged.

--- a/bench/ablation/ablation.cpp
+++ b/bench/ablation/ablation.cpp
@@ -58,6 +58,8 @@
               }},
     Mechanism{"queue-order", "requests that can still be in time start first, by priority",
               [](DecisionSettings &decisions) { decisions.queue.ordersByUrgency = false; }},
+    Mechanism{"turn-priority", "turns at an upstream with a limited rate go by priority",
+              [](DecisionSettings &decisions) { decisions.turns.ordersByPriority = false; }},
     Mechanism{"readers", "few nodes read the store, the others follow them",
               [](DecisionSettings &decisions) { decisions.readers.nodesPerReader = 1; }},
     Mechanism{"gathering", "readers read several changes with one call",
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -22,12 +22,19 @@
 
 constexpr Bytes MaxProbeAnswer{4096};
 constexpr std::uint16_t HealthyStatus = 200;
+constexpr Milliseconds DrainingRetryAfter{50};
 /// Weight of the newest call in the smoothed delay. About the last ten calls count, which is some tenths of a second on
 /// a busy node.
 constexpr double ArrivalDelayGain = 0.1;
 /// Longer delays count as this delay: a call that a cut link held up says nothing about the delay of the next call.
 constexpr Milliseconds MaxArrivalDelay{500};
 
+std::uint32_t asMicroseconds(Duration duration)
+{
+    const auto count = std::chrono::ceil<Microseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::clamp<Microseconds::rep>(count, 0, UINT32_MAX));
+}
+
 HttpPoolLimits poolLimits(const EgressSettings &settings)
 {
     HttpPoolLimits limits;
@@ -55,6 +62,7 @@
           executor_, pool_, settings_.upstream, random,
           [this](UpstreamCrashId crash, const std::vector<HeldRequest> &held) { reportUpstreamExit(crash, held); })
     , rate_(log_, metrics_)
+    , turns_(executor_, rate_, metrics_, settings_.turns)
     , probeFinished_(executor_, asio::steady_timer::time_point::max())
 {
     slots_.onUpstreamUpdatesNeeded([this] {
@@ -94,14 +102,18 @@
     pool_.setMaxConnections(maxConnections);
 }
 
+Failure EgressRole::drainingRejection()
+{
+    return notRun(Reason::Draining, "the node beside the upstream stops", DrainingRetryAfter);
+}
+
 LoadReport EgressRole::report(const RouteName &route) const
 {
     LoadReport report = slots_.queue().report(route, currentTime());
     report.draining = isDraining_;
     report.arrivalDelayMicroseconds = static_cast<std::uint32_t>(arrivalDelayMicroseconds_);
-    const Duration limitedFor = rate_.timeUntilNext();
-    report.limitedForMicroseconds =
-        static_cast<std::uint32_t>(std::chrono::duration_cast<Microseconds>(limitedFor).count());
+    report.limitedForMicroseconds = asMicroseconds(turns_.lastWait());
+    report.urgentWaitMicroseconds = std::max(report.urgentWaitMicroseconds, asMicroseconds(turns_.urgentWait()));
     return report;
 }
 
@@ -249,14 +261,28 @@
     refuseWaitingForDeparted();
 }
 
+void EgressRole::setDraining(bool draining)
+{
+    isDraining_ = draining;
+    if (draining) {
+        turns_.refuseWaiting([](const UpstreamName & /*target*/) { return drainingRejection(); });
+    }
+}
+
+void EgressRole::refuseWaiting(const std::function<std::optional<Failure>(const UpstreamName &)> &rejection)
+{
+    turns_.refuseWaiting(rejection);
+    slots_.refuseWaiting(rejection);
+}
+
 void EgressRole::refuseWaitingForDeparted()
 {
-    slots_.refuseWaiting([this](const UpstreamName &target) { return presence_.rejection(target); });
+    refuseWaiting([this](const UpstreamName &target) { return presence_.rejection(target); });
 }
 
 void EgressRole::evacuatedZonesChanged()
 {
-    slots_.refuseWaiting([this](const UpstreamName & /*target*/) { return evacuationRejection(); });
+    refuseWaiting([this](const UpstreamName & /*target*/) { return evacuationRejection(); });
 }
 
 std::optional<Failure> EgressRole::evacuationRejection() const
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -15,6 +16,7 @@
 #include "egress/upstreamhealth.h"
 #include "egress/upstreampresence.h"
 #include "egress/upstreamrate.h"
+#include "egress/upstreamturns.h"
 #include "egress/workslots.h"
 #include "http/httpconnectionpool.h"
 #include "idempotency/latenessguard.h"
@@ -58,6 +60,7 @@
     /// requests (see WorkQueue::setExternalRequests()) take slots.
     bool keepsAccount = true;
     WorkQueueSettings queue;
+    TurnQueueSettings turns;
     /// Idle connections to the upstream are closed after this time. Upstreams close idle connections after 5 s or more.
     Milliseconds idleTime{3000};
 };
@@ -91,8 +94,8 @@
     void setMaxConnections(std::uint32_t maxConnections);
     /// See UpstreamRate::setColdRate().
     void setColdRate(std::optional<RequestRate> rate) { rate_.setColdRate(rate); }
-    /// Starts or stops refusing new requests.
-    void setDraining(bool draining) { isDraining_ = draining; }
+    /// Starts or stops refusing new requests. Requests that wait for a turn are refused too.
+    void setDraining(bool draining);
     /// Calls @p listener when the upstream has exited while it had requests; see UpstreamExitMonitor::Listener.
     void onUpstreamExit(UpstreamExitMonitor::Listener listener) { upstreamExitListener_ = std::move(listener); }
     /// Ends all waiting and running requests that the quarantine now refuses.
@@ -101,7 +104,7 @@
     /// See UpstreamRate::limitedBy().
     [[nodiscard]] std::string_view limitedBy() const { return rate_.limitedBy(); }
     /// Whether no request waits or runs here.
-    [[nodiscard]] bool isIdle() const { return slots_.queue().isIdle(); }
+    [[nodiscard]] bool isIdle() const { return slots_.queue().isIdle() && turns_.isIdle(); }
 
 private:
     friend class UpstreamRequest;
@@ -111,6 +114,9 @@
     {
     };
 
+    /// Calls @p rejection with the target of each request that waits for a turn or a slot, and refuses the request with
+    /// the failure it returns.
+    void refuseWaiting(const std::function<std::optional<Failure>(const UpstreamName &)> &rejection);
     [[nodiscard]] CallId nextCallId() { return CallId(++lastCallId_); }
     /// Probes the upstream if the known slowdown is old, or if it is not known whether the upstream is warm. Returns
     /// after at most settings_.maxProbeWait.
@@ -130,6 +136,8 @@
     void applyLeaving(bool isLeaving);
     /// Refuses the requests that wait for an upstream which leaves or has left.
     void refuseWaitingForDeparted();
+    /// The refusal of any request while the node stops.
+    [[nodiscard]] static Failure drainingRejection();
     /// The refusal of any request while this zone is evacuated; nothing if it is not.
     [[nodiscard]] std::optional<Failure> evacuationRejection() const;
     /// The refusal of a request that may not be served here, since this zone is evacuated or the route names other
@@ -162,6 +170,7 @@
     TimePoint slowdownUpdatedAt_;
     UpstreamPresence presence_;
     UpstreamRate rate_;
+    UpstreamTurns turns_;
     double arrivalDelayMicroseconds_ = 0.0;
     bool isDraining_ = false;
     bool isProbing_ = false;
--- a/src/egress/upstreamrate.cpp
+++ b/src/egress/upstreamrate.cpp
@@ -22,7 +22,7 @@
 void UpstreamRate::onReplaced(const UpstreamName &upstream)
 {
     upstream_ = upstream;
-    limit_.setRate(RateGround::Named, std::nullopt, currentTime());
+    setRate(RateGround::Named, std::nullopt);
     onDisconnected();
 }
 
@@ -35,10 +35,10 @@
 void UpstreamRate::onAnswer(std::optional<RequestRate> limit)
 {
     const std::optional<RequestRate> before = limit_.rate(RateGround::Named);
-    limit_.setRate(RateGround::Named, limit, currentTime());
     if (before == limit) {
         return;
     }
+    setRate(RateGround::Named, limit);
     StructuredLine line("limit");
     line.add("upstream", upstream_.value());
     line.add("per_second", limit ? std::to_string(limit->value()) : "none");
@@ -80,32 +80,6 @@
     return limit_.rate(RateGround::Named) ? "named" : "";
 }
 
-TimePoint UpstreamRate::takeTurn()
-{
-    return limit_.takeTurn(currentTime());
-}
-
-std::optional<Failure> UpstreamRate::rejection(Duration maxWait) const
-{
-    const Duration wait = timeUntilNext();
-    return wait > maxWait ? std::optional(refusal(wait)) : std::nullopt;
-}
-
-std::optional<Failure> UpstreamRate::handOverRejection(bool hasTurn)
-{
-    if (!limit_.hasRoom(currentTime())) {
-        return refusal(timeUntilNext());
-    }
-    if (hasTurn) {
-        return std::nullopt;
-    }
-    auto rejection = this->rejection(Duration{0});
-    if (!rejection) {
-        takeTurn();
-    }
-    return rejection;
-}
-
 Failure UpstreamRate::refusal(Duration wait) const
 {
     if (!limit_.rate(RateGround::Cold)) {
@@ -127,7 +101,15 @@
 {
     const std::optional<RequestRate> rate = warmth_.isWarm() ? std::nullopt : coldRate_;
     if (rate != limit_.rate(RateGround::Cold)) {
-        limit_.setRate(RateGround::Cold, rate, currentTime());
+        setRate(RateGround::Cold, rate);
+    }
+}
+
+void UpstreamRate::setRate(RateGround ground, std::optional<RequestRate> rate)
+{
+    limit_.setRate(ground, rate, currentTime());
+    if (limitListener_) {
+        limitListener_();
     }
 }
 
--- a/src/egress/upstreamrate.h
+++ b/src/egress/upstreamrate.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string_view>
 
+#include "admission/turnqueue.h"
 #include "admission/upstreamratelimit.h"
 #include "admission/upstreamwarmth.h"
 #include "core/currenttime.h"
@@ -32,22 +34,27 @@
     void onAnswer(std::optional<RequestRate> limit);
     /// The upstream said in a health answer how much longer it is cold; nothing if that could not be read.
     void onHealthAnswer(std::optional<Milliseconds> warmUpLeft);
-    /// Takes the next turn for a request and returns when it is due.
-    TimePoint takeTurn();
+    /// Takes the next turn for a request. Precondition: it is due.
+    void takeTurn() { limit_.takeTurn(currentTime()); }
     /// A request is handed over to the upstream.
     void onHandOver();
 
-    /// Returns why a request that can wait for @p maxWait gets no turn, with the time after which to come back; nothing
-    /// if a turn is due by then.
-    [[nodiscard]] std::optional<Failure> rejection(Duration maxWait) const;
-    /// Returns why a request must not be handed over now; nothing if it may be. One that does not have a turn yet takes
-    /// one that is due.
-    [[nodiscard]] std::optional<Failure> handOverRejection(bool hasTurn);
+    /// Calls @p listener whenever the limit may have changed or ended.
+    void onLimitChanged(std::function<void()> listener) { limitListener_ = std::move(listener); }
+
+    /// The refusal of a request that would wait for @p wait, with the time after which to come back.
+    [[nodiscard]] Failure refusal(Duration wait) const;
+    /// See UpstreamRateLimit::hasRoom().
+    [[nodiscard]] bool hasRoom() { return limit_.hasRoom(currentTime()); }
     /// Why requests need turns: "cold" or "named"; empty if they need none.
     [[nodiscard]] std::string_view limitedBy() const;
     /// Whether requests need turns.
     [[nodiscard]] bool isLimited() const { return limit_.isLimited(); }
-    [[nodiscard]] Duration timeUntilNext() const { return limit_.timeUntilNext(currentTime()); }
+    /// When turns are due, apart from the requests that wait for them.
+    [[nodiscard]] TurnSchedule turnSchedule() const
+    {
+        return {limit_.timeUntilNext(currentTime()), limit_.turnInterval()};
+    }
     /// Whether a health answer would show soon, or now, whether the upstream is warm.
     [[nodiscard]] bool wantsHealthCheck() const { return coldRate_ && warmth_.needsHealthCheck(); }
     /// Whether a request should wait for a health answer. Such an answer is not older than @p maxAge.
@@ -56,7 +63,7 @@
 private:
     /// Passes the cold rate on to the limit while the upstream is not known to be warm.
     void updateColdRate();
-    [[nodiscard]] Failure refusal(Duration wait) const;
+    void setRate(RateGround ground, std::optional<RequestRate> rate);
 
     EventLog &log_;
     Metrics &metrics_;
@@ -64,6 +71,7 @@
     UpstreamRateLimit limit_;
     UpstreamWarmth warmth_;
     std::optional<RequestRate> coldRate_;
+    std::function<void()> limitListener_;
 };
 
 }
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -22,7 +22,6 @@
 
 /// Answers up to this size are sent in one message, larger answers in pieces.
 constexpr std::size_t MaxCompleteAnswer = std::size_t{1024} * 1024;
-constexpr Milliseconds DrainingRetryAfter{50};
 constexpr std::uint16_t FirstServerError = 500;
 constexpr std::uint16_t GatewayTimeoutStatus = 504;
 constexpr double Percent = 100.0;
@@ -30,9 +29,6 @@
 /// slowdown. Hardly any work takes so long.
 constexpr double OverdueFactor = 2.5;
 constexpr Milliseconds MinOverdueTime{150};
-/// A request waits for its turn at an upstream with a limited rate for up to this part of the time left.
-constexpr int DependentWaitDivisor = 3;
-constexpr int WaitDivisor = 8;
 
 /// Whether the upstream, not this node, ended the connection.
 bool upstreamDisconnected(const Failure &failure)
@@ -148,7 +144,7 @@
     }
     targetTime_ = arrivedAt_ + head_.targetLatencyLeft - delay;
     if (role_.isDraining_) {
-        co_return notRun(Reason::Draining, "the node beside the upstream stops", DrainingRetryAfter);
+        co_return EgressRole::drainingRejection();
     }
     if (auto rejection = role_.locationRejection(head_)) {
         co_return rejection;
@@ -159,8 +155,10 @@
     }
     role_.updateFailureShare();
     const WorkOffer offer = makeOffer();
-    if (auto rejection = role_.rate_.rejection(maxTurnWait(offer))) {
-        co_return rejection;
+    if (role_.rate_.isLimited()) {
+        if (auto rejection = role_.turns_.rejection(makeTurnRequest(offer))) {
+            co_return rejection;
+        }
     }
     if (head_.dryRun) {
         co_return role_.slots_.queue()
@@ -177,47 +175,32 @@
     co_return rejection;
 }
 
-/// Load pattern: all upstreams of a service are cold after a loss of power, and take a part of what they are asked for.
-/// A call of another upstream, whose work is lost without an answer, waits longer for a turn than a request whose
-/// caller may come back, so that few of the latter get turns while there are many of the former. A request that is late
-/// already, or would be answered sooner elsewhere, waits for none.
-Duration UpstreamRequest::maxTurnWait(const WorkOffer &offer) const
-{
-    const TimePoint now = currentTime();
-    // The deadline of such a caller is its target: to it, a late answer is worth no more than none.
-    const bool isDependent = targetTime_ >= deadline_;
-    Duration wait = isDependent ? (deadline_ - now) / DependentWaitDivisor : (targetTime_ - now) / WaitDivisor;
-    if (offer.declineThreshold > Duration{0}) {
-        wait = std::min(wait, offer.declineThreshold - role_.slots_.queue().expected(offer, now));
-    }
-    return std::max(wait, Duration{0});
-}
-
 /// A turn is taken only if the request would get a slot, so that none is lost.
 asio::awaitable<std::optional<Failure>> UpstreamRequest::waitForTurn(const WorkOffer &offer)
 {
     if (!role_.rate_.isLimited()) {
         co_return std::nullopt;
     }
-    if (auto rejection = role_.slots_.queue().rejection(offer, currentTime())) {
+    const TimePoint start = currentTime();
+    if (auto rejection = role_.slots_.queue().rejection(offer, start)) {
         co_return rejection;
     }
-    const TimePoint due = role_.rate_.takeTurn();
-    hasTurn_ = true;
-    if (due <= currentTime()) {
-        co_return std::nullopt;
-    }
-    const auto timer = std::make_shared<asio::steady_timer>(role_.executor_, due);
-    cancellation_->setAction([timer] { timer->cancel(); });
-    boost::system::error_code ignored;
-    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    cancellation_->clearAction();
-    if (cancellation_->isCancelled()) {
-        co_return notRun(Reason::Cancelled, "cancelled before it was handed over");
+    const TurnRequest request = makeTurnRequest(offer);
+    UpstreamTurns::WaitResult result = co_await role_.turns_.acquire(request, head_.targetUpstream, cancellation_);
+    turnWait_ = currentTime() - start;
+    if (auto *failure = std::get_if<Failure>(&result)) {
+        co_return std::move(*failure);
     }
+    hasTurn_ = std::get<TurnState>(result) == TurnState::Taken;
+    // The upstream may have been replaced since the wait ended.
     co_return handOverRejection();
 }
 
+TurnRequest UpstreamRequest::makeTurnRequest(const WorkOffer &offer) const
+{
+    return Egretpath::makeTurnRequest(head_, offer, role_.slots_.queue().expected(offer, currentTime()));
+}
+
 WorkOffer UpstreamRequest::makeOffer() const
 {
     WorkOffer offer;
@@ -260,8 +243,11 @@
         co_return rejection;
     }
     // A request that was queued before the rate was limited has no turn yet.
-    if (auto rejection = role_.rate_.handOverRejection(std::exchange(hasTurn_, false))) {
-        co_return rejection;
+    const bool hasTurn = std::exchange(hasTurn_, false);
+    if (role_.rate_.isLimited()) {
+        if (auto rejection = role_.turns_.handOverRejection(makeTurnRequest(makeOffer()), hasTurn)) {
+            co_return rejection;
+        }
     }
     httpCall_ = std::move(opened).value();
     cancellation_->setAction([weak = weak_from_this()] {
@@ -502,6 +488,9 @@
     if (handedOverAt_ != TimePoint{}) {
         line.add("waited_ms", std::chrono::duration_cast<Milliseconds>(handedOverAt_ - arrivedAt_).count());
     }
+    if (turnWait_) {
+        line.add("turn_ms", std::chrono::duration_cast<Milliseconds>(*turnWait_).count());
+    }
     if (failure != nullptr) {
         line.add("verdict", toString(failure->verdict)).add("reason", toString(failure->reason));
         line.add("detail", failure->detail);
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -39,8 +39,7 @@
     [[nodiscard]] WorkOffer makeOffer() const;
     /// Takes a slot. Returns why the request ends here, or nothing if it has a slot.
     boost::asio::awaitable<std::optional<Failure>> admit();
-    /// How long the request can wait for its turn if the rate of the upstream is limited.
-    [[nodiscard]] Duration maxTurnWait(const WorkOffer &offer) const;
+    [[nodiscard]] TurnRequest makeTurnRequest(const WorkOffer &offer) const;
     /// If the rate of the upstream is limited, takes a turn and waits until it is due. Returns why the request gets
     /// none, or why it must not be handed over any more.
     boost::asio::awaitable<std::optional<Failure>> waitForTurn(const WorkOffer &offer);
@@ -91,7 +90,9 @@
     /// Expires when the upstream takes much longer than expected.
     boost::asio::steady_timer overdueTimer_;
     bool holdsSlot_ = false;
-    /// Whether the request has a turn that it has not used yet; see UpstreamRate.
+    /// How long the request waited for a turn; nothing if it needed none.
+    std::optional<Duration> turnWait_;
+    /// Whether the request has a turn that it has not used yet; see UpstreamTurns.
     bool hasTurn_ = false;
     bool isWriting_ = false;
     bool isAtUpstream_ = false;
--- a/src/sidecar/decisionsettings.h
+++ b/src/sidecar/decisionsettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/turnqueue.h"
 #include "admission/workqueue.h"
 #include "ingress/ingresscontext.h"
 #include "instances/catalogtimes.h"
@@ -13,6 +14,7 @@
 {
     IngressDecisionSettings ingress;
     WorkQueueSettings queue;
+    TurnQueueSettings turns;
     ReaderElectionSettings readers;
     CatalogTimes catalog;
     /// See EgressSettings::keepsAccount.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -74,6 +74,7 @@
     EgressSettings egress;
     egress.upstream = settings.upstream;
     egress.queue = decisions.queue;
+    egress.turns = decisions.turns;
     egress.keepsAccount = decisions.keepsUpstreamAccount;
     return egress;
 }
--- a/tests/sidecar/coldupstreamtest.cpp
+++ b/tests/sidecar/coldupstreamtest.cpp
@@ -111,6 +111,41 @@
     });
 }
 
+// Guards against urgent requests that get no more turns at a cold upstream than the many that can wait.
+TEST_CASE("while more is asked of a cold upstream than it takes, urgent requests get turns first")
+{
+    constexpr int Rounds = 60;
+    constexpr int RoundsPerUrgent = 4;
+    ColdDeployment deployment;
+    deployment.catalog.remove("i-2");
+    deployment.one.warmUpLeft = "5000";
+    int urgent = 0;
+    int others = 0;
+    deployment.run([&]() -> asio::awaitable<void> {
+        co_await deployment.sleep(FirstSecond);
+        const auto ask = [&deployment](int &answered, std::string path, std::string id) {
+            deployment.start([&deployment, &answered, path, id]() -> asio::awaitable<void> {
+                const Reply reply =
+                    co_await deployment.send(deployment.first.callers, "GET", path, id, Milliseconds(4000));
+                answered += reply.status == 200 ? 1 : 0;
+            });
+        };
+        for (int round = 0; round < Rounds; ++round) {
+            // The first route has priority 0, the other one priority 2.
+            if (round % RoundsPerUrgent == 0) {
+                ask(urgent, "/check/1", "u" + std::to_string(round));
+            }
+            ask(others, "/read/1", "o" + std::to_string(round));
+            ask(others, "/read/1", "p" + std::to_string(round));
+            co_await deployment.sleep(Milliseconds(50));
+        }
+        co_await deployment.sleep(Milliseconds(400));
+    });
+    CHECK(urgent + others <= 3 * ColdRate + ColdSlack);
+    CHECK(10 * urgent >= 9 * (Rounds / RoundsPerUrgent));
+    CHECK(others >= ColdRate);
+}
+
 // Guards against a call of another upstream that gets no turn at a cold one, since callers that may come back took
 // them: the work that waits for the call is then lost.
 TEST_CASE("while more is asked of a cold upstream than it takes, dependent callers are served before others")
@@ -130,7 +165,8 @@
             });
         };
         for (int round = 0; round < Rounds; ++round) {
-            // The callers of the first route fail soon after its target latency, 300 ms.
+            // Both routes have the same priority. The callers of the first one fail soon after its target latency, 300
+            // ms.
             ask(dependent, "/v11/1", "d" + std::to_string(round), Milliseconds(320));
             ask(others, "/read/1", "o" + std::to_string(round), Milliseconds(4000));
             co_await deployment.sleep(Milliseconds(50));
