routes: the request kind download

Cause: large answers are asked for on routes of the platform's kind "download", which counted as unsafe: such requests were tried once, on a new connection, and held up pipelined ones.

Change: RequestKind::Download, 3 on the wire; isIdempotent() replaces all comparisons with Safe. A kind that this version doesn't know is read as unsafe and logged (event=kind-unknown), and the other rows stay in force. The content hash counts later kinds as unsafe: a node of an earlier version reads 3 as unsafe, would get another hash than the sender and refuse the whole table.

Not measured: nodes of two versions together.

--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -69,7 +69,7 @@
     if (auto failure = co_await readBody(body)) {
         co_return failure;
     }
-    if (parameters_.route->kind != RequestKind::Safe) {
+    if (!isIdempotent(parameters_.route->kind)) {
         co_await exchange_.waitForTurn();
     }
     if (exchange_.callerDisconnected()) {
@@ -100,9 +100,9 @@
 void ProxiedRequest::makeTries(std::string body)
 {
     service_ = context_->split.next(*parameters_.route);
-    const bool safe = parameters_.route->kind == RequestKind::Safe;
     const IngressCallId id{context_->localNode.self.incarnation, CallSequence(++context_->lastSequence)};
-    CallState state(id, safe ? Repetition::Repeatable : Repetition::Once, MaxTries, parameters_.deadline);
+    const Repetition repetition = isIdempotent(parameters_.route->kind) ? Repetition::Repeatable : Repetition::Once;
+    CallState state(id, repetition, MaxTries, parameters_.deadline);
     TryContent content;
     content.service = service_;
     content.body = std::move(body);
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -227,7 +227,7 @@
     head.target = request.target;
     head.headers = request.headers;
     head.headers.removeHopByHop();
-    head.isRepeatable = route.kind == RequestKind::Safe;
+    head.isRepeatable = isIdempotent(route.kind);
     head.targetUpstream = requestTry.upstream;
     head.callerService = context_->localNode.service;
     head.route = route.name;
@@ -292,7 +292,7 @@
 {
     const auto *complete = std::get_if<CompleteAnswer>(&answer.result);
     return complete != nullptr && complete->head.status >= FirstServerError
-        && parameters_.route->kind == RequestKind::Safe && reachedUpstreams_.size() + 1 < parameters_.route->maxAttempts
+        && isIdempotent(parameters_.route->kind) && reachedUpstreams_.size() + 1 < parameters_.route->maxAttempts
         && context_->budget.canSpend(content_.service);
 }
 
--- a/src/routes/routechanges.cpp
+++ b/src/routes/routechanges.cpp
@@ -22,8 +22,8 @@
             ++old;
         }
         const bool isKnown = old != before.end() && !comesBefore(*route, **old);
-        const bool isSame =
-            isKnown && (*old)->contentHash == route->contentHash && (*old)->route.regions == route->route.regions;
+        const bool isSame = isKnown && (*old)->contentHash == route->contentHash
+            && (*old)->route.kind == route->route.kind && (*old)->route.regions == route->route.regions;
         if (!isSame) {
             changes.changed.push_back(route);
         }
--- a/src/routes/routetable.cpp
+++ b/src/routes/routetable.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 3> KindWords{"safe", "unsafe", "upload"};
+constexpr std::array<std::string_view, 4> KindWords{"safe", "unsafe", "upload", "download"};
 
 /// Returns the key under which @p host is looked up: in lower case, without the port.
 std::string hostKey(std::string_view host)
@@ -54,6 +54,12 @@
     std::string bytes_;
 };
 
+/// The kind as nodes of an earlier version read it, so that the hash of a table is the same there.
+RequestKind kindOfEarlierNodes(RequestKind kind)
+{
+    return kind > RequestKind::Upload ? RequestKind::Unsafe : kind;
+}
+
 }
 
 std::string_view toString(RequestKind kind)
@@ -64,7 +70,10 @@
 HostRoutePointer makeHostRoute(std::string host, Route route)
 {
     ContentHash hash;
-    hash.add(host).add(route.name.value()).add(route.prefix).add(static_cast<std::uint64_t>(route.kind));
+    hash.add(host)
+        .add(route.name.value())
+        .add(route.prefix)
+        .add(static_cast<std::uint64_t>(kindOfEarlierNodes(route.kind)));
     hash.add(route.targetLatency.count()).add(route.timeout.count());
     hash.add(std::uint64_t{route.priority}).add(std::uint64_t{route.maxAttempts});
     for (const Destination &destination : route.destinations) {
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -30,10 +30,20 @@
     Unsafe,
     /// Same as Unsafe, for requests with a large body.
     Upload,
+    /// Same as Safe, for requests whose answers may be large. Such answers are passed on while they are read.
+    Download,
 };
 
+/// The last enumerator, used to check kinds received from nodes of other versions.
+inline constexpr RequestKind LastRequestKind = RequestKind::Download;
+
 /// Returns the stable word for @p kind in logs. Thread safety: safe.
 [[nodiscard]] std::string_view toString(RequestKind kind);
+/// Whether a request of @p kind may run more than once. Thread safety: safe.
+[[nodiscard]] constexpr bool isIdempotent(RequestKind kind)
+{
+    return kind == RequestKind::Safe || kind == RequestKind::Download;
+}
 
 /// A service that takes part of a route's requests.
 struct Destination
@@ -50,6 +60,8 @@
     /// Starts and ends with a slash.
     std::string prefix;
     RequestKind kind = RequestKind::Unsafe;
+    /// Whether the published kind is one that this version does not know. The kind is Unsafe then.
+    bool isKindUnknown = false;
     /// A response within this time is as good as an immediate one.
     Milliseconds targetLatency{0};
     /// The longest time for which a caller is kept waiting.
@@ -69,6 +81,7 @@
     std::string host;
     Route route;
     /// Hash of all the above but the regions, which nodes of an earlier version don't know; the same in all processes.
+    /// A kind after Upload counts as Unsafe, since nodes that don't know it read it as such.
     std::uint64_t contentHash = 0;
 };
 
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -214,7 +214,7 @@
   name @1 :Text;
   prefix @2 :Text;
   kind @3 :UInt8;
-  # 0 safe, 1 unsafe, 2 upload.
+  # 0 safe, 1 unsafe, 2 upload, 3 download. Nodes of an earlier version read a value that they don't know as unsafe.
   targetLatency @4 :UInt64;
   # In milliseconds, as the times below.
   timeout @5 :UInt64;
--- a/src/rpc/routecoding.cpp
+++ b/src/rpc/routecoding.cpp
@@ -55,10 +55,10 @@
 }
 
 /// A kind that this version does not know is read as Unsafe, the kind that is handled most carefully.
-RequestKind readKind(std::uint8_t wire)
+void readKind(std::uint8_t wire, Route &route)
 {
-    return wire <= static_cast<std::uint8_t>(RequestKind::Upload) ? static_cast<RequestKind>(wire)
-                                                                  : RequestKind::Unsafe;
+    route.isKindUnknown = wire > static_cast<std::uint8_t>(LastRequestKind);
+    route.kind = route.isKindUnknown ? RequestKind::Unsafe : static_cast<RequestKind>(wire);
 }
 
 HostRoutePointer read(Wire::RouteRow::Reader wire)
@@ -66,7 +66,7 @@
     Route route;
     route.name = RouteName(readText(wire.getName()));
     route.prefix = readText(wire.getPrefix());
-    route.kind = readKind(wire.getKind());
+    readKind(wire.getKind(), route);
     route.targetLatency = Milliseconds(wire.getTargetLatency());
     route.timeout = Milliseconds(wire.getTimeout());
     route.priority = wire.getPriority();
--- a/src/sidecar/catalogcontents.cpp
+++ b/src/sidecar/catalogcontents.cpp
@@ -154,6 +154,7 @@
 void CatalogContents::activateRoutes(RouteTablePointer table, const UpdateOrigin &origin)
 {
     log_.logRoutes(*table, versions().routes, origin);
+    log_.logUnknownKinds(*table);
     log_.logUnknownRegions(*table, state_.settings.zones);
     routesReadAt_ = currentTime() - origin.age;
     state_.routes = std::move(table);
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -41,6 +41,22 @@
     }
 }
 
+void CatalogLog::logUnknownKinds(const RouteTable &table)
+{
+    std::size_t count = 0;
+    std::string first;
+    table.forEachRoute([&](const std::string &host, const Route &route) {
+        if (route.isKindUnknown && count++ == 0) {
+            first = host + route.prefix;
+        }
+    });
+    if (count > 0) {
+        StructuredLine line("kind-unknown");
+        line.add("routes", std::uint64_t{count}).add("first", first).add("read_as", toString(RequestKind::Unsafe));
+        log_.warning(line);
+    }
+}
+
 void CatalogLog::logUnknownRegions(const RouteTable &table, const std::vector<ZoneRegion> &zones)
 {
     std::set<RegionName> known;
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -48,6 +48,8 @@
 
     /// @p versionBefore is zero for the first routes of this process, which are left out of the update age metric.
     void logRoutes(const RouteTable &table, RouteVersion versionBefore, const UpdateOrigin &origin);
+    /// Warns of routes whose kind this version does not know, which are handled as unsafe.
+    void logUnknownKinds(const RouteTable &table);
     /// Warns of regions that a route names and no zone of @p zones is in: the route is served nowhere because of them.
     void logUnknownRegions(const RouteTable &table, const std::vector<ZoneRegion> &zones);
     /// Logs the evacuated zones, and warns of those that are not among @p zones.
--- a/tests/adapter/publishedroutestest.cpp
+++ b/tests/adapter/publishedroutestest.cpp
@@ -61,10 +61,25 @@
     const Route *bare = table.value()->match("read.example", "/else");
     REQUIRE(bare != nullptr);
     CHECK(bare->kind == RequestKind::Unsafe);
+    CHECK(bare->isKindUnknown);
     CHECK(bare->maxAttempts == 1);
     CHECK(bare->timeout > Milliseconds(10'000));
 }
 
+// Guards against downloads that are taken for requests which may run only once, and are not tried again.
+TEST_CASE("a download is idempotent, and a route beside it with an unknown kind does not change it")
+{
+    const auto table = routesFromJson(replaced(Config, R"("kind":"safe")", R"("kind":"download")"));
+    REQUIRE(table);
+    const Route *read = table.value()->match("read.example", "/statements/7");
+    REQUIRE(read != nullptr);
+    CHECK(read->kind == RequestKind::Download);
+    CHECK_FALSE(read->isKindUnknown);
+    CHECK(isIdempotent(read->kind));
+    CHECK_FALSE(isIdempotent(RequestKind::Unsafe));
+    CHECK_FALSE(isIdempotent(RequestKind::Upload));
+}
+
 TEST_CASE("routes that can't be read are refused as a whole, and the detail names the fault")
 {
     CHECK_FALSE(routesFromJson("nonsense"));
--- a/tests/routes/routechangestest.cpp
+++ b/tests/routes/routechangestest.cpp
@@ -116,6 +116,19 @@
     CHECK(makeHostRoute("i", base)->contentHash != contentHash(base));
 }
 
+// Guards against a node of an earlier version, which reads a download as unsafe and then gets another hash than the
+// sender: it would refuse the table.
+TEST_CASE("a download has the content hash of an unsafe route, and the change of one into the other is sent")
+{
+    Route unsafe = routeTo("/a/", "one");
+    unsafe.kind = RequestKind::Unsafe;
+    Route download = unsafe;
+    download.kind = RequestKind::Download;
+    CHECK(makeHostRoute("h", unsafe)->contentHash == makeHostRoute("h", download)->contentHash);
+    const RouteTablePointer before = tableOf(5, {unsafe}, {});
+    CHECK(changesBetween(before.get(), *tableOf(6, {download}, {})).changed.size() == 1);
+}
+
 TEST_CASE("of several routes with one host and prefix the last one counts")
 {
     const auto table = tableOf(5, {routeTo("/a/", "one"), routeTo("/a/", "two")}, {});
--- a/tests/rpc/routecodingtest.cpp
+++ b/tests/rpc/routecodingtest.cpp
@@ -59,6 +59,30 @@
     CHECK(second.value()->routes().front()->route.regions == RouteRegions({RegionName("north")}));
 }
 
+// Guards against a kind of a later version that is taken for an idempotent one, or makes the whole table unreadable.
+TEST_CASE("a kind that this version does not know is read as unsafe, and the other routes keep theirs")
+{
+    RouteTable::Host host{"h.example", {}};
+    for (const std::uint8_t kind : {std::uint8_t{3}, std::uint8_t{200}}) {
+        Route route;
+        route.prefix = "/" + std::to_string(kind) + "/";
+        route.kind = static_cast<RequestKind>(kind);
+        host.routes.push_back(std::move(route));
+    }
+    const RouteTable sent(RouteVersion(5), std::vector<RouteTable::Host>{host}, {}, CallerLimits());
+    const auto changes = unpackChanges(packChanges(changesBetween(nullptr, sent)));
+    REQUIRE(changes.has_value());
+    REQUIRE(changes.value().changed.size() == 2);
+    const Route &unknown = changes.value().changed[0]->route;
+    const Route &download = changes.value().changed[1]->route;
+    CHECK(unknown.kind == RequestKind::Unsafe);
+    CHECK(unknown.isKindUnknown);
+    CHECK(download.kind == RequestKind::Download);
+    CHECK_FALSE(download.isKindUnknown);
+    // The hash tells a receiver that it got another table than the sender's, and it would refuse all of it.
+    CHECK(tableAfter(nullptr, changes.value()).has_value());
+}
+
 TEST_CASE("a change of one route among many takes few bytes")
 {
     constexpr std::size_t MaxBytes = 512;
--- a/tests/soak/routepublisher.cpp
+++ b/tests/soak/routepublisher.cpp
@@ -42,6 +42,8 @@
         return "safe";
     case RequestKind::Upload:
         return "upload";
+    case RequestKind::Download:
+        return "download";
     case RequestKind::Unsafe:
         break;
     }
