settings: limits.memory_mb

Cause: the budget of answers needs the memory of the VM.

Change: an optional number from 32 to 1000000, filled from {{limits.memory_mb}}; zero in SidecarSettings if it is absent.

--- a/src/settings/sidecarsettings.cpp
+++ b/src/settings/sidecarsettings.cpp
@@ -23,9 +23,12 @@
 constexpr std::string_view AllowedFingerprint = "a fingerprint of 32 hexadecimal digits, as in the log";
 constexpr std::string_view AllowedDuration = "a time such as \"1500ms\" or \"2.5s\", from 0 to 1 hour";
 constexpr std::string_view AllowedNumber = "a number from 0 to 1000000";
+constexpr std::string_view AllowedMemory = "a number from 32 to 1000000";
 constexpr std::string_view AllowedLevel = "one of trace, debug, info, warn, error";
 constexpr std::size_t MaxNameLength = 200;
 constexpr double MaxNumber = 1e6;
+/// The least memory in which a node works.
+constexpr double MinMemoryMb = 32.0;
 constexpr Milliseconds MaxDuration{3'600'000};
 constexpr std::array<std::string_view, 5> LevelNames{"trace", "debug", "info", "warn", "error"};
 
@@ -73,6 +76,7 @@
         readNumber("links", "zone_price_per_kib", settings.linkPrices.zonePerKiB);
         readNumber("links", "region_price_per_kib", settings.linkPrices.regionPerKiB);
         readDuration("stop", "grace", settings.grace);
+        readMemory(settings.memoryMb);
         readLog(settings);
         if (!problems_.empty()) {
             return std::move(problems_);
@@ -197,6 +201,20 @@
         target = *duration;
     }
 
+    void readMemory(std::uint32_t &target)
+    {
+        const Node *node = find("limits", "memory_mb");
+        if (node == nullptr) {
+            return;
+        }
+        const auto number = node->value<double>();
+        if (!number || !(*number >= MinMemoryMb && *number <= MaxNumber)) {
+            addProblem(node, "limits", "memory_mb", AllowedMemory);
+            return;
+        }
+        target = static_cast<std::uint32_t>(*number);
+    }
+
     void readLog(SidecarSettings &settings)
     {
         double decisions = settings.decisionsPerSecond;
--- a/src/settings/sidecarsettings.h
+++ b/src/settings/sidecarsettings.h
@@ -77,6 +77,10 @@
     /// The longest time from SIGTERM until the process exits.
     Milliseconds grace{6000};
 
+    // [limits]
+    /// The memory of the VM in MB; zero if it is not known.
+    std::uint32_t memoryMb = 0;
+
     // [log]
     LogLevel logLevel = LogLevel::Info;
     std::uint32_t decisionsPerSecond = 200;
--- a/tests/settings/sidecarsettingstest.cpp
+++ b/tests/settings/sidecarsettingstest.cpp
@@ -98,6 +98,21 @@
     CHECK(keysOf(bad.error()) == "quarantine.allow ");
 }
 
+// Guards against a node that takes too little memory for no limit at all.
+TEST_CASE("the memory of the VM is optional, and at least what a node needs")
+{
+    CHECK(readSidecarSettings(ValidSettings, "sidecar.toml").value().memoryMb == 0);
+    const auto settings = readSidecarSettings(ValidSettings + "[limits]\nmemory_mb = 160\n", "sidecar.toml");
+    REQUIRE(settings);
+    CHECK(settings.value().memoryMb == 160);
+    for (const char *bad : {"0", "-5", "31", "\"160\"", "nan"}) {
+        INFO(bad);
+        const auto refused = readSidecarSettings(ValidSettings + "[limits]\nmemory_mb = " + bad, "sidecar.toml");
+        REQUIRE_FALSE(refused);
+        CHECK(keysOf(refused.error()) == "limits.memory_mb ");
+    }
+}
+
 TEST_CASE("text that is not TOML and a missing file are reported as problems")
 {
     CHECK_FALSE(readSidecarSettings("[node", "sidecar.toml"));
