--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -22,6 +22,8 @@
 
 constexpr Bytes MaxProbeAnswer{4096};
 constexpr std::uint16_t HealthyStatus = 200;
+/// The downloads that may be under way at the upstream for each of its slots.
+constexpr std::uint32_t DownloadsPerSlot = 2;
 /// Weight of the newest call in the smoothed delay. About the last ten calls count, which is some tenths of a second on
 /// a busy node.
 constexpr double ArrivalDelayGain = 0.1;
@@ -77,7 +79,7 @@
 void EgressRole::setInstanceRecord(const InstanceRecord *record)
 {
     if (record != nullptr) {
-        slots_.setSlots(record->slots);
+        setSlots(record->slots);
         if (record->id != presence_.name()) {
             rate_.onReplaced(record->id);
         }
@@ -221,7 +223,7 @@
         return;
     }
     if (metadata.load->slots > 0) {
-        slots_.setSlots(metadata.load->slots);
+        setSlots(metadata.load->slots);
     }
     if (metadata.load->slowdownPercent > 0) {
         slots_.setSlowdown(metadata.load->slowdownPercent);
@@ -229,6 +231,12 @@
     }
 }
 
+void EgressRole::setSlots(std::uint32_t slots)
+{
+    upstreamSlots_ = slots;
+    slots_.setSlots(slots);
+}
+
 void EgressRole::applyStatements(const UpstreamAnswerMetadata &metadata)
 {
     if (metadata.isWrongUpstream || !metadata.isAuthentic) {
@@ -283,6 +291,28 @@
     return route != nullptr ? Egretpath::locationRejection(location_, *route) : std::nullopt;
 }
 
+bool EgressRole::isDownload(const CallHead &head) const
+{
+    const RouteTablePointer &routes = sources_.routes;
+    const Route *route =
+        routes ? routes->match(head.headers.find("Host").value_or(std::string_view()), head.target) : nullptr;
+    return route != nullptr && route->kind == RequestKind::Download;
+}
+
+std::optional<Failure> EgressRole::downloadRejection()
+{
+    if (const auto held = heldAnswers_.lock()) {
+        if (auto rejection = held->rejection("egress")) {
+            return rejection;
+        }
+    }
+    if (openDownloads_ < DownloadsPerSlot * std::max<std::uint32_t>(upstreamSlots_, 1)) {
+        return std::nullopt;
+    }
+    metrics_.count("egretpath_downloads_refused_total", R"(role="egress",cause="upstream")");
+    return notRun(Reason::Overloaded, "as many downloads as the upstream may have are under way");
+}
+
 void EgressRole::recordArrival(Duration delay)
 {
     const double sample = std::chrono::duration<double, std::micro>(std::min<Duration>(delay, MaxArrivalDelay)).count();
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "admission/upstreamaccount.h"
+#include "answers/heldanswers.h"
 #include "dialect/upstreamdialect.h"
 #include "egress/upstreamexitmonitor.h"
 #include "egress/upstreamhealth.h"
@@ -29,6 +30,8 @@
 namespace Egretpath
 {
 
+class AnswerReader;
+class RequestTracking;
 class UpstreamRequest;
 
 /// The data that the egress role reads and never writes.
@@ -93,6 +96,8 @@
     void setColdRate(std::optional<RequestRate> rate) { rate_.setColdRate(rate); }
     /// Starts or stops refusing new requests.
     void setDraining(bool draining) { isDraining_ = draining; }
+    /// Sets what limits the answers that the node holds for readers. Without it nothing does.
+    void setHeldAnswers(std::weak_ptr<HeldAnswers> held) { heldAnswers_ = std::move(held); }
     /// Calls @p listener when the upstream has exited while it had requests; see UpstreamExitMonitor::Listener.
     void onUpstreamExit(UpstreamExitMonitor::Listener listener) { upstreamExitListener_ = std::move(listener); }
     /// Ends all waiting and running requests that the quarantine now refuses.
@@ -100,10 +105,12 @@
     [[nodiscard]] LoadReport report(const RouteName &route) const;
     /// See UpstreamRate::limitedBy().
     [[nodiscard]] std::string_view limitedBy() const { return rate_.limitedBy(); }
-    /// Whether no request waits or runs here.
-    [[nodiscard]] bool isIdle() const { return slots_.queue().isIdle(); }
+    /// Whether no request waits or runs here, and all answers were passed on.
+    [[nodiscard]] bool isIdle() const { return slots_.queue().isIdle() && passingOnCount_ == 0; }
 
 private:
+    friend class AnswerReader;
+    friend class RequestTracking;
     friend class UpstreamRequest;
 
     /// Exists as long as the role, so that requests can detect that the role was destroyed.
@@ -128,6 +135,8 @@
     /// none, and whether it leaves.
     void applyStatements(const UpstreamAnswerMetadata &metadata);
     void applyLeaving(bool isLeaving);
+    /// Sets the number of requests that the upstream can run at the same time.
+    void setSlots(std::uint32_t slots);
     /// Refuses the requests that wait for an upstream which leaves or has left.
     void refuseWaitingForDeparted();
     /// The refusal of any request while this zone is evacuated; nothing if it is not.
@@ -135,6 +144,13 @@
     /// The refusal of a request that may not be served here, since this zone is evacuated or the route names other
     /// regions; nothing if it may be. Routes older than those by which the ingress chose don't count.
     [[nodiscard]] std::optional<Failure> locationRejection(const CallHead &head) const;
+    /// Whether the route of a request is one of downloads. Only this node's own routes tell.
+    [[nodiscard]] bool isDownload(const CallHead &head) const;
+    /// Returns why a new download is refused, or nothing if it is taken.
+    ///
+    /// An upstream exits if the answers that it holds exceed its memory. So at most twice as many downloads as it has
+    /// slots are under way, from their arrival here until their answers were passed on.
+    [[nodiscard]] std::optional<Failure> downloadRejection();
     void recordArrival(Duration delay);
     /// Logs the requests that the upstream held when it exited, and informs the listener.
     void reportUpstreamExit(UpstreamCrashId crash, const std::vector<HeldRequest> &held);
@@ -172,6 +188,12 @@
     std::unordered_map<CallId, UpstreamRequest *> waitingRequests_;
     /// Requests that were handed over to the upstream.
     std::unordered_map<CallId, UpstreamRequest *> requestsAtUpstream_;
+    std::weak_ptr<HeldAnswers> heldAnswers_;
+    /// Zero until the upstream or the instance list told.
+    std::uint32_t upstreamSlots_ = 0;
+    std::uint32_t openDownloads_ = 0;
+    /// The number of answers that were read and not passed on completely.
+    std::uint32_t passingOnCount_ = 0;
     /// The number of requests at the upstream that are overdue.
     std::size_t overdueCount_ = 0;
     /// Never expires. It is cancelled when a probe has ended, and when a request has waited for settings_.maxProbeWait.
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -10,7 +10,7 @@
 
 #include "core/bootclock.h"
 #include "core/currenttime.h"
-#include "core/durations.h"
+#include "egress/callconversion.h"
 
 namespace Egretpath
 {
@@ -20,16 +20,7 @@
 namespace
 {
 
-/// Answers up to this size are sent in one message, larger answers in pieces.
-constexpr std::size_t MaxCompleteAnswer = std::size_t{1024} * 1024;
 constexpr Milliseconds DrainingRetryAfter{50};
-constexpr std::uint16_t FirstServerError = 500;
-constexpr std::uint16_t GatewayTimeoutStatus = 504;
-constexpr double Percent = 100.0;
-/// A request is overdue after this many times the time expected for it: its baseline time multiplied by the VM's
-/// slowdown. Hardly any work takes so long.
-constexpr double OverdueFactor = 2.5;
-constexpr Milliseconds MinOverdueTime{150};
 /// A request waits for its turn at an upstream with a limited rate for up to this part of the time left.
 constexpr int DependentWaitDivisor = 3;
 constexpr int WaitDivisor = 8;
@@ -52,8 +43,8 @@
     , cancellation_(std::move(cancellation))
     , callId_(role.nextCallId())
     , arrivedAt_(currentTime())
+    , tracking_(role, callId_, head_.route)
     , writeFinished_(role.executor_, asio::steady_timer::time_point::max())
-    , overdueTimer_(role.executor_)
 {
 }
 
@@ -61,8 +52,10 @@
 {
     if (!roleLifetime_.expired()) {
         role_.waitingRequests_.erase(callId_);
-        endTracking(false);
+        tracking_.end(false);
         releaseSlot(false);
+        role_.openDownloads_ -= countsAsDownload_ ? 1 : 0;
+        role_.passingOnCount_ -= isPassingOn_ ? 1 : 0;
     }
 }
 
@@ -72,47 +65,11 @@
     httpCall_->cancel();
 }
 
-void UpstreamRequest::beginTracking()
-{
-    isAtUpstream_ = true;
-    role_.account_.onStarted(callId_);
-    role_.requestsAtUpstream_.emplace(callId_, this);
-    startOverdueTimer();
-}
-
-void UpstreamRequest::endTracking(bool answered)
-{
-    if (!std::exchange(isAtUpstream_, false)) {
-        return;
-    }
-    answered ? role_.account_.onAnswered(callId_) : role_.account_.onGivenUp(callId_);
-    role_.requestsAtUpstream_.erase(callId_);
-    overdueTimer_.cancel();
-    if (std::exchange(isOverdue_, false)) {
-        --role_.overdueCount_;
-    }
-}
-
-void UpstreamRequest::startOverdueTimer()
-{
-    const LoadReport report = role_.report(head_.route);
-    const double slowdown = std::max(report.slowdownPercent / Percent, 1.0);
-    const Duration expectedTime = scaled(Microseconds(report.serviceTimeMicroseconds), slowdown);
-    overdueTimer_.expires_after(std::max<Duration>(scaled(expectedTime, OverdueFactor), MinOverdueTime));
-    overdueTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
-        const auto request = weak.lock();
-        if (!error && request && request->isAtUpstream_) {
-            request->isOverdue_ = true;
-            request->role_.recordOverdue();
-        }
-    });
-}
-
 asio::awaitable<CallOutcome> UpstreamRequest::run()
 {
     const auto self = shared_from_this();
     if (auto rejection = co_await admit()) {
-        CallOutcome ended = outcome(readableByIngress(std::move(*rejection)));
+        CallOutcome ended = outcome(readableByIngress(std::move(*rejection), head_));
         logEnd(ended);
         co_return ended;
     }
@@ -129,7 +86,7 @@
         }
     }
     cancellation_->clearAction();
-    CallOutcome ended = result ? std::move(result).value() : outcome(readableByIngress(result.error()));
+    CallOutcome ended = result ? std::move(result).value() : outcome(readableByIngress(result.error(), head_));
     const auto *failure = std::get_if<Failure>(&ended.result);
     releaseSlot(failure == nullptr);
     logEnd(ended);
@@ -157,6 +114,10 @@
     if (auto rejection = handOverRejection()) {
         co_return rejection;
     }
+    isDownload_ = role_.isDownload(head_);
+    if (auto rejection = isDownload_ ? role_.downloadRejection() : std::nullopt) {
+        co_return rejection;
+    }
     role_.updateFailureShare();
     const WorkOffer offer = makeOffer();
     if (auto rejection = role_.rate_.rejection(maxTurnWait(offer))) {
@@ -167,6 +128,8 @@
             .rejection(offer, currentTime())
             .value_or(notRun(Reason::None, "it would be taken"));
     }
+    countsAsDownload_ = isDownload_;
+    role_.openDownloads_ += isDownload_ ? 1 : 0;
     if (auto rejection = co_await waitForTurn(offer)) {
         co_return rejection;
     }
@@ -244,6 +207,7 @@
 {
     // A request that may run only once gets a new connection. The upstream may be closing a pooled connection at this
     // moment, and after such a failure it would be unknown whether the request ran.
+    answerReader_.reset();
     httpCall_.reset();
     auto opened = co_await role_.pool_.open(role_.settings_.upstream, deadline_, choice);
     if (!opened) {
@@ -269,6 +233,9 @@
         if (request && request->httpCall_) {
             request->httpCall_->cancel();
         }
+        if (request && request->answerReader_) {
+            request->answerReader_->cancel();
+        }
     });
     handedOverAt_ = currentTime();
     role_.rate_.onHandOver();
@@ -278,10 +245,13 @@
 asio::awaitable<Result<CallOutcome>> UpstreamRequest::exchange()
 {
     isWriting_ = true;
-    beginTracking();
+    tracking_.begin(shared_from_this());
     asio::co_spawn(role_.executor_, writeRequest(shared_from_this()), asio::detached);
-    Result<CallOutcome> result = co_await readAnswer();
-    endTracking(false);
+    const AnsweredRequest answered{head_.requestId, content(), deadline_, isDownload_};
+    answerReader_ = std::make_unique<AnswerReader>(role_, *httpCall_, answered, answerReceiver_);
+    std::function<void()> onBegan = [this] { tracking_.end(true); };
+    Result<ReadAnswer> result = co_await answerReader_->read(std::move(onBegan));
+    tracking_.end(false);
     co_await stopWriting();
     if (abortFailure_ && !result) {
         if (abortFailure_->reason == Reason::LostAtUpstream) {
@@ -294,17 +264,21 @@
         role_.rate_.onDisconnected();
         role_.exitMonitor_.onConnectionBroken({head_.requestId, fingerprint_.get(content()), answeredRecently});
     }
-    co_return result;
+    if (!result) {
+        co_return result.error();
+    }
+    co_return co_await passOn(std::move(result).value());
 }
 
-/// Runs at the same time as readAnswer(), because an upstream may answer before it has read a long body.
+/// Runs at the same time as the answer is read, because an upstream may answer before it has read a long body.
 asio::awaitable<void> UpstreamRequest::writeRequest(std::shared_ptr<UpstreamRequest> /*self*/)
 {
-    // readAnswer() reports a write failure, and it also reads what the upstream answered before it closed the
+    // The reading reports a write failure, and it also reads what the upstream answered before it closed the
     // connection.
-    const Result<void> sent = co_await httpCall_->sendRequest(makeUpstreamHead(), body_);
+    const Result<void> sent =
+        co_await httpCall_->sendRequest(makeUpstreamHead(head_, deadline_, role_.dialect_), body_);
     isWriting_ = false;
-    if (sent && isAtUpstream_) {
+    if (sent && tracking_.isAtUpstream()) {
         role_.account_.onWritten(callId_, currentTime());
     }
     writeFinished_.cancel();
@@ -323,113 +297,27 @@
     }
 }
 
-asio::awaitable<Result<CallOutcome>> UpstreamRequest::readAnswer()
+asio::awaitable<Result<CallOutcome>> UpstreamRequest::passOn(ReadAnswer answer)
 {
-    while (true) {
-        Result<HttpResponseHead> head = co_await httpCall_->readHead();
-        if (!head) {
-            co_return head.error();
-        }
-        const UpstreamAnswerMetadata metadata = role_.dialect_.read(head.value());
-        const bool isOwn = metadata.request.value().empty() || metadata.request == head_.requestId;
-        if (isOwn) {
-            endTracking(true);
-            role_.applyStatements(metadata);
-        }
-        std::string body;
-        while (true) {
-            Result<std::string> piece = co_await httpCall_->readBody();
-            if (!piece) {
-                co_return piece.error();
-            }
-            if (piece.value().empty()) {
-                break;
-            }
-            body += piece.value();
-            if (body.size() > MaxCompleteAnswer) {
-                co_return co_await streamAnswer(std::move(head).value(), std::move(body));
-            }
-        }
-        // A faulty upstream may answer an earlier request twice. The second answer then comes before this request's
-        // answer.
-        if (isOwn) {
-            co_return evaluateAnswer(std::move(head).value(), std::move(body), metadata);
-        }
-        role_.metrics_.count("egretpath_stray_answers_total");
+    if (auto *complete = std::get_if<CompleteAnswer>(&answer)) {
+        co_return outcome(std::move(*complete));
     }
-}
-
-asio::awaitable<Result<CallOutcome>> UpstreamRequest::streamAnswer(HttpResponseHead head, std::string firstPiece)
-{
-    const Failure cancelled = mayHaveRun(Reason::Cancelled, "the ingress takes no more of the answer");
-    head.headers.removeHopByHop();
-    AnswerHead answerHead{head.status, std::move(head.headers)};
-    // Separate conditions: g++ 12 destroys the temporaries of a co_await in a branch that was not taken.
-    if (!co_await answerReceiver_->begin(std::move(answerHead))) {
-        co_return cancelled;
-    }
-    if (!co_await answerReceiver_->write(std::move(firstPiece))) {
-        co_return cancelled;
-    }
-    while (true) {
-        Result<std::string> piece = co_await httpCall_->readBody();
-        if (!piece) {
-            co_return piece.error();
-        }
-        if (piece.value().empty()) {
-            break;
-        }
-        if (!co_await answerReceiver_->write(std::move(piece).value())) {
-            co_return cancelled;
-        }
-    }
-    if (!co_await answerReceiver_->end()) {
-        co_return cancelled;
+    // The upstream has sent its last byte. Its slot and its connection don't wait for a slow reader.
+    releaseSlot(true);
+    httpCall_.reset();
+    isPassingOn_ = true;
+    ++role_.passingOnCount_;
+    const bool isTaken = co_await std::get<std::shared_ptr<AnswerStream>>(answer)->finish();
+    if (!isTaken) {
+        co_return mayHaveRun(Reason::Cancelled, "the ingress takes no more of the answer");
     }
-    role_.recordAnswer(false);
     co_return outcome(StreamedAnswer{});
 }
 
-Result<CallOutcome> UpstreamRequest::evaluateAnswer(HttpResponseHead head, std::string body,
-                                                    const UpstreamAnswerMetadata &metadata)
-{
-    role_.applyAnswerMetadata(metadata);
-    if (metadata.isWrongUpstream) {
-        return notRun(Reason::WrongIncarnation, "another upstream has the address");
-    }
-    if (metadata.isNotRun) {
-        role_.recordAnswer(true);
-        return notRun(Reason::Shed, "the upstream refused it with status " + std::to_string(head.status));
-    }
-    if (!metadata.isAuthentic) {
-        role_.recordAnswer(true);
-        return mayHaveRun(Reason::BadAnswer, "the answer lacks what proves that it is the upstream's");
-    }
-    if (head.status < FirstServerError) {
-        role_.recentAnswers_.record(content(), currentTime());
-    }
-    role_.recordAnswer(head.status >= FirstServerError && head.status != GatewayTimeoutStatus);
-    head.headers.removeHopByHop();
-    return outcome(CompleteAnswer{AnswerHead{head.status, std::move(head.headers)}, std::move(body)});
-}
-
 bool UpstreamRequest::mayResend(const Failure &failure) const
 {
     return head_.isRepeatable && failure.reason == Reason::ConnectionLost && httpCall_
-        && httpCall_->isConnectionReused() && !cancellation_->isCancelled();
-}
-
-HttpRequestHead UpstreamRequest::makeUpstreamHead() const
-{
-    HttpRequestHead head(head_.method, head_.target);
-    head.headers = head_.headers;
-    UpstreamMetadata requestMetadata;
-    requestMetadata.timeLeft =
-        std::max(std::chrono::duration_cast<Milliseconds>(deadline_ - currentTime()), Milliseconds{1});
-    requestMetadata.target = head_.targetUpstream;
-    requestMetadata.callerService = head_.callerService;
-    role_.dialect_.writeMetadata(head.headers, requestMetadata);
-    return head;
+        && httpCall_->isConnectionReused() && !answerReader_->hasStream() && !cancellation_->isCancelled();
 }
 
 CallOutcome UpstreamRequest::outcome(std::variant<Failure, CompleteAnswer, StreamedAnswer> result) const
@@ -452,17 +340,6 @@
     return fingerprint_.rejection(role_.sources_.quarantine, content(), currentTime());
 }
 
-/// An ingress of an earlier version would take a reason that it does not know for CrashesUpstreams, and ask nobody
-/// else.
-Failure UpstreamRequest::readableByIngress(Failure failure) const
-{
-    const bool isEarlierIngress = head_.routesVersion == RouteVersion();
-    if (isEarlierIngress && failure.reason > LastReasonOfEarlierNodes) {
-        failure.reason = Reason::Overloaded;
-    }
-    return failure;
-}
-
 std::optional<Failure> UpstreamRequest::handOverRejection()
 {
     if (auto rejection = role_.presence_.rejection(head_.targetUpstream)) {
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -7,7 +7,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "egress/answerreader.h"
 #include "egress/egressrole.h"
+#include "egress/requesttracking.h"
 #include "http/httpclientcall.h"
 #include "quarantine/lazyfingerprint.h"
 
@@ -44,8 +46,6 @@
     /// If the rate of the upstream is limited, takes a turn and waits until it is due. Returns why the request gets
     /// none, or why it must not be handed over any more.
     boost::asio::awaitable<std::optional<Failure>> waitForTurn(const WorkOffer &offer);
-    /// Returns @p failure with a reason that the ingress knows.
-    [[nodiscard]] Failure readableByIngress(Failure failure) const;
     /// Returns why the request must not be handed over to the upstream now, or nothing if it may be.
     [[nodiscard]] std::optional<Failure> handOverRejection();
     /// Connects to the upstream, sends the request and reads the answer.
@@ -53,23 +53,14 @@
     boost::asio::awaitable<std::optional<Failure>> connect(HttpConnectionChoice choice);
     /// Sends the request and reads its answer on one connection.
     boost::asio::awaitable<Result<CallOutcome>> exchange();
-    boost::asio::awaitable<Result<CallOutcome>> readAnswer();
-    boost::asio::awaitable<Result<CallOutcome>> streamAnswer(HttpResponseHead head, std::string firstPiece);
+    /// Returns the answer that was read; if it is streamed, after the ingress has taken it.
+    boost::asio::awaitable<Result<CallOutcome>> passOn(ReadAnswer answer);
     boost::asio::awaitable<void> writeRequest(std::shared_ptr<UpstreamRequest> self);
     boost::asio::awaitable<void> stopWriting();
-    [[nodiscard]] Result<CallOutcome> evaluateAnswer(HttpResponseHead head, std::string body,
-                                                     const UpstreamAnswerMetadata &metadata);
     [[nodiscard]] bool mayResend(const Failure &failure) const;
 
-    [[nodiscard]] HttpRequestHead makeUpstreamHead() const;
     [[nodiscard]] CallOutcome outcome(std::variant<Failure, CompleteAnswer, StreamedAnswer> result) const;
-    /// The request is tracked while the upstream has it: in the role's account, among the role's requests at the
-    /// upstream, and by the overdue timer. @p answered: the tracking ends because the answer began.
-    void beginTracking();
-    void endTracking(bool answered);
     [[nodiscard]] RequestContent content() const;
-    /// Starts the timer that informs the role when the upstream takes much longer than expected.
-    void startOverdueTimer();
     void releaseSlot(bool answered);
     void logEnd(const CallOutcome &ended) const;
 
@@ -86,16 +77,20 @@
     TimePoint targetTime_;
     TimePoint handedOverAt_;
     std::unique_ptr<HttpClientCall> httpCall_;
+    std::unique_ptr<AnswerReader> answerReader_;
+    RequestTracking tracking_;
     /// Never expires. It is cancelled when the request was written or writing failed.
     boost::asio::steady_timer writeFinished_;
-    /// Expires when the upstream takes much longer than expected.
-    boost::asio::steady_timer overdueTimer_;
     bool holdsSlot_ = false;
+    /// Whether the route of the request is one of downloads.
+    bool isDownload_ = false;
+    /// Whether the request counts as a download under way; see EgressRole::downloadRejection().
+    bool countsAsDownload_ = false;
+    /// Whether the answer was read, and the ingress has not taken all of it.
+    bool isPassingOn_ = false;
     /// Whether the request has a turn that it has not used yet; see UpstreamRate.
     bool hasTurn_ = false;
     bool isWriting_ = false;
-    bool isAtUpstream_ = false;
-    bool isOverdue_ = false;
     /// Why the node itself ended the request at the upstream.
     std::optional<Failure> abortFailure_;
 };
--- a/src/http/httpclientcall.cpp
+++ b/src/http/httpclientcall.cpp
@@ -71,6 +71,11 @@
     connection_->waitWhileBytesArrive(maxSilence);
 }
 
+void HttpClientCall::setDeadline(TimePoint deadline)
+{
+    connection_->setDeadline(deadline);
+}
+
 TimePoint HttpClientCall::lastArrival() const
 {
     return connection_->lastArrival();
--- a/src/http/httpclientcall.h
+++ b/src/http/httpclientcall.h
@@ -63,6 +63,8 @@
     /// deadline that passed while this process did not get to run is extended too, so that an answer which arrived
     /// meanwhile is read. For calls whose result is worth waiting for as long as it arrives, however large it is.
     void waitWhileBytesArrive(Duration maxSilence);
+    /// Moves the deadline to @p deadline, for a caller that pauses between two reads.
+    void setDeadline(TimePoint deadline);
     /// When bytes of an answer last arrived on this connection.
     [[nodiscard]] TimePoint lastArrival() const;
 
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -248,6 +248,12 @@
     }
 }
 
+void HttpClientConnection::setDeadline(TimePoint deadline)
+{
+    deadline_ = deadline;
+    timer_.expireAt(deadline);
+}
+
 void HttpClientConnection::recordArrival()
 {
     lastArrival_ = std::chrono::steady_clock::now();
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -57,6 +57,7 @@
     [[nodiscard]] bool isFirstByteSent() const { return bytesSent_ > 0; }
     [[nodiscard]] bool isConnectionReused() const { return isReused_; }
     void waitWhileBytesArrive(Duration maxSilence) { maxSilence_ = maxSilence; }
+    void setDeadline(TimePoint deadline);
     [[nodiscard]] TimePoint lastArrival() const { return lastArrival_; }
     void cancel();
 
--- a/src/ingress/ingresscontext.h
+++ b/src/ingress/ingresscontext.h
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "admission/stopadmission.h"
+#include "answers/heldanswers.h"
 #include "core/random.h"
 #include "dialect/callerdialect.h"
 #include "egress/egressrole.h"
@@ -87,6 +88,8 @@
     RetryBudget budget;
     CallerTimeouts callerTimeouts;
     StopAdmission stop;
+    /// What limits the answers that the node holds for readers; gone if nothing does.
+    std::weak_ptr<HeldAnswers> heldAnswers;
     std::function<void(const Endpoint &, const CallOutcome &)> outcomeListener;
     std::function<void()> noRoutesListener;
     /// Whether other nodes may have routes that this node lacks.
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -41,6 +41,8 @@
 
     void setRetryLimits(const RetryLimits &limits);
     void setLinkPrices(const LinkPrices &prices) { context_->placement.setPrices(prices); }
+    /// Sets what limits the answers that the node holds for readers. Without it nothing does.
+    void setHeldAnswers(std::weak_ptr<HeldAnswers> held) { context_->heldAnswers = std::move(held); }
     /// Call this after the routes or the instance directory changed.
     void catalogChanged();
     /// Calls @p listener with each answer of another node. The answer carries the versions of that node's catalog and
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -57,7 +57,9 @@
     });
     context_->budget.onFirstTry(service_);
     co_await tryUntilEnded();
+    hasEnded_ = true;
     tries_->cancelAll();
+    co_await waitForWriters();
 }
 
 asio::awaitable<std::optional<Failure>> ProxiedRequest::prepare()
@@ -65,6 +67,9 @@
     if (auto failure = readParameters(*context_, exchange_.head(), parameters_)) {
         co_return failure;
     }
+    if (auto failure = downloadRejection()) {
+        co_return failure;
+    }
     std::string body;
     if (auto failure = co_await readBody(body)) {
         co_return failure;
@@ -83,6 +88,19 @@
     co_return std::nullopt;
 }
 
+std::optional<Failure> ProxiedRequest::downloadRejection()
+{
+    const auto held = context_->heldAnswers.lock();
+    if (!held || parameters_.route->kind != RequestKind::Download) {
+        return std::nullopt;
+    }
+    std::optional<Failure> rejection = held->rejection("ingress");
+    if (rejection) {
+        rejection->retryAfter = retryDelay(*context_, parameters_, rejection->retryAfter);
+    }
+    return rejection;
+}
+
 asio::awaitable<std::optional<Failure>> ProxiedRequest::readBody(std::string &body)
 {
     while (true) {
@@ -106,8 +124,11 @@
     TryContent content;
     content.service = service_;
     content.body = std::move(body);
-    content.makeReceiver = [weak = weak_from_this()](TryNumber number) {
-        return std::make_shared<StreamedAnswerRelay>(weak, number);
+    content.makeReceiver = [weak = weak_from_this(), local = context_->localNode.endpoint,
+                            held = context_->heldAnswers](const RequestTry &requestTry) {
+        // The egress beside this ingress holds the bytes itself.
+        return std::make_shared<StreamedAnswerRelay>(weak, requestTry.number,
+                                                     requestTry.node == local ? std::weak_ptr<HeldAnswers>() : held);
     };
     tries_ = std::make_shared<RequestTries>(context_, parameters_, std::move(content), std::move(state),
                                             [weak = weak_from_this()] {
@@ -130,7 +151,7 @@
             }
             continue;
         }
-        if (currentTime() >= parameters_.deadline) {
+        if (!isStreamed_ && currentTime() >= parameters_.deadline) {
             co_await giveUp(notRun(Reason::DeadlinePassed, "no answer before the timeout"));
             co_return;
         }
@@ -156,11 +177,20 @@
     if (tries_->hasEndedTry() || isCallerDisconnected_) {
         co_return;
     }
-    wakeUp_.expires_at(parameters_.deadline);
+    wakeUp_.expires_at(isStreamed_ ? TimePoint::max() : parameters_.deadline);
     boost::system::error_code ignored;
     co_await wakeUp_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+asio::awaitable<void> ProxiedRequest::waitForWriters()
+{
+    while (writerCount_ > 0) {
+        wakeUp_.expires_at(TimePoint::max());
+        boost::system::error_code ignored;
+        co_await wakeUp_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 asio::awaitable<bool> ProxiedRequest::handleTryEnd(TryEnd ended)
 {
     const RequestTry &requestTry = *ended.requestTry;
@@ -196,9 +226,11 @@
     if (!isComplete) {
         // The caller has received a part of the answer. Only closing the connection shows that the rest is missing.
         exchange_.abort();
+    } else {
+        context_->sizes.record(parameters_.route->name, Bytes(streamedBytes_));
     }
     context_->stop.recordAnswer(parameters_.route->name, currentTime() - parameters_.arrival);
-    logEnd(0, describeAnswer("sent in pieces", isComplete ? Reason::None : Reason::BadAnswer));
+    logEnd(0, describeAnswer("sent in pieces", isComplete ? Reason::None : Reason::BadAnswer), streamedBytes_);
 }
 
 asio::awaitable<void> ProxiedRequest::deliver(const RequestTry &requestTry, CallOutcome outcome)
@@ -213,7 +245,7 @@
     HttpResponseHead head(complete->head.status);
     head.headers = std::move(complete->head.headers);
     context_->stop.recordAnswer(parameters_.route->name, currentTime() - parameters_.arrival);
-    logEnd(head.status, describeAnswer(requestTry.upstream.value(), Reason::None));
+    logEnd(head.status, describeAnswer(requestTry.upstream.value(), Reason::None), complete->body.size());
     [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), std::move(complete->body));
 }
 
@@ -241,7 +273,7 @@
     [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), failure.detail + "\n");
 }
 
-void ProxiedRequest::logEnd(std::uint16_t status, const Failure &result)
+void ProxiedRequest::logEnd(std::uint16_t status, const Failure &result, std::optional<std::uint64_t> answerBytes)
 {
     EndedRequest ended;
     ended.request = parameters_.caller.request;
@@ -254,6 +286,7 @@
     ended.tryCount = tries_ ? tries_->tryCount() : 0;
     ended.reachedCount = tries_ ? tries_->reachedCount() : 0;
     ended.duration = currentTime() - parameters_.arrival;
+    ended.answerBytes = answerBytes;
     ended.routesVersion = parameters_.routes ? parameters_.routes->version() : RouteVersion();
     context_->requestLog.recordEnd(ended);
 }
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,6 +35,8 @@
 
     /// Reads the head and the body. Returns why the request can't be sent, or nothing.
     boost::asio::awaitable<std::optional<Failure>> prepare();
+    /// Returns why the node takes no new download, or nothing if it does or if this is none.
+    [[nodiscard]] std::optional<Failure> downloadRejection();
     boost::asio::awaitable<std::optional<Failure>> readBody(std::string &body);
     void makeTries(std::string body);
     boost::asio::awaitable<void> tryUntilEnded();
@@ -41,6 +44,9 @@
     boost::asio::awaitable<bool> handleTryEnd(TryEnd ended);
     void finishStreamedAnswer(const TryEnd &ended);
     boost::asio::awaitable<void> waitForTryEnd();
+    /// Waits until nothing is written to the exchange any more. Precondition: hasEnded_, and the writing fails or ends
+    /// soon.
+    boost::asio::awaitable<void> waitForWriters();
     void recordCallerDisconnected();
 
     boost::asio::awaitable<void> deliver(const RequestTry &requestTry, CallOutcome outcome);
@@ -49,7 +55,7 @@
 
     /// @p result: the failure, or a Failure that describes an answer. The detail of the latter names the upstream or
     /// says that the answer was sent in pieces.
-    void logEnd(std::uint16_t status, const Failure &result);
+    void logEnd(std::uint16_t status, const Failure &result, std::optional<std::uint64_t> answerBytes = std::nullopt);
 
     std::shared_ptr<IngressContext> context_;
     HttpExchange &exchange_;
@@ -60,7 +66,14 @@
     /// Wakes the loop at the deadline, or earlier when the timer is cancelled.
     boost::asio::steady_timer wakeUp_;
     bool isCallerDisconnected_ = false;
+    /// Whether a part of a streamed answer was accepted. No other try may follow, and the deadline has no effect any
+    /// more: an answer that is under way is delivered for as long as the caller takes it.
     bool isStreamed_ = false;
+    std::uint64_t streamedBytes_ = 0;
+    /// Set before the exchange is left to the server. From then on nothing may be written to it.
+    bool hasEnded_ = false;
+    /// The number of coroutines of StreamedAnswerRelay that write to the exchange.
+    unsigned writerCount_ = 0;
 };
 
 }
--- a/src/ingress/requestlog.cpp
+++ b/src/ingress/requestlog.cpp
@@ -56,6 +56,9 @@
         line.add("target_ms", item.route->targetLatency.count());
     }
     line.add("took_ms", toMilliseconds(item.duration)).add("routes", item.routesVersion.value());
+    if (item.answerBytes) {
+        line.add("bytes", *item.answerBytes);
+    }
     log_.decision(line);
 }
 
--- a/src/ingress/requestlog.h
+++ b/src/ingress/requestlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "core/clock.h"
@@ -50,6 +51,8 @@
     std::size_t reachedCount = 0;
     Duration duration{0};
     RouteVersion routesVersion;
+    /// The size of the answer's body; nothing if the caller got no answer of an upstream.
+    std::optional<std::uint64_t> answerBytes;
 };
 
 /// Records the placement and the end of callers' requests as log lines, counters and latencies.
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -152,7 +152,7 @@
     if (!permitSending(*requestTry, head)) {
         co_return notRun(Reason::Cancelled, "ended before it was sent");
     }
-    co_return co_await context_->egress.call(std::move(head), content_.body, content_.makeReceiver(requestTry->number),
+    co_return co_await context_->egress.call(std::move(head), content_.body, content_.makeReceiver(*requestTry),
                                              requestTry->cancellation);
 }
 
@@ -166,7 +166,7 @@
     }
     const auto permit = [this, requestTry](CallHead &sentHead) { return permitSending(*requestTry, sentHead); };
     co_return co_await context_->peers.call(requestTry->node, std::move(head), content_.body,
-                                            content_.makeReceiver(requestTry->number), permit, parameters_.deadline,
+                                            content_.makeReceiver(*requestTry), permit, parameters_.deadline,
                                             requestTry->cancellation);
 }
 
@@ -180,8 +180,8 @@
     };
     // A variable, because g++ 12 destroys aggregate temporaries of a co_await expression twice.
     auto outcome = co_await context_->peers.call(requestTry->node, std::move(dryRunHead), std::string(),
-                                                 content_.makeReceiver(requestTry->number), permit,
-                                                 parameters_.deadline, requestTry->cancellation);
+                                                 content_.makeReceiver(*requestTry), permit, parameters_.deadline,
+                                                 requestTry->cancellation);
     TryEnd dryRunEnd{requestTry, std::move(outcome)};
     const Failure *rejection = dryRunEnd.failure();
     if (rejection == nullptr || rejection->reason == Reason::None) {
@@ -291,9 +291,8 @@
 bool RequestTries::mayRetryAfterAnswer(const CallOutcome &answer) const
 {
     const auto *complete = std::get_if<CompleteAnswer>(&answer.result);
-    return complete != nullptr && complete->head.status >= FirstServerError
-        && isIdempotent(parameters_.route->kind) && reachedUpstreams_.size() + 1 < parameters_.route->maxAttempts
-        && context_->budget.canSpend(content_.service);
+    return complete != nullptr && complete->head.status >= FirstServerError && isIdempotent(parameters_.route->kind)
+        && reachedUpstreams_.size() + 1 < parameters_.route->maxAttempts && context_->budget.canSpend(content_.service);
 }
 
 void RequestTries::logPlacement(const RequestTry &requestTry, const PlacementChoice &choice, const Endpoint &caller,
--- a/src/ingress/requesttries.h
+++ b/src/ingress/requesttries.h
@@ -49,7 +49,7 @@
 {
     ServiceName service;
     std::string body;
-    std::function<std::shared_ptr<AnswerReceiver>(TryNumber)> makeReceiver;
+    std::function<std::shared_ptr<AnswerReceiver>(const RequestTry &)> makeReceiver;
 };
 
 /// The tries of one request. This class chooses an upstream for each try, sends the request, and decides whether
--- a/src/ingress/streamedanswerrelay.cpp
+++ b/src/ingress/streamedanswerrelay.cpp
@@ -1,5 +1,6 @@
 #include "ingress/streamedanswerrelay.h"
 
+#include <charconv>
 #include <utility>
 
 namespace Egretpath
@@ -7,39 +8,110 @@
 
 namespace asio = boost::asio;
 
-StreamedAnswerRelay::StreamedAnswerRelay(std::weak_ptr<ProxiedRequest> request, TryNumber number)
+namespace
+{
+
+/// The length of the body by the header fields; nothing if they state none that can be read.
+std::optional<std::uint64_t> lengthIn(const HttpHeaders &headers)
+{
+    const std::string_view text = headers.find("Content-Length").value_or(std::string_view());
+    std::uint64_t length = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), length);
+    const bool isLength = !text.empty() && parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+    return isLength ? std::optional(length) : std::nullopt;
+}
+
+}
+
+/// Registers a coroutine that writes to the exchange of a request, and the bytes that it holds. The request does not
+/// leave the exchange to the server before the coroutine has ended.
+class StreamedAnswerRelay::Writing
+{
+public:
+    Writing(std::shared_ptr<ProxiedRequest> request, std::weak_ptr<HeldAnswers> held, Bytes bytes)
+        : request_(std::move(request))
+        , held_(std::move(held))
+        , bytes_(bytes)
+    {
+        ++request_->writerCount_;
+        if (const auto locked = held_.lock()) {
+            locked->hold(bytes_);
+        }
+    }
+    ~Writing()
+    {
+        if (const auto locked = held_.lock()) {
+            locked->release(bytes_);
+        }
+        --request_->writerCount_;
+        request_->wakeUp_.cancel();
+    }
+    Writing(const Writing &) = delete;
+    Writing &operator=(const Writing &) = delete;
+
+private:
+    std::shared_ptr<ProxiedRequest> request_;
+    std::weak_ptr<HeldAnswers> held_;
+    Bytes bytes_;
+};
+
+StreamedAnswerRelay::StreamedAnswerRelay(std::weak_ptr<ProxiedRequest> request, TryNumber number,
+                                         std::weak_ptr<HeldAnswers> held)
     : request_(std::move(request))
     , number_(number)
+    , held_(std::move(held))
 {
 }
 
 asio::awaitable<bool> StreamedAnswerRelay::begin(AnswerHead head)
 {
+    head_ = std::move(head);
     const auto request = request_.lock();
-    if (!request || !request->tries_->state().acceptAnswer(number_)) {
+    co_return request && !request->hasEnded_;
+}
+
+asio::awaitable<bool> StreamedAnswerRelay::commit(std::shared_ptr<ProxiedRequest> request)
+{
+    if (std::exchange(isCommitted_, true)) {
+        co_return !request->hasEnded_;
+    }
+    if (request->hasEnded_ || !request->tries_->state().acceptAnswer(number_)) {
         co_return false;
     }
     request->isStreamed_ = true;
-    HttpResponseHead response(head.status);
-    response.headers = std::move(head.headers);
-    const Result<void> started = co_await request->exchange_.startResponse(std::move(response), std::nullopt);
+    HttpResponseHead response(head_.status);
+    response.headers = std::move(head_.headers);
+    const std::optional<std::uint64_t> length = lengthIn(response.headers);
+    const Result<void> started = co_await request->exchange_.startResponse(std::move(response), length);
     co_return started.has_value();
 }
 
 asio::awaitable<bool> StreamedAnswerRelay::write(std::string chunk)
 {
     const auto request = request_.lock();
-    if (!request || !request->isStreamed_) {
+    if (!request) {
+        co_return false;
+    }
+    const Writing writing(request, held_, Bytes(chunk.size()));
+    const bool isTaken = co_await commit(request);
+    if (!isTaken) {
         co_return false;
     }
+    const std::size_t size = chunk.size();
     const Result<void> written = co_await request->exchange_.writeBody(std::move(chunk));
+    request->streamedBytes_ += written ? size : 0;
     co_return written.has_value();
 }
 
 asio::awaitable<bool> StreamedAnswerRelay::end()
 {
     const auto request = request_.lock();
-    if (!request || !request->isStreamed_) {
+    if (!request) {
+        co_return false;
+    }
+    const Writing writing(request, {}, Bytes(0));
+    const bool isTaken = co_await commit(request);
+    if (!isTaken) {
         co_return false;
     }
     const Result<void> ended = co_await request->exchange_.finishResponse();
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -30,13 +30,28 @@
 /// A connection attempt that takes longer is given up, so that there is still time to try another upstream.
 constexpr Milliseconds ConnectTimeout{250};
 
+/// The longest pause between two chunks of an answer. A node that holds too much pauses for as long as readers that
+/// stopped are waited for, which is less.
+constexpr Milliseconds MaxChunkPause{30'000};
+
+/// How far the streamed answer to a call has come.
+struct AnswerProgress
+{
+    bool hasChunk = false;
+    /// The chunks that the receiver is taking. While there are any, the peer has nothing to do.
+    unsigned openChunks = 0;
+    TimePoint lastChange;
+};
+
 /// Passes the pieces of a large answer to the receiver of the call that waits for the answer.
 class AnswerSinkServer final : public Wire::AnswerSink::Server
 {
 public:
-    AnswerSinkServer(asio::any_io_executor executor, std::shared_ptr<AnswerReceiver> receiver)
+    AnswerSinkServer(asio::any_io_executor executor, std::shared_ptr<AnswerReceiver> receiver,
+                     std::shared_ptr<AnswerProgress> progress)
         : executor_(std::move(executor))
         , receiver_(std::move(receiver))
+        , progress_(std::move(progress))
     {
     }
 
@@ -48,12 +63,24 @@
 
     kj::Promise<void> write(WriteContext context) override
     {
-        return rejectUnlessAccepted(receiver_->write(WireConversion::readBytes(context.getParams().getChunk())));
+        progress_->hasChunk = true;
+        ++progress_->openChunks;
+        return rejectUnlessAccepted(
+            takeChunk(receiver_, progress_, WireConversion::readBytes(context.getParams().getChunk())));
     }
 
     kj::Promise<void> end(EndContext /*context*/) override { return rejectUnlessAccepted(receiver_->end()); }
 
 private:
+    static asio::awaitable<bool> takeChunk(std::shared_ptr<AnswerReceiver> receiver,
+                                           std::shared_ptr<AnswerProgress> progress, std::string chunk)
+    {
+        const bool isAccepted = co_await receiver->write(std::move(chunk));
+        --progress->openChunks;
+        progress->lastChange = std::chrono::steady_clock::now();
+        co_return isAccepted;
+    }
+
     kj::Promise<void> rejectUnlessAccepted(asio::awaitable<bool> work)
     {
         return toPromise(executor_, std::move(work)).then([](bool isAccepted) {
@@ -65,6 +92,7 @@
 
     asio::any_io_executor executor_;
     std::shared_ptr<AnswerReceiver> receiver_;
+    std::shared_ptr<AnswerProgress> progress_;
 };
 
 /// How long a connection may deliver nothing while a call waits. Longer than a call takes at a busy upstream on a slow
@@ -237,15 +265,59 @@
     return pair.promise.attach(kj::mv(patientDeadline));
 }
 
+/// The deadline of a call. Once a chunk of the answer has come, it no longer counts: an answer that is under way is
+/// waited for as long as chunks arrive.
+class AnswerDeadline : public std::enable_shared_from_this<AnswerDeadline>
+{
+public:
+    AnswerDeadline(const asio::any_io_executor &executor, std::shared_ptr<const AnswerProgress> progress,
+                   std::function<void()> onPassed)
+        : timer_(executor)
+        , progress_(std::move(progress))
+        , onPassed_(std::move(onPassed))
+    {
+    }
+
+    void startWait(TimePoint deadline)
+    {
+        timer_.expires_at(deadline);
+        timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error) {
+                self->onTimer();
+            }
+        });
+    }
+
+private:
+    void onTimer()
+    {
+        const TimePoint now = std::chrono::steady_clock::now();
+        const TimePoint pauseEnd = (progress_->openChunks > 0 ? now : progress_->lastChange) + MaxChunkPause;
+        if (!progress_->hasChunk || pauseEnd <= now) {
+            onPassed_();
+            return;
+        }
+        startWait(pauseEnd);
+    }
+
+    asio::steady_timer timer_;
+    std::shared_ptr<const AnswerProgress> progress_;
+    std::function<void()> onPassed_;
+};
+
 template<typename Value>
-kj::Promise<Value> rejectAtDeadline(const asio::any_io_executor &executor, TimePoint deadline)
+kj::Promise<Value> rejectAtDeadline(const asio::any_io_executor &executor, TimePoint deadline,
+                                    std::shared_ptr<const AnswerProgress> progress)
 {
     auto pair = kj::newPromiseAndFulfiller<Value>();
-    auto timer = kj::heap<asio::steady_timer>(executor, deadline);
-    timer->async_wait([fulfiller = kj::mv(pair.fulfiller)](const boost::system::error_code &) mutable {
-        fulfiller->reject(KJ_EXCEPTION(OVERLOADED, "deadline passed"));
+    // Shared, since std::function requires a copyable action.
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<Value>>>(kj::mv(pair.fulfiller));
+    auto answerDeadline = std::make_shared<AnswerDeadline>(executor, std::move(progress), [fulfiller] {
+        (*fulfiller)->reject(KJ_EXCEPTION(OVERLOADED, "deadline passed"));
     });
-    return pair.promise.attach(kj::mv(timer));
+    answerDeadline->startWait(deadline);
+    return pair.promise.attach(kj::mv(answerDeadline));
 }
 
 template<typename Value>
@@ -273,10 +345,11 @@
 /// which tells the peer to cancel the call.
 template<typename Value>
 asio::awaitable<Result<Value>> awaitAnswer(kj::Promise<Value> promise, TimePoint deadline,
+                                           std::shared_ptr<const AnswerProgress> progress,
                                            std::shared_ptr<Cancellation> cancellation)
 {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
-    promise = promise.exclusiveJoin(rejectAtDeadline<Value>(executor, deadline));
+    promise = promise.exclusiveJoin(rejectAtDeadline<Value>(executor, deadline, std::move(progress)));
     if (cancellation) {
         promise = promise.exclusiveJoin(rejectOnCancellation<Value>(cancellation));
     }
@@ -480,9 +553,10 @@
     auto request = connection.value()->node.callRequest();
     WireConversion::write(request.initHead(), head);
     request.setBody(WireConversion::asData(body));
-    request.setAnswer(kj::heap<AnswerSinkServer>(implementation->executor(), std::move(answer)));
+    const auto progress = std::make_shared<AnswerProgress>();
+    request.setAnswer(kj::heap<AnswerSinkServer>(implementation->executor(), std::move(answer), progress));
     auto promise = request.send().then([](auto &&response) { return WireConversion::read(response.getOutcome()); });
-    co_return co_await awaitAnswer(kj::mv(promise), deadline, std::move(cancellation));
+    co_return co_await awaitAnswer<CallOutcome>(kj::mv(promise), deadline, progress, std::move(cancellation));
 }
 
 asio::awaitable<Result<Catalog>> PeerClient::catalog(Endpoint peer, CatalogRequest request, TimePoint deadline)
--- a/src/sidecar/operatorpages.cpp
+++ b/src/sidecar/operatorpages.cpp
@@ -29,9 +29,11 @@
 
 }
 
-OperatorPages::OperatorPages(SidecarState &state, const CatalogController &catalog, const EgressRole &egress,
-                             const IngressRole &ingress, const QuarantineController &quarantine)
+OperatorPages::OperatorPages(SidecarState &state, const HeldAnswers &heldAnswers, const CatalogController &catalog,
+                             const EgressRole &egress, const IngressRole &ingress,
+                             const QuarantineController &quarantine)
     : state_(state)
+    , heldAnswers_(heldAnswers)
     , catalog_(catalog)
     , egress_(egress)
     , ingress_(ingress)
@@ -68,6 +70,7 @@
                                      {"reads", catalog_.readsStore()},
                                      {"store", toString(catalog_.storeState())},
                                      {"searching_ms", catalog_.searchingFor().count()},
+                                     {"held_answer_bytes", heldAnswers_.budget().held().value()},
                                      {"quarantined", state_.quarantine.refusedCount()}};
     return boost::json::serialize(status);
 }
@@ -79,6 +82,7 @@
     metrics.set("egretpath_requests_open", {}, static_cast<double>(ingress_.openRequests()));
     metrics.set("egretpath_upstreams", {}, static_cast<double>(state_.directory.size()));
     metrics.set("egretpath_requests_quarantined", {}, static_cast<double>(state_.quarantine.refusedCount()));
+    metrics.set("egretpath_held_answer_bytes", {}, static_cast<double>(heldAnswers_.budget().held().value()));
     metrics.set("egretpath_upstream_running", {}, report.inFlight);
     metrics.set("egretpath_upstream_queued", {}, report.queued);
     metrics.set("egretpath_log_lines_dropped", {}, static_cast<double>(state_.log.droppedDecisions()));
--- a/src/sidecar/operatorpages.h
+++ b/src/sidecar/operatorpages.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "answers/heldanswers.h"
 #include "egress/egressrole.h"
 #include "http/httpexchange.h"
 #include "ingress/ingressrole.h"
@@ -21,8 +22,8 @@
 class OperatorPages
 {
 public:
-    OperatorPages(SidecarState &state, const CatalogController &catalog, const EgressRole &egress,
-                  const IngressRole &ingress, const QuarantineController &quarantine);
+    OperatorPages(SidecarState &state, const HeldAnswers &heldAnswers, const CatalogController &catalog,
+                  const EgressRole &egress, const IngressRole &ingress, const QuarantineController &quarantine);
 
     [[nodiscard]] boost::asio::awaitable<void> serve(HttpExchange &exchange);
 
@@ -32,6 +33,7 @@
     [[nodiscard]] std::string metricsText();
 
     SidecarState &state_;
+    const HeldAnswers &heldAnswers_;
     const CatalogController &catalog_;
     const EgressRole &egress_;
     const IngressRole &ingress_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 
+#include "answers/heldanswers.h"
 #include "core/currenttime.h"
 #include "core/systemseed.h"
 #include "egress/egressrole.h"
@@ -78,6 +79,17 @@
     return egress;
 }
 
+/// The limit of the answers that the node holds for readers; nothing if the settings don't tell its memory.
+std::optional<Bytes> answerLimit(const SidecarSettings &settings)
+{
+    constexpr std::uint64_t BytesPerMb = 1'000'000;
+    constexpr std::uint64_t MemoryPerLimit = 8;
+    if (settings.memoryMb == 0) {
+        return std::nullopt;
+    }
+    return Bytes(settings.memoryMb * BytesPerMb / MemoryPerLimit);
+}
+
 LocalNode localNode(const SidecarState &state)
 {
     return {state.self, state.location, state.settings.service, state.settings.peers};
@@ -94,6 +106,7 @@
         , executor_(context.get_executor())
         , platform_(std::move(platform))
         , state_(settings, drawIncarnation(), systemSeed())
+        , heldAnswers_(std::make_shared<HeldAnswers>(answerLimit(settings), state_.log, state_.metrics))
         , peerClient_(context)
         , egress_(executor_, egressSettings(settings, decisions), state_.self, state_.location,
                   EgressSources{state_.routes, state_.evacuatedZones, state_.quarantine}, *platform_.upstreams,
@@ -104,7 +117,7 @@
                    decisions.ingress)
         , catalog_(executor_, state_, *platform_.catalog, peerClient_, decisions, [this] { catalogChanged(); })
         , quarantine_(executor_, state_, peerClient_, [this] { egress_.endQuarantinedRequests(); })
-        , operatorPages_(state_, catalog_, egress_, ingress_, quarantine_)
+        , operatorPages_(state_, *heldAnswers_, catalog_, egress_, ingress_, quarantine_)
         , peerServer_(context, *this, MaxPeerConnections)
         , callerServer_(executor_, callerLimits(CallerLimits()),
                         [this](HttpExchange &exchange) { return ingress_.serve(exchange); })
@@ -113,6 +126,8 @@
         , operatorServer_(executor_, probeLimits(),
                           [this](HttpExchange &exchange) { return operatorPages_.serve(exchange); })
     {
+        egress_.setHeldAnswers(heldAnswers_);
+        ingress_.setHeldAnswers(heldAnswers_);
         applyRetryLimits();
         ingress_.setLinkPrices(state_.settings.linkPrices);
         if (decisions.compressesPaidLinks) {
@@ -316,6 +331,7 @@
     asio::any_io_executor executor_;
     SidecarPlatform platform_;
     SidecarState state_;
+    std::shared_ptr<HeldAnswers> heldAnswers_;
     PeerClient peerClient_;
     EgressRole egress_;
     IngressRole ingress_;
--- a/tests/sidecar/fakecatalog.cpp
+++ b/tests/sidecar/fakecatalog.cpp
@@ -116,6 +116,7 @@
                << R"("action":{"service":"statements","timeout":"800ms","max_attempts":3}},)";
     }
     return R"({"version":")" + std::to_string(version_) + R"(","listeners":[{"hostname":"h","rules":[)" + unused.str()
+        + moreRoutes
         + R"({"name":"read","kind":"safe","target_latency":"300ms","priority":2,"match":{"prefix":"/read/"},)"
           R"("action":{"service":"statements","timeout":"800ms","max_attempts":3}},)"
           R"({"name":"pay","kind":"unsafe","target_latency":"300ms","priority":1,"match":{"prefix":"/pay/"},)"
--- a/tests/sidecar/fakecatalog.h
+++ b/tests/sidecar/fakecatalog.h
@@ -69,6 +69,8 @@
     std::size_t unusedRoutes = 0;
     /// The requests a second that a cold upstream takes; empty if any number.
     std::string coldRate;
+    /// Routes in addition to those of the tests, as JSON objects that each end with a comma.
+    std::string moreRoutes;
     /// The regions in which the route of /pay/ may be served, as a JSON list.
     std::string payRegions = "[]";
 
--- a/tests/sidecar/fakeupstream.cpp
+++ b/tests/sidecar/fakeupstream.cpp
@@ -1,5 +1,6 @@
 #include "fakeupstream.h"
 
+#include <algorithm>
 #include <numeric>
 #include <string_view>
 #include <utility>
@@ -124,10 +125,47 @@
     if (!omitsDigest) {
         head.headers.add("X-Egretpath-Server-Signature", "3e1b." + request);
     }
+    if (answerBytes > 0) {
+        co_await sendLargeAnswer(exchange, std::move(head));
+        co_return;
+    }
     (void)co_await exchange.respond(head,
                                     id_ + ":" + exchange.head().method + ":" + exchange.head().target + ":" + body);
 }
 
+std::string FakeUpstream::contentBetween(std::size_t begin, std::size_t end)
+{
+    constexpr std::size_t Run = 1000;
+    std::string content;
+    for (std::size_t position = begin; position < end; ++position) {
+        content += static_cast<char>('a' + position / Run % 26);
+    }
+    return content;
+}
+
+asio::awaitable<void> FakeUpstream::sendLargeAnswer(HttpExchange &exchange, HttpResponseHead head)
+{
+    constexpr std::size_t PieceBytes = 10'000;
+    const std::size_t size = answerBytes;
+    const std::optional<std::uint64_t> length = announcesLength ? std::optional<std::uint64_t>(size) : std::nullopt;
+    (void)co_await exchange.startResponse(std::move(head), length);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (std::size_t sent = 0; sent < size; sent += PieceBytes) {
+        if (abortsAfter && sent >= *abortsAfter) {
+            exchange.abort();
+            co_return;
+        }
+        const auto written = co_await exchange.writeBody(contentBetween(sent, std::min(sent + PieceBytes, size)));
+        if (!written) {
+            co_return;
+        }
+        timer.expires_after(piecePause);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    const auto finished = co_await exchange.finishResponse();
+    finishedAnswers += finished ? 1 : 0;
+}
+
 asio::awaitable<void> FakeUpstream::waitForDisconnect(HttpExchange &exchange)
 {
     constexpr Milliseconds Step{5};
--- a/tests/sidecar/fakeupstream.h
+++ b/tests/sidecar/fakeupstream.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -43,6 +44,18 @@
     std::string crashesOn;
     /// The time from such a crash until the upstream listens again.
     Milliseconds restartTime{100};
+    /// The size of the answers. Zero: they are short and repeat the request.
+    std::size_t answerBytes = 0;
+    /// The pause between two pieces of such an answer.
+    Milliseconds piecePause{0};
+    /// Whether such an answer announces its length.
+    bool announcesLength = true;
+    /// The connection is aborted after this many bytes of such an answer.
+    std::optional<std::size_t> abortsAfter;
+    /// The number of such answers that were sent completely.
+    int finishedAnswers = 0;
+    /// The content of such an answer.
+    static std::string contentBetween(std::size_t begin, std::size_t end);
     /// Answers lack the digest that proves that they are the upstream's.
     bool omitsDigest = false;
     /// The requests a second that the upstream says it takes; empty if it names no limit.
@@ -56,6 +69,7 @@
 
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    boost::asio::awaitable<void> sendLargeAnswer(HttpExchange &exchange, HttpResponseHead head);
     /// Closes everything as a crashing process does, and listens again after restartTime.
     boost::asio::awaitable<void> crash();
     void listen();
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -49,6 +49,7 @@
     settings.callers = node.callers;
     settings.ready = node.ready;
     settings.peers = node.peers;
+    settings.metrics = node.metrics;
     settings.upstream = upstream.address();
     settings.store = Endpoint("127.0.0.1:1");
     settings.seeds = seeds;
@@ -60,8 +61,9 @@
 
 }
 
-SidecarFixture::SidecarFixture()
-    : pool_(eventLoop_.context().get_executor(), HttpPoolLimits())
+SidecarFixture::SidecarFixture(std::uint32_t memoryMb)
+    : memoryMb_(memoryMb)
+    , pool_(eventLoop_.context().get_executor(), HttpPoolLimits())
 {
 }
 
@@ -79,13 +81,15 @@
     node.callers = uniqueEndpoint();
     node.ready = uniqueEndpoint();
     node.peers = uniqueEndpoint();
+    node.metrics = uniqueEndpoint();
     catalog.add(upstream, node.peers, service, location);
     SidecarPlatform platform;
     platform.callers = std::make_unique<Platform::PlatformCallerDialect>();
     platform.upstreams = std::make_unique<Platform::PlatformUpstreamDialect>();
     platform.catalog = catalog.makeSource();
-    node.sidecar = std::make_unique<Sidecar>(eventLoop_.context(), settingsOf(node, upstream, service, seeds, location),
-                                             std::move(platform));
+    SidecarSettings settings = settingsOf(node, upstream, service, seeds, location);
+    settings.memoryMb = memoryMb_;
+    node.sidecar = std::make_unique<Sidecar>(eventLoop_.context(), settings, std::move(platform));
     if (!node.sidecar->start()) {
         throw std::runtime_error("a node could not listen");
     }
@@ -151,14 +155,14 @@
     co_return false;
 }
 
-asio::awaitable<Reply> SidecarFixture::send(Endpoint node, std::string method, std::string target,
-                                            std::string attemptId, Milliseconds timeout, std::string body)
+asio::awaitable<std::unique_ptr<HttpClientCall>> SidecarFixture::open(Endpoint node, std::string method,
+                                                                      std::string target, std::string attemptId,
+                                                                      Milliseconds timeout, std::string body)
 {
-    Reply reply;
     const TimePoint deadline = std::chrono::steady_clock::now() + timeout + std::chrono::seconds(2);
     auto opened = co_await pool_.open(node, deadline, HttpConnectionChoice::Fresh);
     if (!opened) {
-        co_return reply;
+        co_return nullptr;
     }
     HttpRequestHead head(std::move(method), std::move(target));
     head.headers.add("Host", "h");
@@ -166,11 +170,23 @@
     head.headers.add("X-Egretpath-Deadline-Ms", std::to_string(timeout.count()));
     head.headers.add("X-Egretpath-Caller-Service", "forged");
     (void)co_await opened.value()->sendRequest(std::move(head), std::move(body));
-    auto answer = co_await opened.value()->readHead();
+    co_return std::move(opened).value();
+}
+
+asio::awaitable<Reply> SidecarFixture::send(Endpoint node, std::string method, std::string target,
+                                            std::string attemptId, Milliseconds timeout, std::string body)
+{
+    Reply reply;
+    const auto call = co_await open(std::move(node), std::move(method), std::move(target), std::move(attemptId),
+                                    timeout, std::move(body));
+    if (!call) {
+        co_return reply;
+    }
+    auto answer = co_await call->readHead();
     if (!answer) {
         co_return reply;
     }
-    auto content = co_await opened.value()->readCompleteBody(Bytes(1024UL * 1024));
+    auto content = co_await call->readCompleteBody(Bytes(1024UL * 1024));
     if (content) {
         reply.status = answer.value().status;
         reply.headers = answer.value().headers;
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -9,6 +9,7 @@
 
 #include "fakecatalog.h"
 #include "fakeupstream.h"
+#include "http/httpclientcall.h"
 #include "http/httpconnectionpool.h"
 #include "http/httphead.h"
 #include "rpc/asioeventport.h"
@@ -32,6 +33,7 @@
     Endpoint callers;
     Endpoint ready;
     Endpoint peers;
+    Endpoint metrics;
     std::unique_ptr<Sidecar> sidecar;
 };
 
@@ -39,7 +41,8 @@
 class SidecarFixture
 {
 public:
-    SidecarFixture();
+    /// @p memoryMb: the memory that the settings of the nodes tell; zero if they tell none.
+    explicit SidecarFixture(std::uint32_t memoryMb = 0);
     ~SidecarFixture();
     SidecarFixture(const SidecarFixture &) = delete;
     SidecarFixture &operator=(const SidecarFixture &) = delete;
@@ -56,6 +59,10 @@
     void start(const std::function<boost::asio::awaitable<void>()> &action);
     [[nodiscard]] boost::asio::awaitable<void> sleep(Milliseconds duration);
     [[nodiscard]] boost::asio::awaitable<bool> waitUntil(std::function<bool()> condition);
+    /// Sends a request and leaves the reading of its answer to the test. Returns null if the node can't be reached.
+    [[nodiscard]] boost::asio::awaitable<std::unique_ptr<HttpClientCall>>
+    open(Endpoint node, std::string method, std::string target, std::string attemptId,
+         Milliseconds timeout = Milliseconds(1000), std::string body = {});
     [[nodiscard]] boost::asio::awaitable<Reply> send(Endpoint node, std::string method, std::string target,
                                                      std::string attemptId, Milliseconds timeout = Milliseconds(1000),
                                                      std::string body = {});
@@ -65,6 +72,7 @@
 
 private:
     AsioEventPort eventLoop_;
+    std::uint32_t memoryMb_;
     HttpConnectionPool pool_;
     std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
     std::vector<std::unique_ptr<TestNode>> nodes_;
