--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -61,6 +61,7 @@
     read.limited = textOf(status, "limited");
     read.linkBacklog = Milliseconds(numberOf(status, "link_backlog_ms"));
     read.quarantined = numberOf(status, "quarantined");
+    read.heldAnswerBytes = numberOf(status, "held_answer_bytes");
     return read;
 }
 
--- a/src/ingress/ingresscontext.h
+++ b/src/ingress/ingresscontext.h
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "admission/stopadmission.h"
+#include "answers/heldanswers.h"
 #include "core/random.h"
 #include "dialect/callerdialect.h"
 #include "egress/egressrole.h"
@@ -90,6 +91,8 @@
     StopAdmission stop;
     /// Paces large answers to callers; null if the rate of the link is not known.
     LinkPacer *linkPacer = nullptr;
+    /// What limits the answers that the node holds for readers; gone if nothing does.
+    std::weak_ptr<HeldAnswers> heldAnswers;
     std::function<void(const Endpoint &, const CallOutcome &)> outcomeListener;
     std::function<void()> noRoutesListener;
     /// Whether other nodes may have routes that this node lacks.
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -44,6 +44,8 @@
     /// Large answers to callers are sent through @p pacer, which has to outlive the role's requests. Null: all answers
     /// are sent at once.
     void setLinkPacer(LinkPacer *pacer) { context_->linkPacer = pacer; }
+    /// Sets what limits the answers that the node holds for readers. Without it nothing does.
+    void setHeldAnswers(std::weak_ptr<HeldAnswers> held) { context_->heldAnswers = std::move(held); }
     /// Call this after the routes or the instance directory changed.
     void catalogChanged();
     /// Calls @p listener with each answer of another node. The answer carries the versions of that node's catalog and
--- a/src/settings/sidecarsettings.h
+++ b/src/settings/sidecarsettings.h
@@ -73,7 +73,7 @@
     // [limits]
     /// The rate of the VM's link; 0 if not given. Large answers are then not paced.
     double linkMbps = 0.0;
-    /// The memory of the VM; 0 if not given.
+    /// The memory of the VM in MB; 0 if not given. Answers that the node holds are then not limited.
     std::uint32_t memoryMb = 0;
 
     // [zones]: each key is an availability zone, its value the zone's region.
--- a/src/sidecar/operatorpages.h
+++ b/src/sidecar/operatorpages.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "answers/heldanswers.h"
 #include "egress/egressrole.h"
 #include "http/httpexchange.h"
 #include "ingress/ingressrole.h"
@@ -23,8 +24,9 @@
 {
 public:
     /// @p linkPacer is null if the rate of the link is not known.
-    OperatorPages(SidecarState &state, const CatalogController &catalog, const EgressRole &egress,
-                  const IngressRole &ingress, const QuarantineController &quarantine, const LinkPacer *linkPacer);
+    OperatorPages(SidecarState &state, const HeldAnswers &heldAnswers, const CatalogController &catalog,
+                  const EgressRole &egress, const IngressRole &ingress, const QuarantineController &quarantine,
+                  const LinkPacer *linkPacer);
 
     [[nodiscard]] boost::asio::awaitable<void> serve(HttpExchange &exchange);
 
@@ -34,6 +36,7 @@
     [[nodiscard]] std::string metricsText();
 
     SidecarState &state_;
+    const HeldAnswers &heldAnswers_;
     const CatalogController &catalog_;
     const EgressRole &egress_;
     const IngressRole &ingress_;
