--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -60,6 +60,7 @@
     read.evacuated = textOf(status, "evacuated");
     read.limited = textOf(status, "limited");
     read.quarantined = numberOf(status, "quarantined");
+    read.heldAnswerBytes = numberOf(status, "held_answer_bytes");
     return read;
 }
 
--- a/src/client/nodestatus.h
+++ b/src/client/nodestatus.h
@@ -40,6 +40,8 @@
     std::string limited;
     /// The number of requests that the node refuses because they crash upstreams.
     std::uint64_t quarantined = 0;
+    /// The bytes of answers that the node holds for readers.
+    std::uint64_t heldAnswerBytes = 0;
 };
 
 /// The status of a node, or the reason why it could not be read.
--- a/src/client/statuscommand.cpp
+++ b/src/client/statuscommand.cpp
@@ -38,6 +38,9 @@
     if (status.quarantined > 0) {
         out << " quarantined " << status.quarantined;
     }
+    if (status.heldAnswerBytes > 0) {
+        out << " holds " << status.heldAnswerBytes << " bytes of answers";
+    }
     if (status.routes != newestRoutes) {
         out << " LAGS";
     }
