--- a/tests/routing/placementtest.cpp
+++ b/tests/routing/placementtest.cpp
@@ -226,7 +226,7 @@
     report.limitedForMicroseconds = 300'000;
     view.onReport(name, report, at(0));
     CHECK(view.isEjected(name, at(10), 0));
-    const PlacementDemand urgent{Milliseconds(100), false, 0};
+    const PlacementDemand urgent{Milliseconds(100), false, false, 0};
     CHECK(view.expected(name, urgent, at(10)) == view.expected(name, TypicalDemand, at(10)));
     report.urgentWaitMicroseconds = 60'000;
     view.onReport(name, report, at(0));
