admission: the estimate of work times is a class of its own

Change: WorkTimes holds the service times and the VM's slowdown and estimates how long requests take; WorkOffer moves to a header of its own. No decision changes. Measured: admission-test passes unchanged.

--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -18,12 +18,7 @@
 /// Lower limit of the time for which a late call stays queued, even if it was late on arrival; about the time in which
 /// one slot becomes free.
 constexpr Milliseconds MinLateWait{60};
-/// A running call that takes longer than this multiple of its expected time shows that the upstream is slow or has
-/// stopped.
-constexpr double OverdueFactor = 2.5;
 constexpr double MaxSlowdownPercent = 5000.0;
-/// A running call that has reached its expected time is assumed to need at least this share of it again.
-constexpr double OverdueShare = 0.3;
 
 std::uint16_t slowdownInPercent(double factor)
 {
@@ -40,6 +35,7 @@
 
 WorkQueue::WorkQueue(WorkQueueSettings settings)
     : settings_(settings)
+    , times_(settings.waitsForSlowPeriodEnd)
 {
 }
 
@@ -51,7 +47,7 @@
 
 std::vector<CallId> WorkQueue::setSlowdown(std::uint16_t percent, TimePoint now)
 {
-    slowdown_.record(percent == 0 ? 1.0 : percent / Percent, now);
+    times_.recordSlowdown(percent == 0 ? 1.0 : percent / Percent, now);
     return startQueued(now);
 }
 
@@ -84,7 +80,7 @@
         return std::nullopt;
     }
     const TimePoint begin = now + expectedWait(offer, now);
-    if (begin > latestStart(offer, now) || (isLate(offer, begin, now) && !hasRoomForLateCall(begin, now))) {
+    if (begin > latestStart(offer, now) || (times_.isLate(offer, begin, now) && !hasRoomForLateCall(begin, now))) {
         return refusal(Reason::Overloaded, offer, now);
     }
     return std::nullopt;
@@ -109,15 +105,7 @@
     if (place == running_.end()) {
         return {};
     }
-    const RunningCall &running = place->second;
-    const WorkDuration work = workDuration(running, now);
-    if (answered) {
-        times_.record(running.route, work, now);
-    } else {
-        // Guards against an upstream that answers so late that all its callers have given up. No answer would ever show
-        // that it is slow, and it would look idle and receive more requests.
-        times_.recordUnfinished(running.route, work, now);
-    }
+    times_.recordEnd(place->second, answered, now);
     running_.erase(place);
     return startQueued(now);
 }
@@ -154,7 +142,7 @@
         earliest = earliest ? std::min(*earliest, time) : time;
     }
     if (needsSlowdownUpdates(now)) {
-        earliest = std::min(*earliest, slowdown_.slowPeriodLimit());
+        earliest = std::min(*earliest, times_.slowdown().slowPeriodLimit());
     }
     return earliest;
 }
@@ -162,7 +150,7 @@
 bool WorkQueue::needsSlowdownUpdates(TimePoint now) const
 {
     const auto waitsForEnd = [this, now](const QueuedCall &queuedCall) {
-        return waitsForSlowPeriodEnd(queuedCall.offer.route, now);
+        return times_.waitsForSlowPeriodEnd(queuedCall.offer.route, now);
     };
     return hasFreeSlot() && std::any_of(queue_.begin(), queue_.end(), waitsForEnd);
 }
@@ -173,15 +161,15 @@
     report.inFlight = static_cast<std::uint32_t>(occupiedSlots());
     report.queued = static_cast<std::uint32_t>(queue_.size());
     report.slots = limit();
-    report.serviceTimeMicroseconds = asMicroseconds(times_.baseline(route));
-    const double ownSlowdown = upstreamSlowdown(now);
-    report.slowdownPercent = slowdownInPercent(slowdown_.factor() * ownSlowdown);
+    report.serviceTimeMicroseconds = asMicroseconds(times_.service().baseline(route));
+    const double ownSlowdown = times_.upstreamSlowdown(running_, now);
+    report.slowdownPercent = slowdownInPercent(times_.slowdown().factor() * ownSlowdown);
     report.recoveredSlowdownPercent = report.slowdownPercent;
-    if (mayWaitForSlowPeriodEnd() && slowdown_.slowPeriodLeft(now) > Duration{0}) {
-        report.recoveredSlowdownPercent = slowdownInPercent(slowdown_.recoveredSlowdown(now) * ownSlowdown);
-        report.slowPeriodLeftMicroseconds = asMicroseconds(slowdown_.slowPeriodLeft(now));
+    if (times_.mayWaitForSlowPeriodEnd() && times_.slowdown().slowPeriodLeft(now) > Duration{0}) {
+        report.recoveredSlowdownPercent = slowdownInPercent(times_.slowdown().recoveredSlowdown(now) * ownSlowdown);
+        report.slowPeriodLeftMicroseconds = asMicroseconds(times_.slowdown().slowPeriodLeft(now));
     }
-    report.meanServiceMicroseconds = asMicroseconds(times_.overall());
+    report.meanServiceMicroseconds = asMicroseconds(times_.service().overall());
     report.failurePercent = static_cast<std::uint8_t>(std::clamp(failureShare_, 0.0, 1.0) * Percent);
     return report;
 }
@@ -189,13 +177,14 @@
 Duration WorkQueue::expected(const WorkOffer &offer, TimePoint now) const
 {
     const double failureScale = 1.0 + settings_.failureFactor * failureShare_;
-    return scaled(expectedWait(offer, now) + serviceTime(offer.route, now), failureScale * upstreamSlowdown(now));
+    return scaled(expectedWait(offer, now) + times_.serviceTime(offer.route, now),
+                  failureScale * times_.upstreamSlowdown(running_, now));
 }
 
 bool WorkQueue::startsAtOnce(const WorkOffer &offer, TimePoint now) const
 {
     // While a slot is free, the queue contains only calls that wait for the end of a slow period or for a co-suspect.
-    return hasFreeSlot() && !waitsForSlowPeriodEnd(offer.route, now) && !waitsForCoSuspect(offer);
+    return hasFreeSlot() && !times_.waitsForSlowPeriodEnd(offer.route, now) && !waitsForCoSuspect(offer);
 }
 
 bool WorkQueue::areCoSuspects(const WorkOffer &offer, const UpstreamName &disconnectedUpstream) const
@@ -223,56 +212,20 @@
     Duration left{0};
     for (const auto &[call, running] : running_) {
         if (areCoSuspects(offer, running.disconnectedUpstream)) {
-            left = std::max(left, timeLeft(running, now));
+            left = std::max(left, times_.timeLeft(running, now));
         }
     }
     return left;
 }
 
-bool WorkQueue::mayWaitForSlowPeriodEnd() const
-{
-    return settings_.waitsForSlowPeriodEnd && times_.keepsStartSlowdown();
-}
-
-bool WorkQueue::waitsForSlowPeriodEnd(const RouteName &route, TimePoint now) const
-{
-    const Duration slowPeriod = slowdown_.slowPeriodLeft(now);
-    if (slowPeriod == Duration{0} || !mayWaitForSlowPeriodEnd()) {
-        return false;
-    }
-    const Duration baseline = times_.baseline(route);
-    return slowPeriod + scaled(baseline, slowdown_.recoveredSlowdown(now)) < scaled(baseline, slowdown_.factor());
-}
-
-Duration WorkQueue::serviceTime(const RouteName &route, TimePoint now) const
-{
-    const double slowdown = waitsForSlowPeriodEnd(route, now) ? slowdown_.recoveredSlowdown(now) : slowdown_.factor();
-    return scaled(times_.baseline(route), slowdown);
-}
-
-WorkDuration WorkQueue::workDuration(const RunningCall &running, TimePoint now) const
-{
-    return {now - running.start, running.slowdown, slowdown_.baselineTimeBetween(running.start, now)};
-}
-
-double WorkQueue::upstreamSlowdown(TimePoint now) const
-{
-    double sum = 0.0;
-    for (const auto &[call, running] : running_) {
-        const Duration overdueAfter = scaled(times_.baseline(running.route), running.slowdown * OverdueFactor);
-        sum += std::max(1.0, std::chrono::duration<double>(now - running.start) / overdueAfter);
-    }
-    const double mean = running_.empty() ? 1.0 : sum / static_cast<double>(running_.size());
-    return std::max(times_.upstreamSlowdown(now), mean);
-}
-
 /// Simulates the slots: they become free one by one and are taken by the queued calls that go before @p offer.
 Duration WorkQueue::expectedWait(const WorkOffer &offer, TimePoint now) const
 {
     if (startsAtOnce(offer, now)) {
         return Duration{0};
     }
-    const Duration slowPeriod = waitsForSlowPeriodEnd(offer.route, now) ? slowdown_.slowPeriodLeft(now) : Duration{0};
+    const Duration slowPeriod =
+        times_.waitsForSlowPeriodEnd(offer.route, now) ? times_.slowdown().slowPeriodLeft(now) : Duration{0};
     const Duration coSuspectTime = coSuspectTimeLeft(offer, now);
     std::vector<Duration> freeAfter = slotsFreeAfter(now);
     for (Duration &after : freeAfter) {
@@ -283,25 +236,19 @@
             continue;
         }
         const auto soonest = std::min_element(freeAfter.begin(), freeAfter.end());
-        *soonest += serviceTime(queuedCall.offer.route, now);
+        *soonest += times_.serviceTime(queuedCall.offer.route, now);
     }
     return *std::min_element(freeAfter.begin(), freeAfter.end());
 }
 
-Duration WorkQueue::timeLeft(const RunningCall &running, TimePoint now) const
-{
-    const Duration expectedDuration = scaled(times_.baseline(running.route), running.slowdown);
-    return std::max(expectedDuration - (now - running.start), scaled(expectedDuration, OverdueShare));
-}
-
 std::vector<Duration> WorkQueue::slotsFreeAfter(TimePoint now) const
 {
     std::vector<Duration> freeAfter;
     for (const auto &[call, running] : running_) {
-        freeAfter.push_back(timeLeft(running, now));
+        freeAfter.push_back(times_.timeLeft(running, now));
     }
     // On average, half of an external request is assumed to be done.
-    const Duration externalTimeLeft = scaled(times_.overall(), slowdown_.factor() / 2);
+    const Duration externalTimeLeft = scaled(times_.service().overall(), times_.slowdown().factor() / 2);
     freeAfter.insert(freeAfter.end(), externalRequests_, externalTimeLeft);
     freeAfter.resize(std::max<std::size_t>(freeAfter.size(), limit()), Duration{0});
     std::sort(freeAfter.begin(), freeAfter.end());
@@ -312,7 +259,7 @@
 
 TimePoint WorkQueue::latestStart(const WorkOffer &offer, TimePoint now) const
 {
-    const Duration needed = scaled(serviceTime(offer.route, now), settings_.minServiceShare);
+    const Duration needed = scaled(times_.serviceTime(offer.route, now), settings_.minServiceShare);
     return offer.deadline - std::max<Duration>(needed, settings_.refusalLead);
 }
 
@@ -320,21 +267,16 @@
 {
     const Duration targetLength = std::max(queuedCall.offer.target - queuedCall.arrival, Duration{0});
     const TimePoint lateSince =
-        std::max(queuedCall.offer.target - serviceTime(queuedCall.offer.route, now), queuedCall.arrival);
+        std::max(queuedCall.offer.target - times_.serviceTime(queuedCall.offer.route, now), queuedCall.arrival);
     const Duration allowedLateWait = std::max(scaled(targetLength, settings_.maxLateWait), Duration{MinLateWait});
     return std::min(latestStart(queuedCall.offer, now), lateSince + allowedLateWait);
 }
 
-bool WorkQueue::isLate(const WorkOffer &offer, TimePoint start, TimePoint now) const
-{
-    return start + serviceTime(offer.route, now) > offer.target;
-}
-
 bool WorkQueue::hasRoomForLateCall(TimePoint start, TimePoint now) const
 {
     const auto lateCalls =
         std::count_if(queue_.begin(), queue_.end(), [this, start, now](const QueuedCall &queuedCall) {
-            return isLate(queuedCall.offer, start, now);
+            return times_.isLate(queuedCall.offer, start, now);
         });
     return static_cast<double>(lateCalls) < settings_.maxLateBacklog * limit();
 }
@@ -362,7 +304,7 @@
         return false;
     }
     const auto urgency = [this, now](const WorkOffer &offer) {
-        const bool missesTarget = isLate(offer, now, now);
+        const bool missesTarget = times_.isLate(offer, now, now);
         return std::tuple(missesTarget, offer.priority, missesTarget ? now - offer.deadline : offer.target - now);
     };
     return urgency(one) < urgency(other);
@@ -373,8 +315,8 @@
     auto best = queue_.end();
     for (auto place = queue_.begin(); place != queue_.end(); ++place) {
         // A call that is too late stays queued until expire() returns it with a failure.
-        const bool isReady = latestStart(place->offer, now) > now && !waitsForSlowPeriodEnd(place->offer.route, now)
-            && !waitsForCoSuspect(place->offer);
+        const bool isReady = latestStart(place->offer, now) > now
+            && !times_.waitsForSlowPeriodEnd(place->offer.route, now) && !waitsForCoSuspect(place->offer);
         if (isReady && (best == queue_.end() || goesBefore(place->offer, best->offer, now))) {
             best = place;
         }
@@ -392,7 +334,7 @@
 
 void WorkQueue::start(const WorkOffer &offer, TimePoint now)
 {
-    running_.emplace(offer.call, RunningCall{offer.route, now, slowdown_.factor(), offer.disconnectedUpstream});
+    running_.emplace(offer.call, RunningCall{offer.route, now, times_.slowdown().factor(), offer.disconnectedUpstream});
 }
 
 }
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -2,12 +2,11 @@
 
 #include <cstdint>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 #include "admission/offeroutcome.h"
-#include "admission/servicetimes.h"
-#include "admission/vmslowdown.h"
+#include "admission/workoffer.h"
+#include "admission/worktimes.h"
 #include "core/clock.h"
 #include "core/identity.h"
 #include "core/verdict.h"
@@ -16,23 +15,6 @@
 namespace Egretpath
 {
 
-/// A request for a slot of the upstream.
-struct WorkOffer
-{
-    CallId call;
-    RouteName route;
-    /// 0 is the most urgent.
-    std::uint8_t priority = 0;
-    TimePoint deadline;
-    /// An answer after this time is worth little.
-    TimePoint target;
-    /// The request is declined if its expected time here exceeds this threshold. Zero: it is accepted if its deadline
-    /// can be met.
-    Duration declineThreshold{0};
-    /// The upstream that disconnected while it ran the request earlier; empty if none did.
-    UpstreamName disconnectedUpstream;
-};
-
 /// Tuning constants of WorkQueue.
 struct WorkQueueSettings
 {
@@ -133,15 +115,6 @@
     [[nodiscard]] std::uint32_t limit() const;
 
 private:
-    struct RunningCall
-    {
-        RouteName route;
-        TimePoint start;
-        /// The VM's slowdown factor at the start.
-        double slowdown = 1.0;
-        UpstreamName disconnectedUpstream;
-    };
-
     struct QueuedCall
     {
         WorkOffer offer;
@@ -159,30 +132,16 @@
     [[nodiscard]] bool hasCoSuspect(const WorkOffer &offer) const;
     /// Expected time until the running co-suspects of @p offer end.
     [[nodiscard]] Duration coSuspectTimeLeft(const WorkOffer &offer, TimePoint now) const;
-    /// Expected time until @p running ends.
-    [[nodiscard]] Duration timeLeft(const RunningCall &running, TimePoint now) const;
     /// The times until each slot can take the next call, shortest first.
     [[nodiscard]] std::vector<Duration> slotsFreeAfter(TimePoint now) const;
     /// Whether @p offer would start at once if it arrived now.
     [[nodiscard]] bool startsAtOnce(const WorkOffer &offer, TimePoint now) const;
-    /// Expected duration of a request of @p route that starts now, or after the slow period if that is quicker.
-    [[nodiscard]] Duration serviceTime(const RouteName &route, TimePoint now) const;
-    /// Whether requests wait for the end of slow periods at all. They don't if the speed of work follows the VM's
-    /// slowdown.
-    [[nodiscard]] bool mayWaitForSlowPeriodEnd() const;
-    /// Whether a request of @p route ends sooner if it starts after the VM's slow period than if it starts now.
-    [[nodiscard]] bool waitsForSlowPeriodEnd(const RouteName &route, TimePoint now) const;
-    [[nodiscard]] WorkDuration workDuration(const RunningCall &running, TimePoint now) const;
-    /// How many times longer than expected the upstream takes, judged by its answers and by the running requests.
-    [[nodiscard]] double upstreamSlowdown(TimePoint now) const;
     /// How long @p offer would wait before it starts.
     [[nodiscard]] Duration expectedWait(const WorkOffer &offer, TimePoint now) const;
     [[nodiscard]] bool goesBefore(const WorkOffer &one, const WorkOffer &other, TimePoint now) const;
     [[nodiscard]] TimePoint latestStart(const WorkOffer &offer, TimePoint now) const;
     /// When a queued call is refused by expire().
     [[nodiscard]] TimePoint expiryTime(const QueuedCall &queuedCall, TimePoint now) const;
-    /// Whether @p offer misses its target if it begins at @p start.
-    [[nodiscard]] bool isLate(const WorkOffer &offer, TimePoint start, TimePoint now) const;
     /// Whether one more call may be queued that will miss its target if it starts at @p start.
     [[nodiscard]] bool hasRoomForLateCall(TimePoint start, TimePoint now) const;
     [[nodiscard]] std::vector<CallId> startQueued(TimePoint now);
@@ -191,13 +150,12 @@
     void start(const WorkOffer &offer, TimePoint now);
 
     WorkQueueSettings settings_;
-    ServiceTimes times_;
-    std::unordered_map<CallId, RunningCall> running_;
+    WorkTimes times_;
+    RunningCalls running_;
     /// In order of arrival. There are a few dozen at most, so each decision scans all of them.
     std::vector<QueuedCall> queue_;
     std::uint32_t slots_ = 1;
     std::uint32_t externalRequests_ = 0;
-    VmSlowdown slowdown_;
     double failureShare_ = 0.0;
 };
 
