admission: capacity of an upstream by priority

Cause: urgent requests were late while all slots up to the fill limit ran long requests, were refused while less urgent late ones waited, and an overload of urgent requests left nothing to the lowest priority.

Change: a request starts above the fill limit while a lower priority runs, if it would otherwise miss its target and meets it at 1.7 times its work. A late request displaces a late queued one of lower priority. Of eight starts at least one goes to the lowest waiting priority; while that is due, nothing more urgent starts above the limit. Reports carry urgentWait if the upstream has requests of lower priority than 0; PlacementView uses it for routes of priority 0. Each mechanism has a switch of the ablation.

--- a/src/admission/offeroutcome.h
+++ b/src/admission/offeroutcome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 
 #include "core/strongtype.h"
@@ -17,9 +18,19 @@
 {
 };
 
+/// A queued call that was removed, because it can no longer meet its deadline, has waited too long after it could no
+/// longer meet its target, or was displaced by a more urgent call. It never ran.
+struct ExpiredCall
+{
+    CallId call;
+    Failure failure;
+};
+
 /// The call waits in the queue, which reports later whether the call starts or is refused.
 struct Queued
 {
+    /// The queued call of lower priority whose place it took; nothing if it took none.
+    std::optional<ExpiredCall> displaced = std::nullopt;
 };
 
 /// The call did not run and will not run.
@@ -30,14 +41,6 @@
 
 using OfferOutcome = std::variant<Admitted, Queued, Refused>;
 
-/// A queued call that was removed because it can no longer meet its deadline, or has waited too long after it could no
-/// longer meet its target. It never ran.
-struct ExpiredCall
-{
-    CallId call;
-    Failure failure;
-};
-
 /// State of a call at the time it was cancelled.
 enum class CancelOutcome : std::uint8_t {
     /// The call was queued. It has been removed and never ran.
--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -1,8 +1,6 @@
 #include "admission/workqueue.h"
 
 #include <algorithm>
-#include <cmath>
-#include <tuple>
 
 #include "core/durations.h"
 
@@ -13,11 +11,11 @@
 {
 
 constexpr double Percent = 100.0;
-/// Added before limit() rounds down: four fifths of five slots are four, but binary fractions may yield slightly less.
-constexpr double RoundingTolerance = 1e-9;
 /// Lower limit of the time for which a late call stays queued, even if it was late on arrival; about the time in which
 /// one slot becomes free.
 constexpr Milliseconds MinLateWait{60};
+/// How many times longer work takes at most that starts above the fill limit: the slowdown of a nearly full upstream.
+constexpr double NearlyFullSlowdown = 1.7;
 constexpr double MaxSlowdownPercent = 5000.0;
 
 std::uint16_t slowdownInPercent(double factor)
@@ -36,12 +34,13 @@
 WorkQueue::WorkQueue(WorkQueueSettings settings)
     : settings_(settings)
     , times_(settings.waitsForSlowPeriodEnd)
+    , slots_(settings.maxFill, settings.startsAboveLimit)
 {
 }
 
 std::vector<CallId> WorkQueue::setSlots(std::uint32_t slots, TimePoint now)
 {
-    slots_ = std::max(slots, 1U);
+    slots_.setSlots(slots);
     return startQueued(now);
 }
 
@@ -53,66 +52,80 @@
 
 std::vector<CallId> WorkQueue::setExternalRequests(std::uint32_t requests, TimePoint now)
 {
-    // External requests can't occupy more than all slots, whatever the upstream reports.
-    externalRequests_ = std::min(requests, slots_);
+    slots_.setExternalRequests(requests);
     return startQueued(now);
 }
 
-std::uint32_t WorkQueue::limit() const
+std::optional<Failure> WorkQueue::rejection(const WorkOffer &offer, TimePoint now) const
 {
-    // The largest number of calls that does not exceed the fill level at which the upstream slows itself down.
-    return std::max(1U, static_cast<std::uint32_t>(std::floor(settings_.maxFill * slots_ + RoundingTolerance)));
+    return decide(offer, now).failure;
 }
 
-std::optional<Failure> WorkQueue::rejection(const WorkOffer &offer, TimePoint now) const
+WorkQueue::Decision WorkQueue::decide(const WorkOffer &offer, TimePoint now) const
 {
     if (offer.deadline <= now) {
-        return refusal(Reason::DeadlinePassed, offer, now);
+        return {refusal(Reason::DeadlinePassed, offer, now)};
     }
     const bool mayGoElsewhere = offer.declineThreshold > Duration{0};
     if (mayGoElsewhere && hasCoSuspect(offer)) {
-        return notRun(Reason::Declined, "a request that the same upstream broke off with is here");
+        return {notRun(Reason::Declined, "a request that the same upstream broke off with is here")};
     }
-    if (mayGoElsewhere && expected(offer, now) > offer.declineThreshold) {
-        return notRun(Reason::Declined, "another upstream is thought to be quicker");
+    const auto [wait, startsAtOnce] = forecast(offer, now);
+    if (mayGoElsewhere && expectedAfter(wait, offer, now) > offer.declineThreshold) {
+        return {notRun(Reason::Declined, "another upstream is thought to be quicker")};
     }
-    if (startsAtOnce(offer, now)) {
-        return std::nullopt;
+    if (startsAtOnce) {
+        return {std::nullopt, true};
     }
-    const TimePoint begin = now + expectedWait(offer, now);
-    if (begin > latestStart(offer, now) || (times_.isLate(offer, begin, now) && !hasRoomForLateCall(begin, now))) {
-        return refusal(Reason::Overloaded, offer, now);
+    Decision decision;
+    const TimePoint begin = now + wait;
+    if (begin > latestStart(offer, now)) {
+        decision.failure = refusal(Reason::Overloaded, offer, now);
+    } else if (times_.isLate(offer, begin, now) && !hasRoomForLateCall(begin, now)) {
+        decision.displaced = displaceable(offer, begin, now);
+        if (decision.displaced == queue_.end()) {
+            decision.failure = refusal(Reason::Overloaded, offer, now);
+        }
     }
-    return std::nullopt;
+    return decision;
 }
 
 OfferOutcome WorkQueue::offer(const WorkOffer &offer, TimePoint now)
 {
-    if (auto failure = rejection(offer, now)) {
-        return Refused{std::move(*failure)};
+    Decision decision = decide(offer, now);
+    if (decision.failure) {
+        return Refused{std::move(*decision.failure)};
     }
-    if (startsAtOnce(offer, now)) {
+    if (decision.startsAtOnce) {
         start(offer, now);
         return Admitted{};
     }
+    Queued queued;
+    if (decision.displaced) {
+        const auto place = *decision.displaced;
+        Failure failure = refusal(Reason::Overloaded, place->offer, now);
+        failure.detail = "displaced by a more urgent request";
+        queued.displaced = ExpiredCall{place->offer.call, std::move(failure)};
+        queue_.erase(place);
+    }
     queue_.push_back({offer, now});
-    return Queued{};
+    return queued;
 }
 
 std::vector<CallId> WorkQueue::finish(CallId call, bool answered, TimePoint now)
 {
-    const auto place = running_.find(call);
-    if (place == running_.end()) {
+    const auto place = slots_.running().find(call);
+    if (place == slots_.running().end()) {
         return {};
     }
     times_.recordEnd(place->second, answered, now);
-    running_.erase(place);
+    slots_.finish(call);
     return startQueued(now);
 }
 
 CancelOutcome WorkQueue::cancel(CallId call)
 {
-    if (running_.contains(call)) {
+    if (slots_.running().contains(call)) {
         return CancelOutcome::InFlight;
     }
     const auto erased =
@@ -147,22 +160,31 @@
     return earliest;
 }
 
+std::uint8_t WorkQueue::lowestQueuedPriority() const
+{
+    std::uint8_t lowest = 0;
+    for (const QueuedCall &queuedCall : queue_) {
+        lowest = std::max(lowest, queuedCall.offer.priority);
+    }
+    return lowest;
+}
+
 bool WorkQueue::needsSlowdownUpdates(TimePoint now) const
 {
     const auto waitsForEnd = [this, now](const QueuedCall &queuedCall) {
         return times_.waitsForSlowPeriodEnd(queuedCall.offer.route, now);
     };
-    return hasFreeSlot() && std::any_of(queue_.begin(), queue_.end(), waitsForEnd);
+    return slots_.hasFree() && std::any_of(queue_.begin(), queue_.end(), waitsForEnd);
 }
 
 LoadReport WorkQueue::report(const RouteName &route, TimePoint now) const
 {
     LoadReport report;
-    report.inFlight = static_cast<std::uint32_t>(occupiedSlots());
+    report.inFlight = static_cast<std::uint32_t>(slots_.occupied());
     report.queued = static_cast<std::uint32_t>(queue_.size());
     report.slots = limit();
     report.serviceTimeMicroseconds = asMicroseconds(times_.service().baseline(route));
-    const double ownSlowdown = times_.upstreamSlowdown(running_, now);
+    const double ownSlowdown = times_.upstreamSlowdown(slots_.running(), now);
     report.slowdownPercent = slowdownInPercent(times_.slowdown().factor() * ownSlowdown);
     report.recoveredSlowdownPercent = report.slowdownPercent;
     if (times_.mayWaitForSlowPeriodEnd() && times_.slowdown().slowPeriodLeft(now) > Duration{0}) {
@@ -170,69 +192,87 @@
         report.slowPeriodLeftMicroseconds = asMicroseconds(times_.slowdown().slowPeriodLeft(now));
     }
     report.meanServiceMicroseconds = asMicroseconds(times_.service().overall());
+    if (lowestQueuedPriority() > 0 || slots_.runsLowerPriority(0)) {
+        // At least 1, because 0 says that the wait is unknown.
+        report.urgentWaitMicroseconds = std::max(asMicroseconds(scaled(urgentWait(now), ownSlowdown)), 1U);
+    }
     report.failurePercent = static_cast<std::uint8_t>(std::clamp(failureShare_, 0.0, 1.0) * Percent);
     return report;
 }
 
 Duration WorkQueue::expected(const WorkOffer &offer, TimePoint now) const
+{
+    return expectedAfter(forecast(offer, now).wait, offer, now);
+}
+
+Duration WorkQueue::expectedAfter(Duration wait, const WorkOffer &offer, TimePoint now) const
 {
     const double failureScale = 1.0 + settings_.failureFactor * failureShare_;
-    return scaled(expectedWait(offer, now) + times_.serviceTime(offer.route, now),
-                  failureScale * times_.upstreamSlowdown(running_, now));
+    return scaled(wait + times_.serviceTime(offer.route, now),
+                  failureScale * times_.upstreamSlowdown(slots_.running(), now));
 }
 
-bool WorkQueue::startsAtOnce(const WorkOffer &offer, TimePoint now) const
+WorkQueue::Forecast WorkQueue::forecast(const WorkOffer &offer, TimePoint now) const
 {
+    const bool waitsForEnd = times_.waitsForSlowPeriodEnd(offer.route, now);
+    const bool waitsForOther = waitsForCoSuspect(offer);
+    const bool isReady = !waitsForEnd && !waitsForOther;
     // While a slot is free, the queue contains only calls that wait for the end of a slow period or for a co-suspect.
-    return hasFreeSlot() && !times_.waitsForSlowPeriodEnd(offer.route, now) && !waitsForCoSuspect(offer);
+    if (slots_.hasFree() && isReady) {
+        return {Duration{0}, true};
+    }
+    const Duration slowPeriod = waitsForEnd ? times_.slowdown().slowPeriodLeft(now) : Duration{0};
+    const Duration coSuspectTime = waitsForOther ? slots_.coSuspectTimeLeft(offer, times_, now) : Duration{0};
+    const Duration earliest = std::max(slowPeriod, coSuspectTime);
+    const Duration wait = slotWait(offer, false, earliest, now);
+    if (!needsSlotAboveLimit(offer, wait, now)) {
+        return {wait, false};
+    }
+    const bool startsAtOnce = slots_.hasFreeAboveLimit() && isReady;
+    return {startsAtOnce ? Duration{0} : slotWait(offer, true, earliest, now), startsAtOnce};
 }
 
-bool WorkQueue::areCoSuspects(const WorkOffer &offer, const UpstreamName &disconnectedUpstream) const
+bool WorkQueue::needsSlotAboveLimit(const WorkOffer &offer, Duration wait, TimePoint now) const
 {
-    return settings_.separatesCoSuspects && !offer.disconnectedUpstream.value().empty()
-        && offer.disconnectedUpstream == disconnectedUpstream;
+    if (!slots_.admitsAboveLimit(offer.priority)) {
+        return false;
+    }
+    const Duration slowing = scaled(times_.serviceTime(offer.route, now), NearlyFullSlowdown - 1.0);
+    const bool isFloorDue = settings_.keepsPriorityFloor && floor_.isDue() && lowestQueuedPriority() > offer.priority;
+    return !isFloorDue && times_.isLate(offer, now + wait, now) && !times_.isLate(offer, now + slowing, now);
 }
 
 bool WorkQueue::waitsForCoSuspect(const WorkOffer &offer) const
 {
-    return std::any_of(running_.begin(), running_.end(),
-                       [&](const auto &item) { return areCoSuspects(offer, item.second.disconnectedUpstream); });
+    return settings_.separatesCoSuspects && slots_.runsCoSuspect(offer);
 }
 
 bool WorkQueue::hasCoSuspect(const WorkOffer &offer) const
 {
     const bool isQueued = std::any_of(queue_.begin(), queue_.end(), [&](const QueuedCall &queuedCall) {
-        return areCoSuspects(offer, queuedCall.offer.disconnectedUpstream);
+        return settings_.separatesCoSuspects && areCoSuspects(offer, queuedCall.offer.disconnectedUpstream);
     });
     return isQueued || waitsForCoSuspect(offer);
 }
 
-Duration WorkQueue::coSuspectTimeLeft(const WorkOffer &offer, TimePoint now) const
+Duration WorkQueue::urgentWait(TimePoint now) const
 {
-    Duration left{0};
-    for (const auto &[call, running] : running_) {
-        if (areCoSuspects(offer, running.disconnectedUpstream)) {
-            left = std::max(left, times_.timeLeft(running, now));
-        }
-    }
-    return left;
+    WorkOffer offer;
+    offer.target = TimePoint::max();
+    offer.deadline = TimePoint::max();
+    return slots_.hasFree() ? Duration{0} : slotWait(offer, false, Duration{0}, now);
 }
 
 /// Simulates the slots: they become free one by one and are taken by the queued calls that go before @p offer.
-Duration WorkQueue::expectedWait(const WorkOffer &offer, TimePoint now) const
+Duration WorkQueue::slotWait(const WorkOffer &offer, bool countsAll, Duration earliest, TimePoint now) const
 {
-    if (startsAtOnce(offer, now)) {
-        return Duration{0};
-    }
-    const Duration slowPeriod =
-        times_.waitsForSlowPeriodEnd(offer.route, now) ? times_.slowdown().slowPeriodLeft(now) : Duration{0};
-    const Duration coSuspectTime = coSuspectTimeLeft(offer, now);
-    std::vector<Duration> freeAfter = slotsFreeAfter(now);
+    std::vector<Duration> freeAfter = slots_.freeAfter(countsAll, times_, now);
     for (Duration &after : freeAfter) {
-        after = std::max({after, slowPeriod, coSuspectTime});
+        after = std::max(after, earliest);
     }
+    const Urgency own = urgency(offer, now);
     for (const QueuedCall &queuedCall : queue_) {
-        if (goesBefore(offer, queuedCall.offer, now)) {
+        if (own < urgency(queuedCall.offer, now)) {
             continue;
         }
         const auto soonest = std::min_element(freeAfter.begin(), freeAfter.end());
@@ -241,22 +281,6 @@
     return *std::min_element(freeAfter.begin(), freeAfter.end());
 }
 
-std::vector<Duration> WorkQueue::slotsFreeAfter(TimePoint now) const
-{
-    std::vector<Duration> freeAfter;
-    for (const auto &[call, running] : running_) {
-        freeAfter.push_back(times_.timeLeft(running, now));
-    }
-    // On average, half of an external request is assumed to be done.
-    const Duration externalTimeLeft = scaled(times_.service().overall(), times_.slowdown().factor() / 2);
-    freeAfter.insert(freeAfter.end(), externalRequests_, externalTimeLeft);
-    freeAfter.resize(std::max<std::size_t>(freeAfter.size(), limit()), Duration{0});
-    std::sort(freeAfter.begin(), freeAfter.end());
-    // After the limit was lowered, running calls above it free no slot when they end.
-    freeAfter.erase(freeAfter.begin(), freeAfter.begin() + static_cast<std::ptrdiff_t>(freeAfter.size() - limit()));
-    return freeAfter;
-}
-
 TimePoint WorkQueue::latestStart(const WorkOffer &offer, TimePoint now) const
 {
     const Duration needed = scaled(times_.serviceTime(offer.route, now), settings_.minServiceShare);
@@ -281,14 +305,29 @@
     return static_cast<double>(lateCalls) < settings_.maxLateBacklog * limit();
 }
 
+/// Of the late queued calls of the lowest priority, the one that would start last.
+WorkQueue::QueuedCalls::const_iterator WorkQueue::displaceable(const WorkOffer &offer, TimePoint start,
+                                                               TimePoint now) const
+{
+    if (!settings_.displacesLowerPriority) {
+        return queue_.end();
+    }
+    auto last = queue_.end();
+    for (auto place = queue_.begin(); place != queue_.end(); ++place) {
+        const bool isLowest = last == queue_.end() || place->offer.priority > last->offer.priority
+            || (place->offer.priority == last->offer.priority
+                && urgency(last->offer, now) < urgency(place->offer, now));
+        if (place->offer.priority > offer.priority && isLowest && times_.isLate(place->offer, start, now)) {
+            last = place;
+        }
+    }
+    return last;
+}
+
 std::vector<CallId> WorkQueue::startQueued(TimePoint now)
 {
     std::vector<CallId> started;
-    while (hasFreeSlot()) {
-        const auto place = nextReady(now);
-        if (place == queue_.end()) {
-            break;
-        }
+    for (auto place = nextReady(now); place != queue_.end(); place = nextReady(now)) {
         start(place->offer, now);
         started.push_back(place->offer.call);
         queue_.erase(place);
@@ -296,37 +335,50 @@
     return started;
 }
 
-/// Calls that can still meet their target go first, by priority and then by target. The other calls follow, by priority
-/// and then with the latest deadline first: calls whose deadline is near would be cut off before they complete.
-bool WorkQueue::goesBefore(const WorkOffer &one, const WorkOffer &other, TimePoint now) const
+WorkQueue::Urgency WorkQueue::urgency(const WorkOffer &offer, TimePoint now) const
 {
     if (!settings_.ordersByUrgency) {
-        return false;
+        return {};
     }
-    const auto urgency = [this, now](const WorkOffer &offer) {
-        const bool missesTarget = times_.isLate(offer, now, now);
-        return std::tuple(missesTarget, offer.priority, missesTarget ? now - offer.deadline : offer.target - now);
-    };
-    return urgency(one) < urgency(other);
+    const bool missesTarget = times_.isLate(offer, now, now);
+    return {missesTarget, offer.priority, missesTarget ? now - offer.deadline : offer.target - now};
 }
 
-std::vector<WorkQueue::QueuedCall>::iterator WorkQueue::nextReady(TimePoint now)
+bool WorkQueue::isReady(const WorkOffer &offer, TimePoint now) const
 {
+    // A call that is too late stays queued until expire() returns it with a failure.
+    return latestStart(offer, now) > now && !times_.waitsForSlowPeriodEnd(offer.route, now)
+        && !waitsForCoSuspect(offer);
+}
+
+WorkQueue::QueuedCalls::const_iterator WorkQueue::nextReady(TimePoint now) const
+{
+    if (queue_.empty() || (!slots_.hasFree() && !slots_.hasFreeAboveLimit())) {
+        return queue_.end();
+    }
+    const bool hasFree = slots_.hasFree();
+    const bool isFloorDue = hasFree && settings_.keepsPriorityFloor && floor_.isDue();
+    const std::uint8_t lowest = isFloorDue ? lowestQueuedPriority() : 0;
+    const Duration nextFree = hasFree ? Duration{0} : slots_.freeAfter(false, times_, now).front();
     auto best = queue_.end();
+    auto reserved = queue_.end();
     for (auto place = queue_.begin(); place != queue_.end(); ++place) {
-        // A call that is too late stays queued until expire() returns it with a failure.
-        const bool isReady = latestStart(place->offer, now) > now
-            && !times_.waitsForSlowPeriodEnd(place->offer.route, now) && !waitsForCoSuspect(place->offer);
-        if (isReady && (best == queue_.end() || goesBefore(place->offer, best->offer, now))) {
-            best = place;
+        const WorkOffer &offer = place->offer;
+        const bool mayBeBest = (hasFree || needsSlotAboveLimit(offer, nextFree, now))
+            && (best == queue_.end() || urgency(offer, now) < urgency(best->offer, now));
+        const bool mayBeReserved = isFloorDue && offer.priority == lowest
+            && (reserved == queue_.end() || urgency(offer, now) < urgency(reserved->offer, now));
+        if ((mayBeBest || mayBeReserved) && isReady(offer, now)) {
+            best = mayBeBest ? place : best;
+            reserved = mayBeReserved ? place : reserved;
         }
     }
-    return best;
+    return reserved != queue_.end() ? reserved : best;
 }
 
 Failure WorkQueue::refusal(Reason reason, const WorkOffer &offer, TimePoint now) const
 {
-    const auto wait = std::max(std::chrono::ceil<Milliseconds>(expectedWait(offer, now)), Milliseconds{1});
+    const auto wait = std::max(std::chrono::ceil<Milliseconds>(forecast(offer, now).wait), Milliseconds{1});
     const bool hasPassed = reason == Reason::DeadlinePassed;
     return notRun(
         reason, hasPassed ? "the deadline passed before the request could start" : "no slot before the deadline", wait);
@@ -334,7 +386,9 @@
 
 void WorkQueue::start(const WorkOffer &offer, TimePoint now)
 {
-    running_.emplace(offer.call, RunningCall{offer.route, now, times_.slowdown().factor(), offer.disconnectedUpstream});
+    floor_.onStarted(offer.priority, lowestQueuedPriority());
+    slots_.start(offer.call,
+                 {offer.route, offer.priority, now, times_.slowdown().factor(), offer.disconnectedUpstream});
 }
 
 }
--- a/src/admission/worktimes.cpp
+++ b/src/admission/worktimes.cpp
@@ -20,6 +20,11 @@
 
 void WorkTimes::recordEnd(const RunningCall &running, bool answered, TimePoint now)
 {
+    if (running.isAboveLimit) {
+        // It took longer because the upstream was nearly full. If that counted, the route would be thought too slow to
+        // start above the limit.
+        return;
+    }
     const WorkDuration work{now - running.start, running.slowdown, slowdown_.baselineTimeBetween(running.start, now)};
     if (answered) {
         service_.record(running.route, work, now);
--- a/src/admission/worktimes.h
+++ b/src/admission/worktimes.h
@@ -17,10 +17,13 @@
 struct RunningCall
 {
     RouteName route;
+    std::uint8_t priority = 0;
     TimePoint start;
     /// The VM's slowdown factor at the start.
     double slowdown = 1.0;
     UpstreamName disconnectedUpstream;
+    /// Whether it started above the upstream's fill limit.
+    bool isAboveLimit = false;
 };
 
 using RunningCalls = std::unordered_map<CallId, RunningCall>;
@@ -40,7 +43,7 @@
     /// Records the VM's slowdown factor. Preconditions: those of VmSlowdown::record().
     void recordSlowdown(double factor, TimePoint now) { slowdown_.record(factor, now); }
     /// Records that the upstream has finished with @p running. If it was not @p answered, the time until @p now is the
-    /// least that the full duration would have been.
+    /// least that the full duration would have been. Ignores a call that started above the upstream's fill limit.
     void recordEnd(const RunningCall &running, bool answered, TimePoint now);
 
     [[nodiscard]] const VmSlowdown &slowdown() const { return slowdown_; }
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -62,6 +62,7 @@
             asio::co_spawn(executor_, probeForWaitingRequests(), asio::detached);
         }
     });
+    slots_.onDisplaced([this] { metrics_.count("egretpath_displaced_total"); });
 }
 
 EgressRole::~EgressRole() = default;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -174,6 +174,10 @@
     std::optional<Failure> rejection = co_await role_.slots_.acquire(offer, head_.targetUpstream, cancellation_);
     role_.waitingRequests_.erase(callId_);
     holdsSlot_ = !rejection;
+    startedAboveLimit_ = holdsSlot_ && role_.slots_.queue().startedAboveLimit(callId_);
+    if (startedAboveLimit_) {
+        role_.metrics_.count("egretpath_started_above_limit_total");
+    }
     co_return rejection;
 }
 
@@ -502,6 +506,9 @@
     if (handedOverAt_ != TimePoint{}) {
         line.add("waited_ms", std::chrono::duration_cast<Milliseconds>(handedOverAt_ - arrivedAt_).count());
     }
+    if (startedAboveLimit_) {
+        line.add("fill", "above-limit");
+    }
     if (failure != nullptr) {
         line.add("verdict", toString(failure->verdict)).add("reason", toString(failure->reason));
         line.add("detail", failure->detail);
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -91,6 +91,8 @@
     /// Expires when the upstream takes much longer than expected.
     boost::asio::steady_timer overdueTimer_;
     bool holdsSlot_ = false;
+    /// Whether its slot is above the upstream's fill limit; see UpstreamSlots.
+    bool startedAboveLimit_ = false;
     /// Whether the request has a turn that it has not used yet; see UpstreamRate.
     bool hasTurn_ = false;
     bool isWriting_ = false;
--- a/src/egress/workslots.cpp
+++ b/src/egress/workslots.cpp
@@ -22,13 +22,19 @@
 asio::awaitable<std::optional<Failure>> WorkSlots::acquire(WorkOffer offer, UpstreamName target,
                                                            std::shared_ptr<Cancellation> cancellation)
 {
-    const OfferOutcome outcome = queue_.offer(offer, currentTime());
+    OfferOutcome outcome = queue_.offer(offer, currentTime());
     if (const auto *refused = std::get_if<Refused>(&outcome)) {
         co_return refused->failure;
     }
     if (std::holds_alternative<Admitted>(outcome)) {
         co_return std::nullopt;
     }
+    if (auto &displaced = std::get<Queued>(outcome).displaced) {
+        endWait(displaced->call, std::move(displaced->failure));
+        if (displacedListener_) {
+            displacedListener_();
+        }
+    }
     co_return co_await waitForSlot(offer.call, std::move(target), std::move(cancellation));
 }
 
--- a/src/egress/workslots.h
+++ b/src/egress/workslots.h
@@ -53,6 +53,9 @@
         return queue_.needsSlowdownUpdates(now) || queue_.needsExternalLoadUpdates();
     }
 
+    /// Calls @p listener whenever a request that waited is displaced by one of higher priority; see WorkQueue.
+    void onDisplaced(std::function<void()> listener) { displacedListener_ = std::move(listener); }
+
     [[nodiscard]] const WorkQueue &queue() const { return queue_; }
 
 private:
@@ -82,6 +85,7 @@
     boost::asio::steady_timer expiryTimer_;
     std::unordered_map<CallId, std::shared_ptr<Waiter>> waiters_;
     std::function<void()> updatesNeededListener_;
+    std::function<void()> displacedListener_;
 };
 
 }
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -109,6 +109,7 @@
     request.candidates = candidates;
     request.demand.baselineTime = context_->baselineTime(*parameters_.route);
     request.demand.isUrgent = parameters_.isUrgent();
+    request.demand.isTopPriority = parameters_.route->priority == 0;
     request.now = currentTime();
     request.targetLeft = parameters_.targetTime - request.now;
     request.bodies = Bytes(content_.body.size() + context_->sizes.typicalAnswerSize(parameters_.route->name).value());
--- a/src/routing/placementview.cpp
+++ b/src/routing/placementview.cpp
@@ -108,6 +108,10 @@
         report.recoveredSlowdownPercent > 0 ? report.recoveredSlowdownPercent / Percent : load.slowdown;
     load.urgentCallsAhead = isFull ? 1.0 / slots : 0.0;
     load.callsAhead = isFull ? (1.0 + report.queued) / slots : 0.0;
+    load.hasUrgentWait = report.urgentWaitMicroseconds > 0;
+    load.urgentWaitSeconds = load.hasUrgentWait
+        ? inSeconds(Microseconds(report.urgentWaitMicroseconds))
+        : load.callsAhead * workSeconds(load, inSeconds(Microseconds(report.meanServiceMicroseconds)));
     load.failureShare = report.failurePercent / Percent;
     if (settings_.countsDelay) {
         load.delaySeconds = inSeconds(Microseconds(report.arrivalDelayMicroseconds));
@@ -123,8 +127,10 @@
     // typical delay of the others.
     load.delaySeconds = record.hasReport ? record.load.delaySeconds : typicalLoad_.delaySeconds;
     const double sinceReport = std::max(0.0, static_cast<double>(record.inFlight) - record.inFlightAtReport);
-    load.callsAhead += settings_.ownRequestWeight * sinceReport / record.slots;
-    load.urgentCallsAhead += settings_.ownRequestWeight * sinceReport / record.slots;
+    load.ownCallsAhead = settings_.ownRequestWeight * sinceReport / record.slots;
+    load.callsAhead += load.ownCallsAhead;
+    load.urgentCallsAhead += load.ownCallsAhead;
+    load.hasUrgentWait = record.hasReport ? record.load.hasUrgentWait : typicalLoad_.hasUrgentWait;
     return load;
 }
 
@@ -136,6 +142,8 @@
     load.recoveredSlowdown = weightedMean(share, one.recoveredSlowdown, other.recoveredSlowdown);
     load.urgentCallsAhead = weightedMean(share, one.urgentCallsAhead, other.urgentCallsAhead);
     load.callsAhead = weightedMean(share, one.callsAhead, other.callsAhead);
+    load.urgentWaitSeconds = weightedMean(share, one.urgentWaitSeconds, other.urgentWaitSeconds);
+    load.hasUrgentWait = one.hasUrgentWait || other.hasUrgentWait;
     load.failureShare = weightedMean(share, one.failureShare, other.failureShare);
     load.delaySeconds = weightedMean(share, one.delaySeconds, other.delaySeconds);
     return load;
@@ -146,17 +154,24 @@
     return std::min(baselineSeconds * load.slowdown, load.slowPeriodSeconds + baselineSeconds * load.recoveredSlowdown);
 }
 
+double PlacementView::queueSeconds(const Load &load, const PlacementDemand &demand) const
+{
+    const double aheadSeconds = meanServiceSeconds_ > 0.0 ? meanServiceSeconds_ : inSeconds(demand.baselineTime);
+    const double callSeconds = workSeconds(load, aheadSeconds);
+    if (demand.isTopPriority && load.hasUrgentWait) {
+        return load.urgentWaitSeconds + callSeconds * load.ownCallsAhead;
+    }
+    return callSeconds * (demand.isUrgent ? load.urgentCallsAhead : load.callsAhead);
+}
+
 Duration PlacementView::expected(const UpstreamName &upstream, const PlacementDemand &demand, TimePoint now) const
 {
     const auto found = records_.find(upstream);
     const Load load = found == records_.end() ? typicalLoad_ : estimatedLoad(found->second, now);
     const double failures = found == records_.end() ? 0.0 : recentFailures(found->second, now);
     const double baseline = inSeconds(demand.baselineTime);
-    const double aheadSeconds = meanServiceSeconds_ > 0.0 ? meanServiceSeconds_ : baseline;
-    const double queueSeconds =
-        workSeconds(load, aheadSeconds) * (demand.isUrgent ? load.urgentCallsAhead : load.callsAhead);
     const double penalty = 1.0 + settings_.failureShareFactor * load.failureShare + settings_.failurePenalty * failures;
-    return fromSeconds(load.delaySeconds + (queueSeconds + workSeconds(load, baseline)) * penalty);
+    return fromSeconds(load.delaySeconds + (queueSeconds(load, demand) + workSeconds(load, baseline)) * penalty);
 }
 
 bool PlacementView::isEjected(const UpstreamName &upstream, TimePoint now) const
--- a/src/routing/placementview.h
+++ b/src/routing/placementview.h
@@ -47,6 +47,8 @@
     Duration baselineTime{0};
     /// Whether the request goes before all queued calls.
     bool isUrgent = false;
+    /// Whether the request has priority 0.
+    bool isTopPriority = false;
 };
 
 /// Tracks what one ingress knows of the upstreams' load: the slowdown of their VMs, and the running and queued calls.
@@ -100,6 +102,11 @@
         /// and for a request that goes behind them.
         double urgentCallsAhead = 0.0;
         double callsAhead = 0.0;
+        /// Requests that this node has sent since the report, in calls ahead, divided by the number of slots.
+        double ownCallsAhead = 0.0;
+        /// Expected wait of a request of priority 0. If the report doesn't carry it, it is estimated from callsAhead.
+        double urgentWaitSeconds = 0.0;
+        bool hasUrgentWait = false;
         double failureShare = 0.0;
         /// Delay with which requests reach the upstream's node.
         double delaySeconds = 0.0;
@@ -125,6 +132,8 @@
     [[nodiscard]] static Load weightedLoad(double share, const Load &one, const Load &other);
     /// How long work takes that needs @p baselineSeconds on an idle upstream whose VM is not slowed down.
     [[nodiscard]] static double workSeconds(const Load &load, double baselineSeconds);
+    /// Expected time that a request waits for a slot.
+    [[nodiscard]] double queueSeconds(const Load &load, const PlacementDemand &demand) const;
 
     PlacementViewSettings settings_;
     std::unordered_map<UpstreamName, Record> records_;
--- a/tests/routing/placementtest.cpp
+++ b/tests/routing/placementtest.cpp
@@ -225,6 +225,27 @@
     CHECK(view.expected(name, {Milliseconds(20), true}, at(0)) == Milliseconds(45));
 }
 
+// Guards against checks that avoid an upstream whose queue they overtake, and against trusting such a report for long.
+TEST_CASE("the expected time of a request of priority 0 includes its reported wait, as long as the report is new")
+{
+    PlacementView view;
+    const UpstreamName name("near");
+    const PlacementDemand urgent{Milliseconds(20), false, true};
+    LoadReport report = reportOf(1.0);
+    report.inFlight = 4;
+    report.queued = 7;
+    view.onReport(name, report, at(0));
+    CHECK(view.expected(name, urgent, at(0)) == Milliseconds(220));
+    report.urgentWaitMicroseconds = 30'000;
+    view.onReport(name, report, at(0));
+    CHECK(view.expected(name, urgent, at(0)) == Milliseconds(50));
+    CHECK(view.expected(name, TypicalDemand, at(0)) == Milliseconds(300));
+    report.urgentWaitMicroseconds = 400'000;
+    view.onReport(name, report, at(0));
+    CHECK(view.expected(name, urgent, at(0)) == Milliseconds(420));
+    CHECK(view.expected(name, urgent, at(3000)) < Milliseconds(100));
+}
+
 // Guards against ignoring slow links. Two nodes share links of 12 Mbit/s with large uploads, and calls reach them a
 // tenth of a second late. Without the reported delay, calls would still be sent there.
 TEST_CASE("the expected time includes the arrival delay, even if its report is old")
