--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -87,6 +87,8 @@
     bool countsAsDownload_ = false;
     /// Whether the answer was read, and the ingress has not taken all of it.
     bool isPassingOn_ = false;
+    /// Whether its slot is above the upstream's fill limit; see UpstreamSlots.
+    bool startedAboveLimit_ = false;
     /// How long the request waited for a turn; nothing if it needed none.
     std::optional<Duration> turnWait_;
     /// Whether the request has a turn that it has not used yet; see UpstreamTurns.
--- a/src/routing/placementview.cpp
+++ b/src/routing/placementview.cpp
@@ -116,6 +116,10 @@
         report.recoveredSlowdownPercent > 0 ? report.recoveredSlowdownPercent / Percent : load.slowdown;
     load.urgentCallsAhead = isFull ? 1.0 / slots : 0.0;
     load.callsAhead = isFull ? (1.0 + report.queued) / slots : 0.0;
+    load.hasUrgentWait = report.urgentWaitMicroseconds > 0;
+    load.urgentWaitSeconds = load.hasUrgentWait
+        ? inSeconds(Microseconds(report.urgentWaitMicroseconds))
+        : load.callsAhead * workSeconds(load, inSeconds(Microseconds(report.meanServiceMicroseconds)));
     load.failureShare = report.failurePercent / Percent;
     load.linkBacklogSeconds = inSeconds(Microseconds(report.linkBacklogMicroseconds));
     if (settings_.countsDelay) {
@@ -133,8 +137,10 @@
     load.delaySeconds = record.hasReport ? record.load.delaySeconds : typicalLoad_.delaySeconds;
     load.linkBacklogSeconds = reportWeight * record.load.linkBacklogSeconds;
     const double sinceReport = std::max(0.0, static_cast<double>(record.inFlight) - record.inFlightAtReport);
-    load.callsAhead += settings_.ownRequestWeight * sinceReport / record.slots;
-    load.urgentCallsAhead += settings_.ownRequestWeight * sinceReport / record.slots;
+    load.ownCallsAhead = settings_.ownRequestWeight * sinceReport / record.slots;
+    load.callsAhead += load.ownCallsAhead;
+    load.urgentCallsAhead += load.ownCallsAhead;
+    load.hasUrgentWait = record.hasReport ? record.load.hasUrgentWait : typicalLoad_.hasUrgentWait;
     return load;
 }
 
@@ -146,6 +152,8 @@
     load.recoveredSlowdown = weightedMean(share, one.recoveredSlowdown, other.recoveredSlowdown);
     load.urgentCallsAhead = weightedMean(share, one.urgentCallsAhead, other.urgentCallsAhead);
     load.callsAhead = weightedMean(share, one.callsAhead, other.callsAhead);
+    load.urgentWaitSeconds = weightedMean(share, one.urgentWaitSeconds, other.urgentWaitSeconds);
+    load.hasUrgentWait = one.hasUrgentWait || other.hasUrgentWait;
     load.failureShare = weightedMean(share, one.failureShare, other.failureShare);
     load.delaySeconds = weightedMean(share, one.delaySeconds, other.delaySeconds);
     return load;
@@ -156,19 +164,28 @@
     return std::min(baselineSeconds * load.slowdown, load.slowPeriodSeconds + baselineSeconds * load.recoveredSlowdown);
 }
 
+double PlacementView::queueSeconds(const Load &load, const PlacementDemand &demand) const
+{
+    const double aheadSeconds = meanServiceSeconds_ > 0.0 ? meanServiceSeconds_ : inSeconds(demand.baselineTime);
+    const double callSeconds = workSeconds(load, aheadSeconds);
+    if (demand.priority == 0 && load.hasUrgentWait) {
+        return load.urgentWaitSeconds + callSeconds * load.ownCallsAhead;
+    }
+    return callSeconds * (demand.isUrgent ? load.urgentCallsAhead : load.callsAhead);
+}
+
 Duration PlacementView::expected(const UpstreamName &upstream, const PlacementDemand &demand, TimePoint now) const
 {
     const auto found = records_.find(upstream);
     const Load load = found == records_.end() ? typicalLoad_ : estimatedLoad(found->second, now);
     const double failures = found == records_.end() ? 0.0 : recentFailures(found->second, now);
     const double baseline = inSeconds(demand.baselineTime);
-    const double aheadSeconds = meanServiceSeconds_ > 0.0 ? meanServiceSeconds_ : baseline;
-    const double queueSeconds =
-        workSeconds(load, aheadSeconds) * (demand.isUrgent ? load.urgentCallsAhead : load.callsAhead);
     const double penalty = 1.0 + settings_.failureShareFactor * load.failureShare + settings_.failurePenalty * failures;
     const double linkSeconds = demand.isLargeAnswer ? load.linkBacklogSeconds : 0.0;
+    // The reported wait of urgent requests for a turn covers their wait for a slot.
     const Duration turn = found == records_.end() ? Duration{0} : turnWait(found->second, demand, now);
-    return turn + fromSeconds(load.delaySeconds + linkSeconds + (queueSeconds + workSeconds(load, baseline)) * penalty);
+    const double slotSeconds = turn > Duration{0} ? 0.0 : queueSeconds(load, demand);
+    return turn + fromSeconds(load.delaySeconds + linkSeconds + (slotSeconds + workSeconds(load, baseline)) * penalty);
 }
 
 Duration PlacementView::turnWait(const Record &record, const PlacementDemand &demand, TimePoint now)
