ingress: calls by the upstream are recognised by when they arrive

Cause: a route counted as one of dependent calls if its callers' timeout is at most 3 times its target.

Change: DependentCalls (src/calls) learns which routes arrive only while a suitable request runs at the upstream beside the node, compared with the arrivals of other routes. The comparison is made for each route that runs as well, since beside an upstream with long requests some suitable request always runs. Such calls get their deadline as target and the priority of the requests that make them; CallHead.isDependent is set by own evidence only, so that adopted knowledge does not renew itself. The egress keeps for 60 s what two ingresses said and reports it in the outcome. A node without evidence adopts that, else the earlier rule applies. Metric egretpath_dependent_calls_total, event=calls.

--- a/cmake/EgretpathLibraries.cmake
+++ b/cmake/EgretpathLibraries.cmake
@@ -1,4 +1,4 @@
 # The libraries in the order of their dependencies. See docs/DESIGN.md.
 set(egretpath_libraries
-    core settings telemetry routes instances routing admission idempotency quarantine http rpc dialect egress ingress sidecar
+    core settings telemetry routes instances routing admission calls idempotency quarantine http rpc dialect egress ingress sidecar
     client)
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -78,6 +78,7 @@
 {
     if (record != nullptr) {
         slots_.setSlots(record->slots);
+        calls_.setUpstream(record->id);
         if (record->id != presence_.name()) {
             rate_.onReplaced(record->id);
         }
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -10,6 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "admission/upstreamaccount.h"
+#include "calls/dependentcalls.h"
+#include "calls/dependentroutereports.h"
 #include "dialect/upstreamdialect.h"
 #include "egress/upstreamexitmonitor.h"
 #include "egress/upstreamhealth.h"
@@ -98,6 +100,9 @@
     /// Ends all waiting and running requests that the quarantine now refuses.
     void endQuarantinedRequests();
     [[nodiscard]] LoadReport report(const RouteName &route) const;
+    /// What is known about calls by the upstream. The ingress of this node, where they arrive, records them.
+    [[nodiscard]] DependentCalls &calls() { return calls_; }
+    [[nodiscard]] const DependentCalls &calls() const { return calls_; }
     /// See UpstreamRate::limitedBy().
     [[nodiscard]] std::string_view limitedBy() const { return rate_.limitedBy(); }
     /// Whether no request waits or runs here.
@@ -158,6 +163,8 @@
     UpstreamExitMonitor::Listener upstreamExitListener_;
     LatenessGuard latenessGuard_;
     UpstreamHealth health_;
+    DependentCalls calls_;
+    DependentRouteReports dependentRoutes_;
     std::uint64_t lastCallId_ = 0;
     TimePoint slowdownUpdatedAt_;
     UpstreamPresence presence_;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -77,6 +77,7 @@
     isAtUpstream_ = true;
     role_.account_.onStarted(callId_);
     role_.requestsAtUpstream_.emplace(callId_, this);
+    role_.calls_.onStarted(callId_, head_.route, head_.priority, deadline_, currentTime());
     startOverdueTimer();
 }
 
@@ -87,6 +88,7 @@
     }
     answered ? role_.account_.onAnswered(callId_) : role_.account_.onGivenUp(callId_);
     role_.requestsAtUpstream_.erase(callId_);
+    role_.calls_.onEnded(callId_);
     overdueTimer_.cancel();
     if (std::exchange(isOverdue_, false)) {
         --role_.overdueCount_;
@@ -147,6 +149,9 @@
         co_return notRun(Reason::DeadlinePassed, "the request was too long on its way");
     }
     targetTime_ = arrivedAt_ + head_.targetLatencyLeft - delay;
+    if (head_.isDependent) {
+        role_.dependentRoutes_.record(head_.callerService, head_.route, head_.ingress, arrivedAt_);
+    }
     if (role_.isDraining_) {
         co_return notRun(Reason::Draining, "the node beside the upstream stops", DrainingRetryAfter);
     }
@@ -185,7 +190,7 @@
 {
     const TimePoint now = currentTime();
     // The deadline of such a caller is its target: to it, a late answer is worth no more than none.
-    const bool isDependent = targetTime_ >= deadline_;
+    const bool isDependent = head_.isDependent || targetTime_ >= deadline_;
     Duration wait = isDependent ? (deadline_ - now) / DependentWaitDivisor : (targetTime_ - now) / WaitDivisor;
     if (offer.declineThreshold > Duration{0}) {
         wait = std::min(wait, offer.declineThreshold - role_.slots_.queue().expected(offer, now));
@@ -434,7 +439,9 @@
 
 CallOutcome UpstreamRequest::outcome(std::variant<Failure, CompleteAnswer, StreamedAnswer> result) const
 {
-    return {role_.self_, role_.report(head_.route), std::move(result), CatalogVersions(), QuarantineDigest(), false};
+    const bool isRouteDependent = role_.dependentRoutes_.isDependent(head_.callerService, head_.route, currentTime());
+    return {role_.self_,       role_.report(head_.route), std::move(result),
+            CatalogVersions(), QuarantineDigest(),        isRouteDependent};
 }
 
 RequestContent UpstreamRequest::content() const
--- a/src/ingress/ingresscontext.cpp
+++ b/src/ingress/ingresscontext.cpp
@@ -70,6 +70,9 @@
     if (node != localNode.endpoint && outcomeListener) {
         outcomeListener(node, outcome.value());
     }
+    if (outcome.value().isRouteDependent) {
+        egress.calls().adopt(route, currentTime());
+    }
     if (const auto &report = outcome.value().report) {
         view.onReached(upstream);
         view.onReport(upstream, *report, currentTime());
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -19,6 +19,9 @@
 /// The maximum number of tries of one request, including declined ones. No service has as many nearby candidates.
 constexpr std::uint32_t MaxTries = 64;
 
+/// A caller whose timeout ends gives up about at the deadline.
+constexpr Milliseconds DeadlineTolerance{25};
+
 /// Describes an answer of an upstream for the log.
 Failure describeAnswer(std::string detail, Reason reason)
 {
@@ -241,6 +244,19 @@
     [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), failure.detail + "\n");
 }
 
+void ProxiedRequest::recordCallEnd(const Failure &result)
+{
+    if (!parameters_.isDependent) {
+        return;
+    }
+    // A call that its caller gave up early, or that is refused for its content, shows nothing about the callee.
+    const TimePoint now = currentTime();
+    const bool isGivenUp = result.reason == Reason::Cancelled && now < parameters_.deadline - DeadlineTolerance;
+    if (!isGivenUp && result.reason != Reason::CrashesUpstreams) {
+        context_->egress.calls().onCallEnded(parameters_.route->name, result.reason == Reason::None, now);
+    }
+}
+
 void ProxiedRequest::logEnd(std::uint16_t status, const Failure &result)
 {
     EndedRequest ended;
@@ -255,6 +271,7 @@
     ended.reachedCount = tries_ ? tries_->reachedCount() : 0;
     ended.duration = currentTime() - parameters_.arrival;
     ended.routesVersion = parameters_.routes ? parameters_.routes->version() : RouteVersion();
+    recordCallEnd(result);
     context_->requestLog.recordEnd(ended);
 }
 
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -47,6 +47,8 @@
     boost::asio::awaitable<void> giveUp(Failure failure);
     boost::asio::awaitable<void> respond(Failure failure);
 
+    /// Records for DependentCalls how a call by the upstream beside the node ended.
+    void recordCallEnd(const Failure &result);
     /// @p result: the failure, or a Failure that describes an answer. The detail of the latter names the upstream or
     /// says that the answer was sent in pieces.
     void logEnd(std::uint16_t status, const Failure &result);
--- a/src/ingress/requestlog.cpp
+++ b/src/ingress/requestlog.cpp
@@ -15,6 +15,24 @@
 
 }
 
+void RequestLog::recordCall(const RouteName &route, const CallDecision &decision)
+{
+    if (decision.isDependent()) {
+        std::string labels = "route=\"";
+        labels.append(route.value()).append("\"");
+        metrics_.count("egretpath_dependent_calls_total", labels);
+    }
+    if (!decision.hasChanged) {
+        return;
+    }
+    StructuredLine line("calls");
+    line.add("route", route.value()).add("standing", toString(decision.standing));
+    if (decision.parentPriority) {
+        line.add("parent_priority", std::uint64_t{*decision.parentPriority});
+    }
+    log_.info(line);
+}
+
 void RequestLog::recordPlacement(const PlacedTry &item)
 {
     if (!log_.admitsDecision(currentTime(), DecisionKind::Routine)) {
@@ -24,11 +42,14 @@
     line.add("request", item.request.value()).add("try", std::uint64_t{item.number});
     line.add("route", item.route.name.value()).add("service", item.service.value());
     line.add("from", item.caller.value()).add("kind", toString(item.route.kind));
-    line.add("priority", std::uint64_t{item.route.priority}).add("left_ms", toMilliseconds(item.timeLeft));
+    line.add("priority", std::uint64_t{item.priority}).add("left_ms", toMilliseconds(item.timeLeft));
     line.add("upstream", item.upstream.value()).add("link", toString(item.choice.link));
     line.add("candidates", std::uint64_t{item.candidates}).add("expected_ms", toMilliseconds(item.choice.expected));
     line.add("acceptable_ms", toMilliseconds(item.choice.declineThreshold));
     line.add("routes", item.routesVersion.value()).add("list", item.listRevision.value());
+    if (item.isDependent) {
+        line.add("dependent", "yes");
+    }
     if (item.route.regions.isRestricted()) {
         line.add("regions", toString(item.route.regions));
     }
--- a/src/ingress/requestlog.h
+++ b/src/ingress/requestlog.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 
+#include "calls/dependentcalls.h"
 #include "core/clock.h"
 #include "core/verdict.h"
 #include "instances/instancerecord.h"
@@ -30,6 +31,9 @@
     Duration timeLeft{0};
     RouteVersion routesVersion;
     StoreRevision listRevision;
+    /// The priority that is sent with the try; see RequestParameters.
+    std::uint32_t priority = 0;
+    bool isDependent = false;
 };
 
 /// How a request ended for its caller.
@@ -63,6 +67,8 @@
     {
     }
 
+    /// Records a request of @p route that is a call by the upstream, or that was one before.
+    void recordCall(const RouteName &route, const CallDecision &decision);
     void recordPlacement(const PlacedTry &item);
     void recordEnd(const EndedRequest &item);
 
--- a/src/ingress/requestparameters.cpp
+++ b/src/ingress/requestparameters.cpp
@@ -21,17 +21,34 @@
 /// The timeout assumed for a caller that gives none and whose request matches no route.
 constexpr Milliseconds DefaultTimeout{1000};
 
-TimePoint findTargetTime(IngressContext &context, const RequestParameters &parameters)
+/// Returns whether the request is a call by the upstream beside the node, and sets what follows from that.
+CallDecision recordArrival(IngressContext &context, RequestParameters &parameters)
 {
     const Route &route = *parameters.route;
+    const CallDecision decision =
+        context.egress.calls().onArrival(route.name, parameters.deadline - parameters.arrival, parameters.arrival);
+    parameters.priority = std::min<std::uint32_t>(route.priority, decision.parentPriority.value_or(UINT8_MAX));
+    context.requestLog.recordCall(route.name, decision);
+    parameters.isDependent = decision.standing == CallStanding::Dependent;
+    return decision;
+}
+
+TimePoint findTargetTime(IngressContext &context, RequestParameters &parameters)
+{
+    const Route &route = *parameters.route;
+    parameters.priority = route.priority;
     if (!parameters.caller.timeout) {
         return parameters.arrival + route.targetLatency;
     }
+    const CallDecision decision = recordArrival(context, parameters);
     const Milliseconds elapsed = context.callerTimeouts.record(route.name, *parameters.caller.timeout);
     const Milliseconds typical = context.callerTimeouts.typical(route.name);
-    if (typical.count() > 0 && typical <= route.targetLatency * context.settings.dependentTimeoutFactor) {
-        // The caller fails soon after the target. A late answer is then worth no more than none, so only the deadline
-        // counts.
+    // Without evidence, callers with a short timeout count as dependent.
+    const bool isGuessed = decision.standing == CallStanding::Unknown && typical.count() > 0
+        && typical <= route.targetLatency * context.settings.dependentTimeoutFactor;
+    if (decision.isDependent() || isGuessed) {
+        // Until the deadline a late answer is worth as much as one in time, since the caller's own work waits for it.
+        // Callers that fail soon after the target are served alike.
         return parameters.deadline;
     }
     return parameters.arrival + route.targetLatency - elapsed;
--- a/src/ingress/requestparameters.h
+++ b/src/ingress/requestparameters.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include "core/clock.h"
@@ -22,6 +23,11 @@
     TimePoint deadline;
     /// An answer after this time is worth little to the caller.
     TimePoint targetTime;
+    /// 0 is the most urgent. A call by the upstream beside the node has at least the priority of the requests that make
+    /// such calls.
+    std::uint32_t priority = 0;
+    /// Whether this node has evidence that the request is a call by the upstream beside it.
+    bool isDependent = false;
 
     /// Whether a late answer is worth no more to the caller than no answer.
     [[nodiscard]] bool isUrgent() const { return targetTime == deadline; }
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -231,7 +231,8 @@
     head.targetUpstream = requestTry.upstream;
     head.callerService = context_->localNode.service;
     head.route = route.name;
-    head.priority = static_cast<std::uint8_t>(std::min<std::uint32_t>(route.priority, UINT8_MAX));
+    head.priority = static_cast<std::uint8_t>(std::min<std::uint32_t>(parameters_.priority, UINT8_MAX));
+    head.isDependent = parameters_.isDependent;
     head.declineThreshold = std::chrono::duration_cast<Microseconds>(requestTry.declineThreshold);
     head.disconnectedUpstream = disconnectedUpstream_;
     head.routesVersion = parameters_.routes->version();
@@ -309,7 +310,9 @@
                            candidateCount,
                            parameters_.deadline - currentTime(),
                            parameters_.routes->version(),
-                           context_->sources.directory.revision()};
+                           context_->sources.directory.revision(),
+                           parameters_.priority,
+                           parameters_.isDependent};
     context_->requestLog.recordPlacement(placed);
 }
 
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -49,6 +49,7 @@
     settings.callers = node.callers;
     settings.ready = node.ready;
     settings.peers = node.peers;
+    settings.metrics = node.operators;
     settings.upstream = upstream.address();
     settings.store = Endpoint("127.0.0.1:1");
     settings.seeds = seeds;
@@ -79,6 +80,7 @@
     node.callers = uniqueEndpoint();
     node.ready = uniqueEndpoint();
     node.peers = uniqueEndpoint();
+    node.operators = uniqueEndpoint();
     catalog.add(upstream, node.peers, service, location);
     SidecarPlatform platform;
     platform.callers = std::make_unique<Platform::PlatformCallerDialect>();
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -32,6 +32,7 @@
     Endpoint callers;
     Endpoint ready;
     Endpoint peers;
+    Endpoint operators;
     std::unique_ptr<Sidecar> sidecar;
 };
 
