egress: requests whose calls find no place are refused before they run

Change: the egress refuses a request as not run with Overloaded if its route makes calls, these calls mostly end without an answer, and the chance that all of them get one is under a half. One request in ten is let through; two answers, or two seconds without news, end the refusal. The chance compares the answers per request with those while the callee was well, since a count of failed tries would count each retry. Metric egretpath_parents_refused_total, `calls` in /status.

--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -162,6 +162,9 @@
     if (auto rejection = handOverRejection()) {
         co_return rejection;
     }
+    if (auto rejection = parentRejection()) {
+        co_return rejection;
+    }
     role_.updateFailureShare();
     const WorkOffer offer = makeOffer();
     if (auto rejection = role_.rate_.rejection(maxTurnWait(offer))) {
@@ -182,6 +185,20 @@
     co_return rejection;
 }
 
+std::optional<Failure> UpstreamRequest::parentRejection()
+{
+    // A dry run is not a probe: nothing runs, so it makes no calls.
+    const bool isRefused = head_.dryRun ? role_.calls_.wouldRefuse(head_.route, currentTime())
+                                        : role_.calls_.refuses(head_.route, currentTime());
+    if (!isRefused) {
+        return std::nullopt;
+    }
+    std::string labels = "route=\"";
+    labels.append(head_.route.value()).append("\"");
+    role_.metrics_.count("egretpath_parents_refused_total", labels);
+    return notRun(Reason::Overloaded, "its calls find no place");
+}
+
 /// Load pattern: all upstreams of a service are cold after a loss of power, and take a part of what they are asked for.
 /// A call of another upstream, whose work is lost without an answer, waits longer for a turn than a request whose
 /// caller may come back, so that few of the latter get turns while there are many of the former. A request that is late
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -44,6 +44,8 @@
     /// If the rate of the upstream is limited, takes a turn and waits until it is due. Returns why the request gets
     /// none, or why it must not be handed over any more.
     boost::asio::awaitable<std::optional<Failure>> waitForTurn(const WorkOffer &offer);
+    /// Returns why the request is refused because the calls that it makes would find no place, or nothing.
+    [[nodiscard]] std::optional<Failure> parentRejection();
     /// Returns @p failure with a reason that the ingress knows.
     [[nodiscard]] Failure readableByIngress(Failure failure) const;
     /// Returns why the request must not be handed over to the upstream now, or nothing if it may be.
--- a/src/sidecar/operatorpages.cpp
+++ b/src/sidecar/operatorpages.cpp
@@ -1,11 +1,15 @@
 #include "sidecar/operatorpages.h"
 
+#include <cmath>
 #include <string_view>
 #include <utility>
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "calls/dependentcalls.h"
+#include "core/currenttime.h"
 #include "routes/routerows.h"
 
 namespace Egretpath
@@ -27,6 +31,24 @@
     [[maybe_unused]] const Result<void> sent = co_await exchange.respond(std::move(head), std::move(text));
 }
 
+/// The routes of calls by the upstream beside the node.
+boost::json::array callsStatus(const DependentCalls &calls)
+{
+    constexpr double Percent = 100.0;
+    boost::json::array routes;
+    for (const DependentRouteState &state : calls.states(currentTime())) {
+        boost::json::object route{{"route", state.route.value()},
+                                  {"standing", toString(state.standing)},
+                                  {"unanswered_percent", std::lround(state.unansweredShare * Percent)},
+                                  {"failing", state.isFailing}};
+        if (state.parentPriority) {
+            route["parent_priority"] = *state.parentPriority;
+        }
+        routes.push_back(std::move(route));
+    }
+    return routes;
+}
+
 }
 
 OperatorPages::OperatorPages(SidecarState &state, const CatalogController &catalog, const EgressRole &egress,
@@ -64,6 +86,7 @@
                                      {"list", versions.list.value()},
                                      {"evacuated", toString(state_.evacuatedZones)},
                                      {"limited", egress_.limitedBy()},
+                                     {"calls", callsStatus(egress_.calls())},
                                      {"source", catalog_.sourceName()},
                                      {"reads", catalog_.readsStore()},
                                      {"store", toString(catalog_.storeState())},
