--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -89,6 +89,7 @@
 {
     if (record != nullptr) {
         setSlots(record->slots);
+        calls_.setUpstream(record->id);
         if (record->id != presence_.name()) {
             rate_.onReplaced(record->id);
         }
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -13,6 +13,8 @@
 
 #include "admission/upstreamaccount.h"
 #include "answers/heldanswers.h"
+#include "calls/dependentcalls.h"
+#include "calls/dependentroutereports.h"
 #include "dialect/upstreamdialect.h"
 #include "egress/upstreamexitmonitor.h"
 #include "egress/upstreamhealth.h"
@@ -109,6 +111,9 @@
     /// @p backlog returns the time that it takes to send the bytes waiting for the node's link; see LoadReport.
     void setLinkBacklog(std::function<Duration()> backlog) { linkBacklog_ = std::move(backlog); }
     [[nodiscard]] LoadReport report(const RouteName &route) const;
+    /// What is known about calls by the upstream. The ingress of this node, where they arrive, records them.
+    [[nodiscard]] DependentCalls &calls() { return calls_; }
+    [[nodiscard]] const DependentCalls &calls() const { return calls_; }
     /// See UpstreamRate::limitedBy().
     [[nodiscard]] std::string_view limitedBy() const { return rate_.limitedBy(); }
     /// Whether no request waits or runs here, and all answers were passed on.
@@ -185,6 +190,8 @@
     UpstreamExitMonitor::Listener upstreamExitListener_;
     LatenessGuard latenessGuard_;
     UpstreamHealth health_;
+    DependentCalls calls_;
+    DependentRouteReports dependentRoutes_;
     std::uint64_t lastCallId_ = 0;
     TimePoint slowdownUpdatedAt_;
     UpstreamPresence presence_;
--- a/src/egress/requesttracking.cpp
+++ b/src/egress/requesttracking.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/currenttime.h"
 #include "core/durations.h"
 
 namespace Egretpath
@@ -19,19 +20,21 @@
 
 }
 
-RequestTracking::RequestTracking(EgressRole &role, CallId call, RouteName route)
+RequestTracking::RequestTracking(EgressRole &role, CallId call, RouteName route, std::uint8_t priority)
     : role_(role)
     , call_(call)
     , route_(std::move(route))
+    , priority_(priority)
     , overdueTimer_(role.executor_)
 {
 }
 
-void RequestTracking::begin(const std::shared_ptr<UpstreamRequest> &request)
+void RequestTracking::begin(const std::shared_ptr<UpstreamRequest> &request, TimePoint deadline)
 {
     isAtUpstream_ = true;
     role_.account_.onStarted(call_);
     role_.requestsAtUpstream_.emplace(call_, request.get());
+    role_.calls_.onStarted(call_, route_, priority_, deadline, currentTime());
     startOverdueTimer(request);
 }
 
@@ -42,6 +45,7 @@
     }
     answered ? role_.account_.onAnswered(call_) : role_.account_.onGivenUp(call_);
     role_.requestsAtUpstream_.erase(call_);
+    role_.calls_.onEnded(call_);
     overdueTimer_.cancel();
     if (std::exchange(isOverdue_, false)) {
         --role_.overdueCount_;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -38,7 +38,7 @@
     , cancellation_(std::move(cancellation))
     , callId_(role.nextCallId())
     , arrivedAt_(currentTime())
-    , tracking_(role, callId_, head_.route)
+    , tracking_(role, callId_, head_.route, head_.priority)
     , writeFinished_(role.executor_, asio::steady_timer::time_point::max())
 {
 }
@@ -99,6 +99,9 @@
         co_return notRun(Reason::DeadlinePassed, "the request was too long on its way");
     }
     targetTime_ = arrivedAt_ + head_.targetLatencyLeft - delay;
+    if (head_.isDependent) {
+        role_.dependentRoutes_.record(head_.callerService, head_.route, head_.ingress, arrivedAt_);
+    }
     if (role_.isDraining_) {
         co_return EgressRole::drainingRejection();
     }
@@ -113,6 +116,9 @@
     if (auto rejection = isDownload_ ? role_.downloadRejection() : std::nullopt) {
         co_return rejection;
     }
+    if (auto rejection = parentRejection()) {
+        co_return rejection;
+    }
     role_.updateFailureShare();
     const WorkOffer offer = makeOffer();
     if (role_.rate_.isLimited()) {
@@ -141,6 +147,20 @@
     co_return rejection;
 }
 
+std::optional<Failure> UpstreamRequest::parentRejection()
+{
+    // A dry run is not a probe: nothing runs, so it makes no calls.
+    const bool isRefused = head_.dryRun ? role_.calls_.wouldRefuse(head_.route, currentTime())
+                                        : role_.calls_.refuses(head_.route, currentTime());
+    if (!isRefused) {
+        return std::nullopt;
+    }
+    std::string labels = "route=\"";
+    labels.append(head_.route.value()).append("\"");
+    role_.metrics_.count("egretpath_parents_refused_total", labels);
+    return notRun(Reason::Overloaded, "its calls find no place");
+}
+
 /// A turn is taken only if the request would get a slot, so that none is lost.
 asio::awaitable<std::optional<Failure>> UpstreamRequest::waitForTurn(const WorkOffer &offer)
 {
@@ -234,7 +254,7 @@
 asio::awaitable<Result<CallOutcome>> UpstreamRequest::exchange()
 {
     isWriting_ = true;
-    tracking_.begin(shared_from_this());
+    tracking_.begin(shared_from_this(), deadline_);
     asio::co_spawn(role_.executor_, writeRequest(shared_from_this()), asio::detached);
     const AnsweredRequest answered{head_.requestId, content(), deadline_, isDownload_};
     answerReader_ = std::make_unique<AnswerReader>(role_, *httpCall_, answered, answerReceiver_);
@@ -311,7 +331,9 @@
 
 CallOutcome UpstreamRequest::outcome(std::variant<Failure, CompleteAnswer, StreamedAnswer> result) const
 {
-    return {role_.self_, role_.report(head_.route), std::move(result), CatalogVersions(), QuarantineDigest(), false};
+    const bool isRouteDependent = role_.dependentRoutes_.isDependent(head_.callerService, head_.route, currentTime());
+    return {role_.self_,       role_.report(head_.route), std::move(result),
+            CatalogVersions(), QuarantineDigest(),        isRouteDependent};
 }
 
 RequestContent UpstreamRequest::content() const
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -1,5 +1,6 @@
 #include "ingress/proxiedrequest.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -19,6 +20,9 @@
 /// The maximum number of tries of one request, including declined ones. No service has as many nearby candidates.
 constexpr std::uint32_t MaxTries = 64;
 
+/// A caller whose timeout ends gives up about at the deadline.
+constexpr Milliseconds DeadlineTolerance{25};
+
 /// Describes an answer of an upstream for the log.
 Failure describeAnswer(std::string detail, Reason reason)
 {
@@ -284,7 +288,8 @@
         isWritten = co_await writer(std::move(piece));
     } else {
         if (!transfer_) {
-            transfer_ = context_->linkPacer->open(static_cast<std::uint8_t>(parameters_.route->priority));
+            transfer_ = context_->linkPacer->open(
+                static_cast<std::uint8_t>(std::min<std::uint32_t>(parameters_.priority, UINT8_MAX)));
         }
         isWritten = co_await transfer_->write(std::move(piece), std::move(writer));
     }
@@ -322,6 +327,19 @@
     [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), failure.detail + "\n");
 }
 
+void ProxiedRequest::recordCallEnd(const Failure &result)
+{
+    if (!parameters_.isDependent) {
+        return;
+    }
+    // A call that its caller gave up early, or that is refused for its content, shows nothing about the callee.
+    const TimePoint now = currentTime();
+    const bool isGivenUp = result.reason == Reason::Cancelled && now < parameters_.deadline - DeadlineTolerance;
+    if (!isGivenUp && result.reason != Reason::CrashesUpstreams) {
+        context_->egress.calls().onCallEnded(parameters_.route->name, result.reason == Reason::None, now);
+    }
+}
+
 void ProxiedRequest::logEnd(std::uint16_t status, const Failure &result, std::optional<std::uint64_t> answerBytes)
 {
     EndedRequest ended;
@@ -337,6 +355,7 @@
     ended.duration = currentTime() - parameters_.arrival;
     ended.answerBytes = answerBytes;
     ended.routesVersion = parameters_.routes ? parameters_.routes->version() : RouteVersion();
+    recordCallEnd(result);
     context_->requestLog.recordEnd(ended);
 }
 
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -109,7 +109,7 @@
     request.candidates = candidates;
     request.demand.baselineTime = context_->baselineTime(*parameters_.route);
     request.demand.isUrgent = parameters_.isUrgent();
-    request.demand.priority = parameters_.route->priority;
+    request.demand.priority = parameters_.priority;
     request.now = currentTime();
     request.targetLeft = parameters_.targetTime - request.now;
     const std::uint64_t answerSize = context_->sizes.typicalAnswerSize(parameters_.route->name).value();
@@ -242,7 +242,8 @@
     head.targetUpstream = requestTry.upstream;
     head.callerService = context_->localNode.service;
     head.route = route.name;
-    head.priority = static_cast<std::uint8_t>(std::min<std::uint32_t>(route.priority, UINT8_MAX));
+    head.priority = static_cast<std::uint8_t>(std::min<std::uint32_t>(parameters_.priority, UINT8_MAX));
+    head.isDependent = parameters_.isDependent;
     head.declineThreshold = std::chrono::duration_cast<Microseconds>(requestTry.declineThreshold);
     head.disconnectedUpstream = disconnectedUpstream_;
     head.routesVersion = parameters_.routes->version();
@@ -319,7 +320,9 @@
                            candidateCount,
                            parameters_.deadline - currentTime(),
                            parameters_.routes->version(),
-                           context_->sources.directory.revision()};
+                           context_->sources.directory.revision(),
+                           parameters_.priority,
+                           parameters_.isDependent};
     context_->requestLog.recordPlacement(placed);
 }
 
