ingress: requests make fewer tries while their service is short of capacity

RequestTries made up to four tries whatever the results of other requests were. It now asks ServiceRoom for the number of tries, which is 4 as before unless requests of the same or a higher priority find no capacity. Requests refused without a try have the detail "the service has no room". Calls that other work waits for and callers that come back are always tried. The delay of overloaded refusals is the earlier one plus the tenths of a second that are taken. Changes of the limit are logged as event=short and refusals counted as egretpath_refused_short_of_room_total.

--- a/src/ingress/ingresscontext.cpp
+++ b/src/ingress/ingresscontext.cpp
@@ -18,6 +18,22 @@
 /// The baseline time of a route without reports, as a share of its target latency.
 constexpr double DefaultBaselineShare = 0.3;
 
+ServiceRoomSettings roomSettings(const IngressDecisionSettings &decisions)
+{
+    ServiceRoomSettings settings = decisions.room;
+    settings.usualTries = decisions.ingress.maxDeclines + 1;
+    return settings;
+}
+
+TryResult tryResult(const Result<CallOutcome> &outcome)
+{
+    const Failure *failure = outcome ? std::get_if<Failure>(&outcome.value().result) : &outcome.error();
+    if (failure == nullptr || failure->verdict != Verdict::NotRun) {
+        return TryResult::Taken;
+    }
+    return failure->reason == Reason::Overloaded ? TryResult::Overloaded : TryResult::Unknown;
+}
+
 }
 
 IngressContext::IngressContext(boost::asio::any_io_executor roleExecutor, LocalNode thisNode,
@@ -36,6 +52,7 @@
     , split(random())
     , view(decisions.view)
     , placement(localNode.location, view, Random(random()), decisions.placement)
+    , room(roomSettings(decisions))
 {
 }
 
@@ -86,6 +103,15 @@
     }
 }
 
+void IngressContext::recordCapacity(const ServiceName &service, std::uint32_t priority, TimePoint sentAt,
+                                    const Result<CallOutcome> &outcome)
+{
+    room.onEnded(service, priority, sentAt, tryResult(outcome), currentTime());
+    for (const RoomState &change : room.takeChanges()) {
+        requestLog.recordRoomChange(change);
+    }
+}
+
 void IngressContext::recordFailure(const UpstreamName &upstream, Reason reason)
 {
     const TimePoint now = currentTime();
--- a/src/ingress/ingresscontext.h
+++ b/src/ingress/ingresscontext.h
@@ -22,6 +22,7 @@
 #include "routing/placement.h"
 #include "routing/placementview.h"
 #include "routing/retrybudget.h"
+#include "routing/serviceroom.h"
 #include "rpc/peerclient.h"
 #include "transfer/linkpacer.h"
 
@@ -54,6 +55,8 @@
     IngressSettings ingress;
     PlacementSettings placement;
     PlacementViewSettings view;
+    /// ServiceRoomSettings::usualTries follows from IngressSettings::maxDeclines.
+    ServiceRoomSettings room;
 };
 
 /// The state that all requests of one ingress role share: its data, its decisions, and the roles and clients it calls.
@@ -71,6 +74,9 @@
     /// of that node.
     void recordOutcome(const RouteName &route, const UpstreamName &upstream, const Endpoint &node,
                        const Result<CallOutcome> &outcome);
+    /// Records what the @p outcome of a try that was sent at @p sentAt shows about the capacity of @p service.
+    void recordCapacity(const ServiceName &service, std::uint32_t priority, TimePoint sentAt,
+                        const Result<CallOutcome> &outcome);
 
     boost::asio::any_io_executor executor;
     LocalNode localNode;
@@ -86,6 +92,7 @@
     Placement placement;
     AnswerSizes sizes;
     RetryBudget budget;
+    ServiceRoom room;
     CallerTimeouts callerTimeouts;
     StopAdmission stop;
     /// Paces large answers to callers; null if the rate of the link is not known.
--- a/src/ingress/ingressrole.cpp
+++ b/src/ingress/ingressrole.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/currenttime.h"
 #include "ingress/proxiedrequest.h"
 
 namespace Egretpath
@@ -45,9 +46,25 @@
 {
     context_->split.clear();
     context_->callerTimeouts.clear();
+    context_->room.removeIdle(currentTime());
     updateRetryBudget();
 }
 
+std::string IngressRole::shortServices() const
+{
+    std::string text;
+    for (const RoomState &state : context_->room.shortServices(currentTime())) {
+        text += (text.empty() ? "" : " ") + state.service.value() + "/" + std::to_string(state.priority) + "="
+            + std::to_string(state.tries);
+    }
+    return text;
+}
+
+std::map<ServiceName, double> IngressRole::serviceRoom() const
+{
+    return context_->room.shares(currentTime());
+}
+
 /// All nodes share one retry limit, and keep it without exchanging messages. Each node may send retries for a share of
 /// its own requests, plus the slack divided by the number of nodes. The number of listed upstreams is taken as the
 /// number of nodes.
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -62,6 +64,11 @@
     void beginStop(TimePoint end) { context_->stop.begin(end); }
     /// Refuses all new requests from now on.
     void close() { context_->stop.close(); }
+    /// Returns the services that are short of capacity, in the form "ordering/1=2": its requests of priority 1 make at
+    /// most two tries each, and those of lower priorities no more. Zero tries: they are refused at once.
+    [[nodiscard]] std::string shortServices() const;
+    /// Returns the share of the recent tries that found capacity for each service; 1 without tries.
+    [[nodiscard]] std::map<ServiceName, double> serviceRoom() const;
     /// Returns the number of requests that have not ended.
     [[nodiscard]] std::size_t openRequests() const { return context_->openRequests; }
 
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -270,8 +270,12 @@
 {
     // A request that crashes upstreams must not be retried within its caller's timeout, so its delay is not shortened.
     const bool crashesUpstreams = failure.reason == Reason::CrashesUpstreams;
-    const Milliseconds retryAfter =
+    Milliseconds retryAfter =
         crashesUpstreams ? failure.retryAfter : retryDelay(*context_, parameters_, failure.retryAfter);
+    if (failure.reason == Reason::Overloaded) {
+        retryAfter = context_->room.returnDelay(service_, parameters_.route->priority, retryAfter,
+                                                longestRetryDelay(parameters_), currentTime());
+    }
     const auto reportedFailure = tries_->state().giveUp(failure.reason, retryAfter, failure.detail);
     if (reportedFailure) {
         tries_->cancelAll();
--- a/src/ingress/requestlog.cpp
+++ b/src/ingress/requestlog.cpp
@@ -59,4 +59,21 @@
     log_.decision(line);
 }
 
+void RequestLog::recordRoomChange(const RoomState &state)
+{
+    if (!log_.admitsDecision(currentTime(), DecisionKind::Routine)) {
+        return;
+    }
+    StructuredLine line("short");
+    line.add("service", state.service.value()).add("priority", std::uint64_t{state.priority});
+    line.add("met", std::uint64_t{state.met}).add("made", std::uint64_t{state.made});
+    line.add("tries", std::uint64_t{state.tries});
+    log_.decision(line);
+}
+
+void RequestLog::countRefusedShortOfRoom(const ServiceName &service)
+{
+    metrics_.count("egretpath_refused_short_of_room_total", "service=\"" + service.value() + "\"");
+}
+
 }
--- a/src/ingress/requestlog.h
+++ b/src/ingress/requestlog.h
@@ -9,6 +9,7 @@
 #include "routes/routetable.h"
 #include "routing/link.h"
 #include "routing/placement.h"
+#include "routing/serviceroom.h"
 #include "telemetry/eventlog.h"
 #include "telemetry/metrics.h"
 
@@ -65,6 +66,9 @@
 
     void recordPlacement(const PlacedTry &item);
     void recordEnd(const EndedRequest &item);
+    void recordRoomChange(const RoomState &state);
+    /// Counts a request that was refused without a try because @p service is short of capacity.
+    void countRefusedShortOfRoom(const ServiceName &service);
 
 private:
     EventLog &log_;
--- a/src/ingress/requestparameters.cpp
+++ b/src/ingress/requestparameters.cpp
@@ -79,15 +79,20 @@
     return notRun(Reason::Draining, "the node may end before the answer", retryDelay(context, parameters, retryAfter));
 }
 
-Milliseconds retryDelay(IngressContext &context, const RequestParameters &parameters, Milliseconds preferred)
+Milliseconds longestRetryDelay(const RequestParameters &parameters)
 {
-    const double base = static_cast<double>(preferred.count() > 0 ? preferred.count() : DefaultRetryDelay.count());
-    std::uniform_real_distribution<double> spread(1.0, 1.0 + context.settings.retryAfterSpread);
     const Milliseconds timeout = parameters.route != nullptr ? parameters.route->timeout : DefaultTimeout;
     const Milliseconds callerTimeout = parameters.caller.timeout.value_or(timeout);
     const auto left = std::chrono::duration_cast<Milliseconds>(parameters.arrival + callerTimeout - currentTime());
-    const auto maxDelay = std::max(left / MaxRetryDelayDivisor, Milliseconds{1});
-    return std::min(Milliseconds(static_cast<Milliseconds::rep>(base * spread(context.random))), maxDelay);
+    return std::max(left / MaxRetryDelayDivisor, Milliseconds{1});
+}
+
+Milliseconds retryDelay(IngressContext &context, const RequestParameters &parameters, Milliseconds preferred)
+{
+    const double base = static_cast<double>(preferred.count() > 0 ? preferred.count() : DefaultRetryDelay.count());
+    std::uniform_real_distribution<double> spread(1.0, 1.0 + context.settings.retryAfterSpread);
+    return std::min(Milliseconds(static_cast<Milliseconds::rep>(base * spread(context.random))),
+                    longestRetryDelay(parameters));
 }
 
 }
--- a/src/ingress/requestparameters.h
+++ b/src/ingress/requestparameters.h
@@ -25,6 +25,8 @@
 
     /// Whether a late answer is worth no more to the caller than no answer.
     [[nodiscard]] bool isUrgent() const { return targetTime == deadline; }
+    /// Whether the caller seems to come back after a refusal. Precondition: isUrgent() is false.
+    [[nodiscard]] bool isComingBack() const { return targetTime < arrival + route->targetLatency; }
 };
 
 /// Reads @p head into @p parameters. Returns why the request is refused, or nothing. Preconditions: arrival and routes
@@ -34,6 +36,8 @@
 /// Returns why a stopping node refuses the request, or nothing if the node takes it. Precondition: readParameters()
 /// found a route. Thread safety: none.
 [[nodiscard]] std::optional<Failure> stopRejection(IngressContext &context, const RequestParameters &parameters);
+/// Returns the longest delay after which the caller still comes back. Thread safety: none.
+[[nodiscard]] Milliseconds longestRetryDelay(const RequestParameters &parameters);
 /// Returns the delay after which a refused caller may retry. It is @p preferred, or a default if that is zero, plus a
 /// random part, so that callers refused together don't retry together. It is never so long that the caller gives up.
 /// Thread safety: none.
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -55,6 +55,9 @@
     if (auto rejection = quarantineRejection(head)) {
         return rejection;
     }
+    if (auto rejection = shortageRejection()) {
+        return rejection;
+    }
     const UpstreamCandidates candidates = findCandidates(context_->sources.directory, context_->sources.evacuatedZones,
                                                          content_.service, *parameters_.route);
     const std::optional<PlacementChoice> choice = choose(candidates.allowed);
@@ -86,6 +89,24 @@
                                   currentTime());
 }
 
+std::optional<Failure> RequestTries::shortageRejection()
+{
+    // Work that waits for a dependent call would be lost. A caller that comes back has been refused already.
+    const bool isFirstTry = tryCount_ == 0;
+    const bool isDependent = parameters_.targetTime >= parameters_.deadline;
+    if (!isFirstTry || isDependent || parameters_.isComingBack()
+        || !context_->room.refuses(content_.service, parameters_.route->priority, currentTime())) {
+        return std::nullopt;
+    }
+    context_->requestLog.countRefusedShortOfRoom(content_.service);
+    return notRun(Reason::Overloaded, "the service has no room");
+}
+
+std::uint32_t RequestTries::maxTries() const
+{
+    return context_->room.maxTries(content_.service, parameters_.route->priority, currentTime());
+}
+
 RequestTryPointer RequestTries::makeTry(TryNumber number, const InstanceRecord &record,
                                         const PlacementChoice &choice) const
 {
@@ -95,7 +116,7 @@
     requestTry->node = record.node;
     requestTry->link = choice.link;
     requestTry->cancellation = std::make_shared<Cancellation>();
-    if (tryCount_ < context_->settings.maxDeclines && choice.declineThreshold > Duration{0}) {
+    if (tryCount_ + 1 < maxTries() && choice.declineThreshold > Duration{0}) {
         requestTry->declineThreshold = scaled(choice.declineThreshold, context_->settings.declineMargin);
     }
     return requestTry;
@@ -104,7 +125,7 @@
 /// If no other upstream is left, upstreams that declined are tried again, and the chosen one must not decline again.
 std::optional<PlacementChoice> RequestTries::choose(const std::vector<PlacementCandidate> &candidates)
 {
-    const std::uint32_t maxDeclines = context_->settings.maxDeclines;
+    const std::uint32_t maxDeclines = maxTries() - 1;
     PlacementRequest request;
     request.candidates = candidates;
     request.demand.baselineTime = context_->baselineTime(*parameters_.route);
@@ -133,7 +154,10 @@
                                          std::shared_ptr<RequestTries> /*self*/)
 {
     std::optional<Result<CallOutcome>> outcome;
+    const TimePoint sentAt = currentTime();
+    const std::uint32_t priority = parameters_.route->priority;
     context_->view.onSent(requestTry->upstream);
+    context_->room.onSent(content_.service, priority, sentAt);
     if (requestTry->node == context_->localNode.endpoint) {
         outcome = co_await sendLocally(requestTry, std::move(head));
     } else {
@@ -141,6 +165,7 @@
     }
     context_->view.onEnded(requestTry->upstream);
     context_->recordOutcome(parameters_.route->name, requestTry->upstream, requestTry->node, *outcome);
+    context_->recordCapacity(content_.service, priority, sentAt, *outcome);
     if (upstreamDisconnected(*outcome)) {
         disconnectedUpstream_ = requestTry->upstream;
     }
@@ -291,9 +316,10 @@
         if (failure.reason == Reason::RateLimited) {
             return tryCount_ < context_->settings.maxLimitedTries;
         }
-        // After maxDeclines tries the request is sent to the best of all upstreams, which must not decline it. If
-        // that upstream can't take the request in time, the others can't either.
-        return !(failure.reason == Reason::Overloaded && tryCount_ > context_->settings.maxDeclines);
+        // The last of maxTries() tries is sent to the best of all upstreams, which must not decline it. If that
+        // upstream can't take the request in time, the others can't either.
+        return failure.reason != Reason::Overloaded
+            || context_->room.mayTryAgain(content_.service, parameters_.route->priority, tryCount_, currentTime());
     }
     return reachedUpstreams_.size() < parameters_.route->maxAttempts && context_->budget.spend(content_.service);
 }
--- a/src/ingress/requesttries.h
+++ b/src/ingress/requesttries.h
@@ -91,6 +91,10 @@
     [[nodiscard]] std::optional<PlacementChoice> choose(const std::vector<PlacementCandidate> &candidates);
     /// Returns why the request is refused because it crashes upstreams, or nothing if it may run.
     [[nodiscard]] std::optional<Failure> quarantineRejection(const HttpRequestHead &head);
+    /// Returns why the request is refused without a try, or nothing if it is tried.
+    [[nodiscard]] std::optional<Failure> shortageRejection();
+    /// The number of tries after which the request is not tried again if it was refused as overloaded.
+    [[nodiscard]] std::uint32_t maxTries() const;
     [[nodiscard]] RequestTryPointer makeTry(TryNumber number, const InstanceRecord &record,
                                             const PlacementChoice &choice) const;
     boost::asio::awaitable<void> send(RequestTryPointer requestTry, CallHead head, std::shared_ptr<RequestTries> self);
@@ -117,7 +121,7 @@
     /// Upstreams that may have got the request, and upstreams that declined it or can't take it.
     std::vector<UpstreamName> reachedUpstreams_;
     std::vector<UpstreamName> declinedUpstreams_;
-    /// The number of tries. It is raised to maxDeclines when only upstreams that declined are left, so that no later
+    /// The number of tries. It is raised to maxTries() - 1 when only upstreams that declined are left, so that no later
     /// try may be declined.
     std::uint32_t tryCount_ = 0;
     /// The upstream that last disconnected while it ran the request; empty if none did.
