sidecar, client, ablation: services short of capacity in status, metrics and trials

The status page names them in "short", and egretpath status shows them. The gauge egretpath_service_room is the share of recent tries that found capacity. The mechanism "service-room" of trial nodes switches ServiceRoom off.

--- a/bench/ablation/ablation.cpp
+++ b/bench/ablation/ablation.cpp
@@ -51,6 +51,8 @@
               [](DecisionSettings &decisions) { decisions.ingress.ingress.usedRetryShare = 1.0; }},
     Mechanism{"return-spread", "callers that were refused together retry at different times",
               [](DecisionSettings &decisions) { decisions.ingress.ingress.retryAfterSpread = 0.0; }},
+    Mechanism{"service-room", "requests make fewer tries while their service is short of capacity",
+              [](DecisionSettings &decisions) { decisions.ingress.room.isEnabled = false; }},
     Mechanism{"late-backlog", "only a few requests that can't be answered in time may wait",
               [](DecisionSettings &decisions) {
                   decisions.queue.maxLateBacklog = Unlimited;
--- a/src/client/nodestatus.cpp
+++ b/src/client/nodestatus.cpp
@@ -59,6 +59,7 @@
     read.searchingFor = Milliseconds(numberOf(status, "searching_ms"));
     read.evacuated = textOf(status, "evacuated");
     read.limited = textOf(status, "limited");
+    read.shortServices = textOf(status, "short");
     read.linkBacklog = Milliseconds(numberOf(status, "link_backlog_ms"));
     read.quarantined = numberOf(status, "quarantined");
     return read;
--- a/src/client/nodestatus.h
+++ b/src/client/nodestatus.h
@@ -38,6 +38,8 @@
     /// Why the upstream beside the node gets only a number of requests a second: "cold" or "named"; empty if it gets
     /// any.
     std::string limited;
+    /// The services that are short of capacity, as IngressRole::shortServices() writes them; empty if none is.
+    std::string shortServices;
     /// Time that the large answers of the node wait for its link.
     Milliseconds linkBacklog{0};
     /// The number of requests that the node refuses because they crash upstreams.
--- a/src/client/statuscommand.cpp
+++ b/src/client/statuscommand.cpp
@@ -35,6 +35,7 @@
     }
     out << (status.evacuated.empty() ? "" : " evacuated " + status.evacuated);
     out << (status.limited.empty() ? "" : " upstream limited: " + status.limited);
+    out << (status.shortServices.empty() ? "" : " short of capacity: " + status.shortServices);
     if (status.linkBacklog.count() > 0) {
         out << " link backlog " << status.linkBacklog.count() << " ms";
     }
--- a/src/sidecar/operatorpages.cpp
+++ b/src/sidecar/operatorpages.cpp
@@ -67,6 +67,7 @@
                                {"list", versions.list.value()},
                                {"evacuated", toString(state_.evacuatedZones)},
                                {"limited", egress_.limitedBy()},
+                               {"short", ingress_.shortServices()},
                                {"source", catalog_.sourceName()},
                                {"reads", catalog_.readsStore()},
                                {"store", toString(catalog_.storeState())},
@@ -91,6 +92,9 @@
     metrics.set("egretpath_upstream_queued", {}, report.queued);
     metrics.set("egretpath_log_lines_dropped", {}, static_cast<double>(state_.log.droppedDecisions()));
     metrics.set("egretpath_log_lines_lost", {}, static_cast<double>(state_.log.linesLost()));
+    for (const auto &[service, share] : ingress_.serviceRoom()) {
+        metrics.set("egretpath_service_room", "service=\"" + service.value() + "\"", share);
+    }
     if (linkPacer_ != nullptr) {
         metrics.set("egretpath_link_backlog_seconds", {}, inSeconds(linkPacer_->backlog()));
     }
