--- a/src/ingress/callertimeouts.cpp
+++ b/src/ingress/callertimeouts.cpp
@@ -72,7 +72,8 @@
         return {common->first, common->first};
     }
     const Milliseconds longest = longestUsual(counts, total);
-    return {Milliseconds(static_cast<Milliseconds::rep>(longest.count() * ShortestShare)), longest};
+    return {Milliseconds(static_cast<Milliseconds::rep>(static_cast<double>(longest.count()) * ShortestShare)),
+            longest};
 }
 
 Milliseconds CallerTimeouts::longestUsual(const Counts &counts, double total)
