admission: a short dependent call counts as most urgent at the upstream that it calls

Callers saw mooring orders fail with 500 after their work was done. A lookup takes a sixth of the time of the order that is lost without it. Now a dependent call whose work is at most half of the upstream's mean goes with the most urgent requests. Longer ones keep the priority of their parent.

--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -177,6 +177,11 @@
     return slots_.hasFree() && std::any_of(queue_.begin(), queue_.end(), waitsForEnd);
 }
 
+std::uint8_t WorkQueue::localPriority(const RouteName &route, std::uint8_t priority, bool isDependent) const
+{
+    return isDependent && times_.isShort(route) ? std::uint8_t{0} : priority;
+}
+
 LoadReport WorkQueue::report(const RouteName &route, TimePoint now) const
 {
     LoadReport report;
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -122,6 +122,13 @@
     /// Whether a call is queued while the upstream runs external requests, so that updates of their number are needed.
     [[nodiscard]] bool needsExternalLoadUpdates() const { return slots_.externalRequests() > 0 && !queue_.empty(); }
 
+    /// The priority at this upstream of a request of @p route that its sender gave @p priority. @p isDependent: another
+    /// upstream's own work waits for the answer.
+    ///
+    /// Load pattern: a service is short of capacity because of long requests of the highest priority, and the short
+    /// calls of another service's requests are refused. The work that waits for them is then lost, at several times the
+    /// time that a call takes here. So a dependent call whose work is short here counts as most urgent.
+    [[nodiscard]] std::uint8_t localPriority(const RouteName &route, std::uint8_t priority, bool isDependent) const;
     /// The load report for the sender of a request of @p route.
     [[nodiscard]] LoadReport report(const RouteName &route, TimePoint now) const;
     /// Expected time from @p now to the answer of @p offer if it arrives now, behind the queued calls that go before
--- a/src/admission/worktimes.cpp
+++ b/src/admission/worktimes.cpp
@@ -15,6 +15,8 @@
 constexpr double OverdueFactor = 2.5;
 /// A running call that has reached its expected time is assumed to need at least this share of it again.
 constexpr double OverdueShare = 0.3;
+/// A request is short if its work takes at most this part of the mean time of all work at the upstream.
+constexpr int ShortWorkDivisor = 2;
 
 }
 
@@ -35,6 +37,11 @@
     }
 }
 
+bool WorkTimes::isShort(const RouteName &route) const
+{
+    return service_.baseline(route) * ShortWorkDivisor <= service_.overall();
+}
+
 Duration WorkTimes::serviceTime(const RouteName &route, TimePoint now) const
 {
     const double slowdown = waitsForSlowPeriodEnd(route, now) ? slowdown_.recoveredSlowdown(now) : slowdown_.factor();
--- a/src/admission/worktimes.h
+++ b/src/admission/worktimes.h
@@ -56,6 +56,8 @@
     [[nodiscard]] bool mayWaitForSlowPeriodEnd() const;
     /// Whether a request of @p route ends sooner if it starts after the VM's slow period than if it starts now.
     [[nodiscard]] bool waitsForSlowPeriodEnd(const RouteName &route, TimePoint now) const;
+    /// Whether requests of @p route take at most half of the mean time of all work at the upstream.
+    [[nodiscard]] bool isShort(const RouteName &route) const;
     /// Whether @p offer misses its target if it begins at @p start.
     [[nodiscard]] bool isLate(const WorkOffer &offer, TimePoint start, TimePoint now) const;
     /// Expected time until @p running ends.
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -192,7 +192,9 @@
     WorkOffer offer;
     offer.call = callId_;
     offer.route = head_.route;
-    offer.priority = head_.priority;
+    // Nodes of an earlier version don't say that a call is dependent, but a late answer is worth nothing to its caller.
+    const bool isDependent = head_.isDependent || targetTime_ >= deadline_;
+    offer.priority = role_.slots_.queue().localPriority(head_.route, head_.priority, isDependent);
     offer.deadline = deadline_;
     offer.target = targetTime_;
     offer.declineThreshold = head_.declineThreshold;
