--- a/src/admission/turnqueue.h
+++ b/src/admission/turnqueue.h
@@ -54,10 +54,9 @@
 /// Load pattern: all upstreams of a service are cold after a loss of power and take a few requests a second, a fraction
 /// of what they are asked for. In order of arrival, frequent requests that may wait for long take all turns, and urgent
 /// ones find none. Here a turn goes to the most urgent request that can still meet its target; of one priority, to
-/// dependent calls first. A request waits only as
-/// long as a turn is useful to it: a dependent call, whose caller's work is lost without an answer, for a third of the
-/// time to its deadline; a request of priority 0 until it can no longer meet its target; any other request, whose
-/// caller may come back, for an eighth of the time to its target.
+/// dependent calls first. A request waits only as long as a turn is useful to it: a dependent call, whose caller's work
+/// is lost without an answer, for a third of the time to its deadline; a request of priority 0 until it can no longer
+/// meet its target; any other request, whose caller may come back, for an eighth of the time to its target.
 ///
 /// Requests of one priority that aren't dependent get their turns in order of arrival.
 ///
