--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -133,59 +133,6 @@
     return staleOnOne + staleOnTwo > 0 ? RuleBroken : RuleHeld;
 }
 
-int serviceOfAMachine(Deployment &deployment, bool hasTrouble)
-{
-    Record &record = deployment.record();
-    deployment.putRoutes(1, {{"/one/", "safe", "alpha"}, {"/two/", "safe", "beta"}});
-    if (!deployment.start({"alpha", "beta", "alpha", "beta", "alpha", "beta"})) {
-        return CannotRun;
-    }
-    constexpr std::size_t Moved = 2;
-    Machine &machine = deployment.machines()[Moved];
-    auto before = std::make_unique<Consumer>(deployment, Moved, "/two/before", Milliseconds{100});
-    sleepFor(seconds{3});
-    before->stop();
-    if (hasTrouble) {
-        // The instance announces that it leaves, serves for drain and a little longer, and ends.
-        deployment.registerInstance(machine, true);
-        record.write("instance " + machine.instanceId + " of alpha drains");
-        sleepFor(seconds{3});
-        deployment.store().remove("servers/" + machine.instanceId);
-        machine.instance->stop();
-        record.write("instance " + machine.instanceId + " has ended");
-        // Longer than reuse_after.
-        sleepFor(seconds{3});
-        machine.instanceId = "i-9z";
-        machine.service = "beta";
-        if (!deployment.startInstance(machine)) {
-            return CannotRun;
-        }
-        deployment.writeSettings(machine);
-        Deployment::signal(machine, SIGHUP);
-        record.write("instance " + machine.instanceId + " of beta has started at the address of " + machine.name
-                     + "; the settings file names service beta, and the node got SIGHUP");
-    }
-    sleepFor(seconds{6});
-    const double from = record.now();
-    record.write(machine.name + ": requests begin; the service of this machine is " + machine.service);
-    auto after = std::make_unique<Consumer>(deployment, Moved, "/two/after", Milliseconds{100});
-    sleepFor(seconds{5});
-    after->stop();
-    unsigned runs = 0;
-    unsigned wrong = 0;
-    for (const Run &run : deployment.allRuns()) {
-        const bool isCounted = run.at >= from;
-        runs += isCounted ? 1 : 0;
-        wrong += isCounted && run.caller != machine.service ? 1 : 0;
-    }
-    record.write("run: " + std::to_string(runs) + ", with another caller service than that of the machine where the "
-                 + "request began: " + std::to_string(wrong));
-    if (runs == 0) {
-        return CannotRun;
-    }
-    return wrong > 0 ? RuleBroken : RuleHeld;
-}
-
 namespace
 {
 
--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -28,8 +28,6 @@
 constexpr int MetricsPort = 7;
 constexpr int StorePort = 9;
 constexpr int Decimal = 10;
-/// How soon a connection of an instance ends once the instance has stopped.
-constexpr int StopCheckMilliseconds = 100;
 
 std::string quoted(const std::string &text)
 {
@@ -96,11 +94,6 @@
     change(key, Item{value, 0, false});
 }
 
-void Store::remove(const std::string &key)
-{
-    change(key, Item{{}, 0, true});
-}
-
 void Store::change(const std::string &key, Item item)
 {
     const std::lock_guard lock(mutex_);
@@ -201,42 +194,27 @@
 
 bool Instance::listen(const std::string &ip, int port)
 {
-    ip_ = ip;
-    port_ = port;
     auto listener = std::make_shared<Socket>(Socket::listenAt(ip, port));
     if (!listener->isValid()) {
         return false;
     }
     std::thread([this, listener] {
-        while (!isStopped_) {
+        while (true) {
             Socket accepted = listener->accept();
-            if (accepted.isValid() && !isStopped_) {
+            if (accepted.isValid()) {
                 std::thread([this, socket = std::make_shared<Socket>(std::move(accepted))] {
                     serve(std::move(*socket));
                 }).detach();
             }
         }
-        *listener = Socket();
     }).detach();
     return true;
 }
 
-void Instance::stop()
-{
-    isStopped_ = true;
-    // Wakes the listener, which then closes.
-    const Socket last = Socket::connectTo(ip_, port_);
-    sleepFor(Milliseconds{150});
-}
-
 void Instance::serve(Socket socket)
 {
-    while (!isStopped_) {
-        if (!socket.waitForBytes(StopCheckMilliseconds)) {
-            continue;
-        }
-        const auto message = socket.read();
-        if (!message || !socket.send(answerTo(*message))) {
+    while (const auto message = socket.read()) {
+        if (!socket.send(answerTo(*message))) {
             return;
         }
     }
@@ -345,17 +323,17 @@
     if (!machine.instance->listen(machine.ip, basePort_ + UpstreamPort)) {
         return false;
     }
-    registerInstance(machine, false);
+    registerInstance(machine);
     return true;
 }
 
-void Deployment::registerInstance(const Machine &machine, bool isDraining)
+void Deployment::registerInstance(const Machine &machine)
 {
     store_.put("servers/" + machine.instanceId,
                R"({"service":)" + quoted(machine.service) + R"(,"address":)"
                    + quoted(machine.ip + ":" + std::to_string(basePort_ + UpstreamPort)) + R"(,"zone":)"
-                   + quoted(machine.zone) + R"(,"version":"v1","slots":9,"state":)"
-                   + quoted(isDraining ? "draining" : "ready") + R"(,"warmup_remaining":"0ms","sequence":1})");
+                   + quoted(machine.zone)
+                   + R"(,"version":"v1","slots":9,"state":"ready","warmup_remaining":"0ms","sequence":1})");
 }
 
 void Deployment::putRoutes(unsigned version, const std::vector<Route> &routes)
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -51,7 +51,6 @@
     [[nodiscard]] bool listen(const std::string &ip, int port);
     /// The time of the store's ack is the time at which this returns.
     void put(const std::string &key, const std::string &value);
-    void remove(const std::string &key);
     /// From now on the answers to watches that bring a change are lost: their connections return nothing further.
     void loseAnswers(bool shouldLose);
     /// Answers, and lost ones, since answers began to be lost.
@@ -104,8 +103,6 @@
     {
     }
     [[nodiscard]] bool listen(const std::string &ip, int port);
-    /// Ends as a process would: it listens no more, and its open connections end.
-    void stop();
     void setWork(Milliseconds work) { work_ = work; }
     [[nodiscard]] std::vector<Run> runs();
 
@@ -116,13 +113,10 @@
     Record &record_;
     std::string id_;
     std::string service_;
-    std::atomic<bool> isStopped_ = false;
     std::atomic<int> running_ = 0;
     std::atomic<Milliseconds> work_ = Milliseconds{20};
     std::mutex mutex_;
     std::vector<Run> runs_;
-    std::string ip_;
-    int port_ = 0;
 };
 
 struct Route
@@ -165,7 +159,7 @@
     [[nodiscard]] Store &store() { return store_; }
     [[nodiscard]] Record &record() { return record_; }
     void putRoutes(unsigned version, const std::vector<Route> &routes);
-    void registerInstance(const Machine &machine, bool isDraining);
+    void registerInstance(const Machine &machine);
     [[nodiscard]] bool startInstance(Machine &machine);
     void writeSettings(const Machine &machine);
     static void signal(const Machine &machine, int number);
--- a/review/standins/httptext.cpp
+++ b/review/standins/httptext.cpp
@@ -10,7 +10,6 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -180,12 +179,6 @@
     return message;
 }
 
-bool Socket::waitForBytes(int milliseconds) const
-{
-    pollfd wanted{descriptor_, POLLIN, 0};
-    return ::poll(&wanted, 1, milliseconds) > 0;
-}
-
 void Socket::drain() const
 {
     std::array<char, 4096> piece{};
--- a/review/standins/httptext.h
+++ b/review/standins/httptext.h
@@ -41,8 +41,6 @@
     [[nodiscard]] bool send(const std::string &bytes) const;
     /// Reads one message. Nothing if the connection ends before its end.
     [[nodiscard]] std::optional<Message> read();
-    /// Whether bytes, or the end of the connection, have come in time.
-    [[nodiscard]] bool waitForBytes(int milliseconds) const;
     /// Reads and drops all that arrives until the connection ends.
     void drain() const;
     /// The longest time for which one call waits to send or to receive bytes.
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -22,8 +22,6 @@
     const std::string name = arguments[1];
     if (name == "lost-watch-answer") {
         result = Review::lostWatchAnswer(deployment, hasTrouble);
-    } else if (name == "service-of-a-machine") {
-        result = Review::serviceOfAMachine(deployment, hasTrouble);
     } else if (name == "planned-stop") {
         result = Review::plannedStop(deployment, hasTrouble);
     } else if (name == "large-uploads") {
