sidecar: a planned stop goes through all its phases, so that a node which is idle drains too

Cause: drain() told the egress to drain from inside the loop that waits for a quiet moment. A node that is quiet when the loop's time is up leaves the loop without another pass, and the phase after it takes for granted that the egress drains. Any node is quiet if no request was under way for 120 ms, and the next phase lasts for as long as a caller's connection is open (200 ms for idle ones), so that work which comes in that time finds an egress that takes it.

Change: PlannedStop decides the phases and moves by one at a time; the sidecar applies each one that it enters. Serving, Draining (the egress refuses), Closing (the ingress refuses, callers' connections close), Expiring, Ended. A phase can't be left out, whatever the node does. The same question asked of the other borders of a stop: - a request that had passed the check for draining waited for a probe, and could then queue for a turn behind the refusal of all that wait for one: it is checked again after the probe; - at the end of the grace time, requests that still waited for a turn or a slot, and had not run, were cut like those that had (502): they are refused as not run .1 s before; - with a grace time under 5 s there was no time between the beginning of the drain and the end (none at all under 2.65 s): the node drains at half of it.

--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -274,12 +274,15 @@
     refuseWaitingForDeparted();
 }
 
-void EgressRole::setDraining(bool draining)
+void EgressRole::startDraining()
 {
-    isDraining_ = draining;
-    if (draining) {
-        turns_.refuseWaiting([](const UpstreamName & /*target*/) { return drainingRejection(); });
-    }
+    isDraining_ = true;
+    turns_.refuseWaiting([](const UpstreamName & /*target*/) { return drainingRejection(); });
+}
+
+void EgressRole::refuseAllWaiting()
+{
+    refuseWaiting([](const UpstreamName & /*target*/) { return drainingRejection(); });
 }
 
 void EgressRole::refuseWaiting(const std::function<std::optional<Failure>(const UpstreamName &)> &rejection)
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -100,8 +100,10 @@
     void setMaxConnections(std::uint32_t maxConnections);
     /// See UpstreamRate::setColdRate().
     void setColdRate(std::optional<RequestRate> rate) { rate_.setColdRate(rate); }
-    /// Starts or stops refusing new requests. Requests that wait for a turn are refused too.
-    void setDraining(bool draining);
+    /// Refuses new requests from now on, and those that wait for a turn. Requests that wait for a slot go on.
+    void startDraining();
+    /// Refuses all requests that wait. Requests at the upstream go on. Call this when the process is about to end.
+    void refuseAllWaiting();
     /// Sets what limits the answers that the node holds for readers. Without it nothing does.
     void setHeldAnswers(std::weak_ptr<HeldAnswers> held) { heldAnswers_ = std::move(held); }
     /// Calls @p listener when the upstream has exited while it had requests; see UpstreamExitMonitor::Listener.
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -109,6 +109,10 @@
         co_return rejection;
     }
     co_await role_.refreshUpstreamState();
+    // The node may have begun to drain meanwhile, and has then refused all that waited for a turn.
+    if (role_.isDraining_) {
+        co_return EgressRole::drainingRejection();
+    }
     if (auto rejection = handOverRejection()) {
         co_return rejection;
     }
--- /dev/null
+++ b/src/sidecar/plannedstop.cpp
@@ -0,0 +1,74 @@
+#include "sidecar/plannedstop.h"
+
+#include <algorithm>
+
+namespace Egretpath
+{
+
+namespace
+{
+
+/// The platform stops sending callers to a node only after two readiness checks, a second apart, have failed.
+constexpr Milliseconds MinStopTime{2400};
+/// When no request was under way for this long, the node assumes that no caller sends anything more. An upstream that
+/// still runs next to the node goes on sending calls, so that a longer quiet time may never come.
+constexpr Milliseconds QuietTime{120};
+/// An answer passes through the event loop between the end of its request and its first byte on the connection.
+constexpr Milliseconds SettleTime{50};
+/// The process exits by itself this long before the end of the grace time. SIGKILL at its end would cut off what the
+/// process still writes.
+constexpr Milliseconds ExitMargin{250};
+/// The time for the refusals of requests that still wait when no time is left.
+constexpr Milliseconds ExpiryTime{100};
+
+StopPhase next(StopPhase phase)
+{
+    return static_cast<StopPhase>(static_cast<std::uint8_t>(phase) + 1);
+}
+
+}
+
+PlannedStop::PlannedStop(TimePoint startedAt, Duration grace)
+    : end_(startedAt + std::max<Duration>(grace - ExitMargin, Duration{0}))
+    // With a short grace time, half of it is left for the requests that the egress has taken on.
+    , drainAt_(startedAt + std::min<Duration>(MinStopTime, (end_ - startedAt) / 2))
+    , closeAt_(startedAt + MinStopTime)
+    , expireAt_(std::max(startedAt, end_ - ExpiryTime))
+    , lastBusy_(startedAt)
+    , lastUnsettled_(startedAt)
+{
+}
+
+bool PlannedStop::advance(TimePoint now, const StopActivity &activity)
+{
+    if (activity.hasRequests) {
+        lastBusy_ = now;
+    }
+    if (activity.hasRequests || activity.hasCallerConnections) {
+        lastUnsettled_ = now;
+    }
+    if (!isOver(now)) {
+        return false;
+    }
+    phase_ = next(phase_);
+    return true;
+}
+
+bool PlannedStop::isOver(TimePoint now) const
+{
+    switch (phase_) {
+    case StopPhase::Serving:
+        return now >= drainAt_;
+    case StopPhase::Draining:
+        return now >= expireAt_ || (now >= closeAt_ && now - lastBusy_ >= QuietTime);
+    case StopPhase::Closing:
+        return now >= expireAt_ || now - lastUnsettled_ >= SettleTime;
+    case StopPhase::Expiring:
+        return now >= end_ || now - lastUnsettled_ >= SettleTime;
+    case StopPhase::Ended:
+        break;
+    }
+    return false;
+}
+
+}
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,6 +1,5 @@
 #include "sidecar/sidecar.h"
 
-#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -20,6 +19,7 @@
 #include "rpc/peerserver.h"
 #include "sidecar/catalogcontroller.h"
 #include "sidecar/operatorpages.h"
+#include "sidecar/plannedstop.h"
 #include "sidecar/quarantinecontroller.h"
 #include "sidecar/sidecarstate.h"
 #include "transfer/linkpacer.h"
@@ -43,14 +43,6 @@
 /// this factor, so that it doesn't close a connection while a request is on its way.
 constexpr double IdleTimeFactor = 1.25;
 
-/// The platform stops sending callers to a node only after two readiness checks, a second apart, have failed.
-constexpr Milliseconds MinStopTime{2400};
-/// When no request was in progress for this long, the node assumes that nobody sends anything more. An upstream that
-/// still runs next to the node goes on sending calls, so that a longer quiet time may never come.
-constexpr Milliseconds QuietTimeBeforeExit{120};
-/// The process exits by itself this long before the end of the grace time. SIGKILL at its end would cut off what the
-/// process still writes.
-constexpr Milliseconds ExitMargin{250};
 constexpr Milliseconds StopPollInterval{50};
 
 HttpLimits callerLimits(const CallerLimits &limits)
@@ -311,37 +303,49 @@
         }
     }
 
-    [[nodiscard]] bool isIdle() const { return egress_.isIdle() && ingress_.openRequests() == 0; }
+    [[nodiscard]] StopActivity stopActivity() const
+    {
+        return {!egress_.isIdle() || ingress_.openRequests() > 0, callerServer_.connectionCount() > 0};
+    }
 
     asio::awaitable<void> drain()
     {
-        const TimePoint startedAt = currentTime();
-        const TimePoint end = startedAt + std::max<Duration>(state_.settings.grace - ExitMargin, Duration{0});
-        const TimePoint earliestEnd = std::min<TimePoint>(startedAt + MinStopTime, end);
+        PlannedStop stop(currentTime(), state_.settings.grace);
         // A request that outlasts the process would be cut off. So the ingress refuses it at once: its caller is told
         // that the request has not run, and when the next process will have started.
-        ingress_.beginStop(end);
-        TimePoint lastBusy = startedAt;
+        ingress_.beginStop(stop.end());
         asio::steady_timer timer(executor_);
-        while (currentTime() < end && (currentTime() < earliestEnd || currentTime() - lastBusy < QuietTimeBeforeExit)) {
-            if (!isIdle()) {
-                lastBusy = currentTime();
-            }
-            egress_.setDraining(currentTime() >= earliestEnd);
-            timer.expires_after(StopPollInterval);
-            co_await timer.async_wait(asio::use_awaitable);
-        }
-        // Requests that still arrive on connections which are being closed are refused.
-        ingress_.close();
-        callerServer_.stopAccepting();
-        while (currentTime() < end && !(isIdle() && callerServer_.connectionCount() == 0)) {
+        while (stop.phase() != StopPhase::Ended) {
             timer.expires_after(StopPollInterval);
             co_await timer.async_wait(asio::use_awaitable);
+            while (stop.advance(currentTime(), stopActivity())) {
+                enter(stop.phase());
+            }
         }
-        state_.log.info(StructuredLine("stop").add("state", isIdle() ? "drained" : "grace-over"));
+        state_.log.info(StructuredLine("stop").add("state", stopActivity().hasRequests ? "grace-over" : "drained"));
         context_.stop();
     }
 
+    void enter(StopPhase phase)
+    {
+        switch (phase) {
+        case StopPhase::Draining:
+            egress_.startDraining();
+            break;
+        case StopPhase::Closing:
+            // Requests that still arrive on connections which are being closed are refused.
+            ingress_.close();
+            callerServer_.stopAccepting();
+            break;
+        case StopPhase::Expiring:
+            egress_.refuseAllWaiting();
+            break;
+        case StopPhase::Serving:
+        case StopPhase::Ended:
+            break;
+        }
+    }
+
     asio::io_context &context_;
     asio::any_io_executor executor_;
     SidecarPlatform platform_;
