--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -2,20 +2,18 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/system/system_error.hpp>
-#include <capnp/rpc-twoparty.h>
 #include <kj/debug.h>
 
 #include "http/sockettimer.h"
 #include "http/tcpendpoint.h"
 #include "rpc/kjawait.h"
-#include "rpc/peerstream.h"
+#include "rpc/peerconnection.h"
 #include "rpc/wireconversion.h"
 
 namespace Egretpath
@@ -95,15 +93,9 @@
     std::shared_ptr<AnswerProgress> progress_;
 };
 
-/// How long a connection may deliver nothing while a call waits. Longer than a call takes at a busy upstream on a slow
-/// VM, and short compared with the timeouts of requests.
-constexpr Milliseconds MaxSilence{500};
-
 /// A larger body is sent on the bulk connection.
 constexpr std::size_t MaxRegularBodyBytes = std::size_t{16} * 1024;
 
-/// A message of at least this size may take longer to arrive than its receiver waits for an answer.
-constexpr std::size_t LargeMessageBytes = std::size_t{4} * 1024;
 /// The longest time for which a large message that is arriving is waited for, beyond the deadline.
 constexpr Milliseconds MaxArrivalTime{5000};
 /// How late a timer may fire before the process counts as having been stalled, and the time that it then gets to read
@@ -124,79 +116,6 @@
     friend auto operator<=>(const ConnectionKey &, const ConnectionKey &) = default;
 };
 
-/// A connection to a peer with its RPC state.
-struct PeerConnection
-{
-    PeerConnection(tcp::socket socket, PeerCoding coding)
-        : stream(std::move(socket), coding)
-        , network(stream, capnp::rpc::twoparty::Side::CLIENT)
-        , system(capnp::makeRpcClient(network))
-        , node(bootstrap())
-    {
-    }
-
-    Wire::Node::Client bootstrap()
-    {
-        capnp::MallocMessageBuilder message;
-        auto vatId = message.initRoot<capnp::rpc::twoparty::VatId>();
-        vatId.setSide(capnp::rpc::twoparty::Side::SERVER);
-        return system.bootstrap(vatId).castAs<Wire::Node>();
-    }
-
-    PeerStream stream;
-    capnp::TwoPartyVatNetwork network;
-    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
-    Wire::Node::Client node;
-    kj::Promise<void> disconnected = nullptr;
-    /// Whether a call has waited longer than MaxSilence for an answer while no bytes arrived.
-    ///
-    /// Detects a connection that stopped delivering without an error, for example because a network device between the
-    /// nodes dropped its state. The device may still answer TCP keepalive probes, and each new call on the connection
-    /// would wait until its deadline. A slow peer looks the same for a while, so the connection gets no new calls but
-    /// is not closed: answers that still arrive on it are accepted.
-    [[nodiscard]] bool isSilent(TimePoint now) const
-    {
-        if (answerDueTimes.empty()) {
-            return false;
-        }
-        return now - std::max(*answerDueTimes.begin(), stream.lastArrival()) > MaxSilence;
-    }
-
-    /// Whether a large message has been arriving within the last @p maxPause.
-    [[nodiscard]] bool isReceivingLargeMessage(TimePoint now, Duration maxPause) const
-    {
-        return stream.expectedBytes() >= LargeMessageBytes && now - stream.lastArrival() < maxPause;
-    }
-
-    bool isLost = false;
-    TimePoint lastUse;
-    /// For each call without an answer, the time from which its answer can be expected.
-    std::multiset<TimePoint> answerDueTimes;
-};
-
-/// Registers a call without an answer on its connection until the object is destroyed.
-class OpenCall
-{
-public:
-    /// The peer may hold the request for @p wait before it answers; this time does not count as silence.
-    explicit OpenCall(std::shared_ptr<PeerConnection> connection, Duration wait = Duration{0})
-        : connection_(std::move(connection))
-        , position_(connection_->answerDueTimes.insert(std::chrono::steady_clock::now() + wait))
-    {
-    }
-    ~OpenCall()
-    {
-        connection_->answerDueTimes.erase(position_);
-        connection_->lastUse = std::chrono::steady_clock::now();
-    }
-    OpenCall(const OpenCall &) = delete;
-    OpenCall &operator=(const OpenCall &) = delete;
-
-private:
-    std::shared_ptr<PeerConnection> connection_;
-    std::multiset<TimePoint>::iterator position_;
-};
-
 /// Rejects a control request at its deadline, but not while a large message arrives on its connection, nor before this
 /// process has read what arrived while it did not run.
 ///
