rpc, sidecar: a node that stops waits for answers that it has not handed to the system

What callers would see: a node drains, its last request ends, and it exits while that answer, of up to 1 MiB, is still on its way over a slow link: the upstream ran the request, and its caller gets 502.

Cause: "idle" counts a request until the service has its outcome. The phase after that takes for granted that the outcome has been written; only streamed answers and callers' connections were waited for.

Change: a connection to a peer knows whether the system has taken all of the last write; the stop counts that as under way, and nothing is announced before.

--- a/src/rpc/asiostream.cpp
+++ b/src/rpc/asiostream.cpp
@@ -111,7 +111,8 @@
     while (asio::buffer_size(buffers) > 0) {
         boost::system::error_code error;
         const size_t count = socket_.write_some(buffers, error);
-        if (wouldBlock(error)) {
+        isWriting_ = wouldBlock(error);
+        if (isWriting_) {
             return whenReady(asio::ip::tcp::socket::wait_write).then([this, rest = std::move(buffers)]() mutable {
                 return writeAll(std::move(rest));
             });
--- a/src/rpc/asiostream.h
+++ b/src/rpc/asiostream.h
@@ -38,6 +38,8 @@
     [[nodiscard]] std::uint64_t bytesTransferred() const { return bytesTransferred_; }
     /// When bytes last arrived; if none have arrived yet, when the stream was created.
     [[nodiscard]] TimePoint lastArrival() const { return lastArrival_; }
+    /// Whether the system has not taken all bytes of the last write.
+    [[nodiscard]] bool isWriting() const { return isWriting_; }
 
 private:
     kj::Promise<void> whenReady(boost::asio::ip::tcp::socket::wait_type kind);
@@ -47,6 +49,7 @@
     boost::asio::ip::tcp::socket socket_;
     std::uint64_t bytesTransferred_ = 0;
     TimePoint lastArrival_;
+    bool isWriting_ = false;
 };
 
 }
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -233,6 +233,12 @@
 
     [[nodiscard]] std::size_t connectionCount() const { return connections_.size(); }
 
+    [[nodiscard]] bool hasUnsentAnswers() const
+    {
+        return std::any_of(connections_.begin(), connections_.end(),
+                           [](const ServedConnection &connection) { return connection.stream.isWriting(); });
+    }
+
 private:
     void accept(tcp::acceptor &acceptor)
     {
@@ -326,4 +332,9 @@
     return implementation_->connectionCount();
 }
 
+bool PeerServer::hasUnsentAnswers() const
+{
+    return implementation_->hasUnsentAnswers();
+}
+
 }
--- a/src/rpc/peerserver.h
+++ b/src/rpc/peerserver.h
@@ -32,6 +32,8 @@
     /// and the service refuses all others from now on.
     void announceStop();
     [[nodiscard]] std::size_t connectionCount() const;
+    /// Whether a part of an answer has not been handed to the system yet, for example on a slow link.
+    [[nodiscard]] bool hasUnsentAnswers() const;
 
 private:
     class Implementation;
--- a/src/rpc/peerstream.h
+++ b/src/rpc/peerstream.h
@@ -45,6 +45,7 @@
     /// Bytes on the wire, that is, after encoding; see AsioStream.
     [[nodiscard]] std::uint64_t bytesTransferred() const { return socket_.bytesTransferred(); }
     [[nodiscard]] TimePoint lastArrival() const { return socket_.lastArrival(); }
+    [[nodiscard]] bool isWriting() const { return socket_.isWriting(); }
     /// Number of bytes that the pending read waits for. While a message arrives, the size of its remaining part.
     [[nodiscard]] std::size_t expectedBytes() const { return expectedBytes_; }
 
--- a/src/sidecar/plannedstop.cpp
+++ b/src/sidecar/plannedstop.cpp
@@ -49,7 +49,7 @@
     if (activity.hasRequests) {
         lastBusy_ = now;
     }
-    if (activity.hasRequests || activity.hasCallerConnections) {
+    if (activity.hasRequests || activity.hasCallerConnections || activity.hasUnsentAnswers) {
         lastUnsettled_ = now;
     }
     if (!isOver(now)) {
--- a/src/sidecar/plannedstop.h
+++ b/src/sidecar/plannedstop.h
@@ -29,6 +29,8 @@
     /// Whether a request waits or runs at one of the roles.
     bool hasRequests = false;
     bool hasCallerConnections = false;
+    /// Whether answers to other nodes have not been handed to the system completely.
+    bool hasUnsentAnswers = false;
 };
 
 /// Decides when a planned stop moves to its next phase.
@@ -66,7 +68,7 @@
     StopPhase phase_ = StopPhase::Serving;
     /// When a request was last under way.
     TimePoint lastBusy_;
-    /// When anything was last under way, an open connection included.
+    /// When anything was last under way, an open connection or an answer on its way included.
     TimePoint lastUnsettled_;
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -305,7 +305,8 @@
 
     [[nodiscard]] StopActivity stopActivity() const
     {
-        return {!egress_.isIdle() || ingress_.openRequests() > 0, callerServer_.connectionCount() > 0};
+        return {!egress_.isIdle() || ingress_.openRequests() > 0, callerServer_.connectionCount() > 0,
+                peerServer_.hasUnsentAnswers()};
     }
 
     asio::awaitable<void> drain()
@@ -342,7 +343,7 @@
             break;
         case StopPhase::Leaving:
             // While a request is under way, other nodes may not take their calls for ones that were not run.
-            if (!stopActivity().hasRequests) {
+            if (const StopActivity activity = stopActivity(); !activity.hasRequests && !activity.hasUnsentAnswers) {
                 peerServer_.announceStop();
             }
             break;
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -8,8 +8,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
+#include "core/currenttime.h"
+#include "http/tcpendpoint.h"
 #include "rpc/asioeventport.h"
 #include "rpc/peerserver.h"
+#include "standins/standinrelay.h"
 
 using namespace Egretpath;
 namespace asio = boost::asio;
@@ -436,3 +439,38 @@
         CHECK(outcome.error().verdict == Verdict::NotRun);
     }(fixture));
 }
+
+// Guards against a node that stops while an answer is still on its way: its request has ended when the service has.
+TEST_CASE("a server knows of an answer that its peer has not read yet")
+{
+    // More than the buffers of both sockets hold.
+    constexpr std::size_t AnswerBytes = std::size_t{24} * 1024 * 1024;
+    constexpr unsigned Steps = 4000;
+    Fixture fixture;
+    StandinRelay link(fixture.context.get_executor(), toTcpEndpoint(ServerEndpoint).value());
+    RelayConditions conditions;
+    conditions.bytesPerSecond = std::uint64_t{100} * 1024 * 1024;
+    link.setConditions(conditions);
+    const Endpoint relayed = link.listen(toTcpEndpoint(Endpoint("127.0.0.1:0")).value());
+    fixture.run([](Fixture &f, Endpoint server) -> asio::awaitable<void> {
+        bool isAnswered = false;
+        asio::co_spawn(
+            f.context,
+            [&f, &isAnswered, server]() -> asio::awaitable<void> {
+                const auto outcome =
+                    co_await f.client.call(server, f.head("0"), std::string(AnswerBytes, 'b'), f.receiver, permitAlways,
+                                           currentTime() + Milliseconds(20'000), std::make_shared<Cancellation>());
+                CHECK(outcome.has_value());
+                isAnswered = true;
+            },
+            asio::detached);
+        unsigned unsentSteps = 0;
+        for (unsigned step = 0; step < Steps && !isAnswered; ++step) {
+            unsentSteps += f.server.hasUnsentAnswers() ? 1 : 0;
+            co_await sleepFor(Milliseconds(5));
+        }
+        CHECK(isAnswered);
+        CHECK(unsentSteps > 0);
+        CHECK_FALSE(f.server.hasUnsentAnswers());
+    }(fixture, relayed));
+}
