http: an idle connection on which bytes arrive is closed at once

What users would see: an upstream in trouble that sends bytes after a complete answer, without end, fills the socket of each idle connection for as long as it stays idle (3 s; bytes that have come and are not read count as the node's memory).

Cause: an idle connection was looked at only before its next use. Change: the connection waits for input while it is idle, and is closed when bytes or its end come. Test, red before: "an idle connection on which bytes arrive is closed at once" (0, 5 and 60 ms after it became idle; 30 s before).

--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -70,7 +70,7 @@
 
 void HttpClientConnection::startCall(TimePoint deadline)
 {
-    onIdleExpired_ = nullptr;
+    endIdleWatch();
     parser_.reset();
     maxSilence_.reset();
     bytesSent_ = 0;
@@ -90,6 +90,32 @@
     onIdleExpired_ = std::move(onExpired);
     buffer_.shrink();
     timer_.expireAfter(idleTime);
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [weak = weak_from_this(), period = ++idlePeriod_](const error_code &error) {
+                           const auto self = weak.lock();
+                           if (self && !error && self->idlePeriod_ == period) {
+                               self->onIdleInput();
+                           }
+                       });
+}
+
+/// Bytes that come on an idle connection belong to no request, and would fill the memory of the socket.
+void HttpClientConnection::onIdleInput()
+{
+    if (const auto pool = pool_.lock()) {
+        ++pool->counts_.closedByServer;
+    }
+    if (const auto onExpired = std::exchange(onIdleExpired_, nullptr)) {
+        onExpired();
+    }
+}
+
+void HttpClientConnection::endIdleWatch()
+{
+    ++idlePeriod_;
+    onIdleExpired_ = nullptr;
+    error_code ignored;
+    socket_.cancel(ignored);
 }
 
 void HttpClientConnection::finishCall()
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -42,7 +42,8 @@
     void startCall(TimePoint deadline);
     /// Whether an idle connection is still open and has received no unexpected bytes.
     [[nodiscard]] bool isUsable();
-    /// Marks the connection as idle; @p onExpired is called after @p idleTime unless startCall() comes first.
+    /// Marks the connection as idle. Calls @p onExpired after @p idleTime, or when bytes or the end of the connection
+    /// arrive, unless startCall() comes first.
     void startIdle(Duration idleTime, std::function<void()> onExpired);
     /// Called by the destructor of HttpClientCall: returns the connection to the pool, or closes it.
     void finishCall();
@@ -69,6 +70,8 @@
     [[nodiscard]] Failure failure(Reason reason, std::string detail) const;
     [[nodiscard]] Failure socketFailure(const boost::system::error_code &error) const;
     void onTimeout();
+    void onIdleInput();
+    void endIdleWatch();
     void recordArrival();
 
     boost::asio::ip::tcp::socket socket_;
@@ -78,6 +81,8 @@
     ReadBuffer buffer_;
     SocketTimer timer_;
     std::function<void()> onIdleExpired_;
+    /// Counts the times when the connection becomes idle and when it is used again.
+    std::uint64_t idlePeriod_ = 0;
     TimePoint deadline_ = TimePoint::max();
     /// Set if the deadline follows the arrival of bytes.
     std::optional<Duration> maxSilence_;
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -348,3 +348,32 @@
         }
     });
 }
+
+// Guards against a server that sends bytes without end on a connection that nobody reads: they fill the socket's
+// memory.
+TEST_CASE("an idle connection on which bytes arrive is closed at once")
+{
+    const Milliseconds pause = GENERATE(Milliseconds(0), Milliseconds(5), Milliseconds(60));
+    EventLoop loop;
+    HttpConnectionPool pool(loop.executor(), {});
+    loop.run([&]() -> asio::awaitable<void> {
+        RawListener listener(loop.executor());
+        std::optional<RawConnection> server;
+        {
+            auto opened = co_await pool.open(listener.endpoint(), testDeadline());
+            REQUIRE(opened);
+            requireAwaited(co_await opened.value()->sendRequest({}, {}));
+            server.emplace(co_await listener.accept());
+            (void)co_await server->receiveUntil("\r\n\r\n");
+            co_await server->send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            requireAwaited(co_await opened.value()->readHead());
+            auto body = co_await opened.value()->readCompleteBody(Bytes(1000));
+            REQUIRE(body);
+        }
+        CHECK(pool.idleCount() == 1);
+        co_await loop.sleep(pause);
+        co_await server->send("more");
+        checkAwaited(co_await loop.waitUntil([&] { return pool.connectionCount() == 0; }));
+        CHECK(pool.counts().closedByServer == 1);
+    });
+}
