egress, http: answers without end have an end

On the code before, memory held, heads, trailers and lines of chunks were bounded and closed, and requests to sound upstreams went on. What did not hold:

- A signed body without end, read by callers as fast as it came, went on until the caller's own limit (3 s, of .4 s allowed; without it for ever).
The time in which reading pauses for readers did not count towards the deadline, and an answer without end pauses all the time once the answers together reach their budget.
All pauses of an answer now have a limit (30 s).
- An answer to another request was skipped for as long as it came, and the caller got 504 at its deadline (may have run), reads too.
It has 100 ms and 1 MiB now, and there may be eight of them; then the connection is closed and the read is tried elsewhere.
- So with informational heads: sixteen.
- An answer whose head proves that it is of no use (no digest; "not executed"; another upstream) was read to its end before the head counted, so that an order which was refused got 504 where 503 is true.
The head counts at once; the rest has 20 ms, so that the connection can be used again.
- An upstream that sent stray answers without end kept all 20 of 20 reads, since nothing counted against it.
A failure does.

--- a/src/egress/answerreader.cpp
+++ b/src/egress/answerreader.cpp
@@ -17,6 +17,13 @@
 constexpr std::size_t MaxCompleteAnswer = std::size_t{1024} * 1024;
 /// The same for downloads: the size of a chunk, so that no message of a download is larger.
 constexpr std::size_t MaxCompleteDownload = std::size_t{16} * 1024;
+/// The answers to other requests that may come before the own one, and the time for the body of one. An upstream sends
+/// its second answers at once, over a connection that does not leave the VM.
+constexpr unsigned MaxStrayAnswers = 8;
+constexpr Milliseconds MaxStrayTime{100};
+/// The time for the body of an answer whose head proves that it is of no use. The caller waits for it.
+constexpr Milliseconds MaxUselessTime{20};
+constexpr std::size_t MaxDroppedBytes = std::size_t{1024} * 1024;
 constexpr std::uint16_t FirstServerError = 500;
 constexpr std::uint16_t GatewayTimeoutStatus = 504;
 
@@ -28,6 +35,7 @@
     , call_(call)
     , request_(request)
     , receiver_(std::move(receiver))
+    , pauseLeft_(role.settings_.maxAnswerPause)
 {
 }
 
@@ -40,7 +48,7 @@
 
 asio::awaitable<Result<ReadAnswer>> AnswerReader::read(std::function<void()> onBegan)
 {
-    while (true) {
+    for (unsigned strayAnswers = 0; strayAnswers <= MaxStrayAnswers; ++strayAnswers) {
         Result<HttpResponseHead> head = co_await call_.readHead();
         if (!head) {
             co_return head.error();
@@ -53,29 +61,53 @@
         }
         // A faulty upstream may answer an earlier request twice. The second answer then comes before this request's
         // answer.
-        const Result<void> skipped = co_await readStray();
-        if (!skipped) {
-            co_return skipped.error();
-        }
         role_.metrics_.count("egretpath_stray_answers_total");
+        const Result<void> dropped = co_await dropBody(MaxStrayTime);
+        if (!dropped) {
+            co_return dropped.error();
+        }
     }
+    co_return endless("answers to other requests without end");
 }
 
-asio::awaitable<Result<void>> AnswerReader::readStray()
+asio::awaitable<Result<void>> AnswerReader::dropBody(Duration maxTime)
 {
-    while (true) {
+    const TimePoint end = currentTime() + maxTime;
+    call_.setDeadline(std::min<TimePoint>(request_.deadline, end));
+    for (std::size_t size = 0; size <= MaxDroppedBytes;) {
         const Result<std::string> piece = co_await call_.readBody();
+        const bool isTooLong = !piece && piece.error().reason == Reason::DeadlinePassed && end < request_.deadline;
+        if (isTooLong) {
+            break;
+        }
         if (!piece) {
             co_return piece.error();
         }
         if (piece.value().empty()) {
+            call_.setDeadline(request_.deadline);
             co_return boost::outcome_v2::success();
         }
+        size += piece.value().size();
     }
+    co_return endless("the body of an answer that is dropped has no end");
+}
+
+Failure AnswerReader::endless(std::string detail)
+{
+    call_.cancel();
+    role_.metrics_.count("egretpath_endless_answers_total");
+    return mayHaveRun(Reason::BadAnswer, std::move(detail));
 }
 
 asio::awaitable<Result<ReadAnswer>> AnswerReader::readOwn(HttpResponseHead head, UpstreamAnswerMetadata metadata)
 {
+    // What the head proves is true whatever follows, and does not wait for it.
+    if (metadata.isWrongUpstream || metadata.isNotRun || !metadata.isAuthentic) {
+        std::optional<Failure> failure = check(head.status, metadata);
+        // Only a connection whose answer was read can be used again.
+        [[maybe_unused]] const Result<void> dropped = co_await dropBody(MaxUselessTime);
+        co_return std::move(*failure);
+    }
     std::string body;
     bool isComplete = false;
     while (!isComplete && !isLarge(head, body.size())) {
@@ -137,13 +169,15 @@
 }
 
 /// The time of the pause does not count towards the deadline: an answer that is under way is not cut off for the
-/// budget.
+/// budget. But all pauses together have a limit, since an answer that has no end would pause for ever.
 asio::awaitable<void> AnswerReader::pauseReading()
 {
     const TimePoint pausedAt = currentTime();
     call_.setDeadline(TimePoint::max());
-    co_await stream_->waitForRoom();
-    request_.deadline += currentTime() - pausedAt;
+    co_await stream_->waitForRoom(pausedAt + pauseLeft_);
+    const Duration pause = std::min<Duration>(currentTime() - pausedAt, pauseLeft_);
+    pauseLeft_ -= pause;
+    request_.deadline += pause;
     call_.setDeadline(request_.deadline);
 }
 
--- a/src/egress/answerreader.h
+++ b/src/egress/answerreader.h
@@ -49,8 +49,11 @@
 
 private:
     boost::asio::awaitable<Result<ReadAnswer>> readOwn(HttpResponseHead head, UpstreamAnswerMetadata metadata);
-    /// Reads an answer that belongs to another request, and drops it.
-    boost::asio::awaitable<Result<void>> readStray();
+    /// Reads the body of an answer that is not passed on, and drops it. Errors: BadAnswer if it takes longer than
+    /// @p maxTime or seems to have no end; the connection is closed then.
+    boost::asio::awaitable<Result<void>> dropBody(Duration maxTime);
+    /// Ends the reading of bytes that seem to have no end.
+    [[nodiscard]] Failure endless(std::string detail);
     /// Passes on an answer that begins with @p body and reads the rest of it.
     boost::asio::awaitable<Result<ReadAnswer>> streamAnswer(HttpResponseHead head, std::string body);
     boost::asio::awaitable<void> pauseReading();
@@ -67,6 +70,8 @@
     std::shared_ptr<AnswerReceiver> receiver_;
     /// Null until the answer turns out to be large.
     std::shared_ptr<AnswerStream> stream_;
+    /// How much longer the reading may pause for the receiver.
+    Duration pauseLeft_;
 };
 
 }
--- a/src/egress/answerstream.cpp
+++ b/src/egress/answerstream.cpp
@@ -1,5 +1,6 @@
 #include "egress/answerstream.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -69,13 +70,13 @@
     return !held || held->budget().mayHoldMore(Bytes(heldBytes_));
 }
 
-asio::awaitable<void> AnswerStream::waitForRoom()
+asio::awaitable<void> AnswerStream::waitForRoom(TimePoint latest)
 {
-    while (!hasEnded_ && !hasRoom()) {
+    while (!hasEnded_ && !hasRoom() && currentTime() < latest) {
         if (const auto held = held_.lock()) {
             held->cancelOnRelease(readerSignal_);
         }
-        co_await waitForReceiver();
+        co_await waitForReceiver(latest);
     }
 }
 
@@ -89,10 +90,11 @@
     co_return isDelivered_;
 }
 
-asio::awaitable<void> AnswerStream::waitForReceiver()
+asio::awaitable<void> AnswerStream::waitForReceiver(TimePoint latest)
 {
     const bool waitsForOthers = heldBytes_ == 0 && !isComplete_;
-    readerSignal_->expires_at(waitsForOthers ? TimePoint::max() : lastProgress_ + MaxReceiverPause);
+    const TimePoint stuckAt = waitsForOthers ? TimePoint::max() : lastProgress_ + MaxReceiverPause;
+    readerSignal_->expires_at(std::min(stuckAt, latest));
     boost::system::error_code ignored;
     co_await readerSignal_->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     if (!waitsForOthers && currentTime() >= lastProgress_ + MaxReceiverPause) {
--- a/src/egress/answerstream.h
+++ b/src/egress/answerstream.h
@@ -38,8 +38,8 @@
     void add(const std::string &piece);
     /// Whether the next piece may be read now.
     [[nodiscard]] bool hasRoom() const;
-    /// Waits until the next piece may be read, or the receiver takes no more.
-    boost::asio::awaitable<void> waitForRoom();
+    /// Waits until the next piece may be read, or the receiver takes no more, until @p latest.
+    boost::asio::awaitable<void> waitForRoom(TimePoint latest);
     /// Waits until the receiver has all pieces. Returns whether it took them. Precondition: all were added.
     boost::asio::awaitable<bool> finish();
     /// Ends the sending. The queue is dropped.
@@ -50,8 +50,9 @@
 private:
     boost::asio::awaitable<void> send(std::shared_ptr<AnswerStream> self, AnswerHead head);
     boost::asio::awaitable<bool> sendChunks();
-    /// Waits for a change at the receiver. Cancels the stream if the receiver takes nothing for too long.
-    boost::asio::awaitable<void> waitForReceiver();
+    /// Waits for a change at the receiver, until @p latest. Cancels the stream if the receiver takes nothing for too
+    /// long.
+    boost::asio::awaitable<void> waitForReceiver(TimePoint latest = TimePoint::max());
     void release(std::size_t bytes);
     void dropQueue();
 
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -67,6 +67,9 @@
     bool keepsAccount = true;
     WorkQueueSettings queue;
     TurnQueueSettings turns;
+    /// How long the reading of one answer may pause in all for readers that don't take it. Readers that take nothing
+    /// are left after the same time.
+    Milliseconds maxAnswerPause{30'000};
     /// Idle connections to the upstream are closed after this time. Upstreams close idle connections after 5 s or more.
     Milliseconds idleTime{3000};
 };
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -22,6 +22,8 @@
 
 constexpr std::uint16_t SwitchingProtocolsStatus = 101;
 constexpr std::uint16_t FirstFinalStatus = 200;
+/// Informational heads before the final one, of which servers send one or two.
+constexpr unsigned MaxInformationalHeads = 16;
 /// How late a timer may fire before the process counts as having been stalled, and the time that it then gets to read
 /// what arrived meanwhile.
 constexpr Milliseconds StallTolerance{100};
@@ -241,7 +243,7 @@
 
 asio::awaitable<Result<HttpResponseHead>> HttpClientConnection::readHead()
 {
-    for (;;) {
+    for (unsigned informationalHeads = 0;; ++informationalHeads) {
         parser_.emplace(limits_.headerBytes, isHeadRequest_);
         MessageProblem problem = parser_->feed(buffer_);
         while (problem == MessageProblem::None && !parser_->isHeadDone()) {
@@ -250,7 +252,8 @@
             }
         }
         const bool isInformational = parser_->status() < FirstFinalStatus;
-        if (problem != MessageProblem::None || parser_->status() == SwitchingProtocolsStatus) {
+        const bool isFinalMissing = isInformational && informationalHeads >= MaxInformationalHeads;
+        if (problem != MessageProblem::None || parser_->status() == SwitchingProtocolsStatus || isFinalMissing) {
             close();
             co_return failure(Reason::BadAnswer, "malformed response");
         }
--- a/src/sidecar/decisionsettings.h
+++ b/src/sidecar/decisionsettings.h
@@ -19,6 +19,8 @@
     CatalogTimes catalog;
     /// See EgressSettings::keepsAccount.
     bool keepsUpstreamAccount = true;
+    /// See EgressSettings::maxAnswerPause.
+    Milliseconds maxAnswerPause{30'000};
     /// Whether traffic over links that are paid for by volume is compressed.
     bool compressesPaidLinks = true;
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -71,6 +71,7 @@
     egress.queue = decisions.queue;
     egress.turns = decisions.turns;
     egress.keepsAccount = decisions.keepsUpstreamAccount;
+    egress.maxAnswerPause = decisions.maxAnswerPause;
     return egress;
 }
 
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -377,3 +377,15 @@
         CHECK(pool.counts().closedByServer == 1);
     });
 }
+
+TEST_CASE("informational heads without end are no answer")
+{
+    std::string answer;
+    for (int number = 0; number < 100; ++number) {
+        answer += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    const auto failure = getFailure(answer + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(failure);
+    CHECK(failure->verdict == Verdict::MayHaveRun);
+    CHECK(failure->reason == Reason::BadAnswer);
+}
--- a/tests/sidecar/fakecatalog.cpp
+++ b/tests/sidecar/fakecatalog.cpp
@@ -174,7 +174,7 @@
     return snapshot;
 }
 
-void FakeCatalog::add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service,
+void FakeCatalog::add(const ListedUpstream &upstream, const Endpoint &node, const std::string &service,
                       const Location &location)
 {
     InstanceRecord record;
--- a/tests/sidecar/fakecatalog.h
+++ b/tests/sidecar/fakecatalog.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "fakeupstream.h"
 #include "instances/instancedirectory.h"
+#include "listedupstream.h"
 #include "sidecar/catalogsource.h"
 
 namespace Egretpath
@@ -27,7 +27,7 @@
     void publishList();
     /// The operators begin or end the evacuation of @p zone.
     void evacuate(const std::string &zone, bool begins = true);
-    void add(const FakeUpstream &upstream, const Endpoint &node, const std::string &service,
+    void add(const ListedUpstream &upstream, const Endpoint &node, const std::string &service,
              const Location &location = UsualLocation);
     void remove(const std::string &id);
     /// The upstream announces that it drains.
--- a/tests/sidecar/fakeupstream.cpp
+++ b/tests/sidecar/fakeupstream.cpp
@@ -20,8 +20,8 @@
 namespace asio = boost::asio;
 
 FakeUpstream::FakeUpstream(asio::any_io_executor executor, std::string id)
-    : executor_(std::move(executor))
-    , id_(std::move(id))
+    : ListedUpstream(std::move(id))
+    , executor_(std::move(executor))
 {
     listen();
 }
--- a/tests/sidecar/fakeupstream.h
+++ b/tests/sidecar/fakeupstream.h
@@ -9,19 +9,18 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "http/httpserver.h"
+#include "listedupstream.h"
 
 namespace Egretpath
 {
 
 /// A stand-in for the program of a service: it answers by path, counts its runs, and sends the platform's header
 /// fields.
-class FakeUpstream
+class FakeUpstream : public ListedUpstream
 {
 public:
     FakeUpstream(boost::asio::any_io_executor executor, std::string id);
 
-    [[nodiscard]] const std::string &id() const { return id_; }
-    [[nodiscard]] const Endpoint &address() const { return address_; }
     /// How often the request with this id was run.
     [[nodiscard]] int runs(const std::string &request) const;
     [[nodiscard]] int totalRuns() const;
@@ -77,13 +76,11 @@
     static boost::asio::awaitable<void> waitForDisconnect(HttpExchange &exchange);
 
     boost::asio::any_io_executor executor_;
-    std::string id_;
     std::map<std::string, int> runs_;
     HttpHeaders lastHeaders_;
     int cancelledRuns_ = 0;
     int runningRequests_ = 0;
     int crashes_ = 0;
-    Endpoint address_{"127.0.0.1:0"};
     /// Null from a crash until the restart.
     std::unique_ptr<HttpServer> server_;
 };
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -38,7 +38,7 @@
                     + std::to_string(1 + count % 250) + ":" + std::to_string(FirstPort + count));
 }
 
-SidecarSettings settingsOf(const TestNode &node, const FakeUpstream &upstream, const std::string &service,
+SidecarSettings settingsOf(const TestNode &node, const ListedUpstream &upstream, const std::string &service,
                            const std::vector<Endpoint> &seeds, const Location &location)
 {
     SidecarSettings settings;
@@ -61,8 +61,9 @@
 
 }
 
-SidecarFixture::SidecarFixture(std::uint32_t memoryMb)
+SidecarFixture::SidecarFixture(std::uint32_t memoryMb, const DecisionSettings &decisions)
     : memoryMb_(memoryMb)
+    , decisions_(decisions)
     , pool_(eventLoop_.context().get_executor(), HttpPoolLimits())
 {
 }
@@ -74,7 +75,13 @@
     return *upstreams_.emplace_back(std::make_unique<FakeUpstream>(eventLoop_.context().get_executor(), id));
 }
 
-TestNode &SidecarFixture::addNode(const FakeUpstream &upstream, const std::string &service,
+EndlessUpstream &SidecarFixture::addEndlessUpstream(const std::string &id, const EndlessAnswer &answer)
+{
+    return *endlessUpstreams_.emplace_back(
+        std::make_unique<EndlessUpstream>(eventLoop_.context().get_executor(), id, answer));
+}
+
+TestNode &SidecarFixture::addNode(const ListedUpstream &upstream, const std::string &service,
                                   const std::vector<Endpoint> &seeds, const Location &location)
 {
     TestNode &node = *nodes_.emplace_back(std::make_unique<TestNode>());
@@ -90,7 +97,7 @@
     SidecarSettings settings = settingsOf(node, upstream, service, seeds, location);
     settings.linkMbps = linkMbps;
     settings.memoryMb = memoryMb_;
-    node.sidecar = std::make_unique<Sidecar>(eventLoop_.context(), settings, std::move(platform));
+    node.sidecar = std::make_unique<Sidecar>(eventLoop_.context(), settings, std::move(platform), decisions_);
     if (!node.sidecar->start()) {
         throw std::runtime_error("a node could not listen");
     }
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "endlessupstream.h"
 #include "fakecatalog.h"
 #include "fakeupstream.h"
 #include "http/httpclientcall.h"
@@ -42,15 +43,18 @@
 {
 public:
     /// @p memoryMb: the memory that the settings of the nodes tell; zero if they tell none.
-    explicit SidecarFixture(std::uint32_t memoryMb = 0);
+    /// @p decisions: the constants of the nodes.
+    explicit SidecarFixture(std::uint32_t memoryMb = 0, const DecisionSettings &decisions = {});
     ~SidecarFixture();
     SidecarFixture(const SidecarFixture &) = delete;
     SidecarFixture &operator=(const SidecarFixture &) = delete;
 
     FakeUpstream &addUpstream(const std::string &id);
+    /// Returns a stand-in for an upstream that sends @p answer.
+    EndlessUpstream &addEndlessUpstream(const std::string &id, const EndlessAnswer &answer);
     /// Starts a node beside @p upstream and adds the upstream to the list under @p service.
-    TestNode &addNode(const FakeUpstream &upstream, const std::string &service, const std::vector<Endpoint> &seeds = {},
-                      const Location &location = FakeCatalog::UsualLocation);
+    TestNode &addNode(const ListedUpstream &upstream, const std::string &service,
+                      const std::vector<Endpoint> &seeds = {}, const Location &location = FakeCatalog::UsualLocation);
     /// Makes other nodes reach @p node, which is beside @p upstream, over a link of this bandwidth. Returns the link.
     StandinRelay &putBehindLink(const TestNode &node, const FakeUpstream &upstream, const std::string &service,
                                 std::uint64_t bytesPerSecond);
@@ -75,8 +79,10 @@
 private:
     AsioEventPort eventLoop_;
     std::uint32_t memoryMb_;
+    DecisionSettings decisions_;
     HttpConnectionPool pool_;
     std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
+    std::vector<std::unique_ptr<EndlessUpstream>> endlessUpstreams_;
     std::vector<std::unique_ptr<TestNode>> nodes_;
     std::vector<std::unique_ptr<StandinRelay>> links_;
 };
