ingress, egress: a read whose kept connection was lost is repeated by the ingress only, within the budget

With max_attempts = 2 a request ran four times.

Cause: the node beside the upstream sent a read again on a new connection when a kept one was lost, without a token, since it took the loss for an idle connection that the upstream had closed. The same happens when the upstream has run it.

Change: the egress never repeats. It reports KeptConnectionLost (may have run), and the ingress, which counts the repeats of its requests, takes a token, sends it on a new connection, also to the same upstream, if max_attempts allows. Such a loss says nothing against the upstream, so that it is not avoided for it. All other repeats (tries of RequestTries after failures, refusals of upstreams, 5xx) took a token already; health checks are none.

Weighed: a budget of its own for the egress (would take from all other repeats), a grant with the call (a burst of resets overdraws it: all requests under way are reset at once).

Test, red before: "reads whose kept connections are lost are repeated within the budget that all nodes share" (1, 3, 6 callers; each second or third answer lost): 399, 273, 230, 199, 189, 185 repeats of 400 reads where 120 are allowed; now within it.

--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::array<std::string_view, 3> VerdictWords{"answered", "not-run", "may-have-run"};
 
-constexpr std::array<std::string_view, 26> ReasonWords{
+constexpr std::array<std::string_view, 27> ReasonWords{
     "none",
     "bad-request",
     "overloaded",
@@ -38,6 +38,7 @@
     "outside-regions",
     "zone-evacuated",
     "limited",
+    "kept-connection-lost",
 };
 
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -75,10 +75,13 @@
     ZoneEvacuated,
     /// The rate of requests that the upstream may get is used up.
     RateLimited,
+    /// A connection that earlier requests had used broke before an answer. Its upstream may have closed it as idle, or
+    /// have run the request.
+    KeptConnectionLost,
 };
 
 /// The last enumerator, used to check reasons received from nodes of other versions.
-inline constexpr Reason LastReason = Reason::RateLimited;
+inline constexpr Reason LastReason = Reason::KeptConnectionLost;
 /// The last one that nodes know which don't name the version of the routes with a call.
 inline constexpr Reason LastReasonOfEarlierNodes = Reason::CrashesUpstreams;
 
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -70,15 +70,9 @@
     }
     Result<CallOutcome> result =
         co_await connectAndExchange(head_.isRepeatable ? HttpConnectionChoice::Pooled : HttpConnectionChoice::Fresh);
-    if (!result && mayResend(result.error())) {
-        // The upstream closed the idle connection while the request was being sent. No answer came, and the request may
-        // run more than once, so it is sent again. This can't happen on a new connection.
-        result = co_await connectAndExchange(HttpConnectionChoice::Fresh);
-        if (!result) {
-            Failure failure = result.error();
-            failure.verdict = Verdict::MayHaveRun;
-            result = std::move(failure);
-        }
+    if (!result && isKeptConnectionLost(result.error())) {
+        // Only the ingress sends it again, since it counts all repeats of its requests.
+        result = mayHaveRun(Reason::KeptConnectionLost, result.error().detail);
     }
     cancellation_->clearAction();
     CallOutcome ended = result ? std::move(result).value() : outcome(readableByIngress(result.error(), head_));
@@ -329,10 +323,10 @@
     co_return outcome(StreamedAnswer{});
 }
 
-bool UpstreamRequest::mayResend(const Failure &failure) const
+bool UpstreamRequest::isKeptConnectionLost(const Failure &failure) const
 {
-    return head_.isRepeatable && failure.reason == Reason::ConnectionLost && httpCall_
-        && httpCall_->isConnectionReused() && !answerReader_->hasStream() && !cancellation_->isCancelled();
+    return failure.reason == Reason::ConnectionLost && httpCall_ && httpCall_->isConnectionReused()
+        && !answerReader_->hasStream();
 }
 
 CallOutcome UpstreamRequest::outcome(std::variant<Failure, CompleteAnswer, StreamedAnswer> result) const
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -58,7 +58,8 @@
     boost::asio::awaitable<Result<CallOutcome>> passOn(ReadAnswer answer);
     boost::asio::awaitable<void> writeRequest(std::shared_ptr<UpstreamRequest> self);
     boost::asio::awaitable<void> stopWriting();
-    [[nodiscard]] bool mayResend(const Failure &failure) const;
+    /// Whether the failure is the end of a connection that earlier requests had used.
+    [[nodiscard]] bool isKeptConnectionLost(const Failure &failure) const;
 
     [[nodiscard]] CallOutcome outcome(std::variant<Failure, CompleteAnswer, StreamedAnswer> result) const;
     [[nodiscard]] RequestContent content() const;
--- a/src/ingress/ingresscontext.cpp
+++ b/src/ingress/ingresscontext.cpp
@@ -134,6 +134,7 @@
     case Reason::Cancelled:
     case Reason::CrashesUpstreams:
     case Reason::OutsideRegions:
+    case Reason::KeptConnectionLost:
         break;
     default:
         view.onFailed(upstream, now);
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -30,7 +30,7 @@
     }
     // ConnectFailed: the upstream was unreachable when the node sent the request again.
     return failure->reason == Reason::ConnectionLost || failure->reason == Reason::BadAnswer
-        || failure->reason == Reason::ConnectFailed;
+        || failure->reason == Reason::ConnectFailed || failure->reason == Reason::KeptConnectionLost;
 }
 
 }
@@ -136,7 +136,7 @@
     const std::uint64_t answerSize = context_->sizes.typicalAnswerSize(parameters_.route->name).value();
     request.demand.isLargeAnswer = answerSize > MaxChunkBytes;
     request.bodies = Bytes(content_.body.size() + answerSize);
-    std::vector<UpstreamName> excluded = reachedUpstreams_;
+    std::vector<UpstreamName> excluded = failedUpstreams_;
     const bool mayBeDeclined = tryCount_ < maxDeclines;
     if (mayBeDeclined) {
         excluded.insert(excluded.end(), declinedUpstreams_.begin(), declinedUpstreams_.end());
@@ -145,7 +145,7 @@
     auto choice = context_->placement.choose(request);
     if (!choice && mayBeDeclined) {
         tryCount_ = maxDeclines;
-        request.excluded = reachedUpstreams_;
+        request.excluded = failedUpstreams_;
         choice = context_->placement.choose(request);
     }
     return choice;
@@ -263,7 +263,7 @@
     head.target = request.target;
     head.headers = request.headers;
     head.headers.removeHopByHop();
-    head.isRepeatable = isIdempotent(route.kind);
+    head.isRepeatable = isIdempotent(route.kind) && !needsNewConnection_;
     head.targetUpstream = requestTry.upstream;
     head.callerService = context_->localNode.service;
     head.route = route.name;
@@ -300,12 +300,27 @@
 
 NextStep RequestTries::recordFailure(const RequestTry &requestTry, const Failure &failure)
 {
-    std::vector<UpstreamName> &upstreams =
-        reachedUpstream(requestTry, failure) ? reachedUpstreams_ : declinedUpstreams_;
-    upstreams.push_back(requestTry.upstream);
+    if (!reachedUpstream(requestTry, failure)) {
+        declinedUpstreams_.push_back(requestTry.upstream);
+    } else {
+        recordReached(requestTry.upstream);
+        // A sound upstream closes connections that were idle for long, so that the request may go to it again.
+        const bool isKeptConnection = failure.reason == Reason::KeptConnectionLost;
+        needsNewConnection_ = needsNewConnection_ || isKeptConnection;
+        if (!isKeptConnection) {
+            failedUpstreams_.push_back(requestTry.upstream);
+        }
+    }
     return state_.onTryFailed(requestTry.number, failure);
 }
 
+void RequestTries::recordReached(const UpstreamName &upstream)
+{
+    if (std::find(reachedUpstreams_.begin(), reachedUpstreams_.end(), upstream) == reachedUpstreams_.end()) {
+        reachedUpstreams_.push_back(upstream);
+    }
+}
+
 bool RequestTries::mayRetry(const RequestTry &requestTry, const Failure &failure)
 {
     const bool isFinal = failure.reason == Reason::Cancelled || failure.reason == Reason::DeadlinePassed
--- a/src/ingress/requesttries.h
+++ b/src/ingress/requesttries.h
@@ -107,6 +107,7 @@
     [[nodiscard]] bool permitSending(RequestTry &requestTry, CallHead &head);
     void setTimes(CallHead &head) const;
     [[nodiscard]] CallHead makeHead(const RequestTry &requestTry, const HttpRequestHead &request) const;
+    void recordReached(const UpstreamName &upstream);
     [[nodiscard]] bool reachedUpstream(const RequestTry &requestTry, const Failure &failure) const;
     void logPlacement(const RequestTry &requestTry, const PlacementChoice &choice, const Endpoint &caller,
                       std::size_t candidateCount) const;
@@ -118,14 +119,18 @@
     std::function<void()> endedListener_;
     std::vector<RequestTryPointer> runningTries_;
     std::deque<TryEnd> endedTries_;
-    /// Upstreams that may have got the request, and upstreams that declined it or can't take it.
+    /// Upstreams that may have got the request, those of them that failed it, and upstreams that declined it or can't
+    /// take it.
     std::vector<UpstreamName> reachedUpstreams_;
+    std::vector<UpstreamName> failedUpstreams_;
     std::vector<UpstreamName> declinedUpstreams_;
     /// The number of tries. It is raised to maxTries() - 1 when only upstreams that declined are left, so that no later
     /// try may be declined.
     std::uint32_t tryCount_ = 0;
     /// The upstream that last disconnected while it ran the request; empty if none did.
     UpstreamName disconnectedUpstream_;
+    /// Whether a connection that was kept open was lost, so that further tries don't use one.
+    bool needsNewConnection_ = false;
     LazyFingerprint fingerprint_;
 };
 
--- a/tests/sidecar/fakeupstream.cpp
+++ b/tests/sidecar/fakeupstream.cpp
@@ -119,7 +119,7 @@
         }
         co_return;
     }
-    if (disconnectsAfterRun) {
+    if (disconnectsAfterRun || (disconnectsAfterEach > 0 && totalRuns() % disconnectsAfterEach == 0)) {
         exchange.abort();
         co_return;
     }
--- a/tests/sidecar/fakeupstream.h
+++ b/tests/sidecar/fakeupstream.h
@@ -36,6 +36,8 @@
     Milliseconds runDuration{5};
     /// The connection is aborted once the request has run.
     bool disconnectsAfterRun = false;
+    /// The same for each run whose number is a multiple of this; zero: for none.
+    int disconnectsAfterEach = 0;
     /// Requests are neither answered nor counted, and their connections stay silent.
     bool neverAnswers = false;
     /// A run of a request for this path crashes the upstream with all requests that it holds. Empty: no request does.
