egress: calls that are cancelled at the end of the process don't reach what is gone

What they would see of a node: one that ends at its grace time with calls that wait ends by signal 11, with the answers that it still writes.

Cause: a call that waits for a turn or a slot is cancelled through an action that holds `this` of UpstreamTurns or WorkSlots. The connections of other nodes are dropped when the node is destroyed, but the event loop drops their calls (CancelOnDrop) only as it is destroyed itself, after the role.

Shown first, with real nodes: "a node whose calls wait for a turn or a slot until its process ends ends as planned" (grace of .5 and 1.2 s; cold upstreams, and warm ones whose slots are full; 9 nodes each). Change: both actions hold a weak reference to a token of the object, and do nothing without it (all other users of Cancellation::setAction() were read: they hold weak references or only what they own).

--- a/src/egress/upstreamturns.cpp
+++ b/src/egress/upstreamturns.cpp
@@ -78,8 +78,11 @@
     queue_.add(request, currentTime());
     waiters_.emplace(request.call, waiter);
     update();
-    cancellation->setAction([this, call = request.call] {
-        refuse(call, notRun(Reason::Cancelled, "cancelled while it waited for a turn"));
+    // At the end of the process, calls are cancelled when this object is gone already.
+    cancellation->setAction([this, weak = std::weak_ptr(turnTimer_), call = request.call] {
+        if (!weak.expired()) {
+            refuse(call, notRun(Reason::Cancelled, "cancelled while it waited for a turn"));
+        }
     });
     // The loop ends at once if update() has already ended the wait.
     while (!waiter->result) {
--- a/src/egress/workslots.cpp
+++ b/src/egress/workslots.cpp
@@ -44,8 +44,12 @@
     const auto waiter = std::make_shared<Waiter>(executor_, std::move(target));
     waiters_.emplace(call, waiter);
     scheduleExpiry();
-    cancellation->setAction(
-        [this, call] { removeQueued(call, notRun(Reason::Cancelled, "cancelled while it waited for a slot")); });
+    // At the end of the process, calls are cancelled when this object is gone already.
+    cancellation->setAction([this, weak = std::weak_ptr(lifetimeToken_), call] {
+        if (!weak.expired()) {
+            removeQueued(call, notRun(Reason::Cancelled, "cancelled while it waited for a slot"));
+        }
+    });
     boost::system::error_code ignored;
     co_await waiter->wakeUp.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     cancellation->clearAction();
--- a/src/egress/workslots.h
+++ b/src/egress/workslots.h
@@ -21,7 +21,7 @@
 
 /// Lets coroutines wait for one of the upstream's slots. WorkQueue decides which request gets a slot.
 ///
-/// Thread safety: none. Precondition of destruction: no coroutine waits.
+/// Thread safety: none. Precondition: no coroutine that waits is resumed after its destruction.
 class WorkSlots
 {
 public:
@@ -80,6 +80,12 @@
     void expire();
     void scheduleExpiry();
 
+    /// Exists as long as this object, so that cancellations can detect that it was destroyed.
+    struct LifetimeToken
+    {
+    };
+
+    std::shared_ptr<const LifetimeToken> lifetimeToken_ = std::make_shared<LifetimeToken>();
     WorkQueue queue_;
     boost::asio::any_io_executor executor_;
     boost::asio::steady_timer expiryTimer_;
--- a/tests/egress/upstreamturnstest.cpp
+++ b/tests/egress/upstreamturnstest.cpp
@@ -133,3 +133,18 @@
         fixture.rate.onAnswer(RequestRate(Rate));
     });
 }
+
+// Guards against a use after free at the end of a process, when calls are cancelled last.
+TEST_CASE("a call may be cancelled after the object at which it waits was destroyed")
+{
+    Fixture fixture;
+    fixture.loop.run([&]() -> asio::awaitable<void> {
+        fixture.start(1, 0, Milliseconds(5000));
+        fixture.start(2, 0, Milliseconds(5000));
+        co_await fixture.loop.sleep(Milliseconds(5));
+    });
+    fixture.turns.reset();
+    fixture.cancellations.at(1)->cancel();
+    fixture.cancellations.at(2)->cancel();
+    CHECK(fixture.results.empty());
+}
--- a/tests/soak/plannedstoptest.cpp
+++ b/tests/soak/plannedstoptest.cpp
@@ -1,6 +1,8 @@
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,8 +59,9 @@
 class StopRun
 {
 public:
-    StopRun()
-        : folder_(std::filesystem::temp_directory_path() / ("egretpath-stops-" + std::to_string(getpid())))
+    explicit StopRun(Milliseconds grace = Grace)
+        : grace_(grace)
+        , folder_(std::filesystem::temp_directory_path() / ("egretpath-stops-" + std::to_string(getpid())))
         , store_(context_.get_executor())
         , publisher_(store_, versions_, Random(1))
         , deployment_(context_, options(), store_, checker_)
@@ -120,6 +123,12 @@
         deployment_.member(node).process->signal(SIGTERM);
     }
 
+    /// Makes the upstream beside @p node cold for good.
+    void cool(NodeNumber node)
+    {
+        deployment_.member(node).upstream->statements().coldUntil = currentTime() + std::chrono::hours(1);
+    }
+
     /// Sends orders without a pause at the nodes that are not stopped, until endOrders().
     void beginOrders()
     {
@@ -135,6 +144,14 @@
     {
         return logOf(node).find("event=stop state=grace-over") != npos;
     }
+    /// The processes that ended in another way than they were asked to.
+    [[nodiscard]] std::vector<std::string> badExits() const
+    {
+        std::vector<std::string> exits;
+        std::copy_if(checker_.violations().begin(), checker_.violations().end(), std::back_inserter(exits),
+                     [](const std::string &text) { return text.find("ended by itself") != npos; });
+        return exits;
+    }
     /// How many orders ended with each status; 0: without an answer.
     [[nodiscard]] const std::map<std::uint16_t, unsigned> &orders() const { return orders_; }
 
@@ -148,7 +165,7 @@
         options.directory = folder_;
         options.network = "127." + std::to_string(100 + getpid() % 50);
         options.nodes = Nodes;
-        options.grace = Grace;
+        options.grace = grace_;
         options.work = OrderWork;
         options.hasPeerLinks = false;
         return options;
@@ -197,6 +214,7 @@
     }
 
     asio::io_context context_{1};
+    Milliseconds grace_;
     std::filesystem::path folder_;
     FaultHistory faultHistory_{Milliseconds(3000)};
     StallDetector stallDetector_{faultHistory_};
@@ -289,3 +307,27 @@
     }
     CHECK(untold == 0);
 }
+
+// Guards against a use after free at the end of a process: calls that wait are cancelled when the role is gone.
+TEST_CASE("a node whose calls wait for a turn or a slot until its process ends ends as planned")
+{
+    const Milliseconds grace = GENERATE(Milliseconds(500), Milliseconds(1200));
+    const bool areUpstreamsCold = GENERATE(true, false);
+    StopRun run(grace);
+    run.run([](StopRun &run, Milliseconds stopTime, bool areCold) -> asio::awaitable<void> {
+        co_await run.start();
+        for (NodeNumber node = FirstOrderNode; areCold && node < Nodes; node += Services) {
+            run.cool(node);
+        }
+        run.beginOrders();
+        co_await sleepFor(OrderTimeout);
+        for (NodeNumber node = FirstOrderNode; node < Nodes; node += Services) {
+            run.stopNode(node);
+        }
+        co_await sleepFor(stopTime + Milliseconds(100));
+        run.endOrders();
+        co_await sleepFor(OrderTimeout);
+    }(run, grace, areUpstreamsCold));
+    CHECK(run.badExits() == std::vector<std::string>());
+    CHECK(run.orders().at(OkStatus) > 0);
+}
