egress: a kept connection that is lost before a byte was sent keeps its verdict

The request was not run then, which is worth more to its caller than a may-have-run, and costs no token. Found on reading the diff; no test brings it about (the connection is looked at before its use). sidecar-test on repeats and crashes passes.

--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -72,7 +72,9 @@
         co_await connectAndExchange(head_.isRepeatable ? HttpConnectionChoice::Pooled : HttpConnectionChoice::Fresh);
     if (!result && isKeptConnectionLost(result.error())) {
         // Only the ingress sends it again, since it counts all repeats of its requests.
-        result = mayHaveRun(Reason::KeptConnectionLost, result.error().detail);
+        Failure failure = result.error();
+        failure.reason = Reason::KeptConnectionLost;
+        result = std::move(failure);
     }
     cancellation_->clearAction();
     CallOutcome ended = result ? std::move(result).value() : outcome(readableByIngress(result.error(), head_));
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -300,13 +300,13 @@
 
 NextStep RequestTries::recordFailure(const RequestTry &requestTry, const Failure &failure)
 {
+    const bool isKeptConnection = failure.reason == Reason::KeptConnectionLost;
+    needsNewConnection_ = needsNewConnection_ || isKeptConnection;
     if (!reachedUpstream(requestTry, failure)) {
         declinedUpstreams_.push_back(requestTry.upstream);
     } else {
         recordReached(requestTry.upstream);
         // A sound upstream closes connections that were idle for long, so that the request may go to it again.
-        const bool isKeptConnection = failure.reason == Reason::KeptConnectionLost;
-        needsNewConnection_ = needsNewConnection_ || isKeptConnection;
         if (!isKeptConnection) {
             failedUpstreams_.push_back(requestTry.upstream);
         }
