--- a/src/egress/answerreader.cpp
+++ b/src/egress/answerreader.cpp
@@ -21,8 +21,8 @@
 /// its second answers at once, over a connection that does not leave the VM.
 constexpr unsigned MaxStrayAnswers = 8;
 constexpr Milliseconds MaxStrayTime{100};
-/// The time for the body of an answer whose head proves that it is of no use. The caller waits for it.
-constexpr Milliseconds MaxUselessTime{20};
+/// The time for the body of an answer whose head shows that it is not passed on. The caller waits for it.
+constexpr Milliseconds MaxUnusedBodyTime{20};
 constexpr std::size_t MaxDroppedBytes = std::size_t{1024} * 1024;
 constexpr std::uint16_t FirstServerError = 500;
 constexpr std::uint16_t GatewayTimeoutStatus = 504;
@@ -67,7 +67,7 @@
             co_return dropped.error();
         }
     }
-    co_return endless("answers to other requests without end");
+    co_return giveUpEndless("answers to other requests without end");
 }
 
 asio::awaitable<Result<void>> AnswerReader::dropBody(Duration maxTime)
@@ -89,10 +89,10 @@
         }
         size += piece.value().size();
     }
-    co_return endless("the body of an answer that is dropped has no end");
+    co_return giveUpEndless("the body of an answer that is dropped has no end");
 }
 
-Failure AnswerReader::endless(std::string detail)
+Failure AnswerReader::giveUpEndless(std::string detail)
 {
     call_.cancel();
     role_.metrics_.count("egretpath_endless_answers_total");
@@ -105,7 +105,7 @@
     if (metadata.isWrongUpstream || metadata.isNotRun || !metadata.isAuthentic) {
         std::optional<Failure> failure = check(head.status, metadata);
         // Only a connection whose answer was read can be used again.
-        [[maybe_unused]] const Result<void> dropped = co_await dropBody(MaxUselessTime);
+        [[maybe_unused]] const Result<void> dropped = co_await dropBody(MaxUnusedBodyTime);
         co_return std::move(*failure);
     }
     std::string body;
--- a/src/egress/answerreader.h
+++ b/src/egress/answerreader.h
@@ -52,8 +52,8 @@
     /// Reads the body of an answer that is not passed on, and drops it. Errors: BadAnswer if it takes longer than
     /// @p maxTime or seems to have no end; the connection is closed then.
     boost::asio::awaitable<Result<void>> dropBody(Duration maxTime);
-    /// Ends the reading of bytes that seem to have no end.
-    [[nodiscard]] Failure endless(std::string detail);
+    /// Closes the connection, since its bytes seem to have no end, and returns the failure of the request.
+    [[nodiscard]] Failure giveUpEndless(std::string detail);
     /// Passes on an answer that begins with @p body and reads the rest of it.
     boost::asio::awaitable<Result<ReadAnswer>> streamAnswer(HttpResponseHead head, std::string body);
     boost::asio::awaitable<void> pauseReading();
--- a/src/sidecar/plannedstop.cpp
+++ b/src/sidecar/plannedstop.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/plannedstop.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Egretpath
 {
@@ -31,6 +32,12 @@
 
 }
 
+std::string_view toString(StopPhase phase)
+{
+    constexpr std::array<std::string_view, 6> Words{"serving", "draining", "closing", "expiring", "leaving", "ended"};
+    return Words.at(static_cast<std::size_t>(phase));
+}
+
 PlannedStop::PlannedStop(TimePoint startedAt, Duration grace)
     : end_(startedAt + std::max<Duration>(grace - ExitMargin, Duration{0}))
     // With a short grace time, half of it is left for the requests that the egress has taken on.
--- a/src/sidecar/plannedstop.h
+++ b/src/sidecar/plannedstop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 #include "core/clock.h"
 
@@ -23,6 +24,9 @@
     Ended,
 };
 
+/// The word for @p phase in logs. Thread safety: safe.
+[[nodiscard]] std::string_view toString(StopPhase phase);
+
 /// What is under way at a node that stops.
 struct StopActivity
 {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/sidecar.h"
 
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -204,7 +205,7 @@
         }
         state_.log.info(StructuredLine("stop").add("state", "requested"));
         callerServer_.disableKeepAlive();
-        asio::co_spawn(executor_, drain(), asio::detached);
+        asio::co_spawn(executor_, runStop(), asio::detached);
     }
 
     // Implementation of PeerService.
@@ -310,9 +311,10 @@
                 peerServer_.hasUnsentAnswers()};
     }
 
-    asio::awaitable<void> drain()
+    asio::awaitable<void> runStop()
     {
-        PlannedStop stop(currentTime(), state_.settings.grace);
+        const TimePoint startedAt = currentTime();
+        PlannedStop stop(startedAt, state_.settings.grace);
         // A request that outlasts the process would be cut off. So the ingress refuses it at once: its caller is told
         // that the request has not run, and when the next process will have started.
         ingress_.beginStop(stop.end());
@@ -322,12 +324,23 @@
             co_await timer.async_wait(asio::use_awaitable);
             while (stop.advance(currentTime(), stopActivity())) {
                 enter(stop.phase());
+                logStop(toString(stop.phase()), startedAt);
             }
         }
-        state_.log.info(StructuredLine("stop").add("state", stopActivity().hasRequests ? "grace-over" : "drained"));
+        logStop(stopActivity().hasRequests ? "grace-over" : "drained", startedAt);
         context_.stop();
     }
 
+    void logStop(std::string_view state, TimePoint startedAt)
+    {
+        StructuredLine line("stop");
+        line.add("state", state).add("after_ms", timeSince(startedAt).count());
+        line.add("egress", egress_.isIdle() ? "idle" : "busy");
+        line.add("ingress_requests", std::uint64_t{ingress_.openRequests()});
+        line.add("caller_connections", std::uint64_t{callerServer_.connectionCount()});
+        state_.log.info(line);
+    }
+
     void enter(StopPhase phase)
     {
         switch (phase) {
--- a/tests/soak/plannedstoptest.cpp
+++ b/tests/soak/plannedstoptest.cpp
@@ -203,7 +203,7 @@
         (void)co_await call.sendRequest(std::move(head), std::string());
         const auto answer = co_await call.readHead();
         const auto body = co_await call.readCompleteBody(MaxAnswer);
-        co_return answer &&body ? answer.value().status : std::uint16_t{0};
+        co_return answer.has_value() && body.has_value() ? answer.value().status : std::uint16_t{0};
     }
 
     [[nodiscard]] std::string logOf(NodeNumber node)
@@ -247,9 +247,8 @@
     return static_cast<NodeNumber>(FirstOrderNode + moment * Services);
 }
 
-/// Stops a node for each moment, and sends orders from that moment of each on.
-/// @p pause: orders are sent before that too, but none for this time, of which the last ones still take some. Nothing:
-/// no order is sent before.
+/// Stops a node for each moment, so that the orders begin at that moment of each stop.
+/// @p pause: the time without new orders before they begin, after others have been sent. Nothing: none is sent before.
 asio::awaitable<void> stopAroundOrders(StopRun &run, std::optional<Milliseconds> pause)
 {
     co_await run.start();
