http: a call that follows its answer survives several stalls of its own process

Cause: after its deadline such a call got 100 ms more if the timer fired 100 ms late or later. A stall of the process that ends less than 100 ms after the deadline got nothing, and a second stall used the 100 ms up before the answer could be read.

Change: after the deadline the event loop makes ten turns, 5 ms apart, before the call fails. What has arrived is read in a turn; a stall in between takes no turn away.

The new test varies the lateness, the length of the stalls and the number of turns before the answer.

--- a/src/http/httpclientcall.h
+++ b/src/http/httpclientcall.h
@@ -59,9 +59,10 @@
     /// Reads the complete body. Errors: also TooLarge if it is longer than @p maxSize.
     [[nodiscard]] boost::asio::awaitable<Result<std::string>> readCompleteBody(Bytes maxSize);
 
-    /// Lets the deadline follow the answer: from now on it is at least @p maxSilence after each arrival of bytes. A
-    /// deadline that passed while this process did not get to run is extended too, so that an answer which arrived
-    /// meanwhile is read. For calls whose result is worth waiting for as long as it arrives, however large it is.
+    /// Lets the deadline follow the answer: from now on it is at least @p maxSilence after each arrival of bytes. After
+    /// the deadline the event loop makes some more turns, which take 50 ms, so that an answer which arrived while this
+    /// process did not get to run is read. For calls whose result is worth waiting for as long as it arrives, however
+    /// large it is.
     void waitWhileBytesArrive(Duration maxSilence);
     /// Moves the deadline to @p deadline, for a caller that pauses between two reads.
     void setDeadline(TimePoint deadline);
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -24,9 +24,11 @@
 constexpr std::uint16_t FirstFinalStatus = 200;
 /// Informational heads before the final one, of which servers send one or two.
 constexpr unsigned MaxInformationalHeads = 16;
-/// How late a timer may fire before the process counts as having been stalled, and the time that it then gets to read
-/// what arrived meanwhile.
-constexpr Milliseconds StallTolerance{100};
+/// Turns that the event loop makes after the deadline of a call that follows its answer, and the time between them. A
+/// process that was stalled, even several times in a row, reads in these turns what arrived meanwhile. Turns are
+/// counted, since a time alone may pass in the next stall.
+constexpr unsigned MaxLateTurns = 10;
+constexpr Milliseconds LateTurnInterval{5};
 
 /// Whether a request of this method carries no framing field (Content-Length, Transfer-Encoding) when it has no body.
 bool methodImpliesNoBody(const std::string &method)
@@ -75,6 +77,7 @@
     endIdleWatch();
     parser_.reset();
     maxSilence_.reset();
+    lateTurns_ = 0;
     bytesSent_ = 0;
     isRequestFinished_ = false;
     isReused_ = true;
@@ -287,6 +290,7 @@
 {
     lastArrival_ = std::chrono::steady_clock::now();
     if (maxSilence_) {
+        lateTurns_ = 0;
         deadline_ = std::max<TimePoint>(deadline_, lastArrival_ + *maxSilence_);
         timer_.expireAt(deadline_);
     }
@@ -320,10 +324,9 @@
         onExpired();
         return;
     }
-    // A timer that fires late shows that this process did not run. An answer may have arrived meanwhile.
-    if (maxSilence_ && std::chrono::steady_clock::now() - deadline_ > StallTolerance) {
-        deadline_ = std::chrono::steady_clock::now() + StallTolerance;
-        timer_.expireAt(deadline_);
+    if (maxSilence_ && lateTurns_ < MaxLateTurns) {
+        ++lateTurns_;
+        timer_.expireAfter(LateTurnInterval);
         return;
     }
     hasTimedOut_ = true;
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -86,6 +86,8 @@
     TimePoint deadline_ = TimePoint::max();
     /// Set if the deadline follows the arrival of bytes.
     std::optional<Duration> maxSilence_;
+    /// Turns of the event loop since the deadline of a call that follows its answer.
+    unsigned lateTurns_ = 0;
     TimePoint lastArrival_;
 
     std::optional<ResponseParser> parser_;
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -1,5 +1,7 @@
 #include "http/httpconnectionpool.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <memory>
@@ -232,6 +234,43 @@
     });
 }
 
+// A process that reads the platform's store is stalled until after the deadline of its call, and gets to run only now
+// and then after that. Guards against a reader that takes its own lack of processor time for a silent store, since one
+// more stall follows the first.
+TEST_CASE("a call that follows its answer reads it after several stalls of its own process")
+{
+    constexpr Milliseconds Timeout{200};
+    const int lateness = GENERATE(0, 20, 90, 130, 600);
+    const int stall = GENERATE(15, 40, 110);
+    const int turnsBeforeAnswer = GENERATE(1, 3, 5);
+    CAPTURE(lateness, stall, turnsBeforeAnswer);
+    EventLoop loop;
+    HttpConnectionPool pool(loop.executor(), {});
+    const auto answerLate = [&](RawConnection &server) -> asio::awaitable<void> {
+        (void)co_await server.receiveUntil("\r\n\r\n");
+        std::this_thread::sleep_for(Timeout + Milliseconds(lateness));
+        for (int turn = 0; turn < turnsBeforeAnswer; ++turn) {
+            co_await loop.sleep(Milliseconds(1));
+            std::this_thread::sleep_for(Milliseconds(stall));
+        }
+        co_await server.send("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+    };
+    loop.run([&]() -> asio::awaitable<void> {
+        RawListener listener(loop.executor());
+        auto opened = co_await pool.open(listener.endpoint(), testDeadline(Timeout));
+        REQUIRE(opened);
+        HttpClientCall &call = *opened.value();
+        call.waitWhileBytesArrive(Timeout);
+        requireAwaited(co_await call.sendRequest({}, {}));
+        RawConnection server = co_await listener.accept();
+        asio::co_spawn(loop.executor(), answerLate(server), asio::detached);
+        requireAwaited(co_await call.readHead());
+        const auto body = co_await call.readCompleteBody(Bytes(1000));
+        REQUIRE(body);
+        CHECK(body.value() == "ok");
+    });
+}
+
 // The process is paused after it connected, until after the call's deadline. The caller got the verdict NotRun. When
 // the process resumes, the write runs before the overdue timer fires, and must not send the request.
 TEST_CASE("no first byte is sent after the deadline, even before the timer fires")
