--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -467,3 +467,104 @@
     CHECK(fixture.sink.changedIds.size() == Upstreams);
     CHECK(fixture.sink.listReads == 1);
 }
+
+namespace
+{
+
+/// A change has to be in force at all nodes within two seconds; its way from the reader to the others may take 0.5 s of
+/// them (propagationtest).
+constexpr Milliseconds MaxReaderDelay{1500};
+
+}
+
+// Guards against a reader that waits for an answer which the store has lost, and tells its region for up to 27 s that
+// there is no update. Answers are lost for a while, and the store is in order again afterwards.
+TEST_CASE("a change whose answer the store has lost is read soon, and so are later ones", "[.lost]")
+{
+    const Milliseconds waited(GENERATE(20, 200, 270, 1100, 2790));
+    const Milliseconds lostFor(GENERATE(10, 900));
+    CAPTURE(waited.count(), lostFor.count());
+    Fixture fixture;
+    fixture.store.put("op/config", routesText("05"));
+    fixture.store.put("servers/i-1", entryText("ready"));
+    fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+    REQUIRE(fixture.runUntil([&] { return fixture.store.requestedWaits().size() == 2; }));
+    fixture.context.run_for(waited);
+    fixture.store.setWatchAnswersLost(true);
+    fixture.store.put("op/config", routesText("06"));
+    fixture.store.put("op/evacuate/north-a", "{}");
+    fixture.store.put("servers/i-2", entryText("ready"));
+    fixture.context.run_for(lostFor);
+    fixture.store.setWatchAnswersLost(false);
+    const auto isRead = [&fixture](RouteVersion version, const std::string &id) {
+        const std::vector<std::string> &ids = fixture.sink.changedIds;
+        return fixture.sink.version == version && !ids.empty() && ids.back() == id;
+    };
+    CHECK(fixture.runUntil([&] { return isRead(RouteVersion(6), "i-2"); }, MaxReaderDelay));
+    CHECK(fixture.sink.evacuated.contains(ZoneName("north-a")));
+    fixture.context.run_for(Milliseconds(300));
+    fixture.store.put("op/config", routesText("07"));
+    fixture.store.put("servers/i-3", entryText("ready"));
+    CHECK(fixture.runUntil([&] { return isRead(RouteVersion(7), "i-3"); }, Milliseconds(400)));
+    CHECK(fixture.sink.losses == 0);
+}
+
+// Guards against a reader whose second call for a lost answer is lost too, so that it waits for that one.
+TEST_CASE("a change is read soon after the store has ceased to lose answers, however many were lost", "[.lost]")
+{
+    const Milliseconds lostFor(GENERATE(450, 1050, 1600, 2600, 4500));
+    CAPTURE(lostFor.count());
+    Fixture fixture;
+    fixture.store.put("op/config", routesText("05"));
+    fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+    REQUIRE(fixture.runUntil([&] { return fixture.store.requestedWaits().size() == 2; }));
+    fixture.store.setWatchAnswersLost(true);
+    fixture.store.put("op/config", routesText("06"));
+    fixture.context.run_for(lostFor);
+    fixture.store.setWatchAnswersLost(false);
+    CHECK(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(6); }, MaxReaderDelay));
+    CHECK(fixture.sink.losses == 0);
+}
+
+// Guards against a reader that takes a slow store for one that loses answers, and gives up the call that would have
+// brought the change.
+TEST_CASE("a slow store is not taken for one that loses answers", "[.lost]")
+{
+    const Milliseconds delay(GENERATE(300, 1000, 1600));
+    CAPTURE(delay.count());
+    Fixture fixture;
+    fixture.store.put("op/config", routesText("05"));
+    fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+    REQUIRE(fixture.runUntil([&] { return fixture.store.requestedWaits().size() == 2; }));
+    fixture.store.setWatchDelay(delay);
+    fixture.context.run_for(Milliseconds(700));
+    fixture.store.put("op/config", routesText("06"));
+    CHECK(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(6); }, delay + Milliseconds(300)));
+    CHECK(fixture.sink.silentWatches == 0);
+    CHECK(fixture.sink.losses == 0);
+}
+
+// Guards against calls for lost answers that cost more than what they guard: readers of large regions make them too.
+TEST_CASE("a reader makes calls for lost answers only while the store changes, one a second for each watch", "[.lost]")
+{
+    constexpr int Changes = 20;
+    constexpr Milliseconds ChangeInterval{200};
+    constexpr Milliseconds QuietTime{3000};
+    Fixture fixture;
+    fixture.store.put("op/config", routesText("05"));
+    fixture.watcher.resume(StoreRevision(), false, MaxInterval);
+    REQUIRE(fixture.runUntil([&] { return fixture.store.requestedWaits().size() == 2; }));
+    fixture.context.run_for(QuietTime);
+    CHECK(fixture.sink.callsByName["check"] == 0);
+    for (int change = 0; change < Changes; ++change) {
+        fixture.store.put("servers/i-" + std::to_string(change), entryText("ready"));
+        fixture.context.run_for(ChangeInterval);
+    }
+    CHECK(fixture.sink.callsByName["check"] <= 2 * Changes * ChangeInterval / Milliseconds(1000));
+    fixture.context.run_for(QuietTime);
+    const int checks = fixture.sink.callsByName["check"];
+    fixture.context.run_for(QuietTime);
+    CHECK(fixture.sink.callsByName["check"] == checks);
+    CHECK(fixture.sink.silentWatches == 0);
+    CHECK(fixture.sink.losses == 0);
+}
--- a/tests/standins/standinstore.cpp
+++ b/tests/standins/standinstore.cpp
@@ -155,8 +155,13 @@
     const std::uint64_t wait = std::min(target.number("wait_ms").value_or(0), MaxWait);
     requestedWaits_.push_back(wait);
     co_await waitForChange(exchange, prefix, after, currentTime() + Milliseconds(wait));
+    if (watchDelay_ > Duration::zero()) {
+        co_await sleepFor(watchDelay_);
+    }
     if (mode_ == StoreMode::Down) {
         exchange.abort();
+    } else if (areWatchAnswersLost_ && hasChange(prefix, after)) {
+        co_await loseAnswer(exchange);
     } else if (after < compactedRevision_) {
         co_await answer(exchange, HistoryGoneStatus, "{}");
     } else {
@@ -189,7 +194,7 @@
         co_await sleepFor(delay_);
     }
     if (mode_ == StoreMode::AnswersLost) {
-        exchange.abort();
+        co_await loseAnswer(exchange);
         co_return;
     }
     HttpResponseHead head(status);
@@ -197,6 +202,15 @@
     (void)co_await exchange.respond(std::move(head), std::move(body));
 }
 
+asio::awaitable<void> StandinStore::loseAnswer(HttpExchange &exchange)
+{
+    exchange.onCallerDisconnected([this] { changed_.cancel(); });
+    while (!exchange.callerDisconnected()) {
+        boost::system::error_code ignored;
+        co_await changed_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 bool StandinStore::hasChange(const std::string &prefix, std::uint64_t after) const
 {
     return std::any_of(history_.rbegin(), history_.rend(),
--- a/tests/standins/standinstore.h
+++ b/tests/standins/standinstore.h
@@ -27,7 +27,7 @@
     Busy,
     /// Answers are delayed by the time that StandinStore::setDelay() sets.
     Slow,
-    /// Calls are executed, but their connections are closed without an answer.
+    /// Calls are executed, but their answers are lost: the connections stay open and bring nothing further.
     AnswersLost,
 };
 
@@ -47,8 +47,12 @@
     [[nodiscard]] bool contains(const std::string &key) const { return items_.contains(key); }
     void setMode(StoreMode mode);
     void setDelay(Duration delay) { delay_ = delay; }
+    /// Delays the answers of watches, while all other calls are answered at once.
+    void setWatchDelay(Duration delay) { watchDelay_ = delay; }
     /// Whether watches hang, though the store answers all other calls.
     void setWatchesSilent(bool silent);
+    /// Whether the answers of watches that bring changes are lost, while all other calls are answered.
+    void setWatchAnswersLost(bool lost) { areWatchAnswersLost_ = lost; }
     /// Discards the history of changes. A watch that starts from an earlier revision gets an error status.
     void compact();
     /// The wait times that watches have asked for so far, in milliseconds.
@@ -80,6 +84,8 @@
     [[nodiscard]] bool hasChange(const std::string &prefix, std::uint64_t after) const;
     [[nodiscard]] std::string rangeText(const std::string &prefix, const std::string &after) const;
     [[nodiscard]] std::string changesText(const std::string &prefix, std::uint64_t after) const;
+    /// Leaves the call without an answer until the caller closes the connection.
+    [[nodiscard]] boost::asio::awaitable<void> loseAnswer(HttpExchange &exchange);
     void record(Change change);
 
     boost::asio::any_io_executor executor_;
@@ -92,7 +98,9 @@
     std::vector<std::uint64_t> requestedWaits_;
     StoreMode mode_ = StoreMode::Up;
     bool areWatchesSilent_ = false;
+    bool areWatchAnswersLost_ = false;
     Duration delay_ = Milliseconds(300);
+    Duration watchDelay_ = Duration::zero();
     /// Never expires. Cancelled when something changes.
     boost::asio::steady_timer changed_;
 };
