soak: a kind of fault that loses the answers of watches only

store-answers-lost loses pings too, so that the store counts as lost and is read anew. The new kind loses what only a watch brings.

--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -66,6 +66,7 @@
     {FaultKind::StoreAnswersLost, &FaultInjector::impairStore, FaultCategory::Store, true},
     {FaultKind::StoreCompact, &FaultInjector::compactStore, FaultCategory::Store, true},
     {FaultKind::StoreWatchesHang, &FaultInjector::hangWatches, FaultCategory::Store, true},
+    {FaultKind::StoreWatchAnswersLost, &FaultInjector::loseWatchAnswers, FaultCategory::Store, true},
     {FaultKind::UpstreamSlow, &FaultInjector::impairUpstream, FaultCategory::Upstream, false},
     {FaultKind::UpstreamFailing, &FaultInjector::impairUpstream, FaultCategory::Upstream, false},
     {FaultKind::UpstreamAnswersLost, &FaultInjector::impairUpstream, FaultCategory::Upstream, false},
@@ -277,6 +278,13 @@
     store_.setWatchesSilent(false);
 }
 
+asio::awaitable<void> FaultInjector::loseWatchAnswers(PlannedFault fault)
+{
+    store_.setWatchAnswersLost(true);
+    co_await sleepFor(fault.length);
+    store_.setWatchAnswersLost(false);
+}
+
 asio::awaitable<void> FaultInjector::compactStore(PlannedFault /*fault*/)
 {
     store_.compact();
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -56,6 +56,7 @@
     boost::asio::awaitable<void> impairStore(PlannedFault fault);
     boost::asio::awaitable<void> compactStore(PlannedFault fault);
     boost::asio::awaitable<void> hangWatches(PlannedFault fault);
+    boost::asio::awaitable<void> loseWatchAnswers(PlannedFault fault);
     boost::asio::awaitable<void> impairUpstream(PlannedFault fault);
     boost::asio::awaitable<void> replaceUpstream(PlannedFault fault);
     boost::asio::awaitable<void> crashUpstream(PlannedFault fault);
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -48,6 +48,7 @@
     "upstream-limits",
     "upstream-leaves-by-answer",
     "store-watches-hang",
+    "store-watch-answers-lost",
 };
 
 /// Faults last 0.3 to 4 s. This range includes times shorter and longer than the timeouts between nodes and than a
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -54,9 +54,10 @@
     UpstreamLimits,
     UpstreamLeavesByAnswer,
     StoreWatchesHang,
+    StoreWatchAnswersLost,
 };
 
-inline constexpr std::size_t FaultKindCount = 38;
+inline constexpr std::size_t FaultKindCount = 39;
 
 [[nodiscard]] std::string_view toString(FaultKind kind);
 /// Returns nothing for an unknown name. Thread safety: safe.
