platform, sidecar: the log tells a lost answer from watches that hang; one word for the call that doubts a watch

"watch-silent" said nothing of its cause: it names the watched keys, the call that found it and how long the watch had waited now, and a test holds the call apart. "Check" meant both the ping and the second watch: the second one is a doubt in names and in egretpath_store_calls_total{call="doubt"}.

--- a/src/instances/catalogtimes.h
+++ b/src/instances/catalogtimes.h
@@ -21,7 +21,7 @@
     Milliseconds storeOverdueTime{200};
     /// Shortest interval between calls that ask for changes which a waiting watch should have brought. Each costs a
     /// call, and is made only while the store is ahead of the watch, which changes under other keys cause too.
-    Milliseconds watchCheckInterval{1000};
+    Milliseconds watchDoubtInterval{1000};
     /// The store must be unreachable for this long before it counts as lost. Most losses are one refused call.
     Milliseconds storeLossTolerance{250};
     /// Timeout of a query that is answered at once.
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -75,7 +75,7 @@
     void onStoreCalled(std::string_view call, std::string_view outcome) override { log_.countStoreCall(call, outcome); }
     void onStoreAnswered() override;
     void onStoreOverdue() override;
-    void onWatchSilent() override { log_.logWatchSilent(); }
+    void onWatchSilent(const SilentWatch &silent) override { log_.logWatchSilent(silent); }
 
 private:
     boost::asio::awaitable<void> runPeriodicChecks();
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -186,9 +186,13 @@
     metrics_.count("egretpath_store_overdue_total");
 }
 
-void CatalogLog::logWatchSilent()
+void CatalogLog::logWatchSilent(const SilentWatch &silent)
 {
-    log_.info(StructuredLine("platform").add("state", "watch-silent"));
+    log_.info(StructuredLine("platform")
+                  .add("state", "watch-silent")
+                  .add("keys", silent.keys)
+                  .add("found_by", silent.foundBy)
+                  .add("waited_ms", millisecondsOf(silent.waited)));
     metrics_.count("egretpath_store_watch_silent_total");
 }
 
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -10,6 +10,7 @@
 #include "instances/storestate.h"
 #include "routes/routetable.h"
 #include "settings/sidecarsettings.h"
+#include "sidecar/catalogsource.h"
 #include "telemetry/eventlog.h"
 #include "telemetry/metrics.h"
 
@@ -77,8 +78,8 @@
     void logSourceLost(std::string_view reason, Duration silentFor);
     /// The store is late with an answer.
     void logStoreOverdue(Duration silentFor);
-    /// A read of the store brought changes that its watch had not brought.
-    void logWatchSilent();
+    /// A call to the store brought changes that a watch which waits had not brought.
+    void logWatchSilent(const SilentWatch &silent);
     void logSourceRestored(Duration lostFor);
     void logCatchUp(const Endpoint &peer);
     void logRefusedEntry(std::string_view key, std::string_view reason);
--- a/src/sidecar/catalogsource.h
+++ b/src/sidecar/catalogsource.h
@@ -28,6 +28,18 @@
     Milliseconds parseTime{0};
 };
 
+/// A watch that did not bring changes which another call brought. Both texts are for the log.
+struct SilentWatch
+{
+    /// The first part of the watched keys.
+    std::string_view keys;
+    /// The call that brought the changes. A "second-watch" shows that an answer was lost. A "read", which is made in a
+    /// series of changes only, shows that, or that the store's watches hang.
+    std::string_view foundBy;
+    /// How long the watch had waited.
+    Duration waited = Duration::zero();
+};
+
 /// Receives what a CatalogSource reads. Thread safety: none.
 class CatalogSink
 {
@@ -54,8 +66,8 @@
     virtual void onStoreAnswered() = 0;
     /// An answer of the store takes unusually long. Whether the store is lost is not known yet.
     virtual void onStoreOverdue() = 0;
-    /// A read of the store brought changes that its watch had not brought.
-    virtual void onWatchSilent() = 0;
+    /// A call to the store brought changes that a watch which waits had not brought.
+    virtual void onWatchSilent(const SilentWatch &silent) = 0;
 };
 
 /// Reads routes, evacuations and the instance list from a platform's store. One implementation for each platform.
--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -91,7 +91,11 @@
     }
     void onStoreAnswered() override { ++answers; }
     void onStoreOverdue() override { ++overdueAnswers; }
-    void onWatchSilent() override { ++silentWatches; }
+    void onWatchSilent(const SilentWatch &silent) override
+    {
+        ++silentWatches;
+        ++silentWatchesByCall[std::string(silent.foundBy)];
+    }
 
     EvacuatedZones evacuated;
     RouteVersion version;
@@ -107,6 +111,7 @@
     int answers = 0;
     int overdueAnswers = 0;
     int silentWatches = 0;
+    std::map<std::string, int> silentWatchesByCall;
 };
 
 /// A stand-in store, a relay in front of it, and a watcher that reads through the relay.
@@ -425,6 +430,7 @@
     }
     CHECK(fixture.sink.losses == 0);
     CHECK(fixture.sink.silentWatches == 2);
+    CHECK(fixture.sink.silentWatchesByCall["read"] == 2);
     fixture.store.setWatchesSilent(false);
     fixture.store.put("op/config", routesText(LastVersion + 3));
     CHECK(fixture.runUntil([&] { return fixture.sink.version == RouteVersion(LastVersion + 3); }));
@@ -502,6 +508,7 @@
     };
     CHECK(fixture.runUntil([&] { return isRead(RouteVersion(6), "i-2"); }, MaxReaderDelay));
     CHECK(fixture.sink.evacuated.contains(ZoneName("north-a")));
+    CHECK(fixture.sink.silentWatchesByCall == std::map<std::string, int>{{"second-watch", 2}});
     fixture.context.run_for(Milliseconds(300));
     fixture.store.put("op/config", routesText("07"));
     fixture.store.put("servers/i-3", entryText("ready"));
@@ -555,16 +562,16 @@
     fixture.watcher.resume(StoreRevision(), false, MaxInterval);
     REQUIRE(fixture.runUntil([&] { return fixture.store.requestedWaits().size() == 2; }));
     fixture.context.run_for(QuietTime);
-    CHECK(fixture.sink.callsByName["check"] == 0);
+    CHECK(fixture.sink.callsByName["doubt"] == 0);
     for (int change = 0; change < Changes; ++change) {
         fixture.store.put("servers/i-" + std::to_string(change), entryText("ready"));
         fixture.context.run_for(ChangeInterval);
     }
-    CHECK(fixture.sink.callsByName["check"] <= 2 * Changes * ChangeInterval / Milliseconds(1000));
+    CHECK(fixture.sink.callsByName["doubt"] <= 2 * Changes * ChangeInterval / Milliseconds(1000));
     fixture.context.run_for(QuietTime);
-    const int checks = fixture.sink.callsByName["check"];
+    const int doubts = fixture.sink.callsByName["doubt"];
     fixture.context.run_for(QuietTime);
-    CHECK(fixture.sink.callsByName["check"] == checks);
+    CHECK(fixture.sink.callsByName["doubt"] == doubts);
     CHECK(fixture.sink.silentWatches == 0);
     CHECK(fixture.sink.losses == 0);
 }
