--- a/tests/soak/stoppedorderstest.cpp
+++ b/tests/soak/stoppedorderstest.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t Nodes = 18;
 /// Nodes that take the orders and are stopped. None is beside an upstream that runs them.
 constexpr std::array<NodeNumber, 3> StoppedNodes{0, 2, 3};
+/// When the orders of each of these nodes become slow, in percent of the grace time.
+constexpr std::array<int, StoppedNodes.size()> SlowFromPercent{0, 55, 75};
 constexpr unsigned OrdersPerNode = 120;
 constexpr unsigned TrainingOrders = 25;
 /// Callers that send one order after the other, so that the node is never idle before its grace time ends.
@@ -57,8 +59,8 @@
         runs_[request.attempt].begin = currentTime();
     }
     void onRunFinished(const RequestId &attempt) override { runs_[attempt].end = currentTime(); }
-    void onAnswered(const UpstreamAnswer & /*answer*/) override {}
-    void onCrashedBy(const UpstreamName & /*upstream*/, const ArrivedRequest & /*request*/) override {}
+    void onAnswered(const UpstreamAnswer & /*answer*/) override { }
+    void onCrashedBy(const UpstreamName & /*upstream*/, const ArrivedRequest & /*request*/) override { }
 
     [[nodiscard]] std::optional<Run> find(const RequestId &request) const
     {
@@ -142,9 +144,8 @@
     }
     [[nodiscard]] std::size_t count(std::uint16_t status) const
     {
-        return static_cast<std::size_t>(std::count_if(ended_.begin(), ended_.end(), [status](const EndedOrder &order) {
-            return order.status == status;
-        }));
+        return static_cast<std::size_t>(std::count_if(
+            ended_.begin(), ended_.end(), [status](const EndedOrder &order) { return order.status == status; }));
     }
     /// The orders that were cut and that the log of their node does not name.
     [[nodiscard]] std::vector<std::string> unnamed() const
@@ -249,12 +250,19 @@
             plan.sending = Sending::KeptConnection;
         }
         plan.at = Milliseconds(random_() % static_cast<std::uint64_t>(grace_.count()));
-        // Upstreams are sound, but for two thirds of the orders slower than they were before.
         const auto longest = static_cast<std::uint64_t>(std::min(grace_, plan.route->timeout).count());
-        plan.work = random_() % 3 == 0 ? UsualWork : UsualWork + Milliseconds(random_() % longest);
+        const bool isSlow = plan.at >= slowFrom(node) && random_() % 3 != 0;
+        plan.work = isSlow ? UsualWork + Milliseconds(random_() % longest) : UsualWork;
         return plan;
     }
 
+    /// Upstreams are sound, but after this moment of the node's stop most orders take longer than any did before.
+    [[nodiscard]] Milliseconds slowFrom(NodeNumber node) const
+    {
+        const auto position = std::find(StoppedNodes.begin(), StoppedNodes.end(), node) - StoppedNodes.begin();
+        return grace_ / 100 * SlowFromPercent.at(static_cast<std::size_t>(position));
+    }
+
     [[nodiscard]] HttpRequestHead makeHead(const PlannedOrder &plan)
     {
         return run_.makeHead(plan.route->kind == RequestKind::Safe ? "GET" : "POST",
