--- /dev/null
+++ b/tests/http/httpserverclosingtest.cpp
@@ -0,0 +1,168 @@
+#include "http/httpserver.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "awaitedcheck.h"
+#include "eventloop.h"
+#include "rawconnection.h"
+
+using namespace Egretpath;
+namespace asio = boost::asio;
+
+namespace
+{
+
+const std::string Get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+/// The system takes an answer of this size at once, but its caller gets most of it only while it reads.
+constexpr std::size_t LargeBody = std::size_t{1} * 1024 * 1024;
+
+/// Answers every request with a large body and counts the requests.
+struct LargeAnswers
+{
+    explicit LargeAnswers(EventLoop &loop)
+        : server(std::make_unique<HttpServer>(loop.executor(), HttpLimits(),
+                                              [this](HttpExchange &exchange) { return answer(exchange); }))
+        , endpoint(server->listen(Endpoint("127.0.0.1:0")).value())
+    {
+    }
+
+    asio::awaitable<void> answer(HttpExchange &exchange)
+    {
+        ++handled;
+        const auto sent = co_await exchange.respond({}, std::string(LargeBody, 'x'));
+        answered += sent ? 1 : 0;
+    }
+
+    int handled = 0;
+    int answered = 0;
+    std::unique_ptr<HttpServer> server;
+    Endpoint endpoint;
+};
+
+/// Returns the bytes of the body in @p answer, which has only one.
+std::size_t bodyBytes(const std::string &answer)
+{
+    const std::size_t end = answer.find("\r\n\r\n");
+    return end == std::string::npos ? 0 : answer.size() - end - 4;
+}
+
+}
+
+// Guards against a caller that loses the end of its answer because it sent something while the server closed the
+// connection.
+TEST_CASE("an answer that closes the connection arrives whole although the caller sends more")
+{
+    EventLoop loop;
+    LargeAnswers answers(loop);
+    std::string answer;
+    loop.run([&]() -> asio::awaitable<void> {
+        RawConnection caller(loop.executor());
+        co_await caller.connect(answers.endpoint);
+        answers.server->disableKeepAlive();
+        co_await caller.send(Get);
+        checkAwaited(co_await loop.waitUntil([&] { return answers.answered == 1; }));
+        co_await loop.sleep(Milliseconds(20));
+        co_await caller.send(Get);
+        co_await loop.sleep(Milliseconds(20));
+        answer = co_await caller.receiveAll();
+    });
+    CHECK(bodyBytes(answer) == LargeBody);
+    CHECK(answers.handled == 1);
+}
+
+// Guards against a process that ends and takes back the answers that it has just given.
+TEST_CASE("an answer that was given before the server ends arrives whole")
+{
+    const bool hasAskedAgain = GENERATE(false, true);
+    EventLoop loop;
+    LargeAnswers answers(loop);
+    std::string answer;
+    loop.run([&]() -> asio::awaitable<void> {
+        RawConnection caller(loop.executor());
+        co_await caller.connect(answers.endpoint);
+        co_await caller.send(Get);
+        checkAwaited(co_await loop.waitUntil([&] { return answers.answered == 1; }));
+        if (hasAskedAgain) {
+            answers.server->stopAccepting();
+            co_await caller.send("GET /b HT");
+        }
+        answers.server.reset();
+        co_await loop.sleep(Milliseconds(20));
+        answer = co_await caller.receiveAll();
+    });
+    CHECK(bodyBytes(answer) == LargeBody);
+}
+
+// Guards against a request that is run for nobody: its caller sends it again, since the answer before it closes the
+// connection.
+TEST_CASE("a request that comes behind an answer which closes the connection is not handled")
+{
+    EventLoop loop;
+    int handled = 0;
+    bool isSecondSent = false;
+    HttpServer server(loop.executor(), {}, [&](HttpExchange &exchange) -> asio::awaitable<void> {
+        ++handled;
+        (void)co_await exchange.startResponse({}, std::nullopt);
+        (void)co_await exchange.writeBody("first ");
+        checkAwaited(co_await loop.waitUntil([&] { return isSecondSent; }));
+        co_await loop.sleep(Milliseconds(20));
+        (void)co_await exchange.writeBody("last");
+        (void)co_await exchange.finishResponse();
+    });
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    server.disableKeepAlive();
+    std::string answer;
+    loop.run([&]() -> asio::awaitable<void> {
+        RawConnection caller(loop.executor());
+        co_await caller.connect(endpoint);
+        co_await caller.send(Get);
+        answer = co_await caller.receiveUntil("first \r\n");
+        co_await caller.send(Get);
+        isSecondSent = true;
+        answer += co_await caller.receiveAll();
+    });
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(answer.ends_with("4\r\nlast\r\n0\r\n\r\n"));
+    CHECK(handled == 1);
+}
+
+// Guards against an answer that is broken off because the body of the request behind it stalls.
+TEST_CASE("an answer under way goes on while the request behind it stalls")
+{
+    EventLoop loop;
+    HttpLimits limits;
+    limits.idleTime = Milliseconds(200);
+    limits.headerReadTime = Milliseconds(200);
+    const std::string stalled = GENERATE(std::string("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc"),
+                                         std::string("GET /b HTTP/1.1\r\nHo"));
+    HttpServer server(loop.executor(), limits, [&](HttpExchange &exchange) -> asio::awaitable<void> {
+        if (exchange.head().target == "/b") {
+            (void)co_await exchange.readBody();
+            const auto more = co_await exchange.readBody();
+            (void)co_await exchange.respond(HttpResponseHead(more ? 200 : 408), "b");
+            co_return;
+        }
+        (void)co_await exchange.respond({}, std::string(8 * LargeBody, 'x'));
+    });
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    std::string answer;
+    loop.run([&]() -> asio::awaitable<void> {
+        RawConnection caller(loop.executor());
+        co_await caller.connect(endpoint);
+        co_await caller.send(Get + stalled);
+        // The caller takes its answer slowly, but never pauses for as long as the limit.
+        std::string piece;
+        do {
+            piece = co_await caller.receiveSome(256 * 1024);
+            answer += piece;
+            co_await loop.sleep(Milliseconds(15));
+        } while (!piece.empty());
+    });
+    CHECK(answer.find("HTTP/1.1 408") > 8 * LargeBody);
+    CHECK(answer.size() > 8 * LargeBody);
+}
--- a/tests/http/rawconnection.cpp
+++ b/tests/http/rawconnection.cpp
@@ -41,6 +41,16 @@
     return receiveUntil({});
 }
 
+asio::awaitable<std::string> RawConnection::receiveSome(std::size_t maxBytes)
+{
+    std::string piece(maxBytes, '\0');
+    boost::system::error_code ignored;
+    const std::size_t count =
+        co_await socket_.async_read_some(asio::buffer(piece), asio::redirect_error(asio::use_awaitable, ignored));
+    piece.resize(count);
+    co_return piece;
+}
+
 asio::awaitable<std::string> RawConnection::receiveUntil(std::string end)
 {
     std::string received;
--- a/tests/http/rawconnection.h
+++ b/tests/http/rawconnection.h
@@ -22,6 +22,8 @@
     [[nodiscard]] boost::asio::awaitable<void> send(std::string bytes);
     /// Returns the bytes that arrive until the other side closes the connection.
     [[nodiscard]] boost::asio::awaitable<std::string> receiveAll();
+    /// Returns the next bytes that arrive, at most @p maxBytes; empty once the other side has closed the connection.
+    [[nodiscard]] boost::asio::awaitable<std::string> receiveSome(std::size_t maxBytes);
     /// Returns the bytes that arrive until they end with @p end or the other side closes the connection.
     [[nodiscard]] boost::asio::awaitable<std::string> receiveUntil(std::string end);
     void close();
