admission, sidecar: a stopping node takes what its deadline ends in time; estimates only until callers can know

Cause: StopAdmission took a request whose deadline lies behind the process's end if twice the longest recent answer of its route fitted. The longest answer that one node has seen bounds nothing: an upstream that turns slower than ever outlives the process.

Now: a request is taken if its deadline (route's timeout or caller's) passes before answers are due, .2 s before the process ends. The estimate counts only until the node drains (2.4 s, half of a grace time under 5 s): until then callers can't know of the stop, and routes with timeouts beyond the grace time would be refused altogether.

--- a/src/admission/stopadmission.cpp
+++ b/src/admission/stopadmission.cpp
@@ -35,9 +35,10 @@
     }
 }
 
-void StopAdmission::begin(TimePoint end)
+void StopAdmission::begin(TimePoint answersDue, TimePoint estimatesUntil)
 {
-    end_ = end;
+    answersDue_ = answersDue;
+    estimatesUntil_ = estimatesUntil;
 }
 
 std::optional<StopBasis> StopAdmission::accepts(const RouteName &route, TimePoint deadline, TimePoint now) const
@@ -45,20 +46,23 @@
     if (isClosed_) {
         return std::nullopt;
     }
-    if (end_ == TimePoint::max()) {
+    if (answersDue_ == TimePoint::max()) {
         return StopBasis::NotStopping;
     }
-    if (deadline <= end_) {
+    if (deadline <= answersDue_) {
         return StopBasis::Deadline;
     }
     const auto longest = longestAnswers_.find(route);
-    const bool fits = longest != longestAnswers_.end() && now + scaled(longest->second, LongestAnswerMargin) <= end_;
-    return fits ? std::optional(StopBasis::Estimate) : std::nullopt;
+    if (now >= estimatesUntil_ || longest == longestAnswers_.end()) {
+        return std::nullopt;
+    }
+    const bool hasRoom = now + scaled(longest->second, LongestAnswerMargin) <= answersDue_;
+    return hasRoom ? std::optional(StopBasis::Estimate) : std::nullopt;
 }
 
 Duration StopAdmission::timeLeft(TimePoint now) const
 {
-    return end_ == TimePoint::max() ? Duration{0} : std::max(end_ - now, Duration{0});
+    return answersDue_ == TimePoint::max() ? Duration{0} : std::max(answersDue_ - now, Duration{0});
 }
 
 }
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -62,8 +62,9 @@
     void setMayLackRoutes(std::function<bool()> mayLackRoutes) { context_->mayLackRoutes = std::move(mayLackRoutes); }
     /// Calls @p listener when a request is refused because no routes are active yet.
     void onNoRoutes(std::function<void()> listener) { context_->noRoutesListener = std::move(listener); }
-    /// Announces that the process ends at @p end at the latest. From now on, requests that may take longer are refused.
-    void beginStop(TimePoint end) { context_->stop.begin(end); }
+    /// Begins a planned stop. From now on, requests that may not be answered at @p answersDue are refused; see
+    /// StopAdmission::begin().
+    void beginStop(TimePoint answersDue, TimePoint estimatesUntil) { context_->stop.begin(answersDue, estimatesUntil); }
     /// Refuses all new requests from now on.
     void close() { context_->stop.close(); }
     /// Returns the services that are short of capacity, in the form "ordering/1=2": its requests of priority 1 make at
--- a/src/sidecar/plannedstop.cpp
+++ b/src/sidecar/plannedstop.cpp
@@ -18,12 +18,15 @@
 constexpr Milliseconds SettleTime{50};
 /// The process exits by itself this long before the end of the grace time. SIGKILL at its end would cut off what the
 /// process still writes.
-constexpr Milliseconds ExitMargin{250};
-/// The time for the refusals of requests that still wait when no time is left.
-constexpr Milliseconds ExpiryTime{100};
+constexpr Milliseconds MaxExitMargin{250};
+/// The time for answers and refusals that are written when no time is left.
+constexpr Milliseconds MaxExpiryTime{100};
 /// How long other nodes have to leave: calls that are on their way are still refused in this time. Several times the
 /// way between two regions.
-constexpr Milliseconds LeaveTime{100};
+constexpr Milliseconds MaxLeaveTime{100};
+/// With a short grace time, these times are no larger parts of it, so that most of it is left for requests.
+constexpr int ExitMarginParts = 8;
+constexpr int ExpiryParts = 24;
 
 StopPhase next(StopPhase phase)
 {
@@ -39,12 +42,13 @@
 }
 
 PlannedStop::PlannedStop(TimePoint startedAt, Duration grace)
-    : end_(startedAt + std::max<Duration>(grace - ExitMargin, Duration{0}))
+    : leaveTime_(std::min<Duration>(MaxLeaveTime, grace / ExpiryParts))
+    , end_(startedAt + grace - std::min<Duration>(MaxExitMargin, grace / ExitMarginParts))
     // With a short grace time, half of it is left for the requests that the egress has taken on.
     , drainAt_(startedAt + std::min<Duration>(MinStopTime, (end_ - startedAt) / 2))
     , closeAt_(startedAt + MinStopTime)
-    , expireAt_(std::max(startedAt, end_ - ExpiryTime - LeaveTime))
-    , leaveAt_(std::max(startedAt, end_ - LeaveTime))
+    , expireAt_(end_ - leaveTime_ - std::min<Duration>(MaxExpiryTime, grace / ExpiryParts))
+    , leaveAt_(end_ - leaveTime_)
     , phaseBegan_(startedAt)
     , lastBusy_(startedAt)
     , lastUnsettled_(startedAt)
@@ -79,7 +83,7 @@
     case StopPhase::Expiring:
         return now >= leaveAt_ || now - lastUnsettled_ >= SettleTime;
     case StopPhase::Leaving:
-        return now >= end_ || now - phaseBegan_ >= LeaveTime;
+        return now >= end_ || now - phaseBegan_ >= leaveTime_;
     case StopPhase::Ended:
         break;
     }
--- a/src/sidecar/plannedstop.h
+++ b/src/sidecar/plannedstop.h
@@ -51,6 +51,10 @@
 
     /// When the process ends at the latest.
     [[nodiscard]] TimePoint end() const { return end_; }
+    /// When all answers have to be complete, so that they leave the process before its end.
+    [[nodiscard]] TimePoint answersDue() const { return expireAt_; }
+    /// Until when callers and other nodes can't know that the node stops.
+    [[nodiscard]] TimePoint servesUntil() const { return drainAt_; }
     [[nodiscard]] StopPhase phase() const { return phase_; }
     /// Moves to the next phase if the present one is over at @p now. Returns whether it did. The owner applies that
     /// phase and then calls this again with what is under way after that.
@@ -59,6 +63,8 @@
 private:
     [[nodiscard]] bool isOver(TimePoint now) const;
 
+    /// How long other nodes have to leave.
+    Duration leaveTime_;
     TimePoint end_;
     /// When the egress begins to drain.
     TimePoint drainAt_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -317,12 +317,12 @@
     {
         const TimePoint startedAt = currentTime();
         PlannedStop stop(startedAt, state_.settings.grace);
-        // A request that outlasts the process would be cut off. So the ingress refuses it at once: its caller is told
-        // that the request has not run, and when the next process will have started.
-        ingress_.beginStop(stop.end());
+        // A request that outlasts the process would be cut off. So it is refused at once: its caller is told that the
+        // request has not run, and when the next process will have started.
+        ingress_.beginStop(stop.answersDue(), stop.servesUntil());
         asio::steady_timer timer(executor_);
         while (stop.phase() != StopPhase::Ended) {
-            timer.expires_after(StopPollInterval);
+            timer.expires_at(std::min(currentTime() + StopPollInterval, std::max(stop.end(), currentTime())));
             co_await timer.async_wait(asio::use_awaitable);
             longestStopDelay_ = std::max(longestStopDelay_, currentTime() - timer.expiry());
             while (stop.advance(currentTime(), stopActivity())) {
--- a/tests/admission/stopadmissiontest.cpp
+++ b/tests/admission/stopadmissiontest.cpp
@@ -36,28 +36,38 @@
     CHECK(admission.timeLeft(at(0)) == Duration{0});
 }
 
-// Guards against requests that are cut off by the stop. A report is accepted 2.4 s before the end of the process. The
-// longest of the forty reports that this node has seen took 1.9 s, but a slow VM needs 2.5 s. The process ends before
-// the answer is complete, and the caller's connection breaks.
-TEST_CASE("a stopping node refuses requests that may outlive it and accepts the others until its end")
+// Guards against requests that are cut off by the stop since their upstream is slower than it ever was.
+TEST_CASE("once callers can know that a node stops, it takes only requests whose deadline passes before its end")
 {
     StopAdmission admission = trainedAdmission();
-    admission.begin(at(6000));
-    CHECK(admission.accepts(Report, at(7500), at(1500)));
-    CHECK_FALSE(admission.accepts(Report, at(9000), at(3500)));
-    CHECK_FALSE(admission.accepts(Report, at(10'100), at(4100)));
-    CHECK(admission.accepts(Lookup, at(10'100), at(4100)));
-    CHECK(admission.accepts(Lookup, at(11'800), at(5800)));
-    CHECK_FALSE(admission.accepts(Lookup, at(11'950), at(5950)));
-    CHECK(admission.timeLeft(at(4100)) == Milliseconds(1900));
+    admission.begin(at(5550), at(2400));
+    for (int now = 2400; now < 5600; now += 10) {
+        for (const int timeout : {40, 150, 1500, 3000, 8000}) {
+            INFO("at " << now << " ms, timeout " << timeout << " ms");
+            CHECK(admission.accepts(Lookup, at(now + timeout), at(now)).has_value() == (now + timeout <= 5550));
+            CHECK(admission.accepts(Report, at(now + timeout), at(now)).has_value() == (now + timeout <= 5550));
+        }
+    }
+    CHECK(admission.timeLeft(at(4100)) == Milliseconds(1450));
+}
+
+// Guards against refusing requests that could still be answered while their callers have nowhere else to go.
+TEST_CASE("until callers can know that a node stops, it takes requests that are usually short")
+{
+    StopAdmission admission = trainedAdmission();
+    admission.begin(at(5550), at(2400));
+    // The longest of the reports that this node has seen lately took 1.9 s.
+    CHECK(admission.accepts(Report, at(9000), at(1500)) == StopBasis::Estimate);
+    CHECK_FALSE(admission.accepts(Report, at(9000), at(2300)));
+    CHECK(admission.accepts(Lookup, at(9000), at(2399)) == StopBasis::Estimate);
+    CHECK_FALSE(admission.accepts(Lookup, at(9000), at(2400)));
+    CHECK(admission.accepts(Lookup, at(5550), at(2400)) == StopBasis::Deadline);
 }
 
-// Guards against refusing requests that could still be answered. The grace time is shorter than the route's timeout,
-// but nearly all requests of the route are much shorter.
 TEST_CASE("quick requests are accepted although the grace time is short")
 {
     StopAdmission admission = trainedAdmission();
-    admission.begin(at(1000));
+    admission.begin(at(1000), at(500));
     CHECK(admission.accepts(Lookup, at(3000), at(0)));
     CHECK_FALSE(admission.accepts(Report, at(3000), at(0)));
 }
@@ -65,15 +75,15 @@
 TEST_CASE("a stopping node judges a route without answers by the deadline")
 {
     StopAdmission admission;
-    admission.begin(at(6000));
-    CHECK(admission.accepts(Report, at(5900), at(2900)));
-    CHECK_FALSE(admission.accepts(Report, at(6100), at(3100)));
+    admission.begin(at(6000), at(2400));
+    CHECK(admission.accepts(Report, at(5900), at(2300)));
+    CHECK_FALSE(admission.accepts(Report, at(6100), at(2300)));
 }
 
 TEST_CASE("a closed node accepts no request")
 {
     StopAdmission admission = trainedAdmission();
-    admission.begin(at(6000));
+    admission.begin(at(6000), at(2400));
     admission.close();
     CHECK_FALSE(admission.accepts(Lookup, at(1000), at(0)));
 }
--- a/tests/sidecar/plannedstoptest.cpp
+++ b/tests/sidecar/plannedstoptest.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/plannedstop.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -84,3 +85,17 @@
     CHECK(times.at(StopPhase::Leaving) < times.at(StopPhase::Ended));
     CHECK(times.at(StopPhase::Ended) < ShortGrace);
 }
+
+// Guards against a short grace time of which the margins at its end leave nothing, or in which the process is killed
+// while it answers.
+TEST_CASE("a node that stops uses its grace time to the last sixth, and leaves time to write what it answers then")
+{
+    const Milliseconds grace =
+        GENERATE(Milliseconds(1000), Milliseconds(1500), Milliseconds(2500), Milliseconds(6000), Milliseconds(30'000));
+    const PlannedStop stop(Start, grace);
+    CHECK(stop.end() >= Start + grace * 5 / 6);
+    CHECK(stop.end() <= Start + grace - std::min(grace / 10, Milliseconds(200)));
+    CHECK(stop.answersDue() <= stop.end() - std::min(grace / 20, Milliseconds(100)));
+    CHECK(stop.answersDue() >= Start + grace / 2);
+    CHECK(stop.servesUntil() <= Start + Milliseconds(3000));
+}
