egress: the node beside an upstream that stops takes only what its deadline ends in time

What callers saw: 502 for orders that ran beside a node which was stopped as planned.

Until it drained the egress took every request, and cut those that still ran at the end of the grace time.

Now: from SIGTERM on, a request whose deadline is after the node's answers are due is refused as not run, on arrival, after the probe, and before the hand-over if it had waited; its ingress sends it elsewhere.

--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -103,6 +103,9 @@
     void setMaxConnections(std::uint32_t maxConnections);
     /// See UpstreamRate::setColdRate().
     void setColdRate(std::optional<RequestRate> rate) { rate_.setColdRate(rate); }
+    /// Begins a planned stop. From now on, requests whose deadline is after @p answersDue are refused, also those that
+    /// wait. However short their work usually is, the process may end before it; another node can take them.
+    void beginStop(TimePoint answersDue) { answersDue_ = answersDue; }
     /// Refuses new requests from now on, and those that wait for a turn. Requests that wait for a slot go on.
     void startDraining();
     /// Writes a log line for each request that waits here or is at the upstream. Call this when the process ends.
@@ -207,6 +210,8 @@
     double arrivalDelayMicroseconds_ = 0.0;
     /// Empty if the rate of the link is not known.
     std::function<Duration()> linkBacklog_;
+    /// Requests have to be answered by then; far away unless the node stops.
+    TimePoint answersDue_ = TimePoint::max();
     bool isDraining_ = false;
     bool isProbing_ = false;
     bool isProbingForWaiting_ = false;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -98,16 +98,16 @@
     if (head_.isDependent) {
         role_.dependentRoutes_.record(head_.callerService, head_.route, head_.ingress, arrivedAt_);
     }
-    if (role_.isDraining_) {
-        co_return EgressRole::drainingRejection();
+    if (auto rejection = stopRejection()) {
+        co_return rejection;
     }
     if (auto rejection = role_.locationRejection(head_)) {
         co_return rejection;
     }
     co_await role_.refreshUpstreamState();
     // The node may have begun to drain meanwhile, and has then refused all that waited for a turn.
-    if (role_.isDraining_) {
-        co_return EgressRole::drainingRejection();
+    if (auto rejection = stopRejection()) {
+        co_return rejection;
     }
     if (auto rejection = handOverRejection()) {
         co_return rejection;
@@ -353,8 +353,18 @@
     return fingerprint_.rejection(role_.sources_.quarantine, content(), currentTime());
 }
 
+std::optional<Failure> UpstreamRequest::stopRejection() const
+{
+    const bool isRefused = role_.isDraining_ || deadline_ > role_.answersDue_;
+    return isRefused ? std::optional(EgressRole::drainingRejection()) : std::nullopt;
+}
+
 std::optional<Failure> UpstreamRequest::handOverRejection()
 {
+    // A request that waited while the stop began may have been taken with a later deadline.
+    if (deadline_ > role_.answersDue_) {
+        return EgressRole::drainingRejection();
+    }
     if (auto rejection = role_.presence_.rejection(head_.targetUpstream)) {
         return rejection;
     }
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -49,6 +49,8 @@
     boost::asio::awaitable<std::optional<Failure>> waitForTurn(const WorkOffer &offer);
     /// Returns why the request is refused because the calls that it makes would find no place, or nothing.
     [[nodiscard]] std::optional<Failure> parentRejection();
+    /// Returns why the request is refused since the node stops, or nothing.
+    [[nodiscard]] std::optional<Failure> stopRejection() const;
     /// Returns why the request must not be handed over to the upstream now, or nothing if it may be.
     [[nodiscard]] std::optional<Failure> handOverRejection();
     /// Connects to the upstream, sends the request and reads the answer.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -320,6 +320,7 @@
         // A request that outlasts the process would be cut off. So it is refused at once: its caller is told that the
         // request has not run, and when the next process will have started.
         ingress_.beginStop(stop.answersDue(), stop.servesUntil());
+        egress_.beginStop(stop.answersDue());
         asio::steady_timer timer(executor_);
         while (stop.phase() != StopPhase::Ended) {
             timer.expires_at(std::min(currentTime() + StopPollInterval, std::max(stop.end(), currentTime())));
