http: a connection that is being closed reads on until its caller has the answer

What callers see: the end of an answer that closes its connection is missing, the connection is reset.

Cause: closeGracefully() read on only if the node knew of unread input. Bytes that come after the look make the system reset the connection, and a reset takes back what the system has not sent yet. After SIGTERM every answer closes its connection. On loopback it takes an answer of over 128 kB; on a slow or lossy link any answer.

Now: it always reads and discards until the caller closes, for 1 s as before, and longer while the caller still acknowledges bytes. A caller that reads the end closes at once, so that this costs one turn of the link.

--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -29,8 +29,9 @@
 constexpr std::uint16_t UnavailableStatus = 503;
 constexpr std::uint16_t VersionStatus = 505;
 
-/// How long a connection that is being closed still reads and discards bytes from the caller. Closing it with unread
-/// bytes would reset the connection, and the caller would lose the answer that says why the request was refused.
+/// How long a connection that is being closed still reads and discards bytes from a caller that does not close it.
+/// Bytes that are unread at the close, or arrive after it, reset the connection, and the caller would lose the end of
+/// its answer.
 constexpr Milliseconds LingerTime{1000};
 
 /// Limit of concurrent requests on one connection, so that one connection can't use up a node's memory. Callers
@@ -91,7 +92,6 @@
         asio::co_spawn(executor(), serve(exchange), asio::detached);
         co_await exchange->waitForBody();
         if (!exchange->isBodyRead()) {
-            hasUnreadInput_ = true;
             break;
         }
         buffer_.shrink();
@@ -106,7 +106,6 @@
 {
     const auto self = shared_from_this();
     waitsForRequest_ = false;
-    hasUnreadInput_ = true;
     co_await sendRefusal(UnavailableStatus, "too many connections");
     co_await closeGracefully();
 }
@@ -141,7 +140,6 @@
     while (problem == MessageProblem::None && !parser.isHeadDone()) {
         if (co_await readSome(socket_, buffer_)) {
             if (hasTimedOut_ && isReadingHead_) {
-                hasUnreadInput_ = true;
                 co_await waitUntilAllAnswered();
                 co_await sendRefusal(RequestTimeoutStatus, "the request head took too long");
             } else if (!hasTimedOut_ && isReading_) {
@@ -240,7 +238,6 @@
 asio::awaitable<void> HttpServerConnection::refuseRequest(MessageProblem problem)
 {
     ++server_->counts_.refusedRequests;
-    hasUnreadInput_ = true;
     co_await waitUntilAllAnswered();
     co_await sendRefusal(toStatus(problem), "malformed or too large request");
 }
@@ -270,17 +267,31 @@
         co_return;
     }
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    std::size_t unacknowledged = unacknowledgedBytes();
+    bool isLingering = true;
+    while (isLingering) {
+        const bool hasEnded = co_await discardInput();
+        const std::size_t left = unacknowledgedBytes();
+        // A caller that reads its answer slowly still takes some of it in each period.
+        isLingering = !hasEnded && left > 0 && left < unacknowledged;
+        unacknowledged = left;
+    }
+    closeSocket(socket_);
+}
+
+/// Reads and discards bytes for LingerTime. Returns whether the connection has ended before that.
+asio::awaitable<bool> HttpServerConnection::discardInput()
+{
     readTimer_.expireAfter(LingerTime);
     hasTimedOut_ = false;
-    const bool shouldLinger = hasUnreadInput_ || !buffer_.empty();
-    while (shouldLinger && !hasTimedOut_ && socket_.is_open()) {
+    bool hasEnded = false;
+    while (!hasEnded && !hasTimedOut_) {
         buffer_.consume(buffer_.unread().size());
-        if (co_await readSome(socket_, buffer_)) {
-            break;
-        }
+        const error_code error = co_await readSome(socket_, buffer_);
+        hasEnded = error && !hasTimedOut_;
     }
     readTimer_.disarm();
-    closeSocket(socket_);
+    co_return hasEnded;
 }
 
 bool HttpServerConnection::isFirst(const HttpServerExchange &exchange) const
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -71,6 +71,7 @@
     [[nodiscard]] boost::asio::awaitable<void> refuseRequest(MessageProblem problem);
     [[nodiscard]] boost::asio::awaitable<void> sendRefusal(std::uint16_t status, std::string detail);
     [[nodiscard]] boost::asio::awaitable<void> closeGracefully();
+    [[nodiscard]] boost::asio::awaitable<bool> discardInput();
     void complete(const HttpServerExchange &exchange);
     void stopReading(ConnectionLoss loss);
     void recordLoss(ConnectionLoss loss);
@@ -96,7 +97,6 @@
     bool isDraining_ = false;
     bool hasTimedOut_ = false;
     bool callerDisconnected_ = false;
-    bool hasUnreadInput_ = false;
 };
 
 }
