http: a server that ends leaves the rest of complete answers to the system

What callers see: the node ends as planned, and the end of an answer that it had given is missing.

Cause: the server's destructor reset every open connection, with SO_LINGER 0, so that the system threw away what it had not sent yet: also on connections whose answers were complete.

Now: only a connection with an answer under way is reset. On the others the input is read, so that its close is no reset, and the system sends the rest. closeAll() stays a reset, for stand-ins that crash.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -15,7 +15,7 @@
 
 HttpServer::~HttpServer()
 {
-    state_->closeAll();
+    state_->end();
 }
 
 Result<Endpoint> HttpServer::listen(const Endpoint &endpoint)
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -55,8 +55,9 @@
 
 /// An HTTP/1.1 server on one executor.
 ///
-/// Thread safety: none; use it on the thread of its executor. The destructor resets all connections; the next operation
-/// of a handler that is still running fails with Cancelled.
+/// Thread safety: none; use it on the thread of its executor. The destructor closes all connections: it resets those
+/// with an answer under way, and leaves it to the system to send the rest of answers that are complete. The next
+/// operation of a handler that is still running fails with Cancelled.
 class HttpServer
 {
 public:
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -124,6 +124,18 @@
     recordLoss(ConnectionLoss::Reset);
 }
 
+void HttpServerConnection::end()
+{
+    if (!exchanges_.empty() && exchanges_.front()->hasResponseStarted()) {
+        drop();
+        return;
+    }
+    // Unread bytes would make the system reset the connection, and the caller would lose what was not sent yet.
+    discardReceived(socket_);
+    closeSocket(socket_);
+    recordLoss(ConnectionLoss::Reset);
+}
+
 /// Reads the head of the next request. Returns whether there is a request to serve.
 asio::awaitable<bool> HttpServerConnection::readHead(HttpServerExchange &exchange)
 {
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -45,6 +45,8 @@
     void startDraining();
     /// Resets the connection at once.
     void drop();
+    /// Closes the connection at once. Answers that are complete still reach the caller; one that has begun is reset.
+    void end();
 
     // Used by the exchanges of this connection.
     [[nodiscard]] const boost::asio::any_io_executor &executor() const;
--- a/src/http/httpserverstate.cpp
+++ b/src/http/httpserverstate.cpp
@@ -159,6 +159,14 @@
         [](std::size_t sum, HttpServerConnection *connection) { return sum + connection->unacknowledgedBytes(); });
 }
 
+void HttpServerState::end()
+{
+    stopAccepting();
+    for (HttpServerConnection *connection : connections_) {
+        connection->end();
+    }
+}
+
 void HttpServerState::removeConnection(HttpServerConnection *connection)
 {
     connections_.erase(connection);
--- a/src/http/httpserverstate.h
+++ b/src/http/httpserverstate.h
@@ -31,6 +31,8 @@
     void stopAccepting();
     [[nodiscard]] boost::asio::awaitable<void> waitUntilDrained();
     void closeAll();
+    /// As closeAll(), but answers that are complete still reach their callers.
+    void end();
 
     /// Called by the destructor of each connection.
     void removeConnection(HttpServerConnection *connection);
--- a/src/http/socketio.cpp
+++ b/src/http/socketio.cpp
@@ -99,6 +99,16 @@
     return isKnown && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
+void discardReceived(asio::ip::tcp::socket &socket)
+{
+    constexpr std::size_t MaxPieces = 64;
+    std::array<char, 16384> piece{};
+    error_code error;
+    for (std::size_t number = 0; number < MaxPieces && !error; ++number) {
+        socket.read_some(asio::buffer(piece), error);
+    }
+}
+
 void resetSocket(asio::ip::tcp::socket &socket)
 {
     error_code ignored;
--- a/src/http/socketio.h
+++ b/src/http/socketio.h
@@ -43,6 +43,8 @@
 
 /// The bytes that were written to the socket and not acknowledged by its peer; zero if the system does not tell.
 [[nodiscard]] std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket);
+/// Reads and discards what has arrived, without waiting. Precondition: @p socket is non-blocking.
+void discardReceived(boost::asio::ip::tcp::socket &socket);
 /// Closes @p socket with a reset instead of an orderly close.
 void resetSocket(boost::asio::ip::tcp::socket &socket);
 /// Closes @p socket. Awaited operations fail with operation_aborted.
