http: a request that comes behind an answer which closes the connection is not handled

What callers see: a read that was sent behind another on a node that stops runs, and its connection ends without its answer (LOST counts it, since it was passed on).

Cause: whether an answer closes its connection is decided when its head is made. A request that was read while the rest was written was handled like any other, and given up when the answer was complete.

Now: from that head on the connection serves nothing that it reads.

--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -84,7 +84,8 @@
     const auto self = shared_from_this();
     while (isReading_) {
         const auto exchange = std::make_shared<HttpServerExchange>(self, server_->limits());
-        if (!co_await readHead(*exchange)) {
+        const bool isRead = co_await readHead(*exchange);
+        if (!isRead || !takesRequests_) {
             break;
         }
         exchange->onHeadRead();
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -57,6 +57,8 @@
     [[nodiscard]] bool isFirst(const HttpServerExchange &exchange) const;
     /// Whether the connection closes after the response to @p exchange.
     [[nodiscard]] bool closesAfter(const HttpServerExchange &exchange) const;
+    /// Serves no request that is read from now on: an answer that closes the connection is about to be written.
+    void takeNoMoreRequests() { takesRequests_ = false; }
     /// Reads once into buffer(); times out after HttpLimits::idleTime.
     [[nodiscard]] boost::asio::awaitable<boost::system::error_code> readBodyBytes();
     /// Writes all of @p data; times out after HttpLimits::idleTime. Adds the number of written bytes to @p written.
@@ -96,6 +98,7 @@
     /// Whether the connection reads the rest of a request head.
     bool isReadingHead_ = false;
     bool isReading_ = true;
+    bool takesRequests_ = true;
     bool isDraining_ = false;
     bool hasTimedOut_ = false;
     bool callerDisconnected_ = false;
--- a/src/http/httpserverexchange.cpp
+++ b/src/http/httpserverexchange.cpp
@@ -129,6 +129,10 @@
     // If the request was not read completely, its rest would be parsed as the next request. The connection therefore
     // closes after this response.
     keepAlive_ = keepAlive_ && !connection_->closesAfter(*this) && parser_.isDone();
+    if (!keepAlive_) {
+        // Its caller takes a request behind this answer for one that was not read, and sends it again.
+        connection_->takeNoMoreRequests();
+    }
     const MessageFraming framing{length, keepAlive_, statusForbidsBody(head.status)};
     auto text = writeResponseHead(head, framing);
     if (!text) {
