http: an answer may take longer than the idle time while its caller takes bytes of it

What callers see: a large answer on a slow link breaks off after 1.25 times the published idle time, with a reset, though they read all the time.

Cause: the limit on a write that brings nothing was set once for each write, which may be of a whole answer. HttpLimits says: as long as a write may wait without a byte being transferred.

Now: it begins anew each time the system has taken bytes. 'an answer may take longer than the idle time while its caller takes bytes of it' fails before (3.9 of 8.4 MB).

--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -329,8 +329,9 @@
 
 asio::awaitable<error_code> HttpServerConnection::write(std::string data, std::size_t &written)
 {
-    writeTimer_.expireAfter(server_->limits().idleTime);
-    const error_code error = co_await writeAll(socket_, data, written);
+    const auto startTimer = [this] { writeTimer_.expireAfter(server_->limits().idleTime); };
+    startTimer();
+    const error_code error = co_await writeAll(socket_, data, written, startTimer);
     writeTimer_.disarm();
     co_return error;
 }
--- a/src/http/socketio.cpp
+++ b/src/http/socketio.cpp
@@ -62,7 +62,8 @@
     co_return error;
 }
 
-asio::awaitable<error_code> writeAll(asio::ip::tcp::socket &socket, std::string_view data, std::size_t &written)
+asio::awaitable<error_code> writeAll(asio::ip::tcp::socket &socket, std::string_view data, std::size_t &written,
+                                     std::function<void()> onProgress)
 {
     error_code error;
     while (!data.empty()) {
@@ -76,6 +77,9 @@
             co_return error;
         }
         data.remove_prefix(count);
+        if (onProgress) {
+            onProgress();
+        }
     }
     co_return error;
 }
--- a/src/http/socketio.h
+++ b/src/http/socketio.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string_view>
 
 #include <boost/asio/awaitable.hpp>
@@ -26,9 +27,10 @@
 
 /// Writes all of @p data, which has to stay valid until the write is done. Adds the number of written bytes to
 /// @p written, also if the write fails. Bytes that the socket accepts at once are written without going through the
-/// event loop.
+/// event loop. Calls @p onProgress each time the socket has accepted bytes.
 [[nodiscard]] boost::asio::awaitable<boost::system::error_code> writeAll(boost::asio::ip::tcp::socket &socket,
-                                                                         std::string_view data, std::size_t &written);
+                                                                         std::string_view data, std::size_t &written,
+                                                                         std::function<void()> onProgress = {});
 
 /// The state of a socket, determined without consuming bytes.
 enum class SocketState : std::uint8_t {
--- a/tests/http/httpserverclosingtest.cpp
+++ b/tests/http/httpserverclosingtest.cpp
@@ -131,23 +131,67 @@
     CHECK(handled == 1);
 }
 
-// Guards against an answer that is broken off because the body of the request behind it stalls.
-TEST_CASE("an answer under way goes on while the request behind it stalls")
+namespace
+{
+
+/// Takes an answer slowly, but never pauses for as long as SlowLimits allow. Returns all that arrives.
+asio::awaitable<std::string> receiveSlowly(EventLoop &loop, RawConnection &caller)
+{
+    std::string answer;
+    std::string piece;
+    do {
+        piece = co_await caller.receiveSome(256 * 1024);
+        answer += piece;
+        co_await loop.sleep(Milliseconds(15));
+    } while (!piece.empty());
+    co_return answer;
+}
+
+/// The large answer takes several times the idle time.
+HttpLimits slowLimits()
 {
-    EventLoop loop;
     HttpLimits limits;
     limits.idleTime = Milliseconds(200);
     limits.headerReadTime = Milliseconds(200);
+    return limits;
+}
+
+constexpr std::size_t SlowBody = 8 * LargeBody;
+
+}
+
+// Guards against an answer that is broken off although its caller takes it all the time.
+TEST_CASE("an answer may take longer than the idle time while its caller takes bytes of it")
+{
+    EventLoop loop;
+    HttpServer server(loop.executor(), slowLimits(), [&](HttpExchange &exchange) -> asio::awaitable<void> {
+        (void)co_await exchange.respond({}, std::string(SlowBody, 'x'));
+    });
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    std::string answer;
+    loop.run([&]() -> asio::awaitable<void> {
+        RawConnection caller(loop.executor());
+        co_await caller.connect(endpoint);
+        co_await caller.send(Get);
+        answer = co_await receiveSlowly(loop, caller);
+    });
+    CHECK(bodyBytes(answer) == SlowBody);
+}
+
+// Guards against an answer that is broken off because the request behind it stalls.
+TEST_CASE("an answer under way goes on while the request behind it stalls")
+{
+    EventLoop loop;
     const std::string stalled = GENERATE(std::string("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc"),
                                          std::string("GET /b HTTP/1.1\r\nHo"));
-    HttpServer server(loop.executor(), limits, [&](HttpExchange &exchange) -> asio::awaitable<void> {
+    HttpServer server(loop.executor(), slowLimits(), [&](HttpExchange &exchange) -> asio::awaitable<void> {
         if (exchange.head().target == "/b") {
             (void)co_await exchange.readBody();
             const auto more = co_await exchange.readBody();
             (void)co_await exchange.respond(HttpResponseHead(more ? 200 : 408), "b");
             co_return;
         }
-        (void)co_await exchange.respond({}, std::string(8 * LargeBody, 'x'));
+        (void)co_await exchange.respond({}, std::string(SlowBody, 'x'));
     });
     const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
     std::string answer;
@@ -155,14 +199,8 @@
         RawConnection caller(loop.executor());
         co_await caller.connect(endpoint);
         co_await caller.send(Get + stalled);
-        // The caller takes its answer slowly, but never pauses for as long as the limit.
-        std::string piece;
-        do {
-            piece = co_await caller.receiveSome(256 * 1024);
-            answer += piece;
-            co_await loop.sleep(Milliseconds(15));
-        } while (!piece.empty());
+        answer = co_await receiveSlowly(loop, caller);
     });
-    CHECK(answer.find("HTTP/1.1 408") > 8 * LargeBody);
-    CHECK(answer.size() > 8 * LargeBody);
+    CHECK(answer.find("HTTP/1.1 408") > SlowBody);
+    CHECK(answer.size() > SlowBody);
 }
