http: a read that times out ends alone, an answer under way goes on

What callers see: an answer breaks off with a reset because the head or the body of the request behind it stalls.

Cause: the read's limit cancelled all operations on the socket, also the write of the earlier answer; its failure counts as a caller that has gone. Besides, the mark of a limit that had passed in the moment in which its read ended stayed, so that a later end of the connection was taken for a stall, and the caller that left was not noticed.

Now: the limit cancels the read alone, and each read begins without the mark.

--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -142,6 +142,7 @@
 {
     const HttpLimits &limits = server_->limits();
     RequestParser &parser = exchange.parser();
+    hasTimedOut_ = false;
     waitsForRequest_ = buffer_.empty();
     isReadingHead_ = !waitsForRequest_;
     if (isReadingHead_) {
@@ -151,7 +152,7 @@
     }
     MessageProblem problem = parser.feed(buffer_);
     while (problem == MessageProblem::None && !parser.isHeadDone()) {
-        if (co_await readSome(socket_, buffer_)) {
+        if (co_await readSome(socket_, buffer_, readTimeout_.slot())) {
             if (hasTimedOut_ && isReadingHead_) {
                 co_await waitUntilAllAnswered();
                 co_await sendRefusal(RequestTimeoutStatus, "the request head took too long");
@@ -300,7 +301,7 @@
     bool hasEnded = false;
     while (!hasEnded && !hasTimedOut_) {
         buffer_.consume(buffer_.unread().size());
-        const error_code error = co_await readSome(socket_, buffer_);
+        const error_code error = co_await readSome(socket_, buffer_, readTimeout_.slot());
         hasEnded = error && !hasTimedOut_;
     }
     readTimer_.disarm();
@@ -321,8 +322,9 @@
 
 asio::awaitable<error_code> HttpServerConnection::readBodyBytes()
 {
+    hasTimedOut_ = false;
     readTimer_.expireAfter(server_->limits().idleTime);
-    const error_code error = co_await readSome(socket_, buffer_);
+    const error_code error = co_await readSome(socket_, buffer_, readTimeout_.slot());
     readTimer_.disarm();
     co_return error;
 }
@@ -336,11 +338,11 @@
     co_return error;
 }
 
+/// Ends the read alone: an earlier answer may be under way.
 void HttpServerConnection::onReadTimeout()
 {
     hasTimedOut_ = true;
-    error_code ignored;
-    socket_.cancel(ignored);
+    readTimeout_.emit(asio::cancellation_type::all);
 }
 
 /// A caller that accepts no byte of its response for HttpLimits::idleTime counts as disconnected.
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -88,6 +89,7 @@
     std::shared_ptr<HttpServerState> server_;
     ReadBuffer buffer_;
     SocketTimer readTimer_;
+    boost::asio::cancellation_signal readTimeout_;
     SocketTimer writeTimer_;
     /// Exchanges without a complete response, the earliest first.
     std::deque<std::shared_ptr<HttpServerExchange>> exchanges_;
--- a/src/http/socketio.cpp
+++ b/src/http/socketio.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -49,15 +50,17 @@
     socket.non_blocking(true, ignored);
 }
 
-asio::awaitable<error_code> readSome(asio::ip::tcp::socket &socket, ReadBuffer &buffer)
+asio::awaitable<error_code> readSome(asio::ip::tcp::socket &socket, ReadBuffer &buffer,
+                                     asio::cancellation_slot cancelled)
 {
     const std::size_t space = buffer.prepare();
     if (space == 0) {
         co_return asio::error::no_buffer_space;
     }
     error_code error;
-    const std::size_t count = co_await socket.async_read_some(asio::buffer(buffer.space(), space),
-                                                              asio::redirect_error(asio::use_awaitable, error));
+    const std::size_t count = co_await socket.async_read_some(
+        asio::buffer(buffer.space(), space),
+        asio::bind_cancellation_slot(cancelled, asio::redirect_error(asio::use_awaitable, error)));
     buffer.commit(count);
     co_return error;
 }
--- a/src/http/socketio.h
+++ b/src/http/socketio.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "http/readbuffer.h"
@@ -20,10 +21,10 @@
 /// close the connection with an error.
 void prepareSocket(boost::asio::ip::tcp::socket &socket);
 
-/// Reads once into @p buffer. Errors: those of the socket; eof at the end of the stream; no_buffer_space if the buffer
-/// is full.
-[[nodiscard]] boost::asio::awaitable<boost::system::error_code> readSome(boost::asio::ip::tcp::socket &socket,
-                                                                         ReadBuffer &buffer);
+/// Reads once into @p buffer. @p cancelled ends the read alone with operation_aborted; a write to the socket goes on.
+/// Errors: those of the socket; eof at the end of the stream; no_buffer_space if the buffer is full.
+[[nodiscard]] boost::asio::awaitable<boost::system::error_code>
+readSome(boost::asio::ip::tcp::socket &socket, ReadBuffer &buffer, boost::asio::cancellation_slot cancelled = {});
 
 /// Writes all of @p data, which has to stay valid until the write is done. Adds the number of written bytes to
 /// @p written, also if the write fails. Bytes that the socket accepts at once are written without going through the
