admission, egress: of an upstream's slots at most 8,192 count, whatever it or its entry names

Cause, here: the forecast of the work queue looks at each slot of the upstream, in a vector. 'slots' of an entry at a node's own address, and of the load in an answer, went there as they are: with 4,294,967,295 slots the first request that comes while the VM is slow asks for 27 GB, and the process ends, at each start. External requests (running and waiting of the load) are bounded by the slots only. Shown by the new test on the code before: std::bad_alloc under 'ulimit -v 8000000'.

Now: slots and external requests are bounded by what a node has descriptors for. The sum of running and waiting can't wrap any more.

--- a/src/admission/upstreamslots.cpp
+++ b/src/admission/upstreamslots.cpp
@@ -24,7 +24,7 @@
 
 void UpstreamSlots::setSlots(std::uint32_t slots)
 {
-    slots_ = std::max(slots, 1U);
+    slots_ = std::clamp(slots, 1U, MaxUsableSlots);
 }
 
 void UpstreamSlots::setExternalRequests(std::uint32_t requests)
--- a/src/admission/upstreamslots.h
+++ b/src/admission/upstreamslots.h
@@ -10,6 +10,10 @@
 namespace Egretpath
 {
 
+/// The most slots that are counted of an upstream. No node has descriptors for more connections, and forecasts look at
+/// each slot.
+inline constexpr std::uint32_t MaxUsableSlots = 8192;
+
 /// Whether @p offer and a call with @p disconnectedUpstream are co-suspects, which WorkQueue describes.
 [[nodiscard]] bool areCoSuspects(const WorkOffer &offer, const UpstreamName &disconnectedUpstream);
 
@@ -35,6 +39,7 @@
     {
     }
 
+    /// Sets the number of slots, of which at most MaxUsableSlots count.
     void setSlots(std::uint32_t slots);
     void setExternalRequests(std::uint32_t requests);
     /// Adds @p running, which starts now. Precondition: @p call is not running.
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -183,7 +183,8 @@
 
 void EgressRole::updateAccount(const UpstreamLoadSample &load)
 {
-    account_.onReport(load.running + load.waiting, currentTime());
+    const std::uint64_t requests = std::uint64_t{load.running} + load.waiting;
+    account_.onReport(static_cast<std::uint32_t>(std::min<std::uint64_t>(requests, MaxUsableSlots)), currentTime());
     slots_.setExternalRequests(account_.externalRequests());
     for (const CallId call : account_.lostCalls()) {
         const auto found = requestsAtUpstream_.find(call);
@@ -250,7 +251,7 @@
 
 void EgressRole::setSlots(std::uint32_t slots)
 {
-    upstreamSlots_ = slots;
+    upstreamSlots_ = std::min(slots, MaxUsableSlots);
     slots_.setSlots(slots);
 }
 
--- a/tests/admission/workqueuetest.cpp
+++ b/tests/admission/workqueuetest.cpp
@@ -58,6 +58,20 @@
 
 }
 
+// Guards against an entry or an answer that names so many slots that the forecasts of their ends fill the memory.
+TEST_CASE("an upstream that names billions of slots or of running requests costs no more memory than others")
+{
+    WorkQueue queue = trainedQueue();
+    (void)queue.setSlots(UINT32_MAX, at(-100));
+    CHECK(queue.limit() <= MaxUsableSlots);
+    // While the VM is slow a request waits, and the queue looks when each slot becomes free.
+    (void)queue.setSlowdown(100, at(-50));
+    (void)queue.setSlowdown(400, at(0));
+    CHECK(std::holds_alternative<Queued>(queue.offer(offerOf(1, 0), at(0))));
+    (void)queue.setExternalRequests(UINT32_MAX, at(1));
+    CHECK(queue.expected(offerOf(2, 1), at(1)) > Duration{0});
+}
+
 // Guards against filling all slots. An upstream with six slots slows itself down when it is four fifths full, and each
 // request takes 1.7 times as long: six requests at once complete 3.5 in the time of one request, four complete four.
 TEST_CASE("the upstream is kept below the fill level at which it slows itself down")
