instances: an entry of a service that no routes name takes no other's place

Cause: of several entries with one address the newest counts, since addresses are used again. That held for an entry of a service that no route could ever choose as well: it shadowed the sound one in the choice of upstreams, and was taken for the node's own record (id, slots).

Now: an entry of a service that the active routes don't name takes no other's place; of two named ones the newest counts as before.

--- a/src/instances/instancedirectory.cpp
+++ b/src/instances/instancedirectory.cpp
@@ -21,6 +21,18 @@
 {
 }
 
+void InstanceDirectory::setNamedServices(std::function<bool(const ServiceName &)> isNamed)
+{
+    isNamed_ = std::move(isNamed);
+    namedServicesChanged();
+}
+
+bool InstanceDirectory::supersedes(const InstanceRecord &record, const InstanceRecord &other) const
+{
+    const bool isNamed = isNamed_(record.service);
+    return isNamed == isNamed_(other.service) ? record.revision > other.revision : isNamed;
+}
+
 bool InstanceDirectory::applySnapshot(const InstanceSnapshot &snapshot, TimePoint now)
 {
     if (hasList_ && snapshot.revision < revision_) {
@@ -153,13 +165,16 @@
 void InstanceDirectory::buildIndex() const
 {
     readyByService_.clear();
-    std::unordered_map<Endpoint, StoreRevision> latest;
+    std::unordered_map<Endpoint, const InstanceRecord *> latest;
     for (const auto &[id, entry] : records_) {
-        StoreRevision &revision = latest[entry.record.address];
-        revision = std::max(revision, entry.record.revision);
+        const auto [known, isFirst] = latest.try_emplace(entry.record.address, &entry.record);
+        if (!isFirst && supersedes(entry.record, *known->second)) {
+            known->second = &entry.record;
+        }
     }
     for (const auto &[id, entry] : records_) {
-        const bool isSuperseded = entry.record.revision < latest[entry.record.address];
+        const InstanceRecord *newest = latest[entry.record.address];
+        const bool isSuperseded = newest != &entry.record && supersedes(*newest, entry.record);
         if (entry.record.state == InstanceState::Ready && !isSuperseded) {
             readyByService_[entry.record.service].push_back(&entry.record);
         }
@@ -197,7 +212,7 @@
     const InstanceRecord *newest = nullptr;
     for (const auto &[id, entry] : records_) {
         const bool matches = entry.record.*member == value;
-        if (matches && (newest == nullptr || newest->revision < entry.record.revision)) {
+        if (matches && (newest == nullptr || supersedes(entry.record, *newest))) {
             newest = &entry.record;
         }
     }
--- a/src/instances/instancedirectory.h
+++ b/src/instances/instancedirectory.h
@@ -54,6 +54,11 @@
 public:
     explicit InstanceDirectory(DirectorySettings settings = {});
 
+    /// @p isNamed tells whether the active routes name a service. An entry of a service that they don't name, such as
+    /// one of another writer, takes the place of no other at its address.
+    void setNamedServices(std::function<bool(const ServiceName &)> isNamed);
+    /// Call this after the services that the routes name have changed.
+    void namedServicesChanged() { ++changeCount_; }
     /// Takes a complete list. Returns false, changing nothing, if the list is older than the current one.
     bool applySnapshot(const InstanceSnapshot &snapshot, TimePoint now);
     /// Takes one change. Returns false if the change is older than the current state of its upstream.
@@ -110,7 +115,9 @@
         std::optional<TimePoint> heldUntil;
     };
 
-    /// The record written last among those whose @p member equals @p value, or null.
+    /// Whether @p record takes the place of @p other, which has the same address.
+    [[nodiscard]] bool supersedes(const InstanceRecord &record, const InstanceRecord &other) const;
+    /// The record that takes the place of all others among those whose @p member equals @p value, or null.
     [[nodiscard]] const InstanceRecord *newestWith(Endpoint InstanceRecord::*member, const Endpoint &value) const;
     void remove(std::map<UpstreamName, Entry>::iterator it, TimePoint now);
     void setHoldEnd(TimePoint end);
@@ -122,6 +129,7 @@
     void buildIndex() const;
 
     DirectorySettings settings_;
+    std::function<bool(const ServiceName &)> isNamed_ = [](const ServiceName & /*service*/) { return true; };
     std::map<UpstreamName, Entry> records_;
     /// Revisions at which records were removed, so that an older change does not restore them.
     std::unordered_map<UpstreamName, StoreRevision> removed_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -265,6 +265,7 @@
 
     void catalogChanged()
     {
+        state_.directory.namedServicesChanged();
         if (state_.routes) {
             callerServer_.setLimits(callerLimits(state_.routes->limits()));
             if (const ServiceEntry *service = state_.routes->service(state_.settings.service)) {
--- a/src/sidecar/sidecarstate.cpp
+++ b/src/sidecar/sidecarstate.cpp
@@ -26,6 +26,10 @@
     , random(seed)
     , log(logSettings(settings))
 {
+    directory.setNamedServices([this](const ServiceName &service) {
+        const bool areKnown = routes && !routes->services().empty();
+        return !areKnown || routes->service(service) != nullptr;
+    });
 }
 
 Endpoint SidecarState::ownAddress() const
--- a/tests/instances/instancedirectorytest.cpp
+++ b/tests/instances/instancedirectorytest.cpp
@@ -244,3 +244,26 @@
     REQUIRE(directory.applySnapshot(snapshotOf(9, {}), at(7010)));
     CHECK(readyIn(directory).empty());
 }
+
+// Guards against an entry of another writer, with a service that no routes name, that takes the place of a sound one.
+TEST_CASE("an entry of a service that no routes name takes no other's place")
+{
+    InstanceDirectory directory;
+    directory.setNamedServices([](const ServiceName &service) { return service == Statements; });
+    InstanceRecord sound = recordOf("1", 5);
+    InstanceRecord odd = recordOf("odd", 9);
+    odd.address = sound.address;
+    odd.node = sound.node;
+    odd.service = ServiceName("no-service");
+    odd.slots = 4'000'000'000U;
+    CHECK(directory.applySnapshot(snapshotOf(9, {sound, odd}), at(0)));
+    CHECK(readyIn(directory) == "1 ");
+    REQUIRE(directory.findByAddress(sound.address) != nullptr);
+    CHECK(directory.findByAddress(sound.address)->id == sound.id);
+    CHECK(directory.findByNode(sound.node)->id == sound.id);
+    // A replacement at the same address, of a service that is named, does.
+    odd.service = Statements;
+    odd.revision = StoreRevision(12);
+    CHECK(directory.applyChange(changeTo(odd), at(10)));
+    CHECK(readyIn(directory) == "odd ");
+}
