platform, rpc, sidecar: an entry whose address can't be reached names no upstream

Here, before: an entry with the port 70000, 0, none or 20 digits, with a name in place of an IP address or one of 100,000 bytes was taken as an upstream; only the colon was looked at.

The log line of a refused entry is at most 300 bytes of reason, and is not repeated for the same entry and reason within a minute.

--- a/src/http/tcpendpoint.cpp
+++ b/src/http/tcpendpoint.cpp
@@ -48,6 +48,12 @@
     return boost::asio::ip::tcp::endpoint(address, *port);
 }
 
+bool isReachable(const Endpoint &endpoint)
+{
+    const auto parsed = toTcpEndpoint(endpoint);
+    return parsed && parsed->port() != 0;
+}
+
 Endpoint toEndpoint(const boost::asio::ip::tcp::endpoint &endpoint)
 {
     const std::string host = endpoint.address().to_string();
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -5,6 +5,8 @@
 
 #include <kj/debug.h>
 
+#include "http/tcpendpoint.h"
+
 namespace Egretpath::WireConversion
 {
 
@@ -363,7 +365,12 @@
     catalog.heldFor = Milliseconds(wire.getHeld());
     for (const auto item : wire.getInstances()) {
         InstanceRecord record = readRecord(item);
-        catalog.changes.push_back({record.id, record.revision, std::move(record)});
+        InstanceChange change{record.id, record.revision, std::nullopt};
+        // Nodes of an earlier version pass on entries that name no upstream.
+        if (isReachable(record.address) && isReachable(record.node)) {
+            change.record = std::move(record);
+        }
+        catalog.changes.push_back(std::move(change));
     }
     for (const auto item : wire.getGone()) {
         catalog.changes.push_back({UpstreamName(readText(item.getId())), StoreRevision(item.getRevision()), {}});
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <set>
 
+#include "core/currenttime.h"
+
 namespace Egretpath
 {
 
@@ -11,6 +13,10 @@
 {
 
 constexpr const char *UpdateAgeMetric = "egretpath_news_age_seconds";
+/// An entry may be as large as a value of the store, and be written again every second.
+constexpr std::size_t MaxReasonBytes = 300;
+constexpr std::size_t MaxRefusedEntries = 1000;
+constexpr std::chrono::minutes RepeatedLogInterval{1};
 
 Milliseconds::rep millisecondsOf(Duration duration)
 {
@@ -210,7 +216,17 @@
 void CatalogLog::logRefusedEntry(std::string_view key, std::string_view reason)
 {
     metrics_.count("egretpath_entries_refused_total");
-    log_.warning(StructuredLine("entry-refused").add("key", key).add("why", reason));
+    const std::string shortReason(reason.substr(0, MaxReasonBytes));
+    if (refusedEntries_.size() >= MaxRefusedEntries) {
+        refusedEntries_.clear();
+    }
+    RefusedEntry &last = refusedEntries_[std::string(key)];
+    const TimePoint now = currentTime();
+    if (last.reason == shortReason && now - last.loggedAt < RepeatedLogInterval) {
+        return;
+    }
+    last = {shortReason, now};
+    log_.warning(StructuredLine("entry-refused").add("key", key).add("why", shortReason));
 }
 
 }
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -82,11 +83,20 @@
     void logWatchSilent(const SilentWatch &silent);
     void logSourceRestored(Duration lostFor);
     void logCatchUp(const Endpoint &peer);
+    /// Writes a line for an entry of the store that can't be used; none if the same was said a moment ago.
     void logRefusedEntry(std::string_view key, std::string_view reason);
 
 private:
+    struct RefusedEntry
+    {
+        std::string reason;
+        TimePoint loggedAt;
+    };
+
     EventLog &log_;
     Metrics &metrics_;
+    /// By key.
+    std::map<std::string, RefusedEntry> refusedEntries_;
 };
 
 }
--- a/tests/adapter/instanceentrytest.cpp
+++ b/tests/adapter/instanceentrytest.cpp
@@ -68,6 +68,25 @@
              replaced(Entry, "\"slots\":6", "\"slots\":-6"),
              replaced(Entry, "\"service\":\"statements\",", ""),
              replaced(Entry, "10.128.0.9:8080", "somewhere"),
+             replaced(Entry, "10.128.0.9:8080", "somewhere:8080"),
+             replaced(Entry, "10.128.0.9:8080", "10.128.0.9"),
+             replaced(Entry, "10.128.0.9:8080", "10.128.0.999:8080"),
+             replaced(Entry, "10.128.0.9:8080", "10.128.0.9:"),
+             replaced(Entry, "10.128.0.9:8080", "10.128.0.9:0"),
+             replaced(Entry, "10.128.0.9:8080", "10.128.0.9:-1"),
+             replaced(Entry, "10.128.0.9:8080", "10.128.0.9:65536"),
+             replaced(Entry, "10.128.0.9:8080", "10.128.0.9:70000"),
+             replaced(Entry, "10.128.0.9:8080", "10.128.0.9:88888888888888888888"),
+             replaced(Entry, "10.128.0.9:8080", std::string(100'000, '1') + ":8080"),
+             replaced(Entry, "statements", std::string(100'000, 's')),
+             replaced(Entry, "north-a", std::string(100'000, 'z')),
+             replaced(Entry, "\"slots\":6", "\"slots\":1e400"),
+             replaced(Entry, "\"slots\":6", "\"slots\":4294967296"),
+             replaced(Entry, "\"slots\":6", "\"slots\":999999999999999999999999999"),
+             replaced(Entry, "\"slots\":6",
+                      "\"slots\":6,\"more\":" + std::string(200'000, '[') + std::string(200'000, ']')),
+             replaced(Entry, "\"slots\":6", "\"slots\":6,\"more\":" + std::string(200'000, '[')),
+             std::string(200'000, '['),
              replaced(Entry, "\"north-a\"", "\"\""),
          }) {
         INFO(text);
@@ -76,6 +95,9 @@
     StoreItem undecoded = itemWith({});
     undecoded.value.reset();
     CHECK_FALSE(instanceFromItem(undecoded, layout()));
+    StoreItem unnamed = itemWith(Entry);
+    unnamed.key = StoreKey("servers/");
+    CHECK_FALSE(instanceFromItem(unnamed, layout()));
 }
 
 TEST_CASE("an upstream in a zone that the settings don't name is in a region of its own")
--- a/tests/adapter/storewatchertest.cpp
+++ b/tests/adapter/storewatchertest.cpp
@@ -50,6 +50,46 @@
     CHECK_FALSE(fixture.sink.isLost);
 }
 
+// Guards against an odd entry of another writer, at its start or later, that ends the reader or keeps it from
+// following.
+TEST_CASE("a watcher follows the list whatever another writer leaves among its entries")
+{
+    const std::vector<std::string> oddEntries{
+        std::string(200'000, '['),
+        std::string(100'000, '[') + std::string(100'000, ']'),
+        R"({"service":"statements","address":"10.0.0.9:70000","zone":"north-a","slots":6,"state":"ready"})",
+        R"({"service":"statements","address":"10.0.0.9:8301","zone":"north-a","slots":1e400,"state":"ready"})",
+        R"({"service":"statements","address":"10.0.0.9:8301","zone":"north-a","slots":99999999999999999999,"state":"ready"})",
+        R"({"service":"statements","address":"10.0.0.9:8301","zone":"north-a","slots":-1,"state":"ready"})",
+        R"({"service":"statements","address":"nowhere:8301","zone":"north-a","slots":6,"state":"ready"})",
+        R"({"service":{},"address":[],"zone":0,"slots":null,"state":true})",
+        std::string("\xff\x00\xfe", 3)};
+    Fixture fixture;
+    fixture.publishFirst();
+    // More than the store puts on one page.
+    for (int number = 0; number < 700; ++number) {
+        fixture.store.put("servers/odd-" + std::to_string(number),
+                          oddEntries.at(static_cast<std::size_t>(number) % oddEntries.size()).substr(0, 3000));
+    }
+    REQUIRE(fixture.beginReading());
+    CHECK(fixture.runUntil([&] { return fixture.sink.listed == 1; }));
+    int version = 6;
+    for (const std::string &entry : oddEntries) {
+        INFO(entry.substr(0, 100));
+        // In place of a sound entry it takes that away; the next sound one brings it back.
+        fixture.store.put("servers/i-1", entry);
+        fixture.store.put("op/config", routesText(version));
+        CHECK(fixture.runUntil(
+            [&] { return fixture.sink.version == RouteVersion(static_cast<std::uint64_t>(version)); }));
+        const std::size_t changes = fixture.sink.changedIds.size();
+        fixture.store.put("servers/i-1", entryText("ready"));
+        CHECK(fixture.runUntil([&] { return fixture.sink.changedIds.size() > changes; }));
+        ++version;
+    }
+    CHECK(fixture.sink.refusedKeys.size() >= 700 + oddEntries.size());
+    CHECK_FALSE(fixture.sink.isLost);
+}
+
 TEST_CASE("a watcher reads all items again when the store no longer has the history")
 {
     Fixture fixture;
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -300,6 +300,34 @@
     }(fixture));
 }
 
+// Guards against an entry that names no upstream and that a node of an earlier version passes on.
+TEST_CASE("an entry in a catalog whose addresses can't be reached names no upstream")
+{
+    Fixture fixture;
+    fixture.run([](Fixture &f) -> asio::awaitable<void> {
+        InstanceRecord record;
+        record.service = ServiceName("statements");
+        std::uint64_t number = 0;
+        for (const std::string address :
+             {"10.0.0.1:70000", "10.0.0.1:0", "nowhere:80", "10.0.0.1", "", "10.0.0.1:80"}) {
+            record.id = UpstreamName("u" + std::to_string(++number));
+            record.address = Endpoint(address);
+            record.node = Endpoint("10.0.0.1:7620");
+            record.revision = StoreRevision(number);
+            f.service.catalogAnswer.changes.push_back({record.id, record.revision, record});
+        }
+        const auto catalog =
+            co_await f.client.catalog(ServerEndpoint, {}, std::chrono::steady_clock::now() + Milliseconds(1000));
+        REQUIRE(catalog.has_value());
+        std::string listed;
+        for (const InstanceChange &change : catalog.value().changes) {
+            listed += change.record ? change.id.value() : "";
+        }
+        CHECK(catalog.value().changes.size() == 6);
+        CHECK(listed == "u6");
+    }(fixture));
+}
+
 TEST_CASE("a catalog request and the catalog in its answer arrive as they were sent")
 {
     Fixture fixture;
