--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -31,7 +31,8 @@
 
 /// The result of a GET request to a server that sends @p answer and closes the connection.
 asio::awaitable<Result<std::string>> getFromRawServer(EventLoop &loop, HttpConnectionPool &pool, std::string answer,
-                                                      ConnectionEnd connectionEnd = ConnectionEnd::Orderly)
+                                                      ConnectionEnd connectionEnd = ConnectionEnd::Orderly,
+                                                      Milliseconds timeToReset = Milliseconds(20))
 {
     RawListener listener(loop.executor());
     auto opened = co_await pool.open(listener.endpoint(), testDeadline());
@@ -42,7 +43,7 @@
     (void)co_await server.receiveUntil("\r\n\r\n");
     co_await server.send(std::move(answer));
     if (connectionEnd == ConnectionEnd::Reset) {
-        co_await loop.sleep(Milliseconds(20));
+        co_await loop.sleep(timeToReset);
         server.reset();
     } else {
         server.close();
@@ -428,3 +429,57 @@
     CHECK(failure->verdict == Verdict::MayHaveRun);
     CHECK(failure->reason == Reason::BadAnswer);
 }
+
+namespace
+{
+
+/// A complete answer, and the number of its bytes from which on a client may take it for complete.
+struct WholeAnswer
+{
+    std::string text;
+    std::size_t completeFrom;
+};
+
+/// Answers with all framings, each also behind an informational head.
+std::vector<WholeAnswer> wholeAnswers()
+{
+    const std::string status = "HTTP/1.1 200 OK\r\nX-Egretpath-Server-Signature: 3e1b\r\n";
+    const std::string withLength = status + "Content-Length: 4\r\n\r\nbody";
+    const std::string chunked = status + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Trailer: 1\r\n\r\n";
+    const std::string empty = status + "Content-Length: 0\r\n\r\n";
+    const std::string withoutLength = status + "\r\n";
+    std::vector<WholeAnswer> answers{{withLength, withLength.size()},
+                                     {chunked, chunked.size()},
+                                     {empty, empty.size()},
+                                     // Its body is complete whenever the connection is closed in order.
+                                     {withoutLength + "body", withoutLength.size()}};
+    const std::string informational = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    const std::size_t plainCount = answers.size();
+    for (std::size_t number = 0; number < plainCount; ++number) {
+        const WholeAnswer &answer = answers[number];
+        answers.push_back({informational + answer.text, informational.size() + answer.completeFrom});
+    }
+    return answers;
+}
+
+}
+
+// Guards against an upstream that stops in the middle of its answer's head, and a caller who gets a short success.
+TEST_CASE("an answer that is cut at any byte is no complete answer")
+{
+    const ConnectionEnd connectionEnd = GENERATE(ConnectionEnd::Orderly, ConnectionEnd::Reset);
+    for (const WholeAnswer &answer : wholeAnswers()) {
+        for (std::size_t size = 0; size < answer.text.size(); ++size) {
+            const bool isComplete = connectionEnd == ConnectionEnd::Orderly && size >= answer.completeFrom;
+            EventLoop loop;
+            HttpConnectionPool pool(loop.executor(), {});
+            loop.run([&]() -> asio::awaitable<void> {
+                auto result =
+                    co_await getFromRawServer(loop, pool, answer.text.substr(0, size), connectionEnd, Milliseconds(1));
+                INFO("cut after " << size << " bytes of " << answer.text);
+                CHECK(result.has_value() == isComplete);
+                CHECK((result.has_value() || result.error().verdict == Verdict::MayHaveRun));
+            });
+        }
+    }
+}
--- a/tests/sidecar/endlessupstream.cpp
+++ b/tests/sidecar/endlessupstream.cpp
@@ -128,11 +128,26 @@
     }
 }
 
+asio::awaitable<void> EndlessUpstream::sendAndClose(Socket socket, std::string bytes, bool isReset)
+{
+    error_code error;
+    co_await asio::async_write(*socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    if (isReset) {
+        socket->set_option(asio::socket_base::linger(true, 0), error);
+    }
+    socket->close(error);
+}
+
 asio::awaitable<void> EndlessUpstream::sendEndless(Socket socket, std::string request)
 {
     const auto sending = sendings_.emplace_back(std::make_shared<Sending>());
     sending->began = currentTime();
     const std::string begin = withId(answer_.begin, request);
+    if (answer_.repeated.empty()) {
+        co_await sendAndClose(socket, begin, answer_.isReset);
+        sending->ended = currentTime();
+        co_return;
+    }
     std::string repeated = withId(answer_.repeated, request);
     const bool isFast = answer_.pause == Milliseconds{0};
     for (const std::string once = repeated; isFast && repeated.size() < WriteBytes;) {
--- a/tests/sidecar/endlessupstream.h
+++ b/tests/sidecar/endlessupstream.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -20,7 +21,7 @@
 {
     std::string name;
     std::string begin;
-    /// Sent again and again after that, until the connection is closed.
+    /// Sent again and again after that, until the connection is closed. Empty: the upstream closes it at once.
     std::string repeated;
     /// The pause between two of them.
     Milliseconds pause{0};
@@ -29,6 +30,8 @@
     bool isForHealthChecks = false;
     /// Whether it says that the request was not run, so that this counts as no run.
     bool isRefusal = false;
+    /// Whether the connection is closed by a reset, where it is closed at once.
+    bool isReset = false;
 };
 
 /// A stand-in for an upstream in trouble, whose answers don't end. Thread safety: none.
@@ -37,6 +40,7 @@
 public:
     EndlessUpstream(boost::asio::any_io_executor executor, std::string id, EndlessAnswer answer);
 
+    void setAnswer(EndlessAnswer answer) { answer_ = std::move(answer); }
     /// How often the request with this id was run.
     [[nodiscard]] int runs(const std::string &request) const;
     [[nodiscard]] int totalRuns() const;
@@ -56,6 +60,7 @@
 
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(Socket socket);
+    static boost::asio::awaitable<void> sendAndClose(Socket socket, std::string bytes, bool isReset);
     boost::asio::awaitable<void> sendEndless(Socket socket, std::string request);
 
     boost::asio::any_io_executor executor_;
