ingress, sidecar: requests that the end of a process cuts are answered, as not run where that is true

What callers see: a reset at the end of a planned stop, also for an order that waited and never ran, so that it may not be sent again.

Cause: what was under way when the grace time ended was left to the destructor of the server.

Now: each such request is given up like one at its deadline: 503 where the state of its tries proves that nothing ran, else 502; its tries are cancelled. An answer under way is not touched.

--- a/src/ingress/ingresscontext.h
+++ b/src/ingress/ingresscontext.h
@@ -109,7 +109,7 @@
     std::function<bool()> mayLackRoutes = [] { return false; };
     std::uint64_t lastSequence = 0;
     /// The requests that have not ended.
-    std::unordered_set<const ProxiedRequest *> openRequests;
+    std::unordered_set<ProxiedRequest *> openRequests;
 
 private:
     void recordBaselineTime(const RouteName &route, const LoadReport &report);
--- a/src/ingress/ingressrole.cpp
+++ b/src/ingress/ingressrole.cpp
@@ -50,10 +50,11 @@
     updateRetryBudget();
 }
 
-void IngressRole::logCutRequests() const
+void IngressRole::endRequests()
 {
-    for (const ProxiedRequest *request : context_->openRequests) {
+    for (ProxiedRequest *request : context_->openRequests) {
         context_->requestLog.recordCut(request->describeCut());
+        request->endWithProcess();
     }
 }
 
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -72,8 +72,9 @@
     [[nodiscard]] std::string shortServices() const;
     /// Returns the share of the recent tries that found capacity for each service; 1 without tries.
     [[nodiscard]] std::map<ServiceName, double> serviceRoom() const;
-    /// Writes a log line for each request that has not ended. Call this when the process ends.
-    void logCutRequests() const;
+    /// Ends all requests since the process ends, and writes a log line for each. Their answers are written within some
+    /// turns of the event loop.
+    void endRequests();
     /// Returns the number of requests that have not ended.
     [[nodiscard]] std::size_t openRequests() const { return context_->openRequests.size(); }
 
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -158,6 +158,10 @@
             }
             continue;
         }
+        if (!isStreamed_ && isProcessEnding_) {
+            co_await giveUp(notRun(Reason::Draining, "the process ends"));
+            co_return;
+        }
         if (!isStreamed_ && currentTime() >= parameters_.deadline) {
             co_await giveUp(notRun(Reason::DeadlinePassed, "no answer before the timeout"));
             co_return;
@@ -181,7 +185,7 @@
 
 asio::awaitable<void> ProxiedRequest::waitForTryEnd()
 {
-    if (tries_->hasEndedTry() || isCallerDisconnected_) {
+    if (tries_->hasEndedTry() || isCallerDisconnected_ || isProcessEnding_) {
         co_return;
     }
     wakeUp_.expires_at(isStreamed_ ? TimePoint::max() : parameters_.deadline);
@@ -344,6 +348,12 @@
     }
 }
 
+void ProxiedRequest::endWithProcess()
+{
+    isProcessEnding_ = true;
+    wakeUp_.cancel();
+}
+
 CutRequest ProxiedRequest::describeCut() const
 {
     const TimePoint now = currentTime();
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -29,6 +29,9 @@
     ProxiedRequest &operator=(const ProxiedRequest &) = delete;
 
     boost::asio::awaitable<void> run();
+    /// Answers the caller at once, as not run where that is proved, because the process ends. An answer that is under
+    /// way goes on.
+    void endWithProcess();
     /// Describes the request for the log of a process that ends before the request has.
     [[nodiscard]] CutRequest describeCut() const;
 
@@ -77,6 +80,7 @@
     /// The paced answer of the request; null before its first byte, and if the rate of the link is not known.
     std::shared_ptr<PacedTransfer> transfer_;
     bool isCallerDisconnected_ = false;
+    bool isProcessEnding_ = false;
     /// Whether a part of a streamed answer was accepted. No other try may follow, and the deadline has no effect any
     /// more: an answer that is under way is delivered for as long as the caller takes it.
     bool isStreamed_ = false;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -46,6 +46,8 @@
 constexpr double IdleTimeFactor = 1.25;
 
 constexpr Milliseconds StopPollInterval{50};
+/// The time in which the callers of requests that the end of the process cuts are told.
+constexpr Milliseconds LastAnswersTime{20};
 
 HttpLimits callerLimits(const CallerLimits &limits)
 {
@@ -332,9 +334,13 @@
                 logStop(toString(stop.phase()), startedAt);
             }
         }
-        ingress_.logCutRequests();
         egress_.logCutRequests();
         logStop(stopActivity().hasRequests ? "grace-over" : "drained", startedAt);
+        if (ingress_.openRequests() > 0) {
+            ingress_.endRequests();
+            timer.expires_after(LastAnswersTime);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
         context_.stop();
     }
 
