--- a/tests/soak/stoppedorderstest.cpp
+++ b/tests/soak/stoppedorderstest.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -453,17 +454,28 @@
     unsigned openOrders_ = 0;
 };
 
-/// The seeds of a run by hand: as many as the variable tells.
-std::uint64_t seedCount()
+struct SeedRange
 {
-    const char *text = std::getenv("EGRETPATH_STOP_SEEDS");
-    return text != nullptr ? static_cast<std::uint64_t>(std::atoi(text)) : 1;
+    std::uint64_t first = 1;
+    std::uint64_t last = 1;
+};
+
+/// The seeds of a run by hand, "11-20" for example, as the variable tells.
+SeedRange seedRange()
+{
+    SeedRange seeds;
+    if (const char *text = std::getenv("EGRETPATH_STOP_SEEDS")) {
+        char dash = '-';
+        std::istringstream(text) >> seeds.first >> dash >> seeds.last;
+    }
+    return seeds;
 }
 
 void playSeeds(StoppedRole role)
 {
     const Milliseconds grace = GENERATE(Milliseconds(1000), Milliseconds(2500), Milliseconds(6000));
-    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+    const SeedRange seeds = seedRange();
+    for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
         INFO("grace time of " << grace.count() << " ms, seed " << seed);
         StoppedOrders orders(role, grace, seed);
         orders.play();
