--- a/tests/http/httpserverclosingtest.cpp
+++ b/tests/http/httpserverclosingtest.cpp
@@ -140,7 +140,7 @@
     std::string answer;
     std::string piece;
     do {
-        piece = co_await caller.receiveSome(256 * 1024);
+        piece = co_await caller.receiveSome(std::size_t{256} * 1024);
         answer += piece;
         co_await loop.sleep(Milliseconds(15));
     } while (!piece.empty());
--- a/tests/soak/stoppedorderstest.cpp
+++ b/tests/soak/stoppedorderstest.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
-#include <map>
 #include <memory>
 #include <optional>
 #include <sstream>
@@ -11,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include "core/currenttime.h"
+#include "soak/runrecorder.h"
 #include "soak/stoprun.h"
 #include "standins/standinprogram.h"
 
@@ -44,39 +44,6 @@
 /// How much earlier than its deadline a request counts as one that reached it.
 constexpr Milliseconds DeadlineTolerance{25};
 
-/// When upstreams worked on each request.
-class RunRecorder : public UpstreamObserver
-{
-public:
-    struct Run
-    {
-        TimePoint begin;
-        TimePoint end = TimePoint::max();
-    };
-
-    void onArrived(const UpstreamName & /*upstream*/, const ServiceName & /*service*/,
-                   const ArrivedRequest & /*request*/) override
-    {
-    }
-    void onRunStarted(const UpstreamName & /*upstream*/, const ServiceName & /*service*/,
-                      const ArrivedRequest &request) override
-    {
-        runs_[request.attempt].begin = currentTime();
-    }
-    void onRunFinished(const RequestId &attempt) override { runs_[attempt].end = currentTime(); }
-    void onAnswered(const UpstreamAnswer & /*answer*/) override { }
-    void onCrashedBy(const UpstreamName & /*upstream*/, const ArrivedRequest & /*request*/) override { }
-
-    [[nodiscard]] std::optional<Run> find(const RequestId &request) const
-    {
-        const auto found = runs_.find(request);
-        return found != runs_.end() ? std::optional(found->second) : std::nullopt;
-    }
-
-private:
-    std::map<RequestId, Run> runs_;
-};
-
 CallerRoute orderRoute(const char *key, RequestKind kind, Milliseconds timeout, Milliseconds callerTimeout)
 {
     CallerRoute route;
@@ -90,14 +57,14 @@
 
 const std::vector<CallerRoute> &orderRoutes()
 {
-    static const std::vector<CallerRoute> Routes{
+    static const std::vector<CallerRoute> routes{
         orderRoute("order", RequestKind::Unsafe, Milliseconds(1500), Milliseconds(3000)),
         orderRoute("look", RequestKind::Safe, Milliseconds(2500), Milliseconds(2500)),
         orderRoute("photo", RequestKind::Upload, Milliseconds(3000), Milliseconds(3000)),
         orderRoute("fetch", RequestKind::Download, Milliseconds(3000), Milliseconds(4000)),
         orderRoute("long", RequestKind::Unsafe, Milliseconds(12'000), Milliseconds(12'000)),
         orderRoute("call", RequestKind::Safe, Milliseconds(900), Milliseconds(400))};
-    return Routes;
+    return routes;
 }
 
 /// How a caller sends its order.
