--- a/tests/sidecar/sidecartest.cpp
+++ b/tests/sidecar/sidecartest.cpp
@@ -271,7 +271,7 @@
     Deployment deployment;
     deployment.run([&]() -> asio::awaitable<void> {
         deployment.first.sidecar->stop();
-        // After this pause, the route's timeout of 800 ms reaches beyond the end of the process, which comes 250 ms
+        // After this pause, the route's timeout of 800 ms reaches beyond the end of the process, which comes 150 ms
         // before the end of the grace time of 1,200 ms.
         co_await deployment.sleep(Milliseconds(300));
         const Reply shortRequest =
