egress, sidecar: logs tell which routes the node beside the upstream has, and how long a node was held up

The record of the two stale requests could not tell whether bac-a-5 and nam-a-1, which handed them over, had version 13: an `egress` line had no version. It has one now, and `placed_by` where the ingress placed the request by another. Costs one field a line. No logic is changed.

--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -419,6 +419,12 @@
     if (startedAboveLimit_) {
         line.add("fill", "above-limit");
     }
+    const RouteTablePointer &routes = role_.sources_.routes;
+    const RouteVersion ownVersion = routes ? routes->version() : RouteVersion();
+    line.add("routes", ownVersion.value());
+    if (head_.routesVersion != ownVersion) {
+        line.add("placed_by", head_.routesVersion.value());
+    }
     if (failure != nullptr) {
         line.add("verdict", toString(failure->verdict)).add("reason", toString(failure->reason));
         line.add("detail", failure->detail);
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -283,6 +283,7 @@
     while (true) {
         timer.expires_after(times_.checkInterval);
         co_await timer.async_wait(asio::use_awaitable);
+        log_.recordHoldUp(currentTime() - timer.expiry());
         contents_.expire();
         source_.setCheckTimes(plan_.checkTimes(currentTime()));
         if (needsPeers()) {
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <set>
+#include <utility>
 
 #include "core/currenttime.h"
 
@@ -16,6 +17,8 @@
 /// An entry may be as large as a value of the store, and be written again every second.
 constexpr std::size_t MaxReasonBytes = 300;
 constexpr std::size_t MaxRefusedEntries = 1000;
+/// A timer that fires this late delays answers to other nodes by as much.
+constexpr Milliseconds MinCountedHoldUp{50};
 constexpr std::chrono::minutes RepeatedLogInterval{1};
 
 Milliseconds::rep millisecondsOf(Duration duration)
@@ -40,6 +43,7 @@
     line.add("count", std::uint64_t{table.routeCount()});
     line.add("from", origin.from).add("bytes", std::uint64_t{origin.bytes}).add("age_ms", millisecondsOf(origin.age));
     line.add("transfer_ms", millisecondsOf(origin.transferTime)).add("parse_ms", millisecondsOf(origin.parseTime));
+    line.add("held_up_ms", millisecondsOf(std::exchange(longestHoldUp_, Duration{0})));
     log_.info(line);
     metrics_.set("egretpath_routes_version", {}, static_cast<double>(table.version().value()));
     if (versionBefore.value() > 0) {
@@ -213,6 +217,14 @@
     log_.warning(StructuredLine("catch-up").add("peer", peer.value()));
 }
 
+void CatalogLog::recordHoldUp(Duration length)
+{
+    longestHoldUp_ = std::max(longestHoldUp_, length);
+    if (length >= MinCountedHoldUp) {
+        metrics_.record("egretpath_loop_held_up_seconds", {}, length);
+    }
+}
+
 void CatalogLog::logRefusedEntry(std::string_view key, std::string_view reason)
 {
     metrics_.count("egretpath_entries_refused_total");
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -83,6 +83,8 @@
     void logWatchSilent(const SilentWatch &silent);
     void logSourceRestored(Duration lostFor);
     void logCatchUp(const Endpoint &peer);
+    /// The event loop did not run for @p length when it should have. The longest time is written with the next routes.
+    void recordHoldUp(Duration length);
     /// Writes a line for an entry of the store that can't be used; none if the same was said a moment ago.
     void logRefusedEntry(std::string_view key, std::string_view reason);
 
@@ -97,6 +99,8 @@
     Metrics &metrics_;
     /// By key.
     std::map<std::string, RefusedEntry> refusedEntries_;
+    /// The longest time for which the event loop was held up since routes were last logged.
+    Duration longestHoldUp_{0};
 };
 
 }
