tests: many routes behind slow nodes, and requests that older routes place (known red)

The bounds are the users' 2 s behind the first node, 1 s at the median node.

Whole nodes: a request placed by older routes is run by the former service, or although its route was removed, by a node that has the newer routes (runs 2 == 1; 200 == 404).

--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds FirstReadTime{50};
 /// The same as that of the adapter that reads the store.
 constexpr Milliseconds PingTimeout{600};
+/// A node that did not run for longer reads what arrived before it gives up an answer.
+constexpr Milliseconds StallTolerance{100};
 
 RegionName regionOf(int number, int regions)
 {
@@ -41,15 +43,37 @@
 {
     for (int number = 0; number < nodes; ++number) {
         numbers_[nodeAddress(number)] = number;
-        nodes_.push_back(std::make_unique<Node>(
-            CatalogPlan(regionOf(number, regions), ReaderElectionSettings(), times_, Random(random_())), times_));
-        nodes_.back()->plan.listChanged(directory_, nodeAddress(number), true);
-        time_.at(now(), [this, number] { step(number); });
-        time_.at(now(), [this, number] { exchange(number); });
+        nodes_.push_back(makeNode(number));
+        startNode(number);
     }
 }
 
-void CatalogFleet::exchange(int number)
+std::unique_ptr<CatalogFleet::Node> CatalogFleet::makeNode(int number)
+{
+    const RegionName region = regionOf(number, regions_);
+    auto node =
+        std::make_unique<Node>(CatalogPlan(region, ReaderElectionSettings(), times_, Random(random_())), times_);
+    node->plan.listChanged(directory_, nodeAddress(number), true);
+    return node;
+}
+
+void CatalogFleet::startNode(int number)
+{
+    runWhenFree(number, now(), [this, number] { step(number); });
+    runWhenFree(number, now(), [this, number] { exchange(number, now()); });
+}
+
+void CatalogFleet::replace(int number)
+{
+    auto node = makeNode(number);
+    node->incarnation = nodes_[number]->incarnation + 1;
+    node->slowness = nodes_[number]->slowness;
+    node->hasFastLink = nodes_[number]->hasFastLink;
+    nodes_[number] = std::move(node);
+    startNode(number);
+}
+
+void CatalogFleet::exchange(int number, TimePoint since)
 {
     constexpr Milliseconds CheckInterval{5};
     if (dead_.contains(number)) {
@@ -58,6 +82,7 @@
     Node &node = *nodes_[number];
     const auto reader = node.plan.nextInRing(now());
     Milliseconds pause = times_.followPause;
+    bool isWaiting = false;
     if (reader && dead_.contains(numbers_.at(*reader))) {
         // The plan hears of it later than it would from the controller, whose query began before.
         node.plan.onNoAnswer(*reader, now());
@@ -65,14 +90,17 @@
     } else if (reader) {
         const int other = numbers_.at(*reader);
         node.plan.onRingAnswer(*reader);
-        const std::uint64_t revision = nodes_[other]->revision;
-        if (revision > node.revision) {
-            time_.at(now() + oneWayDelay(other, number), [this, number, revision] { advance(number, revision); });
+        if (canAnswer(other, since, node.parsed)) {
+            const std::uint64_t revision = nodes_[other]->offered;
+            runWhenFree(number, now() + oneWayDelay(other, number),
+                        [this, number, revision] { takeChanges(number, revision); });
         } else {
             pause = CheckInterval;
+            isWaiting = true;
         }
     }
-    time_.at(now() + pause, [this, number] { exchange(number); });
+    const TimePoint next = now() + pause;
+    runWhenFree(number, next, [this, number, since = isWaiting ? since : next] { exchange(number, since); });
 }
 
 void CatalogFleet::step(int number)
@@ -89,7 +117,7 @@
     if (query) {
         ask(number, *query);
     } else {
-        time_.at(now() + PlanInterval, [this, number] { step(number); });
+        runWhenFree(number, now() + PlanInterval, [this, number] { step(number); });
     }
 }
 
@@ -97,22 +125,22 @@
 {
     const int source = numbers_.at(query.node);
     const std::uint64_t queryNumber = nodes_[asker]->endedQueries;
-    time_.at(now() + query.wait + times_.answerOverdueTime,
-             [this, asker, overdue = query.node, queryNumber] { queryAlternatives(asker, overdue, queryNumber); });
-    if (dead_.contains(source)) {
-        noteUnanswered(asker, query, now() + query.wait + times_.followMargin);
-        return;
-    }
-    const std::uint64_t askerRevision = nodes_[asker]->revision;
-    const TimePoint arrival = now() + oneWayDelay(asker, source);
-    time_.at(arrival, [this, asker, source, query, askerRevision, arrival] {
-        answerWhenUpdated(asker, source, query, askerRevision, arrival + query.wait);
+    const TimePoint dueAt = now() + query.wait + times_.answerOverdueTime;
+    runWhenFree(asker, dueAt, [this, asker, overdue = query.node, queryNumber, dueAt] {
+        queryAlternatives(asker, overdue, queryNumber, dueAt);
     });
+    giveUpUnanswered(asker, query, now() + query.wait + times_.followMargin, queryNumber);
+    const TimePoint arrival = now() + oneWayDelay(asker, source);
+    const WaitingQuery waiting{asker, queryNumber, source, nodes_[asker]->revision, arrival};
+    time_.at(arrival,
+             [this, waiting, query] { answerWhenUpdated(waiting, query, nodes_[waiting.source]->incarnation); });
 }
 
-void CatalogFleet::queryAlternatives(int asker, const Endpoint &overdue, std::uint64_t queryNumber)
+void CatalogFleet::queryAlternatives(int asker, const Endpoint &overdue, std::uint64_t queryNumber, TimePoint dueAt)
 {
-    if (dead_.contains(asker) || nodes_[asker]->endedQueries != queryNumber) {
+    // A process that did not run for a while has not read what arrived meanwhile.
+    const bool hasStalled = now() - dueAt > times_.answerOverdueTime;
+    if (dead_.contains(asker) || nodes_[asker]->endedQueries != queryNumber || hasStalled) {
         return;
     }
     for (const Endpoint &peer : nodes_[asker]->plan.alternatives(overdue, now())) {
@@ -120,49 +148,83 @@
         if (dead_.contains(other)) {
             continue;
         }
-        time_.at(now() + 2 * oneWayDelay(asker, other),
-                 [this, asker, other] { advance(asker, nodes_[other]->revision); });
+        const Duration delay = oneWayDelay(asker, other);
+        runWhenFree(other, now() + delay, [this, asker, other, delay] {
+            runWhenFree(asker, now() + delay, [this, asker, other] { takeChanges(asker, nodes_[other]->offered); });
+        });
     }
 }
 
-void CatalogFleet::noteUnanswered(int asker, const SourceQuery &query, TimePoint at)
+void CatalogFleet::giveUpUnanswered(int asker, const SourceQuery &query, TimePoint at, std::uint64_t queryNumber)
 {
-    time_.at(at, [this, asker, query] {
-        ++nodes_[asker]->endedQueries;
-        nodes_[asker]->plan.onNoAnswer(query.node, now());
-        time_.at(now(), [this, asker] { step(asker); });
+    runWhenFree(asker, at, [this, asker, query, at, queryNumber] {
+        if (nodes_[asker]->endedQueries == queryNumber && now() - at > StallTolerance) {
+            giveUpUnanswered(asker, query, now() + StallTolerance, queryNumber);
+        } else {
+            noteUnanswered(asker, query, queryNumber);
+        }
     });
 }
 
-void CatalogFleet::answerWhenUpdated(int asker, int source, SourceQuery query, std::uint64_t askerRevision,
-                                     TimePoint end)
+void CatalogFleet::noteUnanswered(int asker, const SourceQuery &query, std::uint64_t queryNumber)
+{
+    Node &node = *nodes_[asker];
+    if (node.endedQueries != queryNumber) {
+        return;
+    }
+    ++node.endedQueries;
+    node.plan.onNoAnswer(query.node, now());
+    runWhenFree(asker, now(), [this, asker] { step(asker); });
+}
+
+void CatalogFleet::answerWhenUpdated(const WaitingQuery &waiting, const SourceQuery &query, std::uint64_t incarnation)
 {
     constexpr Milliseconds CheckInterval{5};
-    if (dead_.contains(source)) {
-        noteUnanswered(asker, query, end + times_.followMargin);
+    const Node &node = *nodes_[waiting.source];
+    const Duration delay = oneWayDelay(waiting.source, waiting.asker);
+    if (dead_.contains(waiting.source) || nodes_[waiting.asker]->endedQueries != waiting.number) {
         return;
     }
-    const Node &node = *nodes_[source];
-    const bool hasUpdate = node.revision > askerRevision || node.plan.store(now(), false) != query.knownState;
-    if (!hasUpdate && now() < end) {
-        time_.at(std::min<TimePoint>(now() + CheckInterval, end), [this, asker, source, query, askerRevision, end] {
-            answerWhenUpdated(asker, source, query, askerRevision, end);
-        });
+    if (node.incarnation != incarnation) {
+        // The end of a process ends its connections.
+        runWhenFree(waiting.asker, now() + delay,
+                    [this, waiting, query] { noteUnanswered(waiting.asker, query, waiting.number); });
         return;
     }
-    const SourceReport report = reportOf(source);
-    const std::uint64_t revision = node.revision;
-    time_.at(now() + oneWayDelay(source, asker), [this, asker, query, report, revision] {
-        Node &node = *nodes_[asker];
-        ++node.endedQueries;
-        node.plan.onAnswer(query.node, report, now());
-        advance(asker, revision);
-        applyReading(asker);
-        // The controller pauses in the same way after an answer without changes.
-        time_.at(now() + (query.wait.count() > 0 ? Milliseconds{1} : PlanInterval), [this, asker] { step(asker); });
+    const TimePoint end = waiting.arrival + query.wait;
+    const bool isFree = now() >= node.busyUntil;
+    // A process that has just started holds queries until it has routes.
+    const bool isStarting = node.incarnation > 0 && node.revision == 0;
+    const bool hasNewState = isFree && !isStarting && node.plan.store(now(), false) != query.knownState;
+    const bool hasUpdate = canAnswer(waiting.source, waiting.arrival, waiting.revision);
+    if (!hasUpdate && !hasNewState && !(isFree && now() >= end)) {
+        const TimePoint next = now() < end ? std::min<TimePoint>(now() + CheckInterval, end) : now() + CheckInterval;
+        time_.at(next, [this, waiting, query, incarnation] { answerWhenUpdated(waiting, query, incarnation); });
+        return;
+    }
+    const SourceReport report = reportOf(waiting.source);
+    const std::uint64_t revision = hasUpdate ? node.offered : node.revision;
+    runWhenFree(waiting.asker, now() + delay, [this, waiting, query, report, revision] {
+        takeAnswer(waiting.asker, query, report, revision, waiting.number);
     });
 }
 
+void CatalogFleet::takeAnswer(int asker, const SourceQuery &query, const SourceReport &report, std::uint64_t revision,
+                              std::uint64_t queryNumber)
+{
+    Node &node = *nodes_[asker];
+    if (node.endedQueries != queryNumber) {
+        return;
+    }
+    ++node.endedQueries;
+    node.plan.onAnswer(query.node, report, now());
+    takeChanges(asker, revision);
+    applyReading(asker);
+    // The controller pauses in the same way after an answer without changes.
+    const Milliseconds pause = query.wait.count() > 0 ? Milliseconds{1} : PlanInterval;
+    runWhenFree(asker, now() + pause, [this, asker] { step(asker); });
+}
+
 void CatalogFleet::applyReading(int number)
 {
     Node &node = *nodes_[number];
@@ -174,7 +236,7 @@
         node.failures = 0;
         const std::uint64_t round = ++node.readingRound;
         ++storeCalls_;
-        time_.at(now() + FirstReadTime, [this, number, round] { readStore(number, round); });
+        runWhenFree(number, now() + FirstReadTime, [this, number, round] { readStore(number, round); });
     } else if (wanted == StoreReading::None && reads) {
         ++node.readingRound;
     }
@@ -198,7 +260,7 @@
             // Reads of the routes and of the list, and the start of a watch for each.
             storeCalls_ += 4;
         }
-        time_.at(now() + watchStore(number), [this, number, round] { readStore(number, round); });
+        runWhenFree(number, now() + watchStore(number), [this, number, round] { readStore(number, round); });
         return;
     }
     recordFailedRead(number, round);
@@ -207,16 +269,19 @@
 Milliseconds CatalogFleet::watchStore(int number)
 {
     Node &node = *nodes_[number];
+    if (costs_.tableTransfer.count() > 0) {
+        return watchTable(number);
+    }
     const Duration waited = now() - node.watchBegan;
     const auto patience = node.patience.wait();
     if (node.revision < watchedRevision()) {
         ++storeCalls_;
         node.patience.recordChanges(waited);
-        advance(number, watchedRevision());
+        putInForce(number, watchedRevision());
     } else if (patience && waited >= *patience) {
         ++storeCalls_;
         node.patience.recordRead(node.revision < published_);
-        advance(number, published_);
+        putInForce(number, published_);
     } else {
         return WatchInterval;
     }
@@ -233,7 +298,7 @@
     if (!node.plan.ownReadsFailingSince()) {
         node.plan.onOwnReadsFailed(now());
     }
-    time_.at(now() + retryDelayOf(node), [this, number, round] { readStore(number, round); });
+    runWhenFree(number, now() + retryDelayOf(node), [this, number, round] { readStore(number, round); });
     ++node.failures;
 }
 
@@ -242,12 +307,12 @@
     std::uniform_real_distribution<double> share(0.0, 1.0);
     const Milliseconds checkInterval = nodes_[number]->plan.checkTimes(now()).interval;
     const Duration untilPing = std::chrono::duration_cast<Duration>(checkInterval * share(random_));
-    time_.at(now() + untilPing + times_.storeOverdueTime, [this, number, round] {
+    runWhenFree(number, now() + untilPing + times_.storeOverdueTime, [this, number, round] {
         if (round == nodes_[number]->readingRound) {
             nodes_[number]->plan.onStoreOverdue();
         }
     });
-    time_.at(now() + untilPing + PingTimeout, [this, number, round] {
+    runWhenFree(number, now() + untilPing + PingTimeout, [this, number, round] {
         if (!dead_.contains(number) && round == nodes_[number]->readingRound) {
             recordFailedRead(number, round);
         }
@@ -264,6 +329,7 @@
 {
     ++published_;
     publishedAt_.push_back(now());
+    firstHadAt_.emplace_back();
 }
 
 void CatalogFleet::publishSeries(Milliseconds interval, TimePoint end)
@@ -274,15 +340,6 @@
     }
 }
 
-void CatalogFleet::advance(int number, std::uint64_t revision)
-{
-    Node &node = *nodes_[number];
-    if (revision > node.revision) {
-        node.maxLag = std::max(node.maxLag, lagOf(node));
-        node.revision = revision;
-    }
-}
-
 Duration CatalogFleet::lagOf(const Node &node) const
 {
     // The first revision was there before the fleet.
@@ -305,6 +362,7 @@
 {
     for (const auto &node : nodes_) {
         node->maxLag = Duration{0};
+        node->maxLagBehindFirst = Duration{0};
     }
 }
 
