egress, ingress: a request that older routes place is placed anew by newer ones

What callers saw: requests run by the former service of their route 3.1 and 3.65 s after the change was acked, at nodes whose routes were late. The node beside the upstream looked at the regions of its own, newer routes already, but not at services or at removed routes. Change: if its routes are newer than those of the ingress and have no such route, or send it to other services, it refuses the call as not run (reason older-routes), also if the routes changed while the call waited. The ingress gets the routes of that node at once, in one query for all that wait, matches the request again and places it by them; 404 if its route is gone; 503 after a second without them. Only requests that reached no upstream are placed anew. Calls of nodes that don't name their routes are judged as before. Reads of the store don't begin anew. This makes no change faster; it makes a late ingress harmless wherever the other node is not late too. A 404 at a late ingress asks nobody, and weights, timeouts and kinds are not compared.

--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::array<std::string_view, 3> VerdictWords{"answered", "not-run", "may-have-run"};
 
-constexpr std::array<std::string_view, 27> ReasonWords{
+constexpr std::array<std::string_view, 28> ReasonWords{
     "none",
     "bad-request",
     "overloaded",
@@ -39,6 +39,7 @@
     "zone-evacuated",
     "limited",
     "kept-connection-lost",
+    "older-routes",
 };
 
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -78,10 +78,12 @@
     /// A connection that earlier requests had used broke before an answer. Its upstream may have closed it as idle, or
     /// have run the request.
     KeptConnectionLost,
+    /// The node beside the upstream has newer routes than those by which the ingress chose, and they don't allow it.
+    OlderRoutes,
 };
 
 /// The last enumerator, used to check reasons received from nodes of other versions.
-inline constexpr Reason LastReason = Reason::KeptConnectionLost;
+inline constexpr Reason LastReason = Reason::OlderRoutes;
 /// The last one that nodes know which don't name the version of the routes with a call.
 inline constexpr Reason LastReasonOfEarlierNodes = Reason::CrashesUpstreams;
 
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -57,8 +57,8 @@
     , metrics_(metrics)
     , slots_(executor_, settings_.queue)
     , pool_(executor_, poolLimits(settings_))
-    , location_(std::move(location))
     , sources_(sources)
+    , servingCheck_(std::move(location), sources_.routes, sources_.evacuatedZones)
     , recentAnswers_(random())
     , exitMonitor_(
           executor_, pool_, settings_.upstream, random,
@@ -309,39 +309,7 @@
 
 void EgressRole::evacuatedZonesChanged()
 {
-    refuseWaiting([this](const UpstreamName & /*target*/) { return evacuationRejection(); });
-}
-
-std::optional<Failure> EgressRole::evacuationRejection() const
-{
-    if (!sources_.evacuatedZones.isKnown()) {
-        return notRun(Reason::ZoneEvacuated, "it is not known yet whether the zone is evacuated");
-    }
-    if (sources_.evacuatedZones.contains(location_.zone)) {
-        return notRun(Reason::ZoneEvacuated, "the zone of the upstream is evacuated");
-    }
-    return std::nullopt;
-}
-
-std::optional<Failure> EgressRole::locationRejection(const CallHead &head) const
-{
-    if (auto rejection = evacuationRejection()) {
-        return rejection;
-    }
-    const RouteTablePointer &routes = sources_.routes;
-    if (!routes || routes->version() < head.routesVersion) {
-        return std::nullopt;
-    }
-    const Route *route = routes->match(head.headers.find("Host").value_or(std::string_view()), head.target);
-    return route != nullptr ? Egretpath::locationRejection(location_, *route) : std::nullopt;
-}
-
-bool EgressRole::isDownload(const CallHead &head) const
-{
-    const RouteTablePointer &routes = sources_.routes;
-    const Route *route =
-        routes ? routes->match(head.headers.find("Host").value_or(std::string_view()), head.target) : nullptr;
-    return route != nullptr && route->kind == RequestKind::Download;
+    refuseWaiting([this](const UpstreamName & /*target*/) { return servingCheck_.evacuationRejection(); });
 }
 
 std::optional<Failure> EgressRole::downloadRejection()
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -16,6 +16,7 @@
 #include "calls/dependentcalls.h"
 #include "calls/dependentroutereports.h"
 #include "dialect/upstreamdialect.h"
+#include "egress/servingcheck.h"
 #include "egress/upstreamexitmonitor.h"
 #include "egress/upstreamhealth.h"
 #include "egress/upstreampresence.h"
@@ -165,13 +166,6 @@
     void refuseWaitingForDeparted();
     /// The refusal of any request while the node stops.
     [[nodiscard]] static Failure drainingRejection();
-    /// The refusal of any request while this zone is evacuated; nothing if it is not.
-    [[nodiscard]] std::optional<Failure> evacuationRejection() const;
-    /// The refusal of a request that may not be served here, since this zone is evacuated or the route names other
-    /// regions; nothing if it may be. Routes older than those by which the ingress chose don't count.
-    [[nodiscard]] std::optional<Failure> locationRejection(const CallHead &head) const;
-    /// Whether the route of a request is one of downloads. Only this node's own routes tell.
-    [[nodiscard]] bool isDownload(const CallHead &head) const;
     /// Returns why a new download is refused, or nothing if it is taken.
     ///
     /// An upstream exits if the answers that it holds exceed its memory. So at most twice as many downloads as it has
@@ -193,8 +187,8 @@
     Metrics &metrics_;
     WorkSlots slots_;
     HttpConnectionPool pool_;
-    Location location_;
     EgressSources sources_;
+    ServingCheck servingCheck_;
     RecentAnswers recentAnswers_;
     UpstreamExitMonitor exitMonitor_;
     UpstreamExitMonitor::Listener upstreamExitListener_;
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -101,7 +101,7 @@
     if (auto rejection = stopRejection()) {
         co_return rejection;
     }
-    if (auto rejection = role_.locationRejection(head_)) {
+    if (auto rejection = role_.servingCheck_.rejection(head_)) {
         co_return rejection;
     }
     co_await role_.refreshUpstreamState();
@@ -112,7 +112,7 @@
     if (auto rejection = handOverRejection()) {
         co_return rejection;
     }
-    isDownload_ = role_.isDownload(head_);
+    isDownload_ = role_.servingCheck_.isDownload(head_);
     if (auto rejection = isDownload_ ? role_.downloadRejection() : std::nullopt) {
         co_return rejection;
     }
@@ -368,7 +368,7 @@
     if (auto rejection = role_.presence_.rejection(head_.targetUpstream)) {
         return rejection;
     }
-    if (auto rejection = role_.locationRejection(head_)) {
+    if (auto rejection = role_.servingCheck_.rejection(head_)) {
         return rejection;
     }
     if (auto rejection = quarantineRejection()) {
--- a/src/ingress/ingresscontext.cpp
+++ b/src/ingress/ingresscontext.cpp
@@ -135,6 +135,7 @@
     case Reason::CrashesUpstreams:
     case Reason::OutsideRegions:
     case Reason::KeptConnectionLost:
+    case Reason::OlderRoutes:
         break;
     default:
         view.onFailed(upstream, now);
--- a/src/ingress/ingresscontext.h
+++ b/src/ingress/ingresscontext.h
@@ -105,11 +105,15 @@
     std::weak_ptr<HeldAnswers> heldAnswers;
     std::function<void(const Endpoint &, const CallOutcome &)> outcomeListener;
     std::function<void()> noRoutesListener;
+    /// Called with a node that has newer routes than this one.
+    std::function<void(const Endpoint &)> olderRoutesListener;
     /// Whether other nodes may have routes that this node lacks.
     std::function<bool()> mayLackRoutes = [] { return false; };
     std::uint64_t lastSequence = 0;
     /// The requests that have not ended.
     std::unordered_set<ProxiedRequest *> openRequests;
+    /// Those of them that wait for newer routes.
+    std::unordered_set<ProxiedRequest *> waitingForRoutes;
 
 private:
     void recordBaselineTime(const RouteName &route, const LoadReport &report);
--- a/src/ingress/ingressrole.cpp
+++ b/src/ingress/ingressrole.cpp
@@ -48,6 +48,9 @@
     context_->callerTimeouts.clear();
     context_->room.removeIdle(currentTime());
     updateRetryBudget();
+    for (ProxiedRequest *request : context_->waitingForRoutes) {
+        request->wake();
+    }
 }
 
 void IngressRole::endRequests()
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -62,6 +62,11 @@
     void setMayLackRoutes(std::function<bool()> mayLackRoutes) { context_->mayLackRoutes = std::move(mayLackRoutes); }
     /// Calls @p listener when a request is refused because no routes are active yet.
     void onNoRoutes(std::function<void()> listener) { context_->noRoutesListener = std::move(listener); }
+    /// Calls @p listener with a node that has newer routes than this one. Requests wait for them.
+    void onOlderRoutes(std::function<void(const Endpoint &)> listener)
+    {
+        context_->olderRoutesListener = std::move(listener);
+    }
     /// Begins a planned stop. From now on, requests that may not be answered at @p answersDue are refused; see
     /// StopAdmission::begin().
     void beginStop(TimePoint answersDue, TimePoint estimatesUntil) { context_->stop.begin(answersDue, estimatesUntil); }
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -23,6 +23,9 @@
 /// A caller whose timeout ends gives up about at the deadline.
 constexpr Milliseconds DeadlineTolerance{25};
 
+/// The longest time for which a request waits for routes that another node has.
+constexpr Milliseconds MaxRoutesWait{1000};
+
 /// Describes an answer of an upstream for the log.
 Failure describeAnswer(std::string detail, Reason reason)
 {
@@ -44,6 +47,7 @@
 ProxiedRequest::~ProxiedRequest()
 {
     context_->openRequests.erase(this);
+    context_->waitingForRoutes.erase(this);
 }
 
 asio::awaitable<void> ProxiedRequest::run()
@@ -214,6 +218,9 @@
         co_await deliver(requestTry, std::move(ended.outcome).value());
         co_return true;
     }
+    if (failure != nullptr && failure->reason == Reason::OlderRoutes && tries_->mayBePlacedAnew()) {
+        co_return co_await placeByNewerRoutes(requestTry, *failure);
+    }
     const Failure countedFailure =
         failure != nullptr ? *failure : mayHaveRun(Reason::BadAnswer, "the upstream failed it");
     const NextStep step = tries_->recordFailure(requestTry, countedFailure);
@@ -231,6 +238,60 @@
     co_return true;
 }
 
+asio::awaitable<bool> ProxiedRequest::placeByNewerRoutes(const RequestTry &requestTry, const Failure &failure)
+{
+    [[maybe_unused]] const NextStep step = tries_->recordFailure(requestTry, failure);
+    const RouteVersion older = parameters_.routes->version();
+    co_await waitForNewerRoutes(requestTry.node);
+    if (isCallerDisconnected_ || isProcessEnding_) {
+        co_return false;
+    }
+    std::optional<Failure> refusal =
+        context_->sources.routes->version() > older ? adoptNewerRoutes() : std::optional(failure);
+    if (refusal) {
+        co_await giveUp(std::move(*refusal));
+        co_return true;
+    }
+    context_->requestLog.recordPlacedAnew(parameters_.caller.request, older, parameters_.routes->version());
+    makeTries(tries_->takeBody());
+    co_return false;
+}
+
+asio::awaitable<void> ProxiedRequest::waitForNewerRoutes(const Endpoint &node)
+{
+    const RouteVersion older = parameters_.routes->version();
+    const TimePoint end = std::min<TimePoint>(parameters_.deadline, currentTime() + MaxRoutesWait);
+    const auto isWaiting = [&] {
+        return context_->sources.routes->version() <= older && currentTime() < end && !isCallerDisconnected_
+            && !isProcessEnding_;
+    };
+    if (isWaiting() && context_->olderRoutesListener) {
+        context_->olderRoutesListener(node);
+    }
+    context_->waitingForRoutes.insert(this);
+    while (isWaiting()) {
+        wakeUp_.expires_at(end);
+        boost::system::error_code ignored;
+        co_await wakeUp_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    context_->waitingForRoutes.erase(this);
+}
+
+std::optional<Failure> ProxiedRequest::adoptNewerRoutes()
+{
+    const HttpRequestHead &head = exchange_.head();
+    const RouteTablePointer &routes = context_->sources.routes;
+    const Route *route = routes->match(head.headers.find("Host").value_or(std::string_view()), head.target);
+    if (route == nullptr) {
+        return notRun(Reason::NoRoute, "no route takes this host and path");
+    }
+    parameters_.routes = routes;
+    parameters_.route = route;
+    parameters_.deadline = std::min<TimePoint>(parameters_.deadline, parameters_.arrival + parameters_.route->timeout);
+    parameters_.targetTime = std::min(parameters_.targetTime, parameters_.deadline);
+    return std::nullopt;
+}
+
 void ProxiedRequest::finishStreamedAnswer(const TryEnd &ended)
 {
     const bool isComplete = ended.outcome && std::holds_alternative<StreamedAnswer>(ended.outcome.value().result);
@@ -310,9 +371,10 @@
 asio::awaitable<void> ProxiedRequest::giveUp(Failure failure)
 {
     // A request that crashes upstreams must not be retried within its caller's timeout, so its delay is not shortened.
-    const bool crashesUpstreams = failure.reason == Reason::CrashesUpstreams;
+    // One without a route gets none.
+    const bool keepsDelay = failure.reason == Reason::CrashesUpstreams || failure.reason == Reason::NoRoute;
     Milliseconds retryAfter =
-        crashesUpstreams ? failure.retryAfter : retryDelay(*context_, parameters_, failure.retryAfter);
+        keepsDelay ? failure.retryAfter : retryDelay(*context_, parameters_, failure.retryAfter);
     if (failure.reason == Reason::Overloaded) {
         retryAfter = context_->room.returnDelay(service_, parameters_.priority, retryAfter,
                                                 longestRetryDelay(parameters_), currentTime());
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -32,6 +32,8 @@
     /// Answers the caller at once, as not run where that is proved, because the process ends. An answer that is under
     /// way goes on.
     void endWithProcess();
+    /// Makes the request look again at what it waits for.
+    void wake() { wakeUp_.cancel(); }
     /// Describes the request for the log of a process that ends before the request has.
     [[nodiscard]] CutRequest describeCut() const;
 
@@ -47,6 +49,15 @@
     boost::asio::awaitable<void> tryUntilEnded();
     /// Delivers the answer, or decides whether another try follows. Returns whether the caller has its answer.
     boost::asio::awaitable<bool> handleTryEnd(TryEnd ended);
+    /// Goes on after @p failure says that the node of @p requestTry has newer routes. Returns whether the caller has
+    /// its answer.
+    ///
+    /// Guards against a request that is run by the former service of its route, or although its route was removed: the
+    /// routes of this node are late.
+    boost::asio::awaitable<bool> placeByNewerRoutes(const RequestTry &requestTry, const Failure &failure);
+    boost::asio::awaitable<void> waitForNewerRoutes(const Endpoint &node);
+    /// Sets the parameters by the active routes. Returns why the request can't be sent by them, or nothing.
+    [[nodiscard]] std::optional<Failure> adoptNewerRoutes();
     void finishStreamedAnswer(const TryEnd &ended);
     boost::asio::awaitable<void> waitForTryEnd();
     /// Waits until nothing is written to the exchange any more. Precondition: hasEnded_, and the writing fails or ends
--- a/src/ingress/requestlog.cpp
+++ b/src/ingress/requestlog.cpp
@@ -96,6 +96,17 @@
     log_.warning(line);
 }
 
+void RequestLog::recordPlacedAnew(const RequestId &request, RouteVersion older, RouteVersion newer)
+{
+    metrics_.count("egretpath_requests_placed_anew_total");
+    if (!log_.admitsDecision(currentTime(), DecisionKind::Routine)) {
+        return;
+    }
+    StructuredLine line("placed-anew");
+    line.add("request", request.value()).add("before", older.value()).add("routes", newer.value());
+    log_.decision(line);
+}
+
 void RequestLog::recordRoomChange(const RoomState &state)
 {
     if (!log_.admitsDecision(currentTime(), DecisionKind::Routine)) {
--- a/src/ingress/requestlog.h
+++ b/src/ingress/requestlog.h
@@ -94,6 +94,8 @@
     void recordPlacement(const PlacedTry &item);
     void recordEnd(const EndedRequest &item);
     void recordCut(const CutRequest &item);
+    /// Records that @p request was placed by routes @p older, and is placed by @p newer now.
+    void recordPlacedAnew(const RequestId &request, RouteVersion older, RouteVersion newer);
     void recordRoomChange(const RoomState &state);
     /// Counts a request that was refused without a try because @p service is short of capacity.
     void countRefusedShortOfRoom(const ServiceName &service);
--- a/src/ingress/requesttries.h
+++ b/src/ingress/requesttries.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -89,6 +90,13 @@
     {
         return runningTries_.empty() ? UpstreamName() : runningTries_.back()->upstream;
     }
+    /// Whether the request can be placed anew as if it had not been tried: no upstream got it, and none will.
+    [[nodiscard]] bool mayBePlacedAnew() const
+    {
+        return runningTries_.empty() && endedTries_.empty() && reachedUpstreams_.empty();
+    }
+    /// Returns the body, for other tries. Precondition: mayBePlacedAnew(). No try can be started afterwards.
+    [[nodiscard]] std::string takeBody() { return std::move(content_.body); }
     /// The number of upstreams that may have got the request.
     [[nodiscard]] std::size_t reachedCount() const { return reachedUpstreams_.size(); }
 
--- a/src/routing/upstreamcandidates.cpp
+++ b/src/routing/upstreamcandidates.cpp
@@ -1,5 +1,7 @@
 #include "routing/upstreamcandidates.h"
 
+#include <algorithm>
+
 namespace Egretpath
 {
 
@@ -46,6 +48,18 @@
     return notRun(Reason::NoUpstream, "no upstream is listed");
 }
 
+std::optional<Failure> serviceRejection(const Route *route, const ServiceName &service)
+{
+    if (route == nullptr) {
+        return notRun(Reason::OlderRoutes, "newer routes have none for the request");
+    }
+    const bool isServed = std::any_of(
+        route->destinations.begin(), route->destinations.end(),
+        [&service](const Destination &destination) { return destination.service == service && destination.weight > 0; });
+    return isServed ? std::nullopt
+                    : std::optional(notRun(Reason::OlderRoutes, "newer routes send the request to another service"));
+}
+
 std::optional<Failure> locationRejection(const Location &location, const Route &route)
 {
     if (!route.regions.allows(location.region)) {
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -570,6 +570,20 @@
     }
 }
 
+void CatalogController::takeNewerRoutes(const Endpoint &peer)
+{
+    // Requests that wait for the same change come together.
+    if (!std::exchange(isTakingNewerRoutes_, true)) {
+        asio::co_spawn(executor_, takeNewerRoutesFrom(peer), asio::detached);
+    }
+}
+
+asio::awaitable<void> CatalogController::takeNewerRoutesFrom(Endpoint peer)
+{
+    co_await takeUpdatesFrom(std::move(peer));
+    isTakingNewerRoutes_ = false;
+}
+
 /// Called when a peer has had newer versions than this node for a while, which shows that this node's own source has
 /// stopped sending updates.
 asio::awaitable<void> CatalogController::catchUp(Endpoint peer)
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -63,6 +63,8 @@
     {
         client_.onQuarantineDigest(std::move(listener));
     }
+    /// Gets the routes of @p peer, which are newer than those of this node, at once.
+    void takeNewerRoutes(const Endpoint &peer);
     /// Records that a caller was refused because this node has no routes yet.
     void recordWaitingCaller() { bootstrap_.recordWaitingCaller(); }
 
@@ -111,6 +113,7 @@
     boost::asio::awaitable<void> probeStore();
     boost::asio::awaitable<void> askPeers();
     boost::asio::awaitable<void> catchUp(Endpoint peer);
+    boost::asio::awaitable<void> takeNewerRoutesFrom(Endpoint peer);
     [[nodiscard]] std::vector<Endpoint> peersToAsk();
     [[nodiscard]] CatalogRequest makeRequest(Milliseconds wait, StoreState knownState) const;
     void handleAnswer(const Endpoint &peer, const Catalog &catalog);
@@ -155,6 +158,8 @@
     /// Whether the source that this node follows, or followed last, is late with an answer, and no other source has
     /// answered since.
     bool isSourceOverdue_ = false;
+    /// Whether a node is being asked for the newer routes that it has.
+    bool isTakingNewerRoutes_ = false;
     /// The pause between queries; cancelled when the store is overdue, so that other nodes are queried at once.
     boost::asio::steady_timer queryPause_;
     /// Wakes the requests that wait for an update. Never expires; cancelled when the routes, the list or the store's
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -149,6 +149,7 @@
         });
         ingress_.setMayLackRoutes([this] { return catalog_.mayLackRoutes(); });
         ingress_.onNoRoutes([this] { catalog_.recordWaitingCaller(); });
+        ingress_.onOlderRoutes([this](const Endpoint &peer) { catalog_.takeNewerRoutes(peer); });
     }
 
     Result<void> start()
--- a/tests/routing/upstreamcandidatestest.cpp
+++ b/tests/routing/upstreamcandidatestest.cpp
@@ -104,3 +104,18 @@
     CHECK(failure.reason == Reason::ZoneEvacuated);
     CHECK(failure.retryAfter > Milliseconds{0});
 }
+
+// Guards against a request that the former service of its route runs.
+TEST_CASE("a request may be handed over only to services to which its route sends requests")
+{
+    Route route;
+    route.destinations = {{Plans, 3}, {ServiceName("former"), 0}};
+    CHECK_FALSE(serviceRejection(&route, Plans));
+    for (const char *service : {"former", "other"}) {
+        const auto rejection = serviceRejection(&route, ServiceName(service));
+        REQUIRE(rejection.has_value());
+        CHECK(rejection->verdict == Verdict::NotRun);
+        CHECK(rejection->reason == Reason::OlderRoutes);
+    }
+    CHECK(serviceRejection(nullptr, Plans)->reason == Reason::OlderRoutes);
+}
--- a/tests/sidecar/olderroutestest.cpp
+++ b/tests/sidecar/olderroutestest.cpp
@@ -77,7 +77,9 @@
         checkRuns(deployment.oldUpstream().totalRuns(), 1);
         deployment.catalog.moreRoutes = routeTo("left", "target") + routeTo("right", "target");
         deployment.catalog.publishRoutesOnlyTo(deployment.follower(), 11);
-        checkStatus(co_await deployment.sendToOlder("after"), 200);
+        const Reply reply = co_await deployment.sendToOlder("after");
+        INFO(reply.body);
+        checkStatus(reply, 200);
     });
     CHECK(deployment.oldUpstream().totalRuns() == 1);
     CHECK(deployment.target.totalRuns() == 1);
