ingress: a request that is placed anew waits and is refused as any other

Found by reading: its new route may be one of downloads or of another kind. So the limit on downloads, the turn behind the requests of its connection and a planned stop are looked at again (waitUntilSendable(), which prepare() had inline). Its body goes with it: a test holds that.

--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -85,6 +85,15 @@
     if (auto failure = co_await readBody(body)) {
         co_return failure;
     }
+    if (auto failure = co_await waitUntilSendable()) {
+        co_return failure;
+    }
+    makeTries(std::move(body));
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<Failure>> ProxiedRequest::waitUntilSendable()
+{
     if (!isIdempotent(parameters_.route->kind)) {
         co_await exchange_.waitForTurn();
     }
@@ -92,11 +101,7 @@
         co_return notRun(Reason::Cancelled, std::string(describe(exchange_.connectionLoss())));
     }
     // Reading the body, or waiting for the answers to earlier requests, may have taken long.
-    if (auto failure = stopRejection(*context_, parameters_)) {
-        co_return failure;
-    }
-    makeTries(std::move(body));
-    co_return std::nullopt;
+    co_return stopRejection(*context_, parameters_);
 }
 
 std::optional<Failure> ProxiedRequest::downloadRejection()
@@ -248,6 +253,9 @@
     }
     std::optional<Failure> refusal =
         context_->sources.routes->version() > older ? adoptNewerRoutes() : std::optional(failure);
+    if (!refusal) {
+        refusal = co_await waitUntilSendable();
+    }
     if (refusal) {
         co_await giveUp(std::move(*refusal));
         co_return true;
@@ -289,7 +297,7 @@
     parameters_.route = route;
     parameters_.deadline = std::min<TimePoint>(parameters_.deadline, parameters_.arrival + parameters_.route->timeout);
     parameters_.targetTime = std::min(parameters_.targetTime, parameters_.deadline);
-    return std::nullopt;
+    return downloadRejection();
 }
 
 void ProxiedRequest::finishStreamedAnswer(const TryEnd &ended)
@@ -373,8 +381,7 @@
     // A request that crashes upstreams must not be retried within its caller's timeout, so its delay is not shortened.
     // One without a route gets none.
     const bool keepsDelay = failure.reason == Reason::CrashesUpstreams || failure.reason == Reason::NoRoute;
-    Milliseconds retryAfter =
-        keepsDelay ? failure.retryAfter : retryDelay(*context_, parameters_, failure.retryAfter);
+    Milliseconds retryAfter = keepsDelay ? failure.retryAfter : retryDelay(*context_, parameters_, failure.retryAfter);
     if (failure.reason == Reason::Overloaded) {
         retryAfter = context_->room.returnDelay(service_, parameters_.priority, retryAfter,
                                                 longestRetryDelay(parameters_), currentTime());
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -45,6 +45,9 @@
     /// Returns why the node takes no new download, or nothing if it does or if this is none.
     [[nodiscard]] std::optional<Failure> downloadRejection();
     boost::asio::awaitable<std::optional<Failure>> readBody(std::string &body);
+    /// Waits for the requests before this one where its route asks for that. Returns why the request can't be sent, or
+    /// nothing.
+    boost::asio::awaitable<std::optional<Failure>> waitUntilSendable();
     void makeTries(std::string body);
     boost::asio::awaitable<void> tryUntilEnded();
     /// Delivers the answer, or decides whether another try follows. Returns whether the caller has its answer.
@@ -56,7 +59,8 @@
     /// routes of this node are late.
     boost::asio::awaitable<bool> placeByNewerRoutes(const RequestTry &requestTry, const Failure &failure);
     boost::asio::awaitable<void> waitForNewerRoutes(const Endpoint &node);
-    /// Sets the parameters by the active routes. Returns why the request can't be sent by them, or nothing.
+    /// Sets the parameters by the active routes, if they have one for the request. Returns why it can't be sent by
+    /// them, or nothing.
     [[nodiscard]] std::optional<Failure> adoptNewerRoutes();
     void finishStreamedAnswer(const TryEnd &ended);
     boost::asio::awaitable<void> waitForTryEnd();
--- a/src/routing/upstreamcandidates.cpp
+++ b/src/routing/upstreamcandidates.cpp
@@ -53,9 +53,10 @@
     if (route == nullptr) {
         return notRun(Reason::OlderRoutes, "newer routes have none for the request");
     }
-    const bool isServed = std::any_of(
-        route->destinations.begin(), route->destinations.end(),
-        [&service](const Destination &destination) { return destination.service == service && destination.weight > 0; });
+    const bool isServed =
+        std::any_of(route->destinations.begin(), route->destinations.end(), [&service](const Destination &destination) {
+            return destination.service == service && destination.weight > 0;
+        });
     return isServed ? std::nullopt
                     : std::optional(notRun(Reason::OlderRoutes, "newer routes send the request to another service"));
 }
--- a/src/routing/upstreamcandidates.h
+++ b/src/routing/upstreamcandidates.h
@@ -31,8 +31,8 @@
 /// Returns why no upstream can be chosen. Precondition: all of @p candidates were excluded, or there are none.
 [[nodiscard]] Failure noCandidateFailure(const UpstreamCandidates &candidates);
 
-/// Returns why a request must not be handed over to an upstream of @p service if @p route is its route, or null if it has
-/// none; nothing if it may be. Thread safety: safe.
+/// Returns why a request must not be handed over to an upstream of @p service if @p route is its route, or null if it
+/// has none; nothing if it may be. Thread safety: safe.
 [[nodiscard]] std::optional<Failure> serviceRejection(const Route *route, const ServiceName &service);
 /// Returns why a request of @p route must not be handed over to an upstream at @p location; nothing if it may be.
 /// Thread safety: safe.
--- a/tests/sidecar/olderroutestest.cpp
+++ b/tests/sidecar/olderroutestest.cpp
@@ -111,3 +111,19 @@
     });
     CHECK(deployment.target.totalRuns() == 1);
 }
+
+// Guards against a request that reaches the service to which its route was moved without its body.
+TEST_CASE("a request that is placed anew has its body")
+{
+    ThreeServices deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        checkHappened(co_await deployment.waitUntil([&] { return deployment.catalog.readerCount() == 1; }));
+        deployment.catalog.moreRoutes = routeTo("left", "target") + routeTo("right", "target");
+        deployment.catalog.publishRoutesOnlyTo(deployment.follower(), 11);
+        const Endpoint ingress = deployment.nodes[deployment.reader()]->callers;
+        const Reply reply =
+            co_await deployment.send(ingress, "POST", deployment.path(), "after", Milliseconds(1000), "the body");
+        checkStatus(reply, 200);
+        CHECK(reply.body == "i-target:POST:" + deployment.path() + ":the body");
+    });
+}
