--- a/review/standins-2/standins.cpp
+++ b/review/standins-2/standins.cpp
@@ -516,14 +516,8 @@
     , runs_(runs)
 {
     server_ = std::make_unique<Server>(options.ip, options.port, [this](Wire &wire) { serve(wire); });
-    beats_ = std::thread([this] {
-        while (!isStopped_) {
-            writeEntry();
-            for (int i = 0; i < 150 && !isStopped_; ++i) {
-                sleepMs(10);
-            }
-        }
-    });
+    // The item in the store changes only when more than the sequence changes, so that beats are not shown.
+    writeEntry();
 }
 
 Instance::~Instance()
@@ -537,7 +531,6 @@
         return;
     }
     freed_.notify_all();
-    beats_.join();
     server_->stop();
 }
 
@@ -625,7 +618,8 @@
                             {"X-Egretpath-Server-Signature", options.id + "." + run.request},
                             {"X-Egretpath-Instance-Load", load2},
                             {"Keep-Alive", "timeout=10"}},
-                           options.answer, run.method == "HEAD"));
+                           options.answerOf ? options.answerOf(run) : "the answer of the instance\n",
+                           run.method == "HEAD"));
     }
 }
 
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -149,7 +149,8 @@
     int port = 0;
     int slots = 9;
     double workMs = 100;
-    std::string answer = "the answer of the instance\n";
+    /// The body of an answer, by the request.
+    std::function<std::string(const Run &)> answerOf;
     /// Serves a request in another way; returns whether it did.
     std::function<bool(Wire &, const Message &, const Run &)> special;
 };
@@ -176,7 +177,6 @@
     std::mutex mutex_;
     std::condition_variable freed_;
     int sequence_ = 0;
-    std::thread beats_;
     std::unique_ptr<Server> server_;
 };
 
