Review: case 8, a 503 that an instance gave after running

An instance that runs an unsafe request and answers 503 without X-Egretpath-Not-Executed is passed on as it is; its consumer takes it for the promise that nothing ran.

--- a/review/standins-2/cases.h
+++ b/review/standins-2/cases.h
@@ -9,5 +9,6 @@
 int runLimitsCase();
 int runUploadsCase();
 int runReadersCase();
+int runRefusedCase();
 
 }
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -24,6 +24,7 @@
 int main(int argumentCount, char **arguments)
 {
     const std::map<std::string, int (*)()> cases{
+        {"refused", Review::runRefusedCase},
         {"readers", Review::runReadersCase},
         {"limits", Review::runLimitsCase},
         {"uploads", Review::runUploadsCase},
