--- a/bench/node/rpcbench.cpp
+++ b/bench/node/rpcbench.cpp
@@ -42,6 +42,17 @@
         outcome.result = std::move(answer);
         co_return outcome;
     }
+    asio::awaitable<CallOutcome> callWithBody(CallHead head, std::shared_ptr<BodySource> source,
+                                              std::shared_ptr<AnswerReceiver> answer,
+                                              std::shared_ptr<Cancellation> cancellation) override
+    {
+        std::string body;
+        for (std::optional<std::string> piece = co_await source->next(); piece && !piece->empty();
+             piece = co_await source->next()) {
+            body += *piece;
+        }
+        co_return co_await call(std::move(head), std::move(body), std::move(answer), std::move(cancellation));
+    }
     PeerProbe probe() override { return {identity(), {}}; }
     asio::awaitable<Catalog> catalog(CatalogRequest /*request*/) override
     {
--- a/cmake/EgretpathLibraries.cmake
+++ b/cmake/EgretpathLibraries.cmake
@@ -1,4 +1,4 @@
 # The libraries in the order of their dependencies. See docs/DESIGN.md.
 set(egretpath_libraries
-    core settings telemetry answers routes instances routing admission calls idempotency quarantine http rpc transfer dialect
+    core settings telemetry answers messages routes instances routing admission calls idempotency quarantine http rpc transfer dialect
     egress ingress sidecar client)
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::array<std::string_view, 3> VerdictWords{"answered", "not-run", "may-have-run"};
 
-constexpr std::array<std::string_view, 28> ReasonWords{
+constexpr std::array<std::string_view, 29> ReasonWords{
     "none",
     "bad-request",
     "overloaded",
@@ -40,6 +40,7 @@
     "limited",
     "kept-connection-lost",
     "older-routes",
+    "body-timeout",
 };
 
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -80,10 +80,12 @@
     KeptConnectionLost,
     /// The node beside the upstream has newer routes than those by which the ingress chose, and they don't allow it.
     OlderRoutes,
+    /// The body of the request did not come in time.
+    BodyTimeout,
 };
 
 /// The last enumerator, used to check reasons received from nodes of other versions.
-inline constexpr Reason LastReason = Reason::OlderRoutes;
+inline constexpr Reason LastReason = Reason::BodyTimeout;
 /// The last one that nodes know which don't name the version of the routes with a call.
 inline constexpr Reason LastReasonOfEarlierNodes = Reason::CrashesUpstreams;
 
--- a/src/dialect/callerdialect.cpp
+++ b/src/dialect/callerdialect.cpp
@@ -20,10 +20,11 @@
     std::uint16_t status;
 };
 
-constexpr std::array<ReasonStatus, 3> ReasonStatuses{{
+constexpr std::array<ReasonStatus, 4> ReasonStatuses{{
     {Reason::BadRequest, 400},
     {Reason::NoRoute, 404},
     {Reason::TooLarge, 413},
+    {Reason::BodyTimeout, 408},
 }};
 
 }
--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -77,7 +77,7 @@
 
 EgressRole::~EgressRole() = default;
 
-asio::awaitable<CallOutcome> EgressRole::call(CallHead head, std::string body, std::shared_ptr<AnswerReceiver> answer,
+asio::awaitable<CallOutcome> EgressRole::call(CallHead head, RequestBody body, std::shared_ptr<AnswerReceiver> answer,
                                               std::shared_ptr<Cancellation> cancellation)
 {
     const auto request = std::make_shared<UpstreamRequest>(*this, std::move(head), std::move(body), std::move(answer),
@@ -85,6 +85,11 @@
     co_return co_await request->run();
 }
 
+CallOutcome EgressRole::refuse(const CallHead &head, Failure failure) const
+{
+    return {self_, report(head.route), std::move(failure), CatalogVersions(), QuarantineDigest(), false};
+}
+
 void EgressRole::setInstanceRecord(const InstanceRecord *record)
 {
     if (record != nullptr) {
--- a/src/egress/egressrole.h
+++ b/src/egress/egressrole.h
@@ -26,6 +26,7 @@
 #include "http/httpconnectionpool.h"
 #include "idempotency/latenessguard.h"
 #include "instances/evacuatedzones.h"
+#include "messages/receivedbody.h"
 #include "quarantine/quarantine.h"
 #include "quarantine/recentanswers.h"
 #include "routes/routetable.h"
@@ -91,9 +92,12 @@
     EgressRole &operator=(const EgressRole &) = delete;
 
     /// See PeerService::call().
-    boost::asio::awaitable<CallOutcome> call(CallHead head, std::string body, std::shared_ptr<AnswerReceiver> answer,
+    boost::asio::awaitable<CallOutcome> call(CallHead head, RequestBody body, std::shared_ptr<AnswerReceiver> answer,
                                              std::shared_ptr<Cancellation> cancellation);
 
+    /// The outcome of a call that is refused before it came here.
+    [[nodiscard]] CallOutcome refuse(const CallHead &head, Failure failure) const;
+
     /// Sets what the instance list says about the upstream's address; null if it lists no upstream there. Waiting
     /// requests for an upstream that leaves are refused.
     void setInstanceRecord(const InstanceRecord *record);
--- a/src/egress/upstreamrequest.cpp
+++ b/src/egress/upstreamrequest.cpp
@@ -28,7 +28,7 @@
 
 }
 
-UpstreamRequest::UpstreamRequest(EgressRole &role, CallHead head, std::string body,
+UpstreamRequest::UpstreamRequest(EgressRole &role, CallHead head, RequestBody body,
                                  std::shared_ptr<AnswerReceiver> answer, std::shared_ptr<Cancellation> cancellation)
     : role_(role)
     , roleLifetime_(role.lifetimeToken_)
@@ -284,10 +284,8 @@
 /// Runs at the same time as the answer is read, because an upstream may answer before it has read a long body.
 asio::awaitable<void> UpstreamRequest::writeRequest(std::shared_ptr<UpstreamRequest> /*self*/)
 {
-    // The reading reports a write failure, and it also reads what the upstream answered before it closed the
-    // connection.
     const Result<void> sent =
-        co_await httpCall_->sendRequest(makeUpstreamHead(head_, deadline_, role_.dialect_), body_);
+        co_await httpCall_->sendSharedRequest(makeUpstreamHead(head_, deadline_, role_.dialect_), body_.view());
     isWriting_ = false;
     if (sent && tracking_.isAtUpstream()) {
         role_.account_.onWritten(callId_, currentTime());
@@ -341,7 +339,7 @@
 RequestContent UpstreamRequest::content() const
 {
     const std::string_view host = head_.headers.find("Host").value_or(std::string_view());
-    return {head_.method, host, head_.target, body_};
+    return {head_.method, host, head_.target, body_.view()};
 }
 
 std::optional<Failure> UpstreamRequest::quarantineRejection()
--- a/src/egress/upstreamrequest.h
+++ b/src/egress/upstreamrequest.h
@@ -23,7 +23,7 @@
 class UpstreamRequest : public std::enable_shared_from_this<UpstreamRequest>
 {
 public:
-    UpstreamRequest(EgressRole &role, CallHead head, std::string body, std::shared_ptr<AnswerReceiver> answer,
+    UpstreamRequest(EgressRole &role, CallHead head, RequestBody body, std::shared_ptr<AnswerReceiver> answer,
                     std::shared_ptr<Cancellation> cancellation);
     ~UpstreamRequest();
     UpstreamRequest(const UpstreamRequest &) = delete;
@@ -73,7 +73,7 @@
     EgressRole &role_;
     std::weak_ptr<const EgressRole::LifetimeToken> roleLifetime_;
     CallHead head_;
-    std::string body_;
+    RequestBody body_;
     std::shared_ptr<AnswerReceiver> answerReceiver_;
     std::shared_ptr<Cancellation> cancellation_;
     CallId callId_;
--- a/src/http/httpclientcall.cpp
+++ b/src/http/httpclientcall.cpp
@@ -32,6 +32,11 @@
     return connection_->finishRequest();
 }
 
+boost::asio::awaitable<Result<void>> HttpClientCall::sendSharedRequest(HttpRequestHead head, std::string_view body)
+{
+    return connection_->sendSharedRequest(std::move(head), body);
+}
+
 boost::asio::awaitable<Result<void>> HttpClientCall::sendRequest(HttpRequestHead head, std::string body)
 {
     return connection_->sendRequest(std::move(head), std::move(body));
--- a/src/http/httpclientcall.h
+++ b/src/http/httpclientcall.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -49,6 +50,10 @@
     /// contentLength to the size of @p body.
     [[nodiscard]] boost::asio::awaitable<Result<void>> sendRequest(HttpRequestHead head, std::string body);
 
+    /// As sendRequest(), but copies only a part of @p body at a time, which has to stay valid until the request was
+    /// sent.
+    [[nodiscard]] boost::asio::awaitable<Result<void>> sendSharedRequest(HttpRequestHead head, std::string_view body);
+
     /// Reads the head of the final response; informational (1xx) responses are skipped. May be called again after a
     /// complete response was read, for the next response on the connection.
     [[nodiscard]] boost::asio::awaitable<Result<HttpResponseHead>> readHead();
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -29,6 +29,8 @@
 /// counted, since a time alone may pass in the next stall.
 constexpr unsigned MaxLateTurns = 10;
 constexpr Milliseconds LateTurnInterval{5};
+/// The part of a shared body that is copied at a time.
+constexpr std::size_t MaxSharedPart = std::size_t{256} * 1024;
 
 /// Whether a request of this method carries no framing field (Content-Length, Transfer-Encoding) when it has no body.
 bool methodImpliesNoBody(const std::string &method)
@@ -203,6 +205,22 @@
     co_return co_await finishRequest();
 }
 
+asio::awaitable<Result<void>> HttpClientConnection::sendSharedRequest(HttpRequestHead head, std::string_view body)
+{
+    head.contentLength = body.size();
+    if (auto prepared = sendHead(head); !prepared) {
+        co_return prepared;
+    }
+    while (!body.empty()) {
+        std::string part(body.substr(0, MaxSharedPart));
+        body.remove_prefix(part.size());
+        if (auto written = co_await writeBody(std::move(part)); !written) {
+            co_return written;
+        }
+    }
+    co_return co_await finishRequest();
+}
+
 asio::awaitable<Result<void>> HttpClientConnection::writeBytes(std::string data)
 {
     // After the process was paused, this code may run before the overdue timer fires. The verdict NotRun may have been
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -53,6 +54,7 @@
     [[nodiscard]] boost::asio::awaitable<Result<void>> writeBody(std::string chunk);
     [[nodiscard]] boost::asio::awaitable<Result<void>> finishRequest();
     [[nodiscard]] boost::asio::awaitable<Result<void>> sendRequest(HttpRequestHead head, std::string body);
+    [[nodiscard]] boost::asio::awaitable<Result<void>> sendSharedRequest(HttpRequestHead head, std::string_view body);
     [[nodiscard]] boost::asio::awaitable<Result<HttpResponseHead>> readHead();
     [[nodiscard]] boost::asio::awaitable<Result<std::string>> readBody();
     [[nodiscard]] bool isFirstByteSent() const { return bytesSent_ > 0; }
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -38,6 +38,21 @@
     return exchange_->readBody();
 }
 
+void HttpExchange::setBodyDeadline(TimePoint deadline)
+{
+    exchange_->setBodyDeadline(deadline);
+}
+
+void HttpExchange::endBody(Failure failure)
+{
+    exchange_->endBody(std::move(failure));
+}
+
+void HttpExchange::limitUnreadBytes(Bytes size)
+{
+    exchange_->limitUnreadBytes(size);
+}
+
 boost::asio::awaitable<Result<void>> HttpExchange::respond(HttpResponseHead head, std::string body)
 {
     return exchange_->respond(std::move(head), std::move(body));
--- a/src/http/httpexchange.h
+++ b/src/http/httpexchange.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "core/clock.h"
 #include "core/strongtype.h"
 #include "core/verdict.h"
 #include "http/httphead.h"
@@ -54,9 +55,16 @@
     /// Reads the next piece of the request's body, at most HttpLimits::readBufferBytes long; returns an empty piece
     /// once the body is complete. Sends "100 Continue" first if the caller waits for it. Errors: TooLarge over the body
     /// limit, BadRequest for bad chunking, Cancelled if the caller disconnected or the body ended early, DeadlinePassed
-    /// if the body stalled. The verdict is NotRun, since this class doesn't know what the handler did with earlier
-    /// pieces; a handler that already forwarded some has to change it to MayHaveRun.
+    /// if the body stalled or its deadline passed. The verdict is NotRun, since this class doesn't know what the
+    /// handler did with earlier pieces; a handler that already forwarded some has to change it to MayHaveRun.
     [[nodiscard]] boost::asio::awaitable<Result<std::string>> readBody();
+    /// The body has to be complete by @p deadline.
+    void setBodyDeadline(TimePoint deadline);
+    /// Lets readBody() fail with @p failure, also while it waits. The rest of the body is not read, so that the
+    /// connection closes after the response.
+    void endBody(Failure failure);
+    /// Bounds the bytes of the body that may wait unread in the system. The system rounds and doubles @p size.
+    void limitUnreadBytes(Bytes size);
 
     /// Sends a complete response. Precondition: no response was started.
     /// Errors: Cancelled if the caller disconnected, BadRequest (nothing was sent) for a head that is not valid HTTP
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/currenttime.h"
 #include "http/httpserverexchange.h"
 #include "http/httpserverstate.h"
 #include "http/messagewriter.h"
@@ -320,10 +321,14 @@
     return isLast && (isDraining_ || server_->isKeepAliveDisabled());
 }
 
-asio::awaitable<error_code> HttpServerConnection::readBodyBytes()
+asio::awaitable<error_code> HttpServerConnection::readBodyBytes(TimePoint deadline)
 {
     hasTimedOut_ = false;
-    readTimer_.expireAfter(server_->limits().idleTime);
+    readTimer_.expireAt(std::min<TimePoint>(deadline, currentTime() + server_->limits().idleTime));
+    // A body that stalls doesn't keep a large buffer.
+    if (buffer_.hasGrown() && !hasReceivedBytes(socket_)) {
+        buffer_.shrink();
+    }
     const error_code error = co_await readSome(socket_, buffer_, readTimeout_.slot());
     readTimer_.disarm();
     co_return error;
@@ -338,8 +343,19 @@
     co_return error;
 }
 
-/// Ends the read alone: an earlier answer may be under way.
+void HttpServerConnection::limitUnreadBytes(Bytes size)
+{
+    error_code ignored;
+    socket_.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(size.value())), ignored);
+}
+
 void HttpServerConnection::onReadTimeout()
+{
+    endRead();
+}
+
+/// Ends the read alone: an earlier answer may be under way.
+void HttpServerConnection::endRead()
 {
     hasTimedOut_ = true;
     readTimeout_.emit(asio::cancellation_type::all);
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -60,8 +60,12 @@
     [[nodiscard]] bool closesAfter(const HttpServerExchange &exchange) const;
     /// Serves no request that is read from now on: an answer that closes the connection is about to be written.
     void takeNoMoreRequests() { takesRequests_ = false; }
-    /// Reads once into buffer(); times out after HttpLimits::idleTime.
-    [[nodiscard]] boost::asio::awaitable<boost::system::error_code> readBodyBytes();
+    /// Reads once into buffer(); times out after HttpLimits::idleTime, or at @p deadline.
+    [[nodiscard]] boost::asio::awaitable<boost::system::error_code> readBodyBytes(TimePoint deadline);
+    /// Ends a read that waits.
+    void endRead();
+    /// See HttpExchange::limitUnreadBytes().
+    void limitUnreadBytes(Bytes size);
     /// Writes all of @p data; times out after HttpLimits::idleTime. Adds the number of written bytes to @p written.
     [[nodiscard]] boost::asio::awaitable<boost::system::error_code> write(std::string data, std::size_t &written);
     void recordCallerDisconnected();
--- a/src/http/httpserverexchange.cpp
+++ b/src/http/httpserverexchange.cpp
@@ -58,6 +58,10 @@
 asio::awaitable<Result<std::string>> HttpServerExchange::readBody()
 {
     for (;;) {
+        if (bodyEnd_) {
+            keepAlive_ = false;
+            co_return *bodyEnd_;
+        }
         std::string body = parser_.takeBody();
         if (!body.empty() || parser_.isDone()) {
             signalBodyRead();
@@ -79,9 +83,12 @@
 
 asio::awaitable<Result<void>> HttpServerExchange::readMore()
 {
-    const error_code error = co_await connection_->readBodyBytes();
+    const error_code error = co_await connection_->readBodyBytes(bodyDeadline_);
     if (error) {
         keepAlive_ = false;
+        if (bodyEnd_) {
+            co_return *bodyEnd_;
+        }
         if (connection_->hasTimedOut()) {
             co_return notRun(Reason::DeadlinePassed, "the request body stalled");
         }
@@ -94,6 +101,19 @@
     co_return boost::outcome_v2::success();
 }
 
+void HttpServerExchange::endBody(Failure failure)
+{
+    if (!parser_.isDone()) {
+        bodyEnd_ = std::move(failure);
+        connection_->endRead();
+    }
+}
+
+void HttpServerExchange::limitUnreadBytes(Bytes size)
+{
+    connection_->limitUnreadBytes(size);
+}
+
 Result<void> HttpServerExchange::bodyFailure(MessageProblem problem)
 {
     keepAlive_ = false;
--- a/src/http/httpserverexchange.h
+++ b/src/http/httpserverexchange.h
@@ -38,6 +38,9 @@
     void onHeadRead();
 
     [[nodiscard]] boost::asio::awaitable<Result<std::string>> readBody();
+    void setBodyDeadline(TimePoint deadline) { bodyDeadline_ = deadline; }
+    void endBody(Failure failure);
+    void limitUnreadBytes(Bytes size);
     [[nodiscard]] boost::asio::awaitable<Result<void>> respond(HttpResponseHead head, std::string body);
     [[nodiscard]] boost::asio::awaitable<Result<void>> startResponse(HttpResponseHead head,
                                                                      std::optional<std::uint64_t> length);
@@ -82,6 +85,9 @@
     boost::asio::steady_timer turnSignal_;
     boost::asio::steady_timer bodyReadSignal_;
     std::function<void()> callerDisconnectedCallback_;
+    TimePoint bodyDeadline_ = TimePoint::max();
+    /// Why the body is not read any more, although its caller may send it.
+    std::optional<Failure> bodyEnd_;
     ResponseState response_ = ResponseState::None;
     std::string pendingHead_;
     std::optional<std::uint64_t> remainingBytes_;
--- a/src/http/readbuffer.cpp
+++ b/src/http/readbuffer.cpp
@@ -48,9 +48,14 @@
     begin_ += count;
 }
 
+bool ReadBuffer::hasGrown() const
+{
+    return capacity_ > InitialCapacity;
+}
+
 void ReadBuffer::shrink()
 {
-    if (empty() && capacity_ > InitialCapacity) {
+    if (empty() && hasGrown()) {
         begin_ = end_ = 0;
         reserve(InitialCapacity);
     }
--- a/src/http/readbuffer.h
+++ b/src/http/readbuffer.h
@@ -28,6 +28,7 @@
     void commit(std::size_t count);
     /// Removes the first @p count unread bytes. Precondition: @p count is at most unread().size().
     void consume(std::size_t count);
+    [[nodiscard]] bool hasGrown() const;
     /// Shrinks the buffer to its initial capacity. No effect while there are unread bytes.
     void shrink();
 
--- a/src/http/socketio.cpp
+++ b/src/http/socketio.cpp
@@ -98,6 +98,12 @@
     return error || count == 0 ? SocketState::Closed : SocketState::Readable;
 }
 
+bool hasReceivedBytes(asio::ip::tcp::socket &socket)
+{
+    error_code error;
+    return socket.available(error) > 0 || error.failed();
+}
+
 std::size_t unacknowledgedBytes(asio::ip::tcp::socket &socket)
 {
     int bytes = 0;
--- a/src/http/socketio.h
+++ b/src/http/socketio.h
@@ -44,6 +44,8 @@
 };
 [[nodiscard]] SocketState peekState(boost::asio::ip::tcp::socket &socket);
 
+/// Whether bytes, or the end of the connection, wait to be read.
+[[nodiscard]] bool hasReceivedBytes(boost::asio::ip::tcp::socket &socket);
 /// The bytes that were written to the socket and not acknowledged by its peer; zero if the system does not tell.
 [[nodiscard]] std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket);
 /// Reads and discards what has arrived, without waiting. Precondition: @p socket is non-blocking.
--- a/src/ingress/ingresscontext.cpp
+++ b/src/ingress/ingresscontext.cpp
@@ -1,5 +1,6 @@
 #include "ingress/ingresscontext.h"
 
+#include <limits>
 #include <utility>
 
 #include "core/currenttime.h"
@@ -53,6 +54,7 @@
     , view(decisions.view)
     , placement(localNode.location, view, Random(random()), decisions.placement)
     , room(roomSettings(decisions))
+    , heldMessages(std::make_shared<HeldMessages>(Bytes(std::numeric_limits<std::uint32_t>::max()), log, metrics))
 {
 }
 
--- a/src/ingress/ingresscontext.h
+++ b/src/ingress/ingresscontext.h
@@ -103,6 +103,8 @@
     LinkPacer *linkPacer = nullptr;
     /// What limits the answers that the node holds for readers; gone if nothing does.
     std::weak_ptr<HeldAnswers> heldAnswers;
+    /// Counts the bodies of requests, and the answers that are written. Never null.
+    std::shared_ptr<HeldMessages> heldMessages;
     std::function<void(const Endpoint &, const CallOutcome &)> outcomeListener;
     std::function<void()> noRoutesListener;
     /// Called with a node that has newer routes than this one.
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -48,6 +48,8 @@
     void setLinkPacer(LinkPacer *pacer) { context_->linkPacer = pacer; }
     /// Sets what limits the answers that the node holds for readers. Without it nothing does.
     void setHeldAnswers(std::weak_ptr<HeldAnswers> held) { context_->heldAnswers = std::move(held); }
+    /// Sets what counts and limits the bodies and answers that the node holds. Without it a node holds up to 4 GiB.
+    void setHeldMessages(std::shared_ptr<HeldMessages> held) { context_->heldMessages = std::move(held); }
     /// Call this after the routes or the instance directory changed.
     void catalogChanged();
     /// Calls @p listener with each answer of another node. The answer carries the versions of that node's catalog and
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -81,7 +81,10 @@
     if (auto failure = downloadRejection()) {
         co_return failure;
     }
-    std::string body;
+    if (auto failure = bodyRejection()) {
+        co_return failure;
+    }
+    RequestBody body;
     if (auto failure = co_await readBody(body)) {
         co_return failure;
     }
@@ -117,21 +120,66 @@
     return rejection;
 }
 
-asio::awaitable<std::optional<Failure>> ProxiedRequest::readBody(std::string &body)
+std::optional<Failure> ProxiedRequest::bodyRejection()
+{
+    const Bytes announced(exchange_.head().contentLength.value_or(0));
+    std::optional<Failure> rejection = context_->heldMessages->rejection(announced);
+    return rejection ? std::optional(withoutRoom(std::move(*rejection))) : std::nullopt;
+}
+
+Failure ProxiedRequest::withoutRoom(Failure failure)
 {
+    if (failure.reason == Reason::Overloaded) {
+        failure.retryAfter = retryDelay(*context_, parameters_, failure.retryAfter);
+    }
+    return failure;
+}
+
+std::shared_ptr<ReceivedBody> ProxiedRequest::beginBody()
+{
+    return ReceivedBody::begin(*context_->heldMessages, [weak = weak_from_this()] {
+        const auto request = weak.lock();
+        if (request) {
+            request->exchange_.endBody(request->withoutRoom(request->context_->heldMessages->noRoom()));
+        }
+    });
+}
+
+asio::awaitable<std::optional<Failure>> ProxiedRequest::readBody(RequestBody &body)
+{
+    if (exchange_.head().contentLength == std::uint64_t{0}) {
+        co_return std::nullopt;
+    }
+    exchange_.setBodyDeadline(parameters_.deadline);
+    const std::shared_ptr<ReceivedBody> received = beginBody();
+    const MessageBudget &budget = context_->heldMessages->budget();
+    if (!exchange_.head().contentLength || *exchange_.head().contentLength > MessageBudget::MaxShort.value()) {
+        exchange_.limitUnreadBytes(budget.unreadShare());
+    }
     while (true) {
         Result<std::string> piece = co_await exchange_.readBody();
+        if (!piece && piece.error().reason == Reason::DeadlinePassed) {
+            co_return notRun(Reason::BodyTimeout, "the request body did not come in time");
+        }
         if (!piece) {
             co_return piece.error();
         }
         if (piece.value().empty()) {
-            co_return std::nullopt;
+            break;
+        }
+        if (!received->append(piece.value())) {
+            co_return withoutRoom(context_->heldMessages->noRoom());
         }
-        body += piece.value();
     }
+    std::optional<RequestBody> complete = received->complete();
+    if (!complete) {
+        co_return withoutRoom(context_->heldMessages->noRoom());
+    }
+    body = std::move(*complete);
+    co_return std::nullopt;
 }
 
-void ProxiedRequest::makeTries(std::string body)
+void ProxiedRequest::makeTries(RequestBody body)
 {
     service_ = context_->split.next(*parameters_.route);
     const IngressCallId id{context_->localNode.self.incarnation, CallSequence(++context_->lastSequence)};
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -12,6 +12,7 @@
 #include "ingress/ingresscontext.h"
 #include "ingress/requestparameters.h"
 #include "ingress/requesttries.h"
+#include "messages/receivedbody.h"
 
 namespace Egretpath
 {
@@ -44,11 +45,17 @@
     boost::asio::awaitable<std::optional<Failure>> prepare();
     /// Returns why the node takes no new download, or nothing if it does or if this is none.
     [[nodiscard]] std::optional<Failure> downloadRejection();
-    boost::asio::awaitable<std::optional<Failure>> readBody(std::string &body);
+    /// Reads the body until it is complete, over a limit, too late, or given up for others.
+    boost::asio::awaitable<std::optional<Failure>> readBody(RequestBody &body);
+    /// Returns why the body can't be taken by what the head says of it, or nothing.
+    [[nodiscard]] std::optional<Failure> bodyRejection();
+    [[nodiscard]] std::shared_ptr<ReceivedBody> beginBody();
+    /// The refusal of a body for which the node has no room.
+    [[nodiscard]] Failure withoutRoom(Failure failure);
     /// Waits for the requests before this one where its route asks for that. Returns why the request can't be sent, or
     /// nothing.
     boost::asio::awaitable<std::optional<Failure>> waitUntilSendable();
-    void makeTries(std::string body);
+    void makeTries(RequestBody body);
     boost::asio::awaitable<void> tryUntilEnded();
     /// Delivers the answer, or decides whether another try follows. Returns whether the caller has its answer.
     boost::asio::awaitable<bool> handleTryEnd(TryEnd ended);
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -85,7 +85,7 @@
 std::optional<Failure> RequestTries::quarantineRejection(const HttpRequestHead &head)
 {
     const std::string_view host = head.headers.find("Host").value_or(std::string_view());
-    return fingerprint_.rejection(context_->sources.quarantine, {head.method, host, head.target, content_.body},
+    return fingerprint_.rejection(context_->sources.quarantine, {head.method, host, head.target, content_.body.view()},
                                   currentTime());
 }
 
@@ -215,7 +215,7 @@
         return true;
     };
     // A variable, because g++ 12 destroys aggregate temporaries of a co_await expression twice.
-    auto outcome = co_await context_->peers.call(requestTry->node, std::move(dryRunHead), std::string(),
+    auto outcome = co_await context_->peers.call(requestTry->node, std::move(dryRunHead), RequestBody(),
                                                  content_.makeReceiver(*requestTry), permit, parameters_.deadline,
                                                  requestTry->cancellation);
     TryEnd dryRunEnd{requestTry, std::move(outcome)};
--- a/src/ingress/requesttries.h
+++ b/src/ingress/requesttries.h
@@ -15,6 +15,7 @@
 #include "idempotency/callstate.h"
 #include "ingress/ingresscontext.h"
 #include "ingress/requestparameters.h"
+#include "messages/receivedbody.h"
 #include "quarantine/lazyfingerprint.h"
 #include "rpc/cancellation.h"
 
@@ -49,7 +50,7 @@
 struct TryContent
 {
     ServiceName service;
-    std::string body;
+    RequestBody body;
     std::function<std::shared_ptr<AnswerReceiver>(const RequestTry &)> makeReceiver;
 };
 
@@ -96,7 +97,9 @@
         return runningTries_.empty() && endedTries_.empty() && reachedUpstreams_.empty();
     }
     /// Returns the body, for other tries. Precondition: mayBePlacedAnew(). No try can be started afterwards.
-    [[nodiscard]] std::string takeBody() { return std::move(content_.body); }
+    [[nodiscard]] RequestBody takeBody() { return std::exchange(content_.body, {}); }
+    /// Releases the body once no other try can follow.
+    void dropBody() { content_.body = {}; }
     /// The number of upstreams that may have got the request.
     [[nodiscard]] std::size_t reachedCount() const { return reachedUpstreams_.size(); }
 
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -126,6 +126,11 @@
   end @2 () -> ();
 }
 
+interface BodySource {
+  read @0 (offset :UInt64, size :UInt32) -> (piece :Data);
+  # Returns size bytes of the body, from offset on.
+}
+
 struct InstanceRecord {
   id @0 :Text;
   service @1 :Text;
@@ -296,4 +301,7 @@
   stopped @4 () -> ();
   # Returns when the node has stopped: all calls that it has run are answered, and it runs none any more. A call that has
   # no answer when the connection ends after that was not run. Nodes of an earlier version don't know it.
+  callWithBody @5 (head :CallHead, size :UInt64, body :BodySource, answer :AnswerSink) -> (outcome :CallOutcome);
+  # As call, for a body that is too large for one message. The node reads its size bytes from the ingress before it runs
+  # the call. Nodes of an earlier version don't know it, and run nothing.
 }
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -32,6 +32,11 @@
 /// stopped are waited for, which is less.
 constexpr Milliseconds MaxChunkPause{30'000};
 
+/// A larger body travels in pieces, so that neither node needs a second copy of it.
+constexpr std::size_t MaxMessageBodyBytes = std::size_t{512} * 1024;
+/// The largest body for a peer that takes it only with its message. A message may have 64 MiB with its head.
+constexpr std::size_t MaxWholeBodyBytes = std::size_t{63} * 1024 * 1024;
+
 /// How far the streamed answer to a call has come.
 struct AnswerProgress
 {
@@ -93,6 +98,33 @@
     std::shared_ptr<AnswerProgress> progress_;
 };
 
+/// Hands out the body of a call to the peer that runs it.
+class BodySourceServer final : public Wire::BodySource::Server
+{
+public:
+    explicit BodySourceServer(RequestBody body)
+        : body_(std::move(body))
+    {
+    }
+
+protected:
+    kj::Promise<void> read(ReadContext context) override
+    {
+        const auto params = context.getParams();
+        const std::uint64_t offset = params.getOffset();
+        const std::uint64_t size = params.getSize();
+        if (size > MaxMessageBodyBytes || offset > body_.size() || size > body_.size() - offset) {
+            kj::throwRecoverableException(KJ_EXCEPTION(FAILED, "not a part of the body"));
+            return kj::READY_NOW;
+        }
+        context.getResults().setPiece(WireConversion::asData(body_.view().substr(offset, size)));
+        return kj::READY_NOW;
+    }
+
+private:
+    RequestBody body_;
+};
+
 /// A larger body is sent on the bulk connection.
 constexpr std::size_t MaxRegularBodyBytes = std::size_t{16} * 1024;
 
@@ -282,6 +314,41 @@
     co_return toFailure(*result.error, cancellation, deadline);
 }
 
+/// One call, with what belongs to it until its answer.
+struct OutgoingCall
+{
+    CallHead head;
+    RequestBody body;
+    std::shared_ptr<AnswerReceiver> answer;
+    std::shared_ptr<AnswerProgress> progress = std::make_shared<AnswerProgress>();
+};
+
+kj::Promise<CallOutcome> sendWithBody(Wire::Node::Client &node, const asio::any_io_executor &executor,
+                                      const OutgoingCall &call)
+{
+    auto request = node.callRequest();
+    WireConversion::write(request.initHead(), call.head);
+    request.setBody(WireConversion::asData(call.body.view()));
+    request.setAnswer(kj::heap<AnswerSinkServer>(executor, call.answer, call.progress));
+    return request.send().then([](auto &&response) { return WireConversion::read(response.getOutcome()); });
+}
+
+/// Sets @p isUnknown if the peer is of a version that doesn't know such calls. It has run nothing then.
+kj::Promise<CallOutcome> sendWithSource(Wire::Node::Client &node, const asio::any_io_executor &executor,
+                                        const OutgoingCall &call, std::shared_ptr<bool> isUnknown)
+{
+    auto request = node.callWithBodyRequest();
+    WireConversion::write(request.initHead(), call.head);
+    request.setSize(call.body.size());
+    request.setBody(kj::heap<BodySourceServer>(call.body));
+    request.setAnswer(kj::heap<AnswerSinkServer>(executor, call.answer, call.progress));
+    return request.send().then([](auto &&response) { return WireConversion::read(response.getOutcome()); },
+                               [isUnknown](kj::Exception &&error) -> CallOutcome {
+                                   *isUnknown = error.getType() == kj::Exception::Type::UNIMPLEMENTED;
+                                   kj::throwFatalException(kj::mv(error));
+                               });
+}
+
 bool maySend(CallHead &head, const PeerClient::SendPermit &permit, const Cancellation &cancellation)
 {
     // Checked after the wait for the connection: if the call was cancelled meanwhile, its caller was told that nothing
@@ -477,6 +544,18 @@
     co_return answer;
 }
 
+/// A call without an answer was not run if the peer has told that it runs none any more.
+Result<CallOutcome> unlessStopped(Result<CallOutcome> outcome, const PeerConnection &connection,
+                                  const AnswerProgress &progress)
+{
+    const bool wasNotRun =
+        !outcome && outcome.error().reason == Reason::ConnectionLost && connection.hasPeerStopped && !progress.hasChunk;
+    if (wasNotRun) {
+        return notRun(Reason::Draining, "the peer has stopped");
+    }
+    return outcome;
+}
+
 }
 
 PeerClient::PeerClient(asio::io_context &context)
@@ -486,7 +565,7 @@
 
 PeerClient::~PeerClient() = default;
 
-asio::awaitable<Result<CallOutcome>> PeerClient::call(Endpoint peer, CallHead head, std::string body,
+asio::awaitable<Result<CallOutcome>> PeerClient::call(Endpoint peer, CallHead head, RequestBody body,
                                                       std::shared_ptr<AnswerReceiver> answer, SendPermit permit,
                                                       TimePoint deadline, std::shared_ptr<Cancellation> cancellation)
 {
@@ -499,20 +578,28 @@
     if (!maySend(head, permit, *cancellation)) {
         co_return notRun(Reason::Cancelled, "ended before the call was sent");
     }
+    PeerConnection &used = *connection.value();
     const OpenCall open(connection.value());
-    auto request = connection.value()->node.callRequest();
-    WireConversion::write(request.initHead(), head);
-    request.setBody(WireConversion::asData(body));
-    const auto progress = std::make_shared<AnswerProgress>();
-    request.setAnswer(kj::heap<AnswerSinkServer>(implementation->executor(), std::move(answer), progress));
-    auto promise = request.send().then([](auto &&response) { return WireConversion::read(response.getOutcome()); });
-    auto outcome = co_await awaitAnswer<CallOutcome>(kj::mv(promise), deadline, progress, std::move(cancellation));
-    const bool wasNotRun = !outcome && outcome.error().reason == Reason::ConnectionLost
-        && connection.value()->hasPeerStopped && !progress->hasChunk;
-    if (wasNotRun) {
-        co_return notRun(Reason::Draining, "the peer has stopped");
+    OutgoingCall call{std::move(head), std::move(body), std::move(answer)};
+    if (call.body.size() > MaxMessageBodyBytes && !used.takesWholeBodiesOnly) {
+        const auto isUnknown = std::make_shared<bool>(false);
+        auto outcome =
+            co_await awaitAnswer<CallOutcome>(sendWithSource(used.node, implementation->executor(), call, isUnknown),
+                                              deadline, call.progress, cancellation);
+        if (!*isUnknown) {
+            co_return unlessStopped(std::move(outcome), used, *call.progress);
+        }
+        used.takesWholeBodiesOnly = true;
+        if (cancellation->isCancelled()) {
+            co_return notRun(Reason::Cancelled, "ended before the call was sent");
+        }
+    }
+    if (call.body.size() > MaxWholeBodyBytes) {
+        co_return notRun(Reason::ConnectFailed, "the peer is of a version that can't take so large a body");
     }
-    co_return outcome;
+    auto promise = sendWithBody(used.node, implementation->executor(), call);
+    auto outcome = co_await awaitAnswer<CallOutcome>(kj::mv(promise), deadline, call.progress, std::move(cancellation));
+    co_return unlessStopped(std::move(outcome), used, *call.progress);
 }
 
 asio::awaitable<Result<Catalog>> PeerClient::catalog(Endpoint peer, CatalogRequest request, TimePoint deadline)
--- a/src/rpc/peerclient.h
+++ b/src/rpc/peerclient.h
@@ -10,6 +10,7 @@
 
 #include "core/clock.h"
 #include "core/verdict.h"
+#include "messages/receivedbody.h"
 #include "rpc/cancellation.h"
 #include "rpc/peermessages.h"
 #include "rpc/peerservice.h"
@@ -41,7 +42,9 @@
     /// the head. Returns false if the call has ended meanwhile and must not be sent.
     using SendPermit = std::function<bool(CallHead &)>;
 
-    boost::asio::awaitable<Result<CallOutcome>> call(Endpoint peer, CallHead head, std::string body,
+    /// A large @p body is sent in pieces, or in one message if the peer is of an earlier version and the message is not
+    /// too large; ConnectFailed if it is.
+    boost::asio::awaitable<Result<CallOutcome>> call(Endpoint peer, CallHead head, RequestBody body,
                                                      std::shared_ptr<AnswerReceiver> answer, SendPermit permit,
                                                      TimePoint deadline, std::shared_ptr<Cancellation> cancellation);
     boost::asio::awaitable<Result<Catalog>> catalog(Endpoint peer, CatalogRequest request, TimePoint deadline);
--- a/src/rpc/peerconnection.h
+++ b/src/rpc/peerconnection.h
@@ -40,6 +40,8 @@
     bool isLost = false;
     /// Whether the peer has told that it runs no call any more. Calls without an answer were not run.
     bool hasPeerStopped = false;
+    /// Whether the peer is of a version that takes the body of a call only with its message.
+    bool takesWholeBodiesOnly = false;
     TimePoint lastUse;
     /// For each call without an answer, the time from which its answer can be expected.
     std::multiset<TimePoint> answerDueTimes;
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -1,6 +1,7 @@
 #include "rpc/peerserver.h"
 
 #include <algorithm>
+#include <deque>
 #include <list>
 #include <optional>
 #include <utility>
@@ -66,6 +67,66 @@
     Wire::AnswerSink::Client sink_;
 };
 
+/// Reads the body of a call from the ingress. Some pieces are asked for ahead, so that a long link is kept busy.
+class WireBodySource final : public BodySource
+{
+public:
+    WireBodySource(Wire::BodySource::Client source, std::uint64_t size)
+        : source_(kj::mv(source))
+        , size_(size)
+    {
+    }
+    ~WireBodySource() noexcept override = default;
+    WireBodySource(const WireBodySource &) = delete;
+    WireBodySource &operator=(const WireBodySource &) = delete;
+
+    [[nodiscard]] std::uint64_t size() const override { return size_; }
+
+    asio::awaitable<std::optional<std::string>> next() override
+    {
+        while (requested_ < size_ && ahead_.size() < MaxPiecesAhead) {
+            requestPiece();
+        }
+        if (ahead_.empty()) {
+            co_return std::string();
+        }
+        RequestedPiece piece = std::move(ahead_.front());
+        ahead_.pop_front();
+        PromiseResult<std::string> result = co_await awaitPromise(kj::mv(piece.promise));
+        if (!result.value || result.value->size() != piece.size) {
+            co_return std::nullopt;
+        }
+        co_return std::move(*result.value);
+    }
+
+private:
+    static constexpr std::size_t MaxPiecesAhead = 4;
+    static constexpr std::uint64_t MaxPieceBytes = std::uint64_t{256} * 1024;
+
+    struct RequestedPiece
+    {
+        kj::Promise<std::string> promise;
+        std::uint64_t size;
+    };
+
+    void requestPiece()
+    {
+        const std::uint64_t size = std::min(MaxPieceBytes, size_ - requested_);
+        auto request = source_.readRequest();
+        request.setOffset(requested_);
+        request.setSize(static_cast<std::uint32_t>(size));
+        ahead_.push_back(
+            {request.send().then([](auto &&response) { return WireConversion::readBytes(response.getPiece()); }),
+             size});
+        requested_ += size;
+    }
+
+    Wire::BodySource::Client source_;
+    std::uint64_t size_;
+    std::uint64_t requested_ = 0;
+    std::deque<RequestedPiece> ahead_;
+};
+
 /// Cancels the call when its promise is dropped. KJ drops it when the ingress sends a Finish message or the connection
 /// is lost.
 class CancelOnDrop
@@ -109,12 +170,19 @@
         auto cancellation = std::make_shared<Cancellation>();
         auto work = service_.call(WireConversion::read(params.getHead()), WireConversion::readBytes(params.getBody()),
                                   std::make_shared<WireAnswerReceiver>(params.getAnswer()), cancellation);
-        context.allowCancellation();
-        return toPromise(executor_, std::move(work))
-            .then([context](CallOutcome outcome) mutable {
-                WireConversion::write(context.getResults().initOutcome(), outcome);
-            })
-            .attach(CancelOnDrop(std::move(cancellation)));
+        context.releaseParams();
+        return answerWhenDone(context, std::move(work), std::move(cancellation));
+    }
+
+    kj::Promise<void> callWithBody(CallWithBodyContext context) override
+    {
+        const auto params = context.getParams();
+        auto cancellation = std::make_shared<Cancellation>();
+        auto work = service_.callWithBody(WireConversion::read(params.getHead()),
+                                          std::make_shared<WireBodySource>(params.getBody(), params.getSize()),
+                                          std::make_shared<WireAnswerReceiver>(params.getAnswer()), cancellation);
+        context.releaseParams();
+        return answerWhenDone(context, std::move(work), std::move(cancellation));
     }
 
     kj::Promise<void> probe(ProbeContext context) override
@@ -159,6 +227,18 @@
     }
 
 private:
+    template<typename Context>
+    kj::Promise<void> answerWhenDone(Context context, asio::awaitable<CallOutcome> work,
+                                     std::shared_ptr<Cancellation> cancellation)
+    {
+        context.allowCancellation();
+        return toPromise(executor_, std::move(work))
+            .then([context](CallOutcome outcome) mutable {
+                WireConversion::write(context.getResults().initOutcome(), outcome);
+            })
+            .attach(CancelOnDrop(std::move(cancellation)));
+    }
+
     asio::any_io_executor executor_;
     PeerService &service_;
     kj::ForkedPromise<void> &stopped_;
--- a/src/rpc/peerservice.h
+++ b/src/rpc/peerservice.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -27,6 +29,19 @@
     virtual boost::asio::awaitable<bool> end() = 0;
 };
 
+/// The body of a call that is too large for one message. It is read from the ingress, one piece after another.
+///
+/// Thread safety: none; one call of next() at a time.
+class BodySource
+{
+public:
+    virtual ~BodySource() = default;
+    /// The size of the whole body.
+    [[nodiscard]] virtual std::uint64_t size() const = 0;
+    /// Returns the next piece, an empty one after the last; nothing if the ingress is gone.
+    virtual boost::asio::awaitable<std::optional<std::string>> next() = 0;
+};
+
 /// The calls that a node takes from other nodes. PeerServer turns messages into these calls.
 ///
 /// Thread safety: none; called on the thread of the event loop. Errors: in the outcomes.
@@ -37,6 +52,10 @@
     virtual boost::asio::awaitable<CallOutcome> call(CallHead head, std::string body,
                                                      std::shared_ptr<AnswerReceiver> answer,
                                                      std::shared_ptr<Cancellation> cancellation) = 0;
+    /// As call(), with a body that was not read yet.
+    virtual boost::asio::awaitable<CallOutcome> callWithBody(CallHead head, std::shared_ptr<BodySource> body,
+                                                             std::shared_ptr<AnswerReceiver> answer,
+                                                             std::shared_ptr<Cancellation> cancellation) = 0;
     virtual PeerProbe probe() = 0;
     /// Returns the routes and instances that the requesting node lacks. The answer may wait up to CatalogRequest::wait
     /// for something newer.
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -424,7 +424,7 @@
     return {reinterpret_cast<const char *>(wire.begin()), wire.size()};
 }
 
-capnp::Data::Reader asData(const std::string &bytes)
+capnp::Data::Reader asData(std::string_view bytes)
 {
     return {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()};
 }
--- a/src/rpc/wireconversion.h
+++ b/src/rpc/wireconversion.h
@@ -30,6 +30,6 @@
 [[nodiscard]] std::string readText(capnp::Text::Reader wire);
 [[nodiscard]] std::string readBytes(capnp::Data::Reader wire);
 /// A view of @p bytes. Precondition: @p bytes outlives the view.
-[[nodiscard]] capnp::Data::Reader asData(const std::string &bytes);
+[[nodiscard]] capnp::Data::Reader asData(std::string_view bytes);
 
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -20,7 +20,9 @@
 #include "rpc/peerclient.h"
 #include "rpc/peerserver.h"
 #include "sidecar/catalogcontroller.h"
+#include "sidecar/nodelimits.h"
 #include "sidecar/operatorpages.h"
+#include "sidecar/peercalls.h"
 #include "sidecar/plannedstop.h"
 #include "sidecar/quarantinecontroller.h"
 #include "sidecar/sidecarstate.h"
@@ -35,61 +37,13 @@
 namespace
 {
 
-/// Limits on connections, since the smallest VMs have few file descriptors. Each caller opens dozens of connections.
-constexpr std::size_t MaxCallerConnections = 1500;
 constexpr std::size_t MaxPeerConnections = 1500;
-constexpr std::size_t MaxProbeConnections = 64;
 constexpr Milliseconds IdleCheckInterval{10'000};
 constexpr Milliseconds MaxPeerIdleTime{60'000};
-/// Callers reuse connections that were idle for up to four fifths of the published idle time. The node waits longer by
-/// this factor, so that it doesn't close a connection while a request is on its way.
-constexpr double IdleTimeFactor = 1.25;
-
 constexpr Milliseconds StopPollInterval{50};
 /// The time in which the callers of requests that the end of the process cuts are told.
 constexpr Milliseconds LastAnswersTime{20};
 
-HttpLimits callerLimits(const CallerLimits &limits)
-{
-    HttpLimits http;
-    http.headerBytes = static_cast<std::uint32_t>(limits.headerBytes.value());
-    http.bodyBytes = limits.bodyBytes.value();
-    http.connections = MaxCallerConnections;
-    http.headerReadTime = limits.headerTime;
-    http.idleTime = std::chrono::duration_cast<Duration>(limits.idleTime * IdleTimeFactor);
-    return http;
-}
-
-HttpLimits probeLimits()
-{
-    HttpLimits http;
-    http.connections = MaxProbeConnections;
-    http.bodyBytes = 0;
-    return http;
-}
-
-EgressSettings egressSettings(const SidecarSettings &settings, const DecisionSettings &decisions)
-{
-    EgressSettings egress;
-    egress.upstream = settings.upstream;
-    egress.queue = decisions.queue;
-    egress.turns = decisions.turns;
-    egress.keepsAccount = decisions.keepsUpstreamAccount;
-    egress.maxAnswerPause = decisions.maxAnswerPause;
-    return egress;
-}
-
-/// The limit of the answers that the node holds for readers; nothing if the settings don't tell its memory.
-std::optional<Bytes> answerLimit(const SidecarSettings &settings)
-{
-    constexpr std::uint64_t BytesPerMb = 1'000'000;
-    constexpr std::uint64_t MemoryPerLimit = 8;
-    if (settings.memoryMb == 0) {
-        return std::nullopt;
-    }
-    return Bytes(settings.memoryMb * BytesPerMb / MemoryPerLimit);
-}
-
 LocalNode localNode(const SidecarState &state)
 {
     return {state.self, state.location, state.settings.service, state.settings.peers};
@@ -108,6 +62,7 @@
         , state_(settings, drawIncarnation(), systemSeed())
         , linkPacer_(makeLinkPacer(executor_, settings.linkMbps, state_.log, state_.metrics))
         , heldAnswers_(std::make_shared<HeldAnswers>(answerLimit(settings), state_.log, state_.metrics))
+        , heldMessages_(std::make_shared<HeldMessages>(messageLimit(settings), state_.log, state_.metrics))
         , peerClient_(context)
         , egress_(executor_, egressSettings(settings, decisions), state_.self, state_.location,
                   EgressSources{state_.routes, state_.evacuatedZones, state_.quarantine}, *platform_.upstreams,
@@ -116,6 +71,7 @@
                    IngressSources{state_.routes, state_.directory, state_.evacuatedZones, state_.quarantine},
                    *platform_.callers, egress_, peerClient_, state_.log, state_.metrics, Random(state_.random()),
                    decisions.ingress)
+        , peerCalls_(egress_, heldMessages_, linkPacer_.get())
         , catalog_(executor_, state_, *platform_.catalog, peerClient_, decisions, [this] { catalogChanged(); })
         , quarantine_(executor_, state_, peerClient_, [this] { egress_.endQuarantinedRequests(); })
         , operatorPages_(state_, *heldAnswers_, catalog_, egress_, ingress_, quarantine_, linkPacer_.get())
@@ -129,6 +85,7 @@
     {
         egress_.setHeldAnswers(heldAnswers_);
         ingress_.setHeldAnswers(heldAnswers_);
+        ingress_.setHeldMessages(heldMessages_);
         applyRetryLimits();
         ingress_.setLinkPrices(state_.settings.linkPrices);
         if (linkPacer_) {
@@ -217,24 +174,28 @@
     asio::awaitable<CallOutcome> call(CallHead head, std::string body, std::shared_ptr<AnswerReceiver> answer,
                                       std::shared_ptr<Cancellation> cancellation) override
     {
-        if (linkPacer_) {
-            paceAnswer(*linkPacer_, head.priority, answer, cancellation);
-        }
-        CallOutcome outcome =
-            co_await egress_.call(std::move(head), std::move(body), std::move(answer), std::move(cancellation));
-        if (linkPacer_) {
-            const auto *complete = std::get_if<CompleteAnswer>(&outcome.result);
-            linkPacer_->recordShortMessage(Bytes(complete != nullptr ? complete->body.size() : 0));
-        }
-        outcome.catalog = catalog_.versions();
-        outcome.quarantine = state_.quarantine.digest();
-        co_return outcome;
+        co_return withVersions(
+            co_await peerCalls_.call(std::move(head), std::move(body), std::move(answer), std::move(cancellation)));
+    }
+    asio::awaitable<CallOutcome> callWithBody(CallHead head, std::shared_ptr<BodySource> body,
+                                              std::shared_ptr<AnswerReceiver> answer,
+                                              std::shared_ptr<Cancellation> cancellation) override
+    {
+        co_return withVersions(co_await peerCalls_.callWithBody(std::move(head), std::move(body), std::move(answer),
+                                                                std::move(cancellation)));
     }
     PeerProbe probe() override { return {state_.self, egress_.report(RouteName())}; }
     asio::awaitable<Catalog> catalog(CatalogRequest request) override { return catalog_.answer(request); }
     QuarantineUpdate quarantine(const QuarantineUpdate &update) override { return quarantine_.answer(update); }
 
 private:
+    [[nodiscard]] CallOutcome withVersions(CallOutcome outcome) const
+    {
+        outcome.catalog = catalog_.versions();
+        outcome.quarantine = state_.quarantine.digest();
+        return outcome;
+    }
+
     Result<void> listenForPeers()
     {
         try {
@@ -390,9 +351,11 @@
     /// Null if the rate of the link is not known.
     std::unique_ptr<LinkPacer> linkPacer_;
     std::shared_ptr<HeldAnswers> heldAnswers_;
+    std::shared_ptr<HeldMessages> heldMessages_;
     PeerClient peerClient_;
     EgressRole egress_;
     IngressRole ingress_;
+    PeerCalls peerCalls_;
     CatalogController catalog_;
     QuarantineController quarantine_;
     OperatorPages operatorPages_;
--- a/tests/crowds/processmemory.cpp
+++ b/tests/crowds/processmemory.cpp
@@ -18,6 +18,9 @@
 {
 
 constexpr std::chrono::milliseconds SampleInterval{10};
+/// The upstream beside a node has its address. What waits for the upstream is not the node's. As /proc/net/tcp writes
+/// port 8301.
+constexpr const char *UpstreamPort = ":206D";
 
 std::filesystem::path processFolder(pid_t process)
 {
@@ -84,7 +87,8 @@
         fields >> number >> localAddress >> remoteAddress >> state >> queues;
         const std::size_t colon = queues.find(':');
         const bool isConnected = state == "01" || state == "08";
-        if (isConnected && localAddress.starts_with(local) && colon != std::string::npos) {
+        const bool isOfUpstream = localAddress.ends_with(UpstreamPort);
+        if (isConnected && !isOfUpstream && localAddress.starts_with(local) && colon != std::string::npos) {
             sum += std::stoull(queues.substr(colon + 1), nullptr, HexadecimalBase);
         }
     }
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -6,12 +6,15 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <capnp/rpc-twoparty.h>
 #include <catch2/catch.hpp>
 
 #include "core/currenttime.h"
 #include "http/tcpendpoint.h"
 #include "rpc/asioeventport.h"
 #include "rpc/peerserver.h"
+#include "rpc/peerstream.h"
+#include "rpc/wireconversion.h"
 #include "standins/standinrelay.h"
 
 using namespace Egretpath;
@@ -46,6 +49,9 @@
     {
         cancellation->setAction([this] { ++cancelCount; });
         lastHead = head;
+        if (bodyDigestOnly) {
+            body = std::to_string(body.size()) + body.front() + body.back();
+        }
         if (head.target == "stream") {
             isStreamed = co_await answer->begin(AnswerHead{200, {}});
             isStreamed = isStreamed && co_await answer->write(body) && co_await answer->write(body);
@@ -58,6 +64,19 @@
                               versions};
     }
 
+    asio::awaitable<CallOutcome> callWithBody(CallHead head, std::shared_ptr<BodySource> source,
+                                              std::shared_ptr<AnswerReceiver> answer,
+                                              std::shared_ptr<Cancellation> cancellation) override
+    {
+        std::string body;
+        for (std::optional<std::string> piece = co_await source->next(); piece && !piece->empty();
+             piece = co_await source->next()) {
+            largestPiece = std::max(largestPiece, piece->size());
+            body += *piece;
+        }
+        co_return co_await call(std::move(head), std::move(body), std::move(answer), std::move(cancellation));
+    }
+
     PeerProbe probe() override { return {identity(), {}}; }
     asio::awaitable<Catalog> catalog(CatalogRequest request) override
     {
@@ -73,6 +92,10 @@
 
     CatalogVersions versions{RouteVersion(3), StoreRevision(9), StoreRevision(8)};
     CallHead lastHead;
+    /// Answers with the size of the body, its first byte and its last one.
+    bool bodyDigestOnly = false;
+    /// Of the bodies that came in pieces.
+    std::size_t largestPiece = 0;
     QuarantineUpdate lastUpdate;
     QuarantineUpdate quarantineAnswer;
     int cancelCount = 0;
@@ -229,6 +252,87 @@
     CHECK(order == std::vector<std::string>{"second", "first"});
 }
 
+TEST_CASE("a body over the size of a message arrives whole, in pieces")
+{
+    Fixture fixture;
+    fixture.run([](Fixture &f) -> asio::awaitable<void> {
+        // Not a multiple of the size of a piece.
+        std::string body(std::size_t{70} * 1024 * 1024 + 3, 'x');
+        body.front() = 'a';
+        body.back() = 'z';
+        f.service.bodyDigestOnly = true;
+        const auto outcome = co_await f.call("0", body, Milliseconds(20000));
+        REQUIRE(outcome.has_value());
+        CHECK(std::get<CompleteAnswer>(outcome.value().result).body == std::to_string(body.size()) + "az");
+        CHECK(f.service.largestPiece <= std::size_t{512} * 1024);
+    }(fixture));
+}
+
+namespace
+{
+
+/// A node of the version before bodies could travel in pieces. It answers each call with its body.
+class EarlierNode final : public Wire::Node::Server
+{
+protected:
+    kj::Promise<void> call(CallContext context) override
+    {
+        CallOutcome outcome;
+        outcome.result = CompleteAnswer{{200, {}}, WireConversion::readBytes(context.getParams().getBody())};
+        WireConversion::write(context.getResults().initOutcome(), outcome);
+        return kj::READY_NOW;
+    }
+};
+
+/// One connection to an EarlierNode.
+struct EarlierConnection
+{
+    explicit EarlierConnection(asio::ip::tcp::socket socket)
+        : stream(std::move(socket))
+        , network(stream, capnp::rpc::twoparty::Side::SERVER)
+        , system(capnp::makeRpcServer(network, kj::heap<EarlierNode>()))
+    {
+    }
+
+    PeerStream stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
+};
+
+const Endpoint EarlierEndpoint("127.0.0.1:24713");
+
+asio::awaitable<Result<CallOutcome>> callEarlierNode(Fixture &fixture, std::size_t size)
+{
+    co_return co_await fixture.client.call(EarlierEndpoint, fixture.head("0"), std::string(size, 'x'), fixture.receiver,
+                                           permitAlways, std::chrono::steady_clock::now() + Milliseconds(5000),
+                                           std::make_shared<Cancellation>());
+}
+
+}
+
+TEST_CASE("a node of an earlier version gets a large body with its message, if that can carry it")
+{
+    Fixture fixture;
+    fixture.run([](Fixture &f) -> asio::awaitable<void> {
+        constexpr std::size_t MiB = std::size_t{1024} * 1024;
+        const auto executor = co_await asio::this_coro::executor;
+        asio::ip::tcp::acceptor acceptor(executor, *toTcpEndpoint(EarlierEndpoint));
+        std::unique_ptr<EarlierConnection> connection;
+        acceptor.async_accept([&connection](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+            REQUIRE(!error);
+            connection = std::make_unique<EarlierConnection>(std::move(socket));
+        });
+        for (int calls = 0; calls < 2; ++calls) {
+            const auto outcome = co_await callEarlierNode(f, 2 * MiB);
+            REQUIRE(outcome.has_value());
+            CHECK(std::get<CompleteAnswer>(outcome.value().result).body.size() == 2 * MiB);
+        }
+        const auto tooLarge = co_await callEarlierNode(f, 64 * MiB);
+        REQUIRE_FALSE(tooLarge.has_value());
+        CHECK(tooLarge.error().verdict == Verdict::NotRun);
+    }(fixture));
+}
+
 TEST_CASE("a large answer is streamed in pieces")
 {
     Fixture fixture;
@@ -261,7 +365,7 @@
 {
     Fixture fixture;
     fixture.run([](Fixture &f) -> asio::awaitable<void> {
-        const auto outcome = co_await f.client.call(Endpoint("127.0.0.1:24712"), f.head("0"), "", f.receiver,
+        const auto outcome = co_await f.client.call(Endpoint("127.0.0.1:24712"), f.head("0"), RequestBody(), f.receiver,
                                                     permitAlways, std::chrono::steady_clock::now() + Milliseconds(500),
                                                     std::make_shared<Cancellation>());
         REQUIRE_FALSE(outcome.has_value());
@@ -277,7 +381,7 @@
     Fixture fixture;
     fixture.run([](Fixture &f) -> asio::awaitable<void> {
         const auto outcome = co_await f.client.call(
-            ServerEndpoint, f.head("0"), "", f.receiver, [](CallHead &) { return false; },
+            ServerEndpoint, f.head("0"), RequestBody(), f.receiver, [](CallHead &) { return false; },
             std::chrono::steady_clock::now() + Milliseconds(500), std::make_shared<Cancellation>());
         REQUIRE_FALSE(outcome.has_value());
         CHECK(outcome.error().verdict == Verdict::NotRun);
