Answers that a slow caller doesn't take count against the node's memory

Callers saw: a node over its memory while 300 callers took nothing of answers of 900 kB. Cause: only answers of downloads and streamed ones were in a budget; an answer of up to 1 MiB in one message waited, whole, for as long as the caller's connection stood.

Such an answer over 16 KiB now counts in HeldMessages like a body that comes: what its caller takes is its progress, and where there is no room the largest that makes none is given up (its connection is reset), or the one that began last. An answer that finds no room at all is a 502: its request has run. It is written part by part, so that the progress is seen without a pacer, too. The body of a request is released once its answer is there.

--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -370,6 +370,11 @@
     if (complete == nullptr) {
         co_return;
     }
+    tries_->dropBody();
+    if (auto failure = holdAnswer(Bytes(complete->body.size()))) {
+        co_await respond(std::move(*failure));
+        co_return;
+    }
     HttpResponseHead head(complete->head.status);
     head.headers = std::move(complete->head.headers);
     context_->stop.recordAnswer(parameters_.route->name, currentTime() - parameters_.arrival);
@@ -377,9 +382,26 @@
     co_await sendAnswer(std::move(head), std::move(complete->body));
 }
 
+std::optional<Failure> ProxiedRequest::holdAnswer(Bytes size)
+{
+    if (size.value() <= MaxChunkBytes) {
+        return std::nullopt;
+    }
+    heldAnswer_ = context_->heldMessages->begin([weak = weak_from_this()] {
+        if (const auto request = weak.lock()) {
+            request->exchange_.abort();
+        }
+    });
+    if (heldAnswer_->grow(size)) {
+        return std::nullopt;
+    }
+    // The request has run.
+    return mayHaveRun(Reason::Overloaded, "the node holds too many answers for slow readers");
+}
+
 asio::awaitable<void> ProxiedRequest::sendAnswer(HttpResponseHead head, std::string body)
 {
-    if (context_->linkPacer == nullptr || body.size() <= MaxChunkBytes) {
+    if (body.size() <= MaxChunkBytes) {
         if (context_->linkPacer != nullptr) {
             context_->linkPacer->recordShortMessage(Bytes(body.size()));
         }
@@ -401,12 +423,16 @@
 {
     const auto self = shared_from_this();
     PacedTransfer::ChunkWriter writer = [this](std::string chunk) -> asio::awaitable<bool> {
+        const Bytes size(chunk.size());
         const Result<void> written = co_await exchange_.writeBody(std::move(chunk));
+        if (heldAnswer_) {
+            heldAnswer_->progress(size);
+        }
         co_return written.has_value();
     };
     bool isWritten = false;
     if (context_->linkPacer == nullptr) {
-        isWritten = co_await writer(std::move(piece));
+        isWritten = co_await writeParts(std::move(piece), std::move(writer));
     } else {
         if (!transfer_) {
             transfer_ = context_->linkPacer->open(
@@ -417,6 +443,19 @@
     co_return isWritten;
 }
 
+asio::awaitable<bool> ProxiedRequest::writeParts(std::string piece, PacedTransfer::ChunkWriter writer)
+{
+    constexpr std::size_t MaxPartBytes = std::size_t{64} * 1024;
+    if (piece.size() <= MaxPartBytes) {
+        co_return co_await writer(std::move(piece));
+    }
+    bool isWritten = true;
+    for (std::size_t begin = 0; isWritten && begin < piece.size(); begin += MaxPartBytes) {
+        isWritten = co_await writer(piece.substr(begin, MaxPartBytes));
+    }
+    co_return isWritten;
+}
+
 void ProxiedRequest::cancelTransfer()
 {
     if (transfer_) {
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -77,8 +77,12 @@
     void recordCallerDisconnected();
 
     boost::asio::awaitable<void> deliver(const RequestTry &requestTry, CallOutcome outcome);
+    /// Counts the bytes of an answer until its caller has taken them. Returns why the answer can't be held, or nothing.
+    [[nodiscard]] std::optional<Failure> holdAnswer(Bytes size);
     /// Sends a complete answer. If the rate of the link is known, large bodies are paced.
     boost::asio::awaitable<void> sendAnswer(HttpResponseHead head, std::string body);
+    /// Writes @p piece at once, part by part, so that a slow caller's progress is seen.
+    boost::asio::awaitable<bool> writeParts(std::string piece, PacedTransfer::ChunkWriter writer);
     /// Writes a piece of the body of a response that was started. Returns whether the caller takes more.
     boost::asio::awaitable<bool> writePiece(std::string piece);
     void cancelTransfer();
@@ -101,6 +105,8 @@
     boost::asio::steady_timer wakeUp_;
     /// The paced answer of the request; null before its first byte, and if the rate of the link is not known.
     std::shared_ptr<PacedTransfer> transfer_;
+    /// The answer while it is written; null for short ones and for those that come in pieces.
+    std::unique_ptr<HeldMessage> heldAnswer_;
     bool isCallerDisconnected_ = false;
     bool isProcessEnding_ = false;
     /// Whether a part of a streamed answer was accepted. No other try may follow, and the deadline has no effect any
