A reset during an upload doesn't complete an answer without a length

Callers saw a part of an answer as a whole one: an instance answered a long upload at once with a 200 without a length, sent 14 bytes and reset the connection; 12 of 12 callers got "Content-Length: 14" with uploads of 5 MB and more. Cause: the system reports a reset once. The write that was under way took it, and the read got a plain end of the stream, which ends such a body. That the reading reports a write failure, as a comment said, isn't so.

An end of the stream now ends a body without a length only if no write of the call failed, the call wasn't cancelled or too late, and the system says (TCP_INFO) that the connection was not reset. An instance that closes in order before it has read all of an upload is a 502 if its close resets our writing: the rest of its answer may be missing.

--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -82,6 +82,7 @@
     lateTurns_ = 0;
     bytesSent_ = 0;
     isRequestFinished_ = false;
+    hasWriteFailed_ = false;
     isReused_ = true;
     deadline_ = deadline;
     timer_.expireAt(deadline);
@@ -232,6 +233,7 @@
         co_return socketFailure(asio::error::operation_aborted);
     }
     if (const error_code error = co_await writeAll(socket_, data, bytesSent_)) {
+        hasWriteFailed_ = true;
         co_return socketFailure(error);
     }
     co_return boost::outcome_v2::success();
@@ -245,8 +247,7 @@
     }
     const bool hasHead = parser_->isHeadDone();
     if (const error_code error = co_await readSome(socket_, buffer_)) {
-        // A body without a length is complete only after an orderly close. After a reset its rest may be missing.
-        const bool isBodyEnd = error == asio::error::eof && hasHead && parser_->needsEof();
+        const bool isBodyEnd = hasHead && parser_->needsEof() && isOrderlyEnd(error);
         if (isBodyEnd && parser_->finishAtEof()) {
             co_return boost::outcome_v2::success();
         }
@@ -262,6 +263,13 @@
     co_return boost::outcome_v2::success();
 }
 
+/// A body without a length is complete only after an orderly close. After a reset its rest may be missing, and if the
+/// write has taken the reset, the read sees a plain end.
+bool HttpClientConnection::isOrderlyEnd(const error_code &error)
+{
+    return error == asio::error::eof && !hasWriteFailed_ && !isCancelled_ && !hasTimedOut_ && !wasReset(socket_);
+}
+
 asio::awaitable<Result<HttpResponseHead>> HttpClientConnection::readHead()
 {
     for (unsigned informationalHeads = 0;; ++informationalHeads) {
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -69,6 +69,8 @@
 private:
     [[nodiscard]] boost::asio::awaitable<Result<void>> writeBytes(std::string data);
     [[nodiscard]] boost::asio::awaitable<Result<void>> readMore();
+    /// Whether the end of the connection ends a body without a length.
+    [[nodiscard]] bool isOrderlyEnd(const boost::system::error_code &error);
     [[nodiscard]] Failure failure(Reason reason, std::string detail) const;
     [[nodiscard]] Failure socketFailure(const boost::system::error_code &error) const;
     void onTimeout();
@@ -103,6 +105,8 @@
     bool isReused_ = false;
     bool isCancelled_ = false;
     bool hasTimedOut_ = false;
+    /// Whether a write of the call failed. The system reports a reset once, to the write or to the read.
+    bool hasWriteFailed_ = false;
 };
 
 }
--- a/src/http/socketio.cpp
+++ b/src/http/socketio.cpp
@@ -5,6 +5,7 @@
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/buffer.hpp>
@@ -98,6 +99,15 @@
     return error || count == 0 ? SocketState::Closed : SocketState::Readable;
 }
 
+bool wasReset(asio::ip::tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const bool isKnown =
+        socket.is_open() && ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return isKnown && info.tcpi_state == TCP_CLOSE;
+}
+
 bool hasReceivedBytes(asio::ip::tcp::socket &socket)
 {
     error_code error;
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -111,6 +111,90 @@
     }
 }
 
+TEST_CASE("an answer whose status is none, or with a field that can't be one, fails with BadAnswer")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string end = "Content-Length: 2\r\n\r\nok";
+    for (const std::string &answer : {
+             "HTTP/1.1 000 Odd\r\n" + end,
+             "HTTP/1.1 099 Odd\r\n" + end,
+             "HTTP/1.1 600 Odd\r\n" + end,
+             "HTTP/1.1 999 Odd\r\n" + end,
+             ok + "X Odd: 1\r\n" + end,
+             ok + "X\tOdd: 1\r\n" + end,
+             ok + "X\x01Odd: 1\r\n" + end,
+             ok + "X\x7fOdd: 1\r\n" + end,
+             ok + std::string("X\0Odd: 1\r\n", 11) + end,
+             ok + "X\xe4Odd: 1\r\n" + end,
+             ok + "X-Odd : 1\r\n" + end,
+             ok + ": 1\r\n" + end,
+             ok + "X-Odd\r\n" + end,
+             ok + "X-Odd: a\x01z\r\n" + end,
+         }) {
+        INFO(answer);
+        const auto failure = getFailure(answer);
+        REQUIRE(failure);
+        CHECK(failure->verdict == Verdict::MayHaveRun);
+        CHECK(failure->reason == Reason::BadAnswer);
+    }
+}
+
+TEST_CASE("what follows a head whose status is none is never read as an answer")
+{
+    EventLoop loop;
+    HttpConnectionPool pool(loop.executor(), {});
+    RawListener listener(loop.executor());
+    loop.run([&]() -> asio::awaitable<void> {
+        auto opened = co_await pool.open(listener.endpoint(), testDeadline());
+        REQUIRE(opened);
+        requireAwaited(co_await opened.value()->sendRequest({}, {}));
+        RawConnection server = co_await listener.accept();
+        co_await server.send("HTTP/1.1 000 Odd\r\nContent-Length: 45\r\n\r\n");
+        auto head = co_await opened.value()->readHead();
+        REQUIRE_FALSE(head);
+        co_await server.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfalse");
+        head = co_await opened.value()->readHead();
+        CHECK_FALSE(head);
+    });
+}
+
+// The system reports a reset once, and the write that is under way takes it.
+TEST_CASE("an answer without a length is not complete when the connection is reset during the upload")
+{
+    EventLoop loop;
+    HttpConnectionPool pool(loop.executor(), {});
+    RawListener listener(loop.executor());
+    loop.run([&]() -> asio::awaitable<void> {
+        auto opened = co_await pool.open(listener.endpoint(), testDeadline());
+        REQUIRE(opened);
+        HttpClientCall &call = *opened.value();
+        bool isWritten = false;
+        asio::co_spawn(
+            loop.executor(),
+            [&]() -> asio::awaitable<void> {
+                HttpRequestHead head("POST", "/");
+                (void)co_await call.sendRequest(head, std::string(std::size_t{25} * 1024 * 1024, 'x'));
+                isWritten = true;
+            },
+            asio::detached);
+        RawConnection server = co_await listener.accept();
+        co_await server.send("HTTP/1.1 200 OK\r\n\r\npart of answer");
+        asio::co_spawn(
+            loop.executor(),
+            [&]() -> asio::awaitable<void> {
+                co_await loop.sleep(Milliseconds(60));
+                server.reset();
+            },
+            asio::detached);
+        auto head = co_await call.readHead();
+        REQUIRE(head);
+        const auto body = co_await call.readCompleteBody(Bytes(1000));
+        REQUIRE_FALSE(body);
+        CHECK(body.error().reason == Reason::BadAnswer);
+        checkAwaited(co_await loop.waitUntil([&] { return isWritten; }));
+    });
+}
+
 // An upstream sends its answer without a length and marks the end by closing the connection. If it crashes midway, the
 // connection is reset instead, and the caller must not treat the partial answer as complete.
 TEST_CASE("an answer without a length is complete after an orderly close and fails after a reset")
