An answer whose status is none is a failure at every reader of answers

Cause: anything below 200 was taken for an interim head, and the bytes after it for the next head; anything over 599 was refused only when it was written to the caller.

The parser of answers now takes 100 to 599 only. It stands behind all readers: instances and their health checks, the store, the pages of nodes. A head that another node passes on, as one of the version before may, is checked before it is taken (deliver(), StreamedAnswerRelay) and is a 502 with the attempt's id.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -265,7 +265,13 @@
 
     void on_response_impl(int code, BeastView reason, int version, ErrorCode &error) override
     {
+        constexpr int FirstStatus = 100;
+        constexpr int LastStatus = 599;
         error = {};
+        if (code < FirstStatus || code > LastStatus) {
+            error = http::error::bad_status;
+            return;
+        }
         version_ = version;
         head_.status = static_cast<std::uint16_t>(code);
         head_.reason = std::string(reason);
--- a/src/http/messagewriter.cpp
+++ b/src/http/messagewriter.cpp
@@ -122,12 +122,17 @@
     return serialized(message);
 }
 
-std::optional<std::string> writeResponseHead(const HttpResponseHead &head, const MessageFraming &framing)
+bool isSendable(const HttpResponseHead &head)
 {
     constexpr std::uint16_t FirstFinalStatus = 200;
     constexpr std::uint16_t LastStatus = 599;
     const bool isFinalStatus = head.status >= FirstFinalStatus && head.status <= LastStatus;
-    if (!isFinalStatus || !isFieldValue(head.reason) || !areValid(head.headers)) {
+    return isFinalStatus && isFieldValue(head.reason) && areValid(head.headers);
+}
+
+std::optional<std::string> writeResponseHead(const HttpResponseHead &head, const MessageFraming &framing)
+{
+    if (!isSendable(head)) {
         return std::nullopt;
     }
     http::response<http::empty_body> message;
--- a/src/http/messagewriter.h
+++ b/src/http/messagewriter.h
@@ -27,6 +27,8 @@
 [[nodiscard]] std::optional<std::string> writeRequestHead(const HttpRequestHead &head, const MessageFraming &framing,
                                                           std::string_view host);
 [[nodiscard]] std::optional<std::string> writeResponseHead(const HttpResponseHead &head, const MessageFraming &framing);
+/// Whether writeResponseHead() can write @p head. Thread safety: safe.
+[[nodiscard]] bool isSendable(const HttpResponseHead &head);
 
 /// Returns one chunk of a chunked body. Precondition: @p content is not empty. Thread safety: safe.
 [[nodiscard]] std::string writeChunk(std::string_view content);
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/currenttime.h"
+#include "http/messagewriter.h"
 #include "ingress/streamedanswerrelay.h"
 
 namespace Egretpath
@@ -377,6 +378,11 @@
     }
     HttpResponseHead head(complete->head.status);
     head.headers = std::move(complete->head.headers);
+    if (!isSendable(head)) {
+        // A node of an earlier version may pass it on.
+        co_await respond(mayHaveRun(Reason::BadAnswer, "an answer that no message may carry"));
+        co_return;
+    }
     context_->stop.recordAnswer(parameters_.route->name, currentTime() - parameters_.arrival);
     logEnd(head.status, describeAnswer(requestTry.upstream.value(), Reason::None), complete->body.size());
     co_await sendAnswer(std::move(head), std::move(complete->body));
--- a/src/ingress/streamedanswerrelay.cpp
+++ b/src/ingress/streamedanswerrelay.cpp
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <utility>
 
+#include "http/messagewriter.h"
+
 namespace Egretpath
 {
 
@@ -65,9 +67,11 @@
 
 asio::awaitable<bool> StreamedAnswerRelay::begin(AnswerHead head)
 {
+    HttpResponseHead response(head.status);
+    response.headers = head.headers;
     head_ = std::move(head);
     const auto request = request_.lock();
-    co_return request && !request->hasEnded_;
+    co_return request && !request->hasEnded_ && isSendable(response);
 }
 
 asio::awaitable<bool> StreamedAnswerRelay::commit(std::shared_ptr<ProxiedRequest> request)
--- a/tests/sidecar/sidecarfixture.cpp
+++ b/tests/sidecar/sidecarfixture.cpp
@@ -116,6 +116,16 @@
     return link;
 }
 
+Endpoint SidecarFixture::addPeer(PeerService &service)
+{
+    constexpr std::size_t MaxConnections = 16;
+    PeerServer &server =
+        *peers_.emplace_back(std::make_unique<PeerServer>(eventLoop_.context(), service, MaxConnections));
+    Endpoint endpoint = uniqueEndpoint();
+    server.listen(endpoint);
+    return endpoint;
+}
+
 void SidecarFixture::run(const std::function<asio::awaitable<void>()> &scenario)
 {
     constexpr std::chrono::seconds ScenarioTimeout{20};
--- a/tests/sidecar/sidecarfixture.h
+++ b/tests/sidecar/sidecarfixture.h
@@ -14,6 +14,7 @@
 #include "http/httpconnectionpool.h"
 #include "http/httphead.h"
 #include "rpc/asioeventport.h"
+#include "rpc/peerserver.h"
 #include "sidecar/sidecar.h"
 #include "standins/standinrelay.h"
 
@@ -58,6 +59,8 @@
     /// Makes other nodes reach @p node, which is beside @p upstream, over a link of this bandwidth. Returns the link.
     StandinRelay &putBehindLink(const TestNode &node, const FakeUpstream &upstream, const std::string &service,
                                 std::uint64_t bytesPerSecond);
+    /// Lets @p service, which has to outlive the fixture, take the calls of nodes. Returns its address.
+    [[nodiscard]] Endpoint addPeer(PeerService &service);
     void run(const std::function<boost::asio::awaitable<void>()> &scenario);
     /// Runs @p action beside the scenario.
     void start(const std::function<boost::asio::awaitable<void>()> &action);
@@ -85,6 +88,7 @@
     std::vector<std::unique_ptr<EndlessUpstream>> endlessUpstreams_;
     std::vector<std::unique_ptr<TestNode>> nodes_;
     std::vector<std::unique_ptr<StandinRelay>> links_;
+    std::vector<std::unique_ptr<PeerServer>> peers_;
 };
 
 }
