An upstream's unmarked refusal is no promise for a request that may run once

Callers saw: a payment made twice. Cause: any failure of an upstream was handed on unchanged, whatever its status promises.

For routes whose requests may run once, such an answer is now a 502 of the node's own, without the instance's signature, which promises nothing; the dialect names the statuses. Safe requests keep the instance's answer. The same for answers in pieces and for those of other nodes, since it is checked where the ingress takes them.

--- a/src/dialect/callerdialect.h
+++ b/src/dialect/callerdialect.h
@@ -31,6 +31,8 @@
     /// Returns the response that reports @p failure to the caller of @p request.
     /// Precondition: if the verdict is NotRun, it is proved that the request did not run.
     [[nodiscard]] virtual HttpResponseHead refusal(const Failure &failure, const RequestId &request) const = 0;
+    /// Whether callers read an answer of @p status as the promise that the request did not run and never will.
+    [[nodiscard]] virtual bool promisesNotRun(std::uint16_t status) const = 0;
     /// The path at which a node reports whether it is ready.
     [[nodiscard]] virtual std::string_view readinessPath() const = 0;
 };
--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -378,6 +378,10 @@
     }
     HttpResponseHead head(complete->head.status);
     head.headers = std::move(complete->head.headers);
+    if (isUnprovenPromise(head.status)) {
+        co_await respond(mayHaveRun(Reason::BadAnswer, "the upstream refused it but may have run it"));
+        co_return;
+    }
     if (!isSendable(head)) {
         // A node of an earlier version may pass it on.
         co_await respond(mayHaveRun(Reason::BadAnswer, "an answer that no message may carry"));
@@ -388,6 +392,11 @@
     co_await sendAnswer(std::move(head), std::move(complete->body));
 }
 
+bool ProxiedRequest::isUnprovenPromise(std::uint16_t status) const
+{
+    return !isIdempotent(parameters_.route->kind) && context_->dialect.promisesNotRun(status);
+}
+
 std::optional<Failure> ProxiedRequest::holdAnswer(Bytes size)
 {
     if (size.value() <= MaxChunkBytes) {
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -77,6 +77,9 @@
     void recordCallerDisconnected();
 
     boost::asio::awaitable<void> deliver(const RequestTry &requestTry, CallOutcome outcome);
+    /// Whether the caller would read an answer of @p status as a promise that the request did not run, which nobody has
+    /// proved: an upstream that has not run a request says so, and that is no answer.
+    [[nodiscard]] bool isUnprovenPromise(std::uint16_t status) const;
     /// Counts the bytes of an answer until its caller has taken them. Returns why the answer can't be held, or nothing.
     [[nodiscard]] std::optional<Failure> holdAnswer(Bytes size);
     /// Sends a complete answer. If the rate of the link is known, large bodies are paced.
--- a/src/ingress/streamedanswerrelay.cpp
+++ b/src/ingress/streamedanswerrelay.cpp
@@ -71,7 +71,7 @@
     response.headers = head.headers;
     head_ = std::move(head);
     const auto request = request_.lock();
-    co_return request && !request->hasEnded_ && isSendable(response);
+    co_return request && !request->hasEnded_ && isSendable(response) && !request->isUnprovenPromise(response.status);
 }
 
 asio::awaitable<bool> StreamedAnswerRelay::commit(std::shared_ptr<ProxiedRequest> request)
