The first request on a kept connection is read by the limits in force

Cause: the parser of the next request was made, with the limits of that moment, as soon as the request before it was read; the read buffer kept the limit of the accept, and the idle timer that of its start.

The limits are now taken when the first byte of a request arrives, for the parser, the buffer and the time of the head. A changed idle time restarts the timers of idle connections: else the node closed a connection that its caller may use for longer by the new config. Searched elsewhere: connections to upstreams and the store have fixed limits.

--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -74,7 +74,8 @@
     /// port. May be called for several endpoints. Errors: ConnectFailed (the address is malformed or can't be bound).
     [[nodiscard]] Result<Endpoint> listen(const Endpoint &endpoint);
 
-    /// Changes the limits for later requests and connections. Open connections stay open and keep their buffers.
+    /// Changes the limits for connections that are accepted from now on and for requests that begin from now on, on any
+    /// connection.
     void setLimits(const HttpLimits &limits);
     /// Closes each connection after its next response, so that callers move to other servers. New connections are still
     /// accepted.
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -39,6 +39,11 @@
 /// pipeline only a few requests. Further requests are read once earlier requests have been answered.
 constexpr std::size_t MaxPipelinedRequests = 16;
 
+std::size_t bufferCapacity(const HttpLimits &limits)
+{
+    return std::max<std::size_t>(limits.readBufferBytes, limits.headerBytes);
+}
+
 std::uint16_t toStatus(MessageProblem problem)
 {
     switch (problem) {
@@ -62,7 +67,7 @@
     : socket_(std::move(socket))
     , remote_(std::move(remote))
     , server_(std::move(server))
-    , buffer_(std::max<std::size_t>(server_->limits().readBufferBytes, server_->limits().headerBytes))
+    , buffer_(bufferCapacity(server_->limits()))
     , readTimer_(server_->executor(), [this] { onReadTimeout(); })
     , writeTimer_(server_->executor(), [this] { onWriteTimeout(); })
     , completionSignal_(server_->executor(), asio::steady_timer::time_point::max())
@@ -141,13 +146,12 @@
 /// Reads the head of the next request. Returns whether there is a request to serve.
 asio::awaitable<bool> HttpServerConnection::readHead(HttpServerExchange &exchange)
 {
-    const HttpLimits &limits = server_->limits();
     RequestParser &parser = exchange.parser();
     hasTimedOut_ = false;
     waitsForRequest_ = buffer_.empty();
     isReadingHead_ = !waitsForRequest_;
     if (isReadingHead_) {
-        readTimer_.expireAfter(limits.headerReadTime);
+        readTimer_.expireAfter(server_->limits().headerReadTime);
     } else {
         startIdleTimer();
     }
@@ -164,7 +168,8 @@
         }
         if (std::exchange(waitsForRequest_, false)) {
             isReadingHead_ = true;
-            readTimer_.expireAfter(limits.headerReadTime);
+            // They may have changed while the connection was idle.
+            adoptLimits(exchange);
         }
         problem = parser.feed(buffer_);
     }
@@ -177,6 +182,22 @@
     co_return isReading_;
 }
 
+/// Reads the request that begins by the limits of now.
+void HttpServerConnection::adoptLimits(HttpServerExchange &exchange)
+{
+    const HttpLimits &limits = server_->limits();
+    exchange.setLimits(limits);
+    buffer_.setMaxCapacity(bufferCapacity(limits));
+    readTimer_.expireAfter(limits.headerReadTime);
+}
+
+void HttpServerConnection::onLimitsChanged()
+{
+    if (waitsForRequest_ && isReading_) {
+        startIdleTimer();
+    }
+}
+
 /// Starts the idle timeout. There is no timeout while responses are still due.
 void HttpServerConnection::startIdleTimer()
 {
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -44,6 +44,8 @@
     /// Starts the graceful shutdown: the connection closes after the responses in progress, or, if it is idle, after
     /// HttpLimits::closeGrace.
     void startDraining();
+    /// Waits for the next request by the new limits of the server.
+    void onLimitsChanged();
     /// Resets the connection at once.
     void drop();
     /// Closes the connection at once. Answers that are complete still reach the caller; one that has begun is reset.
@@ -74,6 +76,7 @@
 
 private:
     [[nodiscard]] boost::asio::awaitable<bool> readHead(HttpServerExchange &exchange);
+    void adoptLimits(HttpServerExchange &exchange);
     [[nodiscard]] boost::asio::awaitable<void> serve(std::shared_ptr<HttpServerExchange> exchange);
     [[nodiscard]] boost::asio::awaitable<void> waitForPipelineSpace();
     [[nodiscard]] boost::asio::awaitable<void> waitUntilAllAnswered();
--- a/src/http/httpserverexchange.cpp
+++ b/src/http/httpserverexchange.cpp
@@ -37,10 +37,10 @@
 
 HttpServerExchange::HttpServerExchange(std::shared_ptr<HttpServerConnection> connection, const HttpLimits &limits)
     : connection_(std::move(connection))
-    , parser_(limits.headerBytes, limits.bodyBytes)
     , turnSignal_(connection_->executor(), asio::steady_timer::time_point::max())
     , bodyReadSignal_(connection_->executor(), asio::steady_timer::time_point::max())
 {
+    setLimits(limits);
 }
 
 const Endpoint &HttpServerExchange::remoteEndpoint() const
@@ -50,8 +50,8 @@
 
 void HttpServerExchange::onHeadRead()
 {
-    keepAlive_ = parser_.head().keepAlive;
-    const auto expectation = parser_.head().headers.find("Expect");
+    keepAlive_ = parser_->head().keepAlive;
+    const auto expectation = parser_->head().headers.find("Expect");
     expectsContinue_ = expectation && isSameHeaderName(*expectation, "100-continue");
 }
 
@@ -62,8 +62,8 @@
             keepAlive_ = false;
             co_return *bodyEnd_;
         }
-        std::string body = parser_.takeBody();
-        if (!body.empty() || parser_.isDone()) {
+        std::string body = parser_->takeBody();
+        if (!body.empty() || parser_->isDone()) {
             signalBodyRead();
             co_return body;
         }
@@ -95,7 +95,7 @@
         connection_->recordCallerDisconnected();
         co_return notRun(Reason::Cancelled, "the request body ended early");
     }
-    if (const MessageProblem problem = parser_.feed(connection_->buffer()); problem != MessageProblem::None) {
+    if (const MessageProblem problem = parser_->feed(connection_->buffer()); problem != MessageProblem::None) {
         co_return bodyFailure(problem);
     }
     co_return boost::outcome_v2::success();
@@ -103,7 +103,7 @@
 
 void HttpServerExchange::endBody(Failure failure)
 {
-    if (!parser_.isDone()) {
+    if (!parser_->isDone()) {
         bodyEnd_ = std::move(failure);
         connection_->endRead();
     }
@@ -125,7 +125,7 @@
 
 void HttpServerExchange::signalBodyRead()
 {
-    if (parser_.isDone()) {
+    if (parser_->isDone()) {
         bodyReadSignal_.cancel();
     }
 }
@@ -141,14 +141,14 @@
 /// The response to a HEAD request has the same head as the response to GET, but no body.
 bool HttpServerExchange::responseCarriesBody(std::uint16_t status) const
 {
-    return parser_.head().method != "HEAD" && !statusForbidsBody(status);
+    return parser_->head().method != "HEAD" && !statusForbidsBody(status);
 }
 
 Result<void> HttpServerExchange::prepareResponse(const HttpResponseHead &head, std::optional<std::uint64_t> length)
 {
     // If the request was not read completely, its rest would be parsed as the next request. The connection therefore
     // closes after this response.
-    keepAlive_ = keepAlive_ && !connection_->closesAfter(*this) && parser_.isDone();
+    keepAlive_ = keepAlive_ && !connection_->closesAfter(*this) && parser_->isDone();
     if (!keepAlive_) {
         // Its caller takes a request behind this answer for one that was not read, and sends it again.
         connection_->takeNoMoreRequests();
@@ -257,7 +257,7 @@
 asio::awaitable<void> HttpServerExchange::waitForBody()
 {
     const auto self = shared_from_this();
-    while (!parser_.isDone() && !isFinished_) {
+    while (!parser_->isDone() && !isFinished_) {
         error_code ignored;
         co_await bodyReadSignal_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -285,7 +285,7 @@
     callerDisconnectedCallback_ = nullptr;
     co_await waitForTurn();
     if (response_ == ResponseState::Complete) {
-        keepAlive_ = keepAlive_ && parser_.isDone() && !callerDisconnected();
+        keepAlive_ = keepAlive_ && parser_->isDone() && !callerDisconnected();
     } else if (!hasResponseStarted() && !callerDisconnected() && connection_->isOpen()) {
         keepAlive_ = false;
         HttpResponseHead head;
--- a/src/http/httpserverexchange.h
+++ b/src/http/httpserverexchange.h
@@ -13,13 +13,13 @@
 #include "core/verdict.h"
 #include "http/httpexchange.h"
 #include "http/httphead.h"
+#include "http/httpserver.h"
 #include "http/messageparser.h"
 
 namespace Egretpath
 {
 
 class HttpServerConnection;
-struct HttpLimits;
 
 /// One request on an accepted connection and the response to it. HttpExchange forwards to this class and documents the
 /// contract of its operations.
@@ -31,8 +31,10 @@
 public:
     HttpServerExchange(std::shared_ptr<HttpServerConnection> connection, const HttpLimits &limits);
 
-    [[nodiscard]] RequestParser &parser() { return parser_; }
-    [[nodiscard]] const HttpRequestHead &head() const { return parser_.head(); }
+    [[nodiscard]] RequestParser &parser() { return *parser_; }
+    [[nodiscard]] const HttpRequestHead &head() const { return parser_->head(); }
+    /// Reads the request by @p limits. Precondition: nothing of it was parsed.
+    void setLimits(const HttpLimits &limits) { parser_.emplace(limits.headerBytes, limits.bodyBytes); }
     [[nodiscard]] const Endpoint &remoteEndpoint() const;
     /// Called once, after the head was read.
     void onHeadRead();
@@ -59,7 +61,7 @@
     [[nodiscard]] boost::asio::awaitable<void> finish();
     /// Resumes when the body was read, or the exchange finished without reading it.
     [[nodiscard]] boost::asio::awaitable<void> waitForBody();
-    [[nodiscard]] bool isBodyRead() const { return parser_.isDone(); }
+    [[nodiscard]] bool isBodyRead() const { return parser_->isDone(); }
     /// Whether the connection may serve another request after this one.
     [[nodiscard]] bool keepAlive() const { return keepAlive_; }
     void recordDisconnected(ConnectionLoss loss);
@@ -80,7 +82,8 @@
     void signalBodyRead();
 
     std::shared_ptr<HttpServerConnection> connection_;
-    RequestParser parser_;
+    /// Never empty.
+    std::optional<RequestParser> parser_;
     /// Timers that never expire; cancelled to wake up their waiters when the turn has come or the body was read.
     boost::asio::steady_timer turnSignal_;
     boost::asio::steady_timer bodyReadSignal_;
--- a/src/http/httpserverstate.cpp
+++ b/src/http/httpserverstate.cpp
@@ -101,6 +101,17 @@
         asio::detached);
 }
 
+void HttpServerState::setLimits(const HttpLimits &limits)
+{
+    const bool hasOtherIdleTime = limits.idleTime != limits_.idleTime;
+    limits_ = limits;
+    if (hasOtherIdleTime) {
+        for (HttpServerConnection *connection : connections_) {
+            connection->onLimitsChanged();
+        }
+    }
+}
+
 void HttpServerState::stopAccepting()
 {
     if (std::exchange(isDraining_, true)) {
--- a/src/http/httpserverstate.h
+++ b/src/http/httpserverstate.h
@@ -25,7 +25,7 @@
     HttpServerState(boost::asio::any_io_executor executor, HttpLimits limits, HttpServer::Handler handler);
 
     [[nodiscard]] Result<Endpoint> listen(const boost::asio::ip::tcp::endpoint &endpoint);
-    void setLimits(const HttpLimits &limits) { limits_ = limits; }
+    void setLimits(const HttpLimits &limits);
     void disableKeepAlive() { isKeepAliveDisabled_ = true; }
     [[nodiscard]] bool isKeepAliveDisabled() const { return isKeepAliveDisabled_; }
     void stopAccepting();
--- a/src/http/readbuffer.cpp
+++ b/src/http/readbuffer.cpp
@@ -48,6 +48,11 @@
     begin_ += count;
 }
 
+void ReadBuffer::setMaxCapacity(std::size_t maxCapacity)
+{
+    maxCapacity_ = std::max(maxCapacity, InitialCapacity);
+}
+
 bool ReadBuffer::hasGrown() const
 {
     return capacity_ > InitialCapacity;
--- a/src/http/readbuffer.h
+++ b/src/http/readbuffer.h
@@ -29,6 +29,8 @@
     /// Removes the first @p count unread bytes. Precondition: @p count is at most unread().size().
     void consume(std::size_t count);
     [[nodiscard]] bool hasGrown() const;
+    /// Takes effect when the buffer grows or shrinks next.
+    void setMaxCapacity(std::size_t maxCapacity);
     /// Shrinks the buffer to its initial capacity. No effect while there are unread bytes.
     void shrink();
 
--- a/tests/http/httpservertest.cpp
+++ b/tests/http/httpservertest.cpp
@@ -512,3 +512,84 @@
         CHECK(refused);
     });
 }
+
+namespace
+{
+
+std::string uploadOf(std::size_t size)
+{
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n"
+        + std::string(size, 'u');
+}
+
+/// Reads the whole body and answers 200.
+asio::awaitable<void> readAndRespond(HttpExchange &exchange)
+{
+    while (true) {
+        const Result<std::string> piece = co_await exchange.readBody();
+        if (!piece) {
+            HttpResponseHead head(413);
+            (void)co_await exchange.respond(std::move(head), {});
+            co_return;
+        }
+        if (piece.value().empty()) {
+            break;
+        }
+    }
+    (void)co_await exchange.respond({}, {});
+}
+
+}
+
+// A config raises the limits while callers keep their connections open.
+TEST_CASE("the first request on a kept connection after a change of the limits is read by the new ones")
+{
+    EventLoop loop;
+    HttpLimits limits;
+    limits.bodyBytes = 1000;
+    limits.headerBytes = 1000;
+    HttpServer server(loop.executor(), limits, readAndRespond);
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    loop.run([&]() -> asio::awaitable<void> {
+        RawConnection upload(loop.executor());
+        RawConnection head(loop.executor());
+        RawConnection lowered(loop.executor());
+        for (RawConnection *connection : {&upload, &head, &lowered}) {
+            co_await connection->connect(endpoint);
+            co_await connection->send(uploadOf(10));
+            checkAwaited((co_await connection->receiveUntil("\r\n\r\n")).starts_with("HTTP/1.1 200"));
+        }
+        limits.bodyBytes = 100'000;
+        limits.headerBytes = 100'000;
+        server.setLimits(limits);
+        co_await upload.send(uploadOf(50'000));
+        checkAwaited((co_await upload.receiveUntil("\r\n\r\n")).starts_with("HTTP/1.1 200"));
+        co_await head.send("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(90'000, 'l') + "\r\n\r\n");
+        checkAwaited((co_await head.receiveUntil("\r\n\r\n")).starts_with("HTTP/1.1 200"));
+        limits.bodyBytes = 20;
+        server.setLimits(limits);
+        co_await lowered.send(uploadOf(30));
+        checkAwaited((co_await lowered.receiveUntil("\r\n\r\n")).starts_with("HTTP/1.1 413"));
+    });
+}
+
+// Callers use a kept connection again for up to four fifths of the published idle time.
+TEST_CASE("a connection that is idle when the idle time is raised stays open for the new time")
+{
+    EventLoop loop;
+    HttpLimits limits;
+    limits.idleTime = Milliseconds(100);
+    HttpServer server(loop.executor(), limits, readAndRespond);
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    loop.run([&]() -> asio::awaitable<void> {
+        RawConnection connection(loop.executor());
+        co_await connection.connect(endpoint);
+        co_await connection.send(uploadOf(10));
+        checkAwaited((co_await connection.receiveUntil("\r\n\r\n")).starts_with("HTTP/1.1 200"));
+        limits.idleTime = std::chrono::seconds(10);
+        server.setLimits(limits);
+        co_await loop.sleep(Milliseconds(300));
+        co_await connection.send(uploadOf(10));
+        checkAwaited((co_await connection.receiveUntil("\r\n\r\n")).starts_with("HTTP/1.1 200"));
+    });
+}
