Callers and upstreams may pause while they read

Cause: TCP_USER_TIMEOUT, which finds connections that the network has lost, also ends one whose other side acknowledges all and keeps its window closed. The server's own limit, idle_timeout between two bytes, never got to run.

Connections of callers, and those to the upstream, which may read an upload slowly and whose requests have deadlines, do without it; keep-alive finds those that are lost while they are idle. Connections between nodes and to the store keep it: both read whatever comes.

--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -41,6 +41,8 @@
 {
     HttpPoolLimits limits;
     limits.idleTime = settings.idleTime;
+    // It may read an upload slowly. Its requests have deadlines.
+    limits.silentPeer = SilentPeer::MayPause;
     return limits;
 }
 
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -70,7 +70,7 @@
     if (error) {
         co_return notRun(Reason::ConnectFailed, "connect to " + endpoint_.value() + ": " + error.message());
     }
-    prepareSocket(socket_);
+    prepareSocket(socket_, limits_.silentPeer);
     co_return boost::outcome_v2::success();
 }
 
--- a/src/http/httpconnectionpool.h
+++ b/src/http/httpconnectionpool.h
@@ -11,6 +11,7 @@
 #include "core/strongtype.h"
 #include "core/verdict.h"
 #include "http/httpclientcall.h"
+#include "http/silentpeer.h"
 
 namespace Egretpath
 {
@@ -25,6 +26,7 @@
     Duration idleTime = std::chrono::seconds(30);
     std::uint32_t headerBytes = 32 * 1024;
     std::size_t readBufferBytes = std::size_t{64} * 1024;
+    SilentPeer silentPeer = SilentPeer::IsReset;
 };
 
 /// Whether a call may use a connection that served earlier calls.
--- a/src/http/httpserverstate.cpp
+++ b/src/http/httpserverstate.cpp
@@ -90,7 +90,7 @@
     if (connections_.size() >= RefusalFactor * limits_.connections) {
         return; // Closed without an answer, see RefusalFactor.
     }
-    prepareSocket(socket);
+    prepareSocket(socket, SilentPeer::MayPause);
     ++counts_.acceptedConnections;
     auto connection = std::make_shared<HttpServerConnection>(std::move(socket), toEndpoint(remote), shared_from_this());
     const bool isOverLimit = connections_.size() >= limits_.connections;
--- a/src/http/socketio.cpp
+++ b/src/http/socketio.cpp
@@ -39,14 +39,16 @@
 
 }
 
-void prepareSocket(asio::ip::tcp::socket &socket)
+void prepareSocket(asio::ip::tcp::socket &socket, SilentPeer silentPeer)
 {
     error_code ignored;
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
     socket.set_option(KeepIdle(KeepIdleSeconds), ignored);
     socket.set_option(KeepInterval(KeepIntervalSeconds), ignored);
     socket.set_option(KeepCount(KeepProbes), ignored);
-    socket.set_option(UserTimeout(UserTimeoutMilliseconds), ignored);
+    if (silentPeer == SilentPeer::IsReset) {
+        socket.set_option(UserTimeout(UserTimeoutMilliseconds), ignored);
+    }
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
 }
--- a/src/http/socketio.h
+++ b/src/http/socketio.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "http/readbuffer.h"
+#include "http/silentpeer.h"
 
 namespace Egretpath
 {
@@ -18,8 +19,9 @@
 /// A network partition or a lost VM leaves connections open without a reset. Nothing more arrives on them, and sent
 /// bytes wait for the kernel's retransmissions, which take minutes by default. Keep-alive detects an idle dead
 /// connection within three seconds, and TCP_USER_TIMEOUT detects a dead connection with unacknowledged bytes. Both
-/// close the connection with an error.
-void prepareSocket(boost::asio::ip::tcp::socket &socket);
+/// close the connection with an error. The latter also ends a connection whose other side acknowledges all and takes
+/// nothing, and is left out for SilentPeer::MayPause.
+void prepareSocket(boost::asio::ip::tcp::socket &socket, SilentPeer silentPeer = SilentPeer::IsReset);
 
 /// Reads once into @p buffer. @p cancelled ends the read alone with operation_aborted; a write to the socket goes on.
 /// Errors: those of the socket; eof at the end of the stream; no_buffer_space if the buffer is full.
--- a/tests/http/httpserverclosingtest.cpp
+++ b/tests/http/httpserverclosingtest.cpp
@@ -1,5 +1,8 @@
+#include "http/httpconnectionpool.h"
 #include "http/httpserver.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <memory>
@@ -204,3 +207,55 @@
     CHECK(answer.find("HTTP/1.1 408") > SlowBody);
     CHECK(answer.size() > SlowBody);
 }
+
+// The system's own limit for unacknowledged bytes, 2.5 s here, would also end a connection whose reader pauses.
+TEST_CASE("an answer goes on after its caller has paused, and so does the request behind it")
+{
+    EventLoop loop;
+    HttpServer server(loop.executor(), {}, [](HttpExchange &exchange) -> asio::awaitable<void> {
+        std::string body = "short end";
+        if (exchange.head().target == "/large") {
+            body.assign(std::size_t{16} * 1024 * 1024, 'l');
+        }
+        (void)co_await exchange.respond({}, std::move(body));
+    });
+    const Endpoint endpoint = server.listen(Endpoint("127.0.0.1:0")).value();
+    loop.run([&]() -> asio::awaitable<void> {
+        RawConnection caller(loop.executor());
+        co_await caller.connect(endpoint);
+        co_await caller.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\nGET /short HTTP/1.1\r\nHost: h\r\n\r\n");
+        co_await loop.sleep(Milliseconds(3500));
+        const std::string answers = co_await caller.receiveUntil("short end");
+        CHECK(answers.size() > std::size_t{16} * 1024 * 1024);
+        CHECK(answers.ends_with("short end"));
+    });
+}
+
+TEST_CASE("an upload goes on after its server has paused")
+{
+    EventLoop loop;
+    HttpPoolLimits limits;
+    limits.silentPeer = SilentPeer::MayPause;
+    HttpConnectionPool pool(loop.executor(), limits);
+    RawListener listener(loop.executor());
+    loop.run([&]() -> asio::awaitable<void> {
+        auto opened =
+            co_await pool.open(listener.endpoint(), std::chrono::steady_clock::now() + std::chrono::seconds(15));
+        REQUIRE(opened);
+        bool isSent = false;
+        asio::co_spawn(
+            loop.executor(),
+            [&]() -> asio::awaitable<void> {
+                HttpRequestHead head("POST", "/");
+                const auto sent =
+                    co_await opened.value()->sendRequest(head, std::string(std::size_t{16} * 1024 * 1024, 'u') + "end");
+                isSent = sent.has_value();
+            },
+            asio::detached);
+        RawConnection server = co_await listener.accept();
+        co_await loop.sleep(Milliseconds(3500));
+        const std::string request = co_await server.receiveUntil("uend");
+        CHECK(request.ends_with("uend"));
+        checkAwaited(co_await loop.waitUntil([&] { return isSent; }));
+    });
+}
