--- a/src/ingress/proxiedrequest.cpp
+++ b/src/ingress/proxiedrequest.cpp
@@ -8,6 +8,7 @@
 
 #include "core/currenttime.h"
 #include "http/messagewriter.h"
+#include "ingress/bodyreader.h"
 #include "ingress/streamedanswerrelay.h"
 
 namespace Egretpath
@@ -38,6 +39,7 @@
 ProxiedRequest::ProxiedRequest(std::shared_ptr<IngressContext> context, HttpExchange &exchange)
     : context_(std::move(context))
     , exchange_(exchange)
+    , writer_(std::make_shared<AnswerWriter>(exchange_, context_->heldMessages, context_->linkPacer))
     , wakeUp_(context_->executor)
 {
     parameters_.routes = context_->sources.routes;
@@ -62,13 +64,13 @@
         if (const auto request = weak.lock()) {
             request->isCallerDisconnected_ = true;
             request->wakeUp_.cancel();
-            request->cancelTransfer();
+            request->writer_->cancel();
         }
     });
     context_->budget.onFirstTry(service_);
     co_await tryUntilEnded();
     // A piece that still waits for its turn must not be written to the exchange, which no longer exists then.
-    cancelTransfer();
+    writer_->cancel();
     hasEnded_ = true;
     tries_->cancelAll();
     co_await waitForWriters();
@@ -79,20 +81,19 @@
     if (auto failure = readParameters(*context_, exchange_.head(), parameters_)) {
         co_return failure;
     }
+    writer_->setPriority(parameters_.priority);
     if (auto failure = downloadRejection()) {
         co_return failure;
     }
-    if (auto failure = bodyRejection()) {
-        co_return failure;
-    }
-    RequestBody body;
-    if (auto failure = co_await readBody(body)) {
-        co_return failure;
+    const auto reader = std::make_shared<BodyReader>(context_, exchange_, parameters_);
+    Result<RequestBody> body = co_await reader->read();
+    if (!body) {
+        co_return body.error();
     }
     if (auto failure = co_await waitUntilSendable()) {
         co_return failure;
     }
-    makeTries(std::move(body));
+    makeTries(std::move(body).value());
     co_return std::nullopt;
 }
 
@@ -121,65 +122,6 @@
     return rejection;
 }
 
-std::optional<Failure> ProxiedRequest::bodyRejection()
-{
-    const Bytes announced(exchange_.head().contentLength.value_or(0));
-    std::optional<Failure> rejection = context_->heldMessages->rejection(announced);
-    return rejection ? std::optional(withoutRoom(std::move(*rejection))) : std::nullopt;
-}
-
-Failure ProxiedRequest::withoutRoom(Failure failure)
-{
-    if (failure.reason == Reason::Overloaded) {
-        failure.retryAfter = retryDelay(*context_, parameters_, failure.retryAfter);
-    }
-    return failure;
-}
-
-std::shared_ptr<ReceivedBody> ProxiedRequest::beginBody()
-{
-    return ReceivedBody::begin(*context_->heldMessages, [weak = weak_from_this()] {
-        const auto request = weak.lock();
-        if (request) {
-            request->exchange_.endBody(request->withoutRoom(request->context_->heldMessages->noRoom()));
-        }
-    });
-}
-
-asio::awaitable<std::optional<Failure>> ProxiedRequest::readBody(RequestBody &body)
-{
-    if (exchange_.head().contentLength == std::uint64_t{0}) {
-        co_return std::nullopt;
-    }
-    exchange_.setBodyDeadline(parameters_.deadline);
-    const std::shared_ptr<ReceivedBody> received = beginBody();
-    const MessageBudget &budget = context_->heldMessages->budget();
-    if (exchange_.head().contentLength.value_or(UINT64_MAX) > MessageBudget::MinUnread.value()) {
-        exchange_.limitUnreadBytes(budget.unreadShare());
-    }
-    while (true) {
-        Result<std::string> piece = co_await exchange_.readBody();
-        if (!piece && piece.error().reason == Reason::DeadlinePassed) {
-            co_return notRun(Reason::BodyTimeout, "the request body did not come in time");
-        }
-        if (!piece) {
-            co_return piece.error();
-        }
-        if (piece.value().empty()) {
-            break;
-        }
-        if (!received->append(piece.value())) {
-            co_return withoutRoom(context_->heldMessages->noRoom());
-        }
-    }
-    std::optional<RequestBody> complete = received->complete();
-    if (!complete) {
-        co_return withoutRoom(context_->heldMessages->noRoom());
-    }
-    body = std::move(*complete);
-    co_return std::nullopt;
-}
-
 void ProxiedRequest::makeTries(RequestBody body)
 {
     service_ = context_->split.next(*parameters_.route);
@@ -372,7 +314,7 @@
         co_return;
     }
     tries_->dropBody();
-    if (auto failure = holdAnswer(Bytes(complete->body.size()))) {
+    if (auto failure = writer_->hold(Bytes(complete->body.size()))) {
         co_await respond(std::move(*failure));
         co_return;
     }
@@ -389,7 +331,7 @@
     }
     context_->stop.recordAnswer(parameters_.route->name, currentTime() - parameters_.arrival);
     logEnd(head.status, describeAnswer(requestTry.upstream.value(), Reason::None), complete->body.size());
-    co_await sendAnswer(std::move(head), std::move(complete->body));
+    co_await writer_->send(std::move(head), std::move(complete->body));
 }
 
 bool ProxiedRequest::isUnprovenPromise(std::uint16_t status) const
@@ -397,87 +339,6 @@
     return !isIdempotent(parameters_.route->kind) && context_->dialect.promisesNotRun(status);
 }
 
-std::optional<Failure> ProxiedRequest::holdAnswer(Bytes size)
-{
-    if (size.value() <= MaxChunkBytes) {
-        return std::nullopt;
-    }
-    heldAnswer_ = context_->heldMessages->begin([weak = weak_from_this()] {
-        if (const auto request = weak.lock()) {
-            request->exchange_.abort();
-        }
-    });
-    if (heldAnswer_->grow(size)) {
-        return std::nullopt;
-    }
-    // The request has run.
-    return mayHaveRun(Reason::Overloaded, "the node holds too many answers for slow readers");
-}
-
-asio::awaitable<void> ProxiedRequest::sendAnswer(HttpResponseHead head, std::string body)
-{
-    if (body.size() <= MaxChunkBytes) {
-        if (context_->linkPacer != nullptr) {
-            context_->linkPacer->recordShortMessage(Bytes(body.size()));
-        }
-        [[maybe_unused]] const Result<void> sent = co_await exchange_.respond(std::move(head), std::move(body));
-        co_return;
-    }
-    const Result<void> started = co_await exchange_.startResponse(std::move(head), body.size());
-    if (!started) {
-        co_return;
-    }
-    // If a piece is not written, the server resets the connection, since the response is incomplete.
-    const bool isWritten = co_await writePiece(std::move(body));
-    if (isWritten) {
-        [[maybe_unused]] const Result<void> finished = co_await exchange_.finishResponse();
-    }
-}
-
-asio::awaitable<bool> ProxiedRequest::writePiece(std::string piece)
-{
-    const auto self = shared_from_this();
-    PacedTransfer::ChunkWriter writer = [this](std::string chunk) -> asio::awaitable<bool> {
-        const Bytes size(chunk.size());
-        const Result<void> written = co_await exchange_.writeBody(std::move(chunk));
-        if (heldAnswer_) {
-            heldAnswer_->progress(size);
-        }
-        co_return written.has_value();
-    };
-    bool isWritten = false;
-    if (context_->linkPacer == nullptr) {
-        isWritten = co_await writeParts(std::move(piece), std::move(writer));
-    } else {
-        if (!transfer_) {
-            transfer_ = context_->linkPacer->open(
-                static_cast<std::uint8_t>(std::min<std::uint32_t>(parameters_.priority, UINT8_MAX)));
-        }
-        isWritten = co_await transfer_->write(std::move(piece), std::move(writer));
-    }
-    co_return isWritten;
-}
-
-asio::awaitable<bool> ProxiedRequest::writeParts(std::string piece, PacedTransfer::ChunkWriter writer)
-{
-    constexpr std::size_t MaxPartBytes = std::size_t{64} * 1024;
-    if (piece.size() <= MaxPartBytes) {
-        co_return co_await writer(std::move(piece));
-    }
-    bool isWritten = true;
-    for (std::size_t begin = 0; isWritten && begin < piece.size(); begin += MaxPartBytes) {
-        isWritten = co_await writer(piece.substr(begin, MaxPartBytes));
-    }
-    co_return isWritten;
-}
-
-void ProxiedRequest::cancelTransfer()
-{
-    if (transfer_) {
-        transfer_->cancel();
-    }
-}
-
 asio::awaitable<void> ProxiedRequest::giveUp(Failure failure)
 {
     // A request that crashes upstreams must not be retried within its caller's timeout, so its delay is not shortened.
--- a/src/ingress/proxiedrequest.h
+++ b/src/ingress/proxiedrequest.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "http/httpexchange.h"
+#include "ingress/answerwriter.h"
 #include "ingress/ingresscontext.h"
 #include "ingress/requestparameters.h"
 #include "ingress/requesttries.h"
@@ -45,13 +46,6 @@
     boost::asio::awaitable<std::optional<Failure>> prepare();
     /// Returns why the node takes no new download, or nothing if it does or if this is none.
     [[nodiscard]] std::optional<Failure> downloadRejection();
-    /// Reads the body until it is complete, over a limit, too late, or given up for others.
-    boost::asio::awaitable<std::optional<Failure>> readBody(RequestBody &body);
-    /// Returns why the body can't be taken by what the head says of it, or nothing.
-    [[nodiscard]] std::optional<Failure> bodyRejection();
-    [[nodiscard]] std::shared_ptr<ReceivedBody> beginBody();
-    /// The refusal of a body for which the node has no room.
-    [[nodiscard]] Failure withoutRoom(Failure failure);
     /// Waits for the requests before this one where its route asks for that. Returns why the request can't be sent, or
     /// nothing.
     boost::asio::awaitable<std::optional<Failure>> waitUntilSendable();
@@ -80,15 +74,6 @@
     /// Whether the caller would read an answer of @p status as a promise that the request did not run, which nobody has
     /// proved: an upstream that has not run a request says so, and that is no answer.
     [[nodiscard]] bool isUnprovenPromise(std::uint16_t status) const;
-    /// Counts the bytes of an answer until its caller has taken them. Returns why the answer can't be held, or nothing.
-    [[nodiscard]] std::optional<Failure> holdAnswer(Bytes size);
-    /// Sends a complete answer. If the rate of the link is known, large bodies are paced.
-    boost::asio::awaitable<void> sendAnswer(HttpResponseHead head, std::string body);
-    /// Writes @p piece at once, part by part, so that a slow caller's progress is seen.
-    boost::asio::awaitable<bool> writeParts(std::string piece, PacedTransfer::ChunkWriter writer);
-    /// Writes a piece of the body of a response that was started. Returns whether the caller takes more.
-    boost::asio::awaitable<bool> writePiece(std::string piece);
-    void cancelTransfer();
     boost::asio::awaitable<void> giveUp(Failure failure);
     boost::asio::awaitable<void> respond(Failure failure);
 
@@ -104,12 +89,9 @@
     ServiceName service_;
     /// Null until the request has been read.
     std::shared_ptr<RequestTries> tries_;
+    std::shared_ptr<AnswerWriter> writer_;
     /// Wakes the loop at the deadline, or earlier when the timer is cancelled.
     boost::asio::steady_timer wakeUp_;
-    /// The paced answer of the request; null before its first byte, and if the rate of the link is not known.
-    std::shared_ptr<PacedTransfer> transfer_;
-    /// The answer while it is written; null for short ones and for those that come in pieces.
-    std::unique_ptr<HeldMessage> heldAnswer_;
     bool isCallerDisconnected_ = false;
     bool isProcessEnding_ = false;
     /// Whether a part of a streamed answer was accepted. No other try may follow, and the deadline has no effect any
--- a/src/ingress/streamedanswerrelay.cpp
+++ b/src/ingress/streamedanswerrelay.cpp
@@ -102,7 +102,7 @@
         co_return false;
     }
     const std::size_t size = chunk.size();
-    const bool isWritten = co_await request->writePiece(std::move(chunk));
+    const bool isWritten = co_await request->writer_->writePiece(std::move(chunk));
     request->streamedBytes_ += isWritten ? size : 0;
     co_return isWritten;
 }
--- a/src/rpc/peerserver.cpp
+++ b/src/rpc/peerserver.cpp
@@ -1,7 +1,6 @@
 #include "rpc/peerserver.h"
 
 #include <algorithm>
-#include <deque>
 #include <list>
 #include <optional>
 #include <utility>
@@ -14,6 +13,7 @@
 #include "http/tcpendpoint.h"
 #include "rpc/kjawait.h"
 #include "rpc/peerstream.h"
+#include "rpc/wirebodysource.h"
 #include "rpc/wireconversion.h"
 
 namespace Egretpath
@@ -67,66 +67,6 @@
     Wire::AnswerSink::Client sink_;
 };
 
-/// Reads the body of a call from the ingress. Some pieces are asked for ahead, so that a long link is kept busy.
-class WireBodySource final : public BodySource
-{
-public:
-    WireBodySource(Wire::BodySource::Client source, std::uint64_t size)
-        : source_(kj::mv(source))
-        , size_(size)
-    {
-    }
-    ~WireBodySource() noexcept override = default;
-    WireBodySource(const WireBodySource &) = delete;
-    WireBodySource &operator=(const WireBodySource &) = delete;
-
-    [[nodiscard]] std::uint64_t size() const override { return size_; }
-
-    asio::awaitable<std::optional<std::string>> next() override
-    {
-        while (requested_ < size_ && ahead_.size() < MaxPiecesAhead) {
-            requestPiece();
-        }
-        if (ahead_.empty()) {
-            co_return std::string();
-        }
-        RequestedPiece piece = std::move(ahead_.front());
-        ahead_.pop_front();
-        PromiseResult<std::string> result = co_await awaitPromise(kj::mv(piece.promise));
-        if (!result.value || result.value->size() != piece.size) {
-            co_return std::nullopt;
-        }
-        co_return std::move(*result.value);
-    }
-
-private:
-    static constexpr std::size_t MaxPiecesAhead = 4;
-    static constexpr std::uint64_t MaxPieceBytes = std::uint64_t{256} * 1024;
-
-    struct RequestedPiece
-    {
-        kj::Promise<std::string> promise;
-        std::uint64_t size;
-    };
-
-    void requestPiece()
-    {
-        const std::uint64_t size = std::min(MaxPieceBytes, size_ - requested_);
-        auto request = source_.readRequest();
-        request.setOffset(requested_);
-        request.setSize(static_cast<std::uint32_t>(size));
-        ahead_.push_back(
-            {request.send().then([](auto &&response) { return WireConversion::readBytes(response.getPiece()); }),
-             size});
-        requested_ += size;
-    }
-
-    Wire::BodySource::Client source_;
-    std::uint64_t size_;
-    std::uint64_t requested_ = 0;
-    std::deque<RequestedPiece> ahead_;
-};
-
 /// Cancels the call when its promise is dropped. KJ drops it when the ingress sends a Finish message or the connection
 /// is lost.
 class CancelOnDrop
