Lint: literals and a length in tests

The linter found a field with a NUL byte in a test of the client that was one byte too long, and texts that were put together from temporaries. The tests check the same, the NUL field by itself.

--- a/tests/crowds/crowdstest.cpp
+++ b/tests/crowds/crowdstest.cpp
@@ -42,7 +42,7 @@
 /// A body of @p length whose last @p missing bytes don't come.
 CrowdMessage bodyWithLength(const std::string &path, std::uint64_t length, std::uint64_t missing)
 {
-    constexpr std::uint64_t UnitBytes = 64 * 1024;
+    constexpr std::uint64_t UnitBytes = MiB / 16;
     CrowdMessage message;
     message.start = announced(path, length);
     message.unit = std::string(UnitBytes, 'b');
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -113,24 +113,24 @@
 
 TEST_CASE("an answer whose status is none, or with a field that can't be one, fails with BadAnswer")
 {
-    const std::string ok = "HTTP/1.1 200 OK\r\n";
-    const std::string end = "Content-Length: 2\r\n\r\nok";
-    for (const std::string &answer : {
-             "HTTP/1.1 000 Odd\r\n" + end,
-             "HTTP/1.1 099 Odd\r\n" + end,
-             "HTTP/1.1 600 Odd\r\n" + end,
-             "HTTP/1.1 999 Odd\r\n" + end,
-             ok + "X Odd: 1\r\n" + end,
-             ok + "X\tOdd: 1\r\n" + end,
-             ok + "X\x01Odd: 1\r\n" + end,
-             ok + "X\x7fOdd: 1\r\n" + end,
-             ok + std::string("X\0Odd: 1\r\n", 11) + end,
-             ok + "X\xe4Odd: 1\r\n" + end,
-             ok + "X-Odd : 1\r\n" + end,
-             ok + ": 1\r\n" + end,
-             ok + "X-Odd\r\n" + end,
-             ok + "X-Odd: a\x01z\r\n" + end,
-         }) {
+    const auto answerWith = [](const std::string &status, const std::string &field) {
+        std::string answer = "HTTP/1.1 ";
+        answer.append(status).append("\r\n").append(field).append("Content-Length: 2\r\n\r\nok");
+        return answer;
+    };
+    std::vector<std::string> answers;
+    for (const char *status : {"000 Odd", "099 Odd", "600 Odd", "999 Odd"}) {
+        answers.push_back(answerWith(status, ""));
+    }
+    constexpr std::size_t FieldWithNulBytes = 10;
+    for (const std::string &field :
+         {std::string("X Odd: 1\r\n"), std::string("X\tOdd: 1\r\n"), std::string("X\x01Odd: 1\r\n"),
+          std::string("X\x7fOdd: 1\r\n"), std::string("X\0Odd: 1\r\n", FieldWithNulBytes),
+          std::string("X\xe4Odd: 1\r\n"), std::string("X-Odd : 1\r\n"), std::string(": 1\r\n"),
+          std::string("X-Odd\r\n"), std::string("X-Odd: a\x01z\r\n")}) {
+        answers.push_back(answerWith("200 OK", field));
+    }
+    for (const std::string &answer : answers) {
         INFO(answer);
         const auto failure = getFailure(answer);
         REQUIRE(failure);
--- a/tests/messages/receivedbodytest.cpp
+++ b/tests/messages/receivedbodytest.cpp
@@ -39,7 +39,7 @@
     Node node;
     const std::uint64_t before = residentBytes();
     std::vector<std::shared_ptr<ReceivedBody>> bodies;
-    const std::string piece(64 * 1024, 'p');
+    const std::string piece(MiB / 16, 'p');
     for (int number = 0; number < 8; ++number) {
         bodies.push_back(ReceivedBody::begin(*node.messages, [] {}));
         for (int pieces = 0; pieces < 8 * 16 - 1; ++pieces) {
--- a/tests/sidecar/unprovenpromisetest.cpp
+++ b/tests/sidecar/unprovenpromisetest.cpp
@@ -22,9 +22,10 @@
         , far(addNode(addUpstream("i-other"), "other"))
     {
         for (const std::string kind : {"safe", "unsafe", "upload"}) {
-            catalog.moreRoutes += R"({"name":")" + kind + R"(","kind":")" + kind
-                + R"(","target_latency":"100ms","priority":2,"match":{"prefix":"/)" + kind
-                + R"(/"},"action":{"service":"statements","timeout":"900ms","max_attempts":1}},)";
+            std::string &routes = catalog.moreRoutes;
+            routes.append(R"({"name":")").append(kind).append(R"(","kind":")").append(kind);
+            routes.append(R"(","target_latency":"100ms","priority":2,"match":{"prefix":"/)").append(kind);
+            routes.append(R"(/"},"action":{"service":"statements","timeout":"900ms","max_attempts":1}},)");
         }
         catalog.publishRoutes(10);
         catalog.publishList();
