A request that its last node declines is refused at once

Found on reading the change: a node without memory for a body declines it, and where it stands beside the only upstream the ingress asked it again, 64 times in a row, without a pause: the last try may not be declined for another upstream, so nothing ended the tries.

--- a/src/http/socketio.h
+++ b/src/http/socketio.h
@@ -49,7 +49,7 @@
 /// Whether the other side has reset the connection; false if the system does not tell. Unlike an error, which goes to
 /// the first operation that meets it, this is told again.
 [[nodiscard]] bool wasReset(boost::asio::ip::tcp::socket &socket);
-/// Whether bytes, or the end of the connection, wait to be read.
+/// Whether bytes wait to be read, or the connection has failed.
 [[nodiscard]] bool hasReceivedBytes(boost::asio::ip::tcp::socket &socket);
 /// The bytes that were written to the socket and not acknowledged by its peer; zero if the system does not tell.
 [[nodiscard]] std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket);
--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -323,8 +323,10 @@
 
 bool RequestTries::mayRetry(const RequestTry &requestTry, const Failure &failure)
 {
+    // The last try may not be declined for another upstream: its node has no memory for the body.
+    const bool isLastDeclined = failure.reason == Reason::Declined && requestTry.declineThreshold <= Duration{0};
     const bool isFinal = failure.reason == Reason::Cancelled || failure.reason == Reason::DeadlinePassed
-        || failure.reason == Reason::CrashesUpstreams;
+        || failure.reason == Reason::CrashesUpstreams || isLastDeclined;
     if (isFinal) {
         return false;
     }
