A success that says it was not run proves neither

An instance that answers 200, signed, with the mark for "not run" got its request refused as not run: its caller sends a payment again that may have been made, and the node itself offered it to the next instance.

--- a/tests/sidecar/unprovenpromisetest.cpp
+++ b/tests/sidecar/unprovenpromisetest.cpp
@@ -73,3 +73,18 @@
         CHECK(reply.status == 503);
     });
 }
+
+// Guards against a payment that is sent to another upstream, or refused as not run, after the success of its run.
+TEST_CASE("a success beside the mark of not run proves neither")
+{
+    GreyDeployment deployment;
+    EndlessAnswer answer;
+    answer.begin = "HTTP/1.1 200 OK\r\nX-Egretpath-Not-Executed: 1\r\n" + Fields + "Content-Length: 2\r\n\r\nok";
+    deployment.grey.setAnswer(answer);
+    deployment.run([&]() -> asio::awaitable<void> {
+        for (const TestNode *node : {&deployment.beside, &deployment.far}) {
+            const Reply reply = co_await deployment.send(node->callers, "POST", "/unsafe/1", "r1", Milliseconds(900));
+            CHECK(reply.status == 502);
+        }
+    });
+}
