A node without a config refuses large requests for now, not for good

Until its first config a node reads callers by limits that nobody has set (16 KiB of head, 64 MiB of body), and a request over them got 431 or 413, after which its caller never comes back, although the config that comes may allow it. All other requests get 503 from such a node.

The limits before the first config are marked as provisional, and what is over them gets 503, too.

Evidence: "a node without a config refuses large heads and bodies for now, not for good", a head of 30 kB and a body of 100 MB: 431 and 413 before, 503 after. http-test passes.

--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -39,6 +39,9 @@
     Duration closeGrace = Milliseconds(200);
     /// Header fields added to the server's own answers to requests that don't reach the handler.
     HttpHeaders refusalHeaders;
+    /// Whether the limits on sizes are not known yet. A request over one of them is then answered with 503, since the
+    /// limit that comes may allow it.
+    bool areSizesProvisional = false;
 };
 
 /// Counters since the server was created.
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -12,6 +12,7 @@
 #include "http/httpserverexchange.h"
 #include "http/httpserverstate.h"
 #include "http/messagewriter.h"
+#include "http/refusalstatus.h"
 #include "http/socketio.h"
 
 namespace Egretpath
@@ -23,13 +24,6 @@
 namespace
 {
 
-constexpr std::uint16_t BadRequestStatus = 400;
-constexpr std::uint16_t RequestTimeoutStatus = 408;
-constexpr std::uint16_t ContentTooLargeStatus = 413;
-constexpr std::uint16_t HeaderTooLargeStatus = 431;
-constexpr std::uint16_t UnavailableStatus = 503;
-constexpr std::uint16_t VersionStatus = 505;
-
 /// How long a connection that is being closed still reads and discards bytes from a caller that does not close it.
 /// Bytes that are unread at the close, or arrive after it, reset the connection, and the caller would lose the end of
 /// its answer.
@@ -44,22 +38,6 @@
     return std::max<std::size_t>(limits.readBufferBytes, limits.headerBytes);
 }
 
-std::uint16_t toStatus(MessageProblem problem)
-{
-    switch (problem) {
-    case MessageProblem::HeaderTooLarge:
-        return HeaderTooLargeStatus;
-    case MessageProblem::BodyTooLarge:
-        return ContentTooLargeStatus;
-    case MessageProblem::VersionNotSupported:
-        return VersionStatus;
-    case MessageProblem::None:
-    case MessageProblem::Malformed:
-        break;
-    }
-    return BadRequestStatus;
-}
-
 }
 
 HttpServerConnection::HttpServerConnection(asio::ip::tcp::socket socket, Endpoint remote,
@@ -177,7 +155,7 @@
     isReadingHead_ = false;
     readTimer_.disarm();
     if (problem != MessageProblem::None) {
-        co_await refuseRequest(problem);
+        co_await refuseRequest(refusalStatus(problem, exchange.areSizesProvisional()));
         co_return false;
     }
     co_return isReading_;
@@ -272,11 +250,11 @@
     }
 }
 
-asio::awaitable<void> HttpServerConnection::refuseRequest(MessageProblem problem)
+asio::awaitable<void> HttpServerConnection::refuseRequest(std::uint16_t status)
 {
     ++server_->counts_.refusedRequests;
     co_await waitUntilAllAnswered();
-    co_await sendRefusal(toStatus(problem), "malformed or too large request");
+    co_await sendRefusal(status, "malformed or too large request");
 }
 
 asio::awaitable<void> HttpServerConnection::sendRefusal(std::uint16_t status, std::string detail)
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -80,7 +80,7 @@
     [[nodiscard]] boost::asio::awaitable<void> serve(std::shared_ptr<HttpServerExchange> exchange);
     [[nodiscard]] boost::asio::awaitable<void> waitForPipelineSpace();
     [[nodiscard]] boost::asio::awaitable<void> waitUntilAllAnswered();
-    [[nodiscard]] boost::asio::awaitable<void> refuseRequest(MessageProblem problem);
+    [[nodiscard]] boost::asio::awaitable<void> refuseRequest(std::uint16_t status);
     [[nodiscard]] boost::asio::awaitable<void> sendRefusal(std::uint16_t status, std::string detail);
     [[nodiscard]] boost::asio::awaitable<void> closeGracefully();
     [[nodiscard]] boost::asio::awaitable<bool> discardInput();
--- a/src/http/httpserverexchange.cpp
+++ b/src/http/httpserverexchange.cpp
@@ -43,6 +43,12 @@
     setLimits(limits);
 }
 
+void HttpServerExchange::setLimits(const HttpLimits &limits)
+{
+    parser_.emplace(limits.headerBytes, limits.bodyBytes);
+    areSizesProvisional_ = limits.areSizesProvisional;
+}
+
 const Endpoint &HttpServerExchange::remoteEndpoint() const
 {
     return connection_->remoteEndpoint();
--- a/src/http/httpserverexchange.h
+++ b/src/http/httpserverexchange.h
@@ -34,7 +34,9 @@
     [[nodiscard]] RequestParser &parser() { return *parser_; }
     [[nodiscard]] const HttpRequestHead &head() const { return parser_->head(); }
     /// Reads the request by @p limits. Precondition: nothing of it was parsed.
-    void setLimits(const HttpLimits &limits) { parser_.emplace(limits.headerBytes, limits.bodyBytes); }
+    void setLimits(const HttpLimits &limits);
+    /// Whether those limits are not known to be the ones in force.
+    [[nodiscard]] bool areSizesProvisional() const { return areSizesProvisional_; }
     [[nodiscard]] const Endpoint &remoteEndpoint() const;
     /// Called once, after the head was read.
     void onHeadRead();
@@ -84,6 +86,7 @@
     std::shared_ptr<HttpServerConnection> connection_;
     /// Never empty.
     std::optional<RequestParser> parser_;
+    bool areSizesProvisional_ = false;
     /// Timers that never expire; cancelled to wake up their waiters when the turn has come or the body was read.
     boost::asio::steady_timer turnSignal_;
     boost::asio::steady_timer bodyReadSignal_;
--- a/src/sidecar/nodelimits.cpp
+++ b/src/sidecar/nodelimits.cpp
@@ -48,6 +48,13 @@
     return http;
 }
 
+HttpLimits callerLimitsBeforeConfig()
+{
+    HttpLimits http = callerLimits(CallerLimits());
+    http.areSizesProvisional = true;
+    return http;
+}
+
 HttpLimits probeLimits()
 {
     HttpLimits http;
--- a/src/sidecar/nodelimits.h
+++ b/src/sidecar/nodelimits.h
@@ -12,6 +12,8 @@
 
 /// The limits of the servers and roles of a node, by its settings and the published limits. Thread safety: safe.
 [[nodiscard]] HttpLimits callerLimits(const CallerLimits &limits);
+/// The limits of callers while the published ones are not known.
+[[nodiscard]] HttpLimits callerLimitsBeforeConfig();
 [[nodiscard]] HttpLimits probeLimits();
 [[nodiscard]] EgressSettings egressSettings(const SidecarSettings &settings, const DecisionSettings &decisions);
 /// The limit of the streamed answers that the node holds for readers.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -77,7 +77,7 @@
         , operatorPages_(state_, *heldAnswers_, *heldMessages_, catalog_, egress_, ingress_, quarantine_,
                          linkPacer_.get())
         , peerServer_(context, *this, MaxPeerConnections)
-        , callerServer_(executor_, callerLimits(CallerLimits()),
+        , callerServer_(executor_, callerLimitsBeforeConfig(),
                         [this](HttpExchange &exchange) { return ingress_.serve(exchange); })
         , readinessServer_(executor_, probeLimits(),
                            [this](HttpExchange &exchange) { return serveReadiness(exchange); })
