A request that was cancelled before it waits for a slot does not wait for ever

The wait is a loop over its result now, as UpstreamTurns has it.

Evidence: "a request that is cancelled before it waits for a slot does not wait" never ended before the change and gets Cancelled, not run, after it; egress-test passes.

--- a/src/egress/workslots.cpp
+++ b/src/egress/workslots.cpp
@@ -50,8 +50,11 @@
             removeQueued(call, notRun(Reason::Cancelled, "cancelled while it waited for a slot"));
         }
     });
-    boost::system::error_code ignored;
-    co_await waiter->wakeUp.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    // The loop ends at once if the call was cancelled before it waits.
+    while (!waiter->hasEnded) {
+        boost::system::error_code ignored;
+        co_await waiter->wakeUp.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
     cancellation->clearAction();
     co_return waiter->failure;
 }
@@ -81,6 +84,7 @@
 {
     for (const CallId call : calls) {
         if (const auto found = waiters_.extract(call)) {
+            found.mapped()->hasEnded = true;
             found.mapped()->wakeUp.cancel();
         }
     }
@@ -90,6 +94,7 @@
 {
     if (const auto found = waiters_.extract(call)) {
         found.mapped()->failure = std::move(failure);
+        found.mapped()->hasEnded = true;
         found.mapped()->wakeUp.cancel();
     }
 }
--- a/src/egress/workslots.h
+++ b/src/egress/workslots.h
@@ -69,6 +69,7 @@
 
         boost::asio::steady_timer wakeUp;
         UpstreamName target;
+        bool hasEnded = false;
         std::optional<Failure> failure;
     };
 
