A try that begins late in a stop is judged as a new request is

A request was judged when it was read, once. One that was taken before the stop, on a route of 9 s, whose first upstream refused it late in the grace time, was passed on to the next all the same; that one worked on it when the process ended, and its caller got 502 for an order that may not be repeated.

Each try now asks StopAdmission first. An order that can't end in time is refused where nothing has run, with the time after which to come back, while its caller still has most of its own.

--- a/src/ingress/requesttries.cpp
+++ b/src/ingress/requesttries.cpp
@@ -52,6 +52,10 @@
 
 std::optional<Failure> RequestTries::start(const HttpRequestHead &head, const Endpoint &caller)
 {
+    // An earlier try may have taken long, and the stop of the node may have begun meanwhile.
+    if (auto rejection = stopRejection(*context_, parameters_)) {
+        return rejection;
+    }
     if (auto rejection = quarantineRejection(head)) {
         return rejection;
     }
