What is read of an answer counts before it is passed on

First report of the issue: an upstream that sends without end ends the machine that called it. It can happen here. Up to 1 MiB of each answer was read before it was passed on, and nothing counted that; only afterwards did the budget of answers hold the reading up, with that MiB already in its queue. Earlier tests had upstreams of few slots.

HeldAnswer counts the bytes of one answer from the first one read. While the node has no room for more of them, an answer of over 16 KiB is passed on as it comes, so that its reader sets the pace, and AnswerStream takes its bytes over. The rest stays: 1 MiB whole, downloads from 16 KiB. As for bodies, memory goes back to the system once little is held after much (MemoryReturn, out of HeldMessages).

--- a/src/answers/heldanswers.cpp
+++ b/src/answers/heldanswers.cpp
@@ -18,6 +18,7 @@
 {
     const bool wasUsedUp = budget_.isUsedUp();
     budget_.hold(size);
+    memoryReturn_.recordHeld(budget_.held(), budget_.limit().value_or(Bytes(0)));
     logChange(wasUsedUp);
 }
 
@@ -25,6 +26,7 @@
 {
     const bool wasUsedUp = budget_.isUsedUp();
     budget_.release(size, currentTime());
+    memoryReturn_.recordHeld(budget_.held(), budget_.limit().value_or(Bytes(0)));
     logChange(wasUsedUp);
     for (const auto &waiter : std::exchange(waiters_, {})) {
         if (const auto timer = waiter.lock()) {
@@ -54,4 +56,36 @@
     log_.info(line);
 }
 
+HeldAnswer::HeldAnswer(std::weak_ptr<HeldAnswers> answers)
+    : answers_(std::move(answers))
+{
+}
+
+HeldAnswer::~HeldAnswer()
+{
+    releaseAll();
+}
+
+void HeldAnswer::grow(Bytes size)
+{
+    size_ = Bytes(size_.value() + size.value());
+    if (const auto answers = answers_.lock()) {
+        answers->hold(size);
+    }
+}
+
+void HeldAnswer::release(Bytes size)
+{
+    size_ = Bytes(size_.value() - size.value());
+    if (const auto answers = answers_.lock(); answers && size > Bytes(0)) {
+        answers->release(size);
+    }
+}
+
+bool HeldAnswer::hasRoom() const
+{
+    const auto answers = answers_.lock();
+    return !answers || answers->budget().mayHoldMore(size_);
+}
+
 }
--- a/src/egress/answerreader.cpp
+++ b/src/egress/answerreader.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t MaxCompleteAnswer = std::size_t{1024} * 1024;
 /// The same for downloads: the size of a chunk, so that no message of a download is larger.
 constexpr std::size_t MaxCompleteDownload = std::size_t{16} * 1024;
+/// So much of each answer is read whatever the node holds.
+constexpr std::size_t MaxUncountedBytes = std::size_t{16} * 1024;
 /// The answers to other requests that may come before the own one, and the time for the body of one. An upstream sends
 /// its second answers at once, over a connection that does not leave the VM.
 constexpr unsigned MaxStrayAnswers = 8;
@@ -35,6 +37,7 @@
     , call_(call)
     , request_(request)
     , receiver_(std::move(receiver))
+    , held_(role.heldAnswers_)
     , pauseLeft_(role.settings_.maxAnswerPause)
 {
 }
@@ -110,13 +113,14 @@
     }
     std::string body;
     bool isComplete = false;
-    while (!isComplete && !isLarge(head, body.size())) {
+    while (!isComplete && !isPassedOnEarly(head, body.size())) {
         Result<std::string> piece = co_await call_.readBody();
         if (!piece) {
             co_return piece.error();
         }
         isComplete = piece.value().empty();
         body += piece.value();
+        held_.grow(Bytes(piece.value().size()));
     }
     if (auto failure = check(head.status, metadata)) {
         co_return std::move(*failure);
@@ -130,6 +134,11 @@
     co_return ReadAnswer(std::move(answer));
 }
 
+bool AnswerReader::isPassedOnEarly(const HttpResponseHead &head, std::size_t size) const
+{
+    return isLarge(head, size) || (size > MaxUncountedBytes && !held_.hasRoom());
+}
+
 bool AnswerReader::isLarge(const HttpResponseHead &head, std::size_t size) const
 {
     if (!request_.isDownload || head.status >= FirstServerError) {
@@ -144,6 +153,7 @@
     const std::uint16_t status = head.status;
     head.headers.removeHopByHop();
     stream_ = std::make_shared<AnswerStream>(role_.executor_, receiver_, role_.heldAnswers_);
+    held_.releaseAll();
     stream_->add(body);
     stream_->start(AnswerHead{status, std::move(head.headers)});
     while (true) {
--- a/src/egress/answerreader.h
+++ b/src/egress/answerreader.h
@@ -32,6 +32,9 @@
 /// Reads the upstream's answer to one request and checks it. A large answer is passed on while it is read, but not
 /// before it was checked, and not one with a server error: until then, the request may be tried elsewhere.
 ///
+/// Load pattern: an upstream in trouble sends bytes without end for all of its requests at once. While the node has no
+/// room for more of them, each answer is passed on as it comes, so that its reader sets the pace.
+///
 /// Preconditions: the references and the views in the request outlive the object. Thread safety: none.
 class AnswerReader
 {
@@ -57,7 +60,9 @@
     /// Passes on an answer that begins with @p body and reads the rest of it.
     boost::asio::awaitable<Result<ReadAnswer>> streamAnswer(HttpResponseHead head, std::string body);
     boost::asio::awaitable<void> pauseReading();
-    /// Whether an answer of which @p size bytes were read is too large to be sent in one message.
+    /// Whether an answer of which @p size bytes were read is passed on before it is complete: it is too large to be
+    /// sent in one message, or the node holds too much to read more of it.
+    [[nodiscard]] bool isPassedOnEarly(const HttpResponseHead &head, std::size_t size) const;
     [[nodiscard]] bool isLarge(const HttpResponseHead &head, std::size_t size) const;
     /// Applies what the upstream says of itself. Returns why the answer does not answer the request, or nothing.
     [[nodiscard]] std::optional<Failure> check(std::uint16_t status, const UpstreamAnswerMetadata &metadata);
@@ -68,7 +73,9 @@
     HttpClientCall &call_;
     AnsweredRequest request_;
     std::shared_ptr<AnswerReceiver> receiver_;
-    /// Null until the answer turns out to be large.
+    /// What was read of the answer before it is passed on.
+    HeldAnswer held_;
+    /// Null until the answer is passed on.
     std::shared_ptr<AnswerStream> stream_;
     /// How much longer the reading may pause for the receiver.
     Duration pauseLeft_;
--- a/src/egress/answerstream.cpp
+++ b/src/egress/answerstream.cpp
@@ -26,21 +26,17 @@
 }
 
 AnswerStream::AnswerStream(asio::any_io_executor executor, std::shared_ptr<AnswerReceiver> receiver,
-                           std::weak_ptr<HeldAnswers> held)
+                           std::weak_ptr<HeldAnswers> answers)
     : executor_(std::move(executor))
     , receiver_(std::move(receiver))
-    , held_(std::move(held))
+    , held_(answers)
+    , answers_(std::move(answers))
     , senderSignal_(executor_, asio::steady_timer::time_point::max())
     , readerSignal_(std::make_shared<asio::steady_timer>(executor_))
     , lastProgress_(currentTime())
 {
 }
 
-AnswerStream::~AnswerStream()
-{
-    release(heldBytes_);
-}
-
 void AnswerStream::start(AnswerHead head)
 {
     asio::co_spawn(executor_, send(shared_from_this(), std::move(head)), asio::detached);
@@ -51,30 +47,21 @@
     if (hasEnded_) {
         return;
     }
-    if (heldBytes_ == 0) {
+    if (held_.size() == Bytes(0)) {
         lastProgress_ = currentTime();
     }
     for (std::size_t begin = 0; begin < piece.size(); begin += MaxChunk) {
         queue_.push_back(piece.substr(begin, MaxChunk));
     }
-    heldBytes_ += piece.size();
-    if (const auto held = held_.lock()) {
-        held->hold(Bytes(piece.size()));
-    }
+    held_.grow(Bytes(piece.size()));
     senderSignal_.cancel();
 }
 
-bool AnswerStream::hasRoom() const
-{
-    const auto held = held_.lock();
-    return !held || held->budget().mayHoldMore(Bytes(heldBytes_));
-}
-
 asio::awaitable<void> AnswerStream::waitForRoom(TimePoint latest)
 {
     while (!hasEnded_ && !hasRoom() && currentTime() < latest) {
-        if (const auto held = held_.lock()) {
-            held->cancelOnRelease(readerSignal_);
+        if (const auto answers = answers_.lock()) {
+            answers->cancelOnRelease(readerSignal_);
         }
         co_await waitForReceiver(latest);
     }
@@ -92,7 +79,7 @@
 
 asio::awaitable<void> AnswerStream::waitForReceiver(TimePoint latest)
 {
-    const bool waitsForOthers = heldBytes_ == 0 && !isComplete_;
+    const bool waitsForOthers = held_.size() == Bytes(0) && !isComplete_;
     const TimePoint stuckAt = waitsForOthers ? TimePoint::max() : lastProgress_ + MaxReceiverPause;
     readerSignal_->expires_at(std::min(stuckAt, latest));
     boost::system::error_code ignored;
@@ -140,7 +127,7 @@
         const std::size_t size = chunk.size();
         const bool isTaken = co_await receiver_->write(std::move(chunk));
         lastProgress_ = currentTime();
-        release(size);
+        held_.release(Bytes(size));
         readerSignal_->cancel();
         if (!isTaken) {
             co_return false;
@@ -149,14 +136,6 @@
     co_return false;
 }
 
-void AnswerStream::release(std::size_t bytes)
-{
-    heldBytes_ -= bytes;
-    if (const auto held = held_.lock(); held && bytes > 0) {
-        held->release(Bytes(bytes));
-    }
-}
-
 void AnswerStream::dropQueue()
 {
     std::size_t dropped = 0;
@@ -164,7 +143,7 @@
         dropped += chunk.size();
     }
     queue_.clear();
-    release(dropped);
+    held_.release(Bytes(dropped));
 }
 
 }
--- a/src/egress/answerstream.h
+++ b/src/egress/answerstream.h
@@ -25,10 +25,10 @@
 class AnswerStream : public std::enable_shared_from_this<AnswerStream>
 {
 public:
-    /// @p held: may be gone, and does not limit the queue then.
+    /// @p answers: may be gone, and does not limit the queue then.
     AnswerStream(boost::asio::any_io_executor executor, std::shared_ptr<AnswerReceiver> receiver,
-                 std::weak_ptr<HeldAnswers> held);
-    ~AnswerStream();
+                 std::weak_ptr<HeldAnswers> answers);
+    ~AnswerStream() = default;
     AnswerStream(const AnswerStream &) = delete;
     AnswerStream &operator=(const AnswerStream &) = delete;
 
@@ -37,7 +37,7 @@
     /// Adds a piece of the body to the queue.
     void add(const std::string &piece);
     /// Whether the next piece may be read now.
-    [[nodiscard]] bool hasRoom() const;
+    [[nodiscard]] bool hasRoom() const { return held_.hasRoom(); }
     /// Waits until the next piece may be read, or the receiver takes no more, until @p latest.
     boost::asio::awaitable<void> waitForRoom(TimePoint latest);
     /// Waits until the receiver has all pieces. Returns whether it took them. Precondition: all were added.
@@ -53,19 +53,19 @@
     /// Waits for a change at the receiver, until @p latest. Cancels the stream if the receiver takes nothing for too
     /// long.
     boost::asio::awaitable<void> waitForReceiver(TimePoint latest = TimePoint::max());
-    void release(std::size_t bytes);
     void dropQueue();
 
     boost::asio::any_io_executor executor_;
     std::shared_ptr<AnswerReceiver> receiver_;
-    std::weak_ptr<HeldAnswers> held_;
+    /// The bytes in the queue and in the chunk that the receiver is taking.
+    HeldAnswer held_;
+    /// The same answers, for the wait until there is room.
+    std::weak_ptr<HeldAnswers> answers_;
     /// Cancelled to wake the sending coroutine when a piece was added or the answer ended.
     boost::asio::steady_timer senderSignal_;
     /// Cancelled to wake the coroutine that reads when the receiver took a chunk or the budget has room.
     std::shared_ptr<boost::asio::steady_timer> readerSignal_;
     std::deque<std::string> queue_;
-    /// The bytes in the queue and in the chunk that the receiver is taking.
-    std::uint64_t heldBytes_ = 0;
     TimePoint lastProgress_;
     bool isComplete_ = false;
     bool hasEnded_ = false;
--- a/src/ingress/streamedanswerrelay.cpp
+++ b/src/ingress/streamedanswerrelay.cpp
@@ -30,21 +30,15 @@
 class StreamedAnswerRelay::Writing
 {
 public:
-    Writing(std::shared_ptr<ProxiedRequest> request, std::weak_ptr<HeldAnswers> held, Bytes bytes)
+    Writing(std::shared_ptr<ProxiedRequest> request, std::weak_ptr<HeldAnswers> answers, Bytes bytes)
         : request_(std::move(request))
-        , held_(std::move(held))
-        , bytes_(bytes)
+        , held_(std::move(answers))
     {
         ++request_->writerCount_;
-        if (const auto locked = held_.lock()) {
-            locked->hold(bytes_);
-        }
+        held_.grow(bytes);
     }
     ~Writing()
     {
-        if (const auto locked = held_.lock()) {
-            locked->release(bytes_);
-        }
         --request_->writerCount_;
         request_->wakeUp_.cancel();
     }
@@ -53,8 +47,7 @@
 
 private:
     std::shared_ptr<ProxiedRequest> request_;
-    std::weak_ptr<HeldAnswers> held_;
-    Bytes bytes_;
+    HeldAnswer held_;
 };
 
 StreamedAnswerRelay::StreamedAnswerRelay(std::weak_ptr<ProxiedRequest> request, TryNumber number,
--- a/src/messages/heldmessages.cpp
+++ b/src/messages/heldmessages.cpp
@@ -2,22 +2,11 @@
 
 #include <utility>
 
-#include <malloc.h>
-
 #include "core/currenttime.h"
 
 namespace Egretpath
 {
 
-namespace
-{
-
-/// Memory is given back once the held messages fall below the lower part of the limit, after they were over the upper.
-constexpr std::uint64_t UpperDivisor = 8;
-constexpr std::uint64_t LowerDivisor = 32;
-
-}
-
 HeldMessages::HeldMessages(Bytes limit, EventLog &log, Metrics &metrics)
     : budget_(limit)
     , log_(log)
@@ -56,7 +45,7 @@
 bool HeldMessages::grow(MessageId id, Bytes size)
 {
     const MessageBudget::Room room = budget_.grow(id, size, currentTime());
-    hasFreeMemory_ = hasFreeMemory_ || budget_.held().value() > budget_.limit().value() / UpperDivisor;
+    memoryReturn_.recordHeld(budget_.held(), budget_.limit());
     for (const MessageId givenUp : room.givenUp) {
         const auto listener = givenUpListeners_.extract(givenUp);
         listener.mapped()();
@@ -81,15 +70,7 @@
 {
     givenUpListeners_.erase(id);
     budget_.end(id, currentTime());
-    if (hasFreeMemory_ && budget_.held().value() < budget_.limit().value() / LowerDivisor) {
-        returnFreeMemory();
-    }
-}
-
-void HeldMessages::returnFreeMemory()
-{
-    hasFreeMemory_ = false;
-    ::malloc_trim(0);
+    memoryReturn_.recordHeld(budget_.held(), budget_.limit());
 }
 
 HeldMessage::HeldMessage(std::weak_ptr<HeldMessages> messages, MessageId id)
--- a/src/messages/heldmessages.h
+++ b/src/messages/heldmessages.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "core/memoryreturn.h"
 #include "core/verdict.h"
 #include "messages/messagebudget.h"
 #include "telemetry/eventlog.h"
@@ -39,15 +40,12 @@
 
     [[nodiscard]] bool grow(MessageId id, Bytes size);
     void end(MessageId id);
-    /// Gives the memory of many messages, which the allocator keeps, back to the system.
-    void returnFreeMemory();
 
     MessageBudget budget_;
     EventLog &log_;
     Metrics &metrics_;
     std::unordered_map<MessageId, std::function<void()>> givenUpListeners_;
-    /// Whether enough was held since the last return of memory.
-    bool hasFreeMemory_ = false;
+    MemoryReturn memoryReturn_;
 };
 
 /// One message that counts in HeldMessages until it is destroyed. It may outlive HeldMessages and counts nowhere then.
--- a/tests/crowds/crowddeployment.cpp
+++ b/tests/crowds/crowddeployment.cpp
@@ -29,7 +29,6 @@
 constexpr const char *NodeIps[] = {"127.251.0.1", "127.251.0.2"};
 constexpr const char *Services[] = {"intake", "desk"};
 constexpr const char *Upstreams[] = {"i-intake", "i-desk"};
-constexpr const char *Host = "orders.example";
 constexpr Milliseconds PollInterval{20};
 constexpr Milliseconds LongestStart{20'000};
 constexpr Milliseconds LongestReturn{30'000};
@@ -54,13 +53,13 @@
                           {"allowed_regions", json::array()}}}};
 }
 
-json::object entryOf(std::size_t number)
+json::object entryOf(std::size_t number, std::uint32_t slots)
 {
     return {{"service", Services[number]},
             {"address", upstreamAddress(number)},
             {"zone", "north-a"},
             {"version", "1"},
-            {"slots", 6},
+            {"slots", slots},
             {"state", "ready"},
             {"sequence", 1},
             {"warmup_remaining", "0ms"}};
@@ -84,8 +83,8 @@
     listenForStore();
     publish();
     for (std::size_t number = 0; number < upstreams_.size(); ++number) {
-        upstreams_.at(number) =
-            std::make_unique<RawUpstream>(context_, Endpoint(upstreamAddress(number)), Upstreams[number], answerer);
+        upstreams_.at(number) = std::make_unique<RawUpstream>(context_, Endpoint(upstreamAddress(number)),
+                                                              Upstreams[number], limits_.slots, answerer);
         startNode(number);
     }
     thread_ = std::thread([this] { context_.run(); });
@@ -128,7 +127,7 @@
         {"version", "00000001"}, {"listeners", json::array{listener}}, {"clusters", clusters}, {"limits", limits}};
     store_.put("op/config", json::serialize(config));
     for (std::size_t number = 0; number < std::size(Services); ++number) {
-        store_.put(std::string("servers/") + Upstreams[number], json::serialize(entryOf(number)));
+        store_.put(std::string("servers/") + Upstreams[number], json::serialize(entryOf(number, limits_.slots)));
     }
 }
 
@@ -156,7 +155,7 @@
 {
     const TimePoint end = currentTime() + LongestStart;
     for (const char *path : {HerePath, AwayPath}) {
-        while (order(path, "first").status != 200) {
+        while (order(path, OrdinaryBody).status != 200) {
             if (currentTime() > end) {
                 return false;
             }
@@ -235,6 +234,12 @@
     return answer;
 }
 
+bool isOrdinaryOrder(const RawRequest &request)
+{
+    const std::size_t length = std::string_view(CrowdDeployment::OrdinaryBody).size();
+    return fieldOf(request.head, "Content-Length") == std::to_string(length);
+}
+
 std::string successFields(const RawRequest &request)
 {
     return "X-Egretpath-Attempt-Id: " + fieldOf(request.head, "X-Egretpath-Attempt-Id").value_or("")
--- a/tests/crowds/crowddeployment.h
+++ b/tests/crowds/crowddeployment.h
@@ -24,6 +24,8 @@
 {
     std::uint32_t memoryMb = 64;
     std::uint64_t bodyBytes = std::uint64_t{24} * 1024 * 1024;
+    /// The requests that each upstream runs at the same time.
+    std::uint32_t slots = 6;
 };
 
 /// Two real nodes with an upstream each, and the platform's store. All callers are at the first node: requests to
@@ -36,6 +38,7 @@
 public:
     static constexpr const char *HerePath = "/here/";
     static constexpr const char *AwayPath = "/away/";
+    static constexpr const char *Host = "orders.example";
 
     explicit CrowdDeployment(CrowdLimits limits, RawUpstream::Answerer answerer = nullptr);
     /// Kills the nodes.
@@ -58,6 +61,8 @@
 
     /// The head of an order to @p path, up to the fields that say how its body comes.
     [[nodiscard]] static std::string orderHead(const std::string &path);
+    /// The body of ordinary orders.
+    static constexpr const char *OrdinaryBody = "order";
     /// Sends an order with @p body. Comes back after a refusal that allows it, as callers do.
     [[nodiscard]] PlainAnswer order(const std::string &path, const std::string &body) const;
 
@@ -82,6 +87,9 @@
 /// Reads the rest of the body and answers with its size, or with as many bytes as the path asks for.
 [[nodiscard]] boost::asio::awaitable<void> answerWithSize(boost::asio::ip::tcp::socket &socket, RawRequest request);
 
+/// Whether @p request is an ordinary order, or one of those by which the deployment is found to serve.
+[[nodiscard]] bool isOrdinaryOrder(const RawRequest &request);
+
 /// The fields that make a success count: the attempt's id as in @p request, and a signature.
 [[nodiscard]] std::string successFields(const RawRequest &request);
 
--- a/tests/crowds/oddanswerstest.cpp
+++ b/tests/crowds/oddanswerstest.cpp
@@ -24,16 +24,10 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-bool isFirstOrder(const RawRequest &request)
-{
-    // The orders by which the deployment is found to serve.
-    return request.head.find("Content-Length: 5\r\n") != std::string::npos;
-}
-
 /// Answers at once with a part of an answer without a length, and resets the connection during the upload.
 asio::awaitable<void> answerPartAndReset(tcp::socket &socket, RawRequest request)
 {
-    if (isFirstOrder(request)) {
+    if (isOrdinaryOrder(request)) {
         co_await answerWithSize(socket, std::move(request));
         co_return;
     }
@@ -47,7 +41,7 @@
 RawUpstream::Answerer answerOddly(std::string start, std::string fields)
 {
     return [start, fields](tcp::socket &socket, RawRequest request) -> asio::awaitable<void> {
-        if (isFirstOrder(request)) {
+        if (isOrdinaryOrder(request)) {
             co_await answerWithSize(socket, std::move(request));
             co_return;
         }
--- a/tests/crowds/rawupstream.cpp
+++ b/tests/crowds/rawupstream.cpp
@@ -18,9 +18,11 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-RawUpstream::RawUpstream(asio::io_context &context, const Endpoint &address, std::string id, Answerer answerer)
+RawUpstream::RawUpstream(asio::io_context &context, const Endpoint &address, std::string id, std::uint32_t slots,
+                         Answerer answerer)
     : acceptor_(context, *toTcpEndpoint(address))
     , id_(std::move(id))
+    , slots_(slots)
     , answerer_(std::move(answerer))
 {
     asio::co_spawn(context, accept(), asio::detached);
@@ -58,18 +60,23 @@
         const std::size_t bodyStart = headEnd + HeadEnd.size();
         if (isHealthCheck) {
             text.erase(0, bodyStart);
-            const bool isWritten =
-                co_await writeText(socket,
-                                   "HTTP/1.1 200 OK\r\nX-Egretpath-Instance-Id: " + id_
-                                       + "\r\nX-Egretpath-Instance-Load: 0,0,6\r\nContent-Length: 0\r\n\r\n");
-            isHealthCheck = isHealthCheck && isWritten;
+            isHealthCheck = co_await writeText(socket, healthAnswer());
         } else {
             RawRequest request{text.substr(0, bodyStart), text.size() - bodyStart};
+            ++running_;
             co_await answerer_(socket, std::move(request));
+            --running_;
         }
     }
 }
 
+std::string RawUpstream::healthAnswer() const
+{
+    const std::string load = std::to_string(running_) + ",0," + std::to_string(slots_);
+    return "HTTP/1.1 200 OK\r\nX-Egretpath-Instance-Id: " + id_ + "\r\nX-Egretpath-Instance-Load: " + load
+        + "\r\nContent-Length: 0\r\n\r\n";
+}
+
 asio::awaitable<bool> writeText(tcp::socket &socket, std::string text)
 {
     error_code error;
--- a/tests/crowds/rawupstream.h
+++ b/tests/crowds/rawupstream.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -27,15 +29,20 @@
     /// Gets the connection after the head of a request was read. The connection closes when it returns.
     using Answerer = std::function<boost::asio::awaitable<void>(boost::asio::ip::tcp::socket &, RawRequest)>;
 
-    /// @p id: the registered id of the upstream, which its health answers name.
-    RawUpstream(boost::asio::io_context &context, const Endpoint &address, std::string id, Answerer answerer);
+    /// @p id: the registered id of the upstream, which its health answers name. @p slots: the requests that it runs at
+    /// the same time, as its health answers say.
+    RawUpstream(boost::asio::io_context &context, const Endpoint &address, std::string id, std::uint32_t slots,
+                Answerer answerer);
 
 private:
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    [[nodiscard]] std::string healthAnswer() const;
 
     boost::asio::ip::tcp::acceptor acceptor_;
     std::string id_;
+    std::uint32_t slots_;
+    std::uint32_t running_ = 0;
     Answerer answerer_;
 };
 
