--- a/src/egress/egressrole.cpp
+++ b/src/egress/egressrole.cpp
@@ -21,6 +21,8 @@
 {
 
 constexpr Bytes MaxProbeAnswer{4096};
+/// An upstream that sends without end fills the buffers of all its connections.
+constexpr std::size_t MaxUnreadBytes = std::size_t{16} * 1024;
 constexpr std::uint16_t HealthyStatus = 200;
 constexpr Milliseconds DrainingRetryAfter{50};
 /// The downloads that may be under way at the upstream for each of its slots.
@@ -43,6 +45,7 @@
     limits.idleTime = settings.idleTime;
     // It may read an upload slowly. Its requests have deadlines.
     limits.silentPeer = SilentPeer::MayPause;
+    limits.unreadBytes = MaxUnreadBytes;
     return limits;
 }
 
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -63,6 +63,7 @@
     deadline_ = deadline;
     timer_.expireAt(deadline);
     error_code error;
+    limitUnreadBytes(address.protocol());
     co_await socket_.async_connect(address, asio::redirect_error(asio::use_awaitable, error));
     if (hasTimedOut_) {
         co_return notRun(Reason::DeadlinePassed, "no connection to " + endpoint_.value() + " before the deadline");
@@ -74,6 +75,16 @@
     co_return boost::outcome_v2::success();
 }
 
+/// Has to be done before the connection is made: its window is agreed on then.
+void HttpClientConnection::limitUnreadBytes(const asio::ip::tcp &protocol)
+{
+    if (limits_.unreadBytes > 0) {
+        error_code ignored;
+        socket_.open(protocol, ignored);
+        socket_.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(limits_.unreadBytes)), ignored);
+    }
+}
+
 void HttpClientConnection::startCall(TimePoint deadline)
 {
     endIdleWatch();
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -67,6 +67,7 @@
     [[nodiscard]] const Endpoint &endpoint() const { return endpoint_; }
 
 private:
+    void limitUnreadBytes(const boost::asio::ip::tcp &protocol);
     [[nodiscard]] boost::asio::awaitable<Result<void>> writeBytes(std::string data);
     [[nodiscard]] boost::asio::awaitable<Result<void>> readMore();
     /// Whether the end of the connection ends a body without a length.
--- a/src/http/httpconnectionpool.h
+++ b/src/http/httpconnectionpool.h
@@ -27,6 +27,8 @@
     std::uint32_t headerBytes = 32 * 1024;
     std::size_t readBufferBytes = std::size_t{64} * 1024;
     SilentPeer silentPeer = SilentPeer::IsReset;
+    /// The bytes that the system keeps unread for each connection; 0: as many as it likes.
+    std::size_t unreadBytes = 0;
 };
 
 /// Whether a call may use a connection that served earlier calls.
--- a/tests/crowds/processmemory.cpp
+++ b/tests/crowds/processmemory.cpp
@@ -18,8 +18,8 @@
 {
 
 constexpr std::chrono::milliseconds SampleInterval{10};
-/// The upstream beside a node has its address. What waits for the upstream is not the node's. As /proc/net/tcp writes
-/// port 8301.
+/// The upstream beside a node has its address. What waits for the upstream is not the node's, what waits at the other
+/// ends of its connections is. As /proc/net/tcp writes port 8301.
 constexpr const char *UpstreamPort = ":206D";
 
 std::filesystem::path processFolder(pid_t process)
@@ -88,7 +88,9 @@
         const std::size_t colon = queues.find(':');
         const bool isConnected = state == "01" || state == "08";
         const bool isOfUpstream = localAddress.ends_with(UpstreamPort);
-        if (isConnected && !isOfUpstream && localAddress.starts_with(local) && colon != std::string::npos) {
+        const bool isToUpstream = remoteAddress == local + (UpstreamPort + 1);
+        const bool isOfNode = isToUpstream || (!isOfUpstream && localAddress.starts_with(local));
+        if (isConnected && isOfNode && colon != std::string::npos) {
             sum += std::stoull(queues.substr(colon + 1), nullptr, HexadecimalBase);
         }
     }
