A traffic split goes on when the list of upstreams changes

A split starts with credits that are always the same on one node, so that a node on which the list changes between its requests sent all of them to one part.

The credits start anew only with other routes, as TrafficSplit::clear() asks.

--- a/src/ingress/ingressrole.cpp
+++ b/src/ingress/ingressrole.cpp
@@ -44,7 +44,9 @@
 
 void IngressRole::catalogChanged()
 {
-    context_->split.clear();
+    if (std::exchange(splitRoutes_, context_->sources.routes) != context_->sources.routes) {
+        context_->split.clear();
+    }
     context_->callerTimeouts.clear();
     context_->room.removeIdle(currentTime());
     updateRetryBudget();
--- a/src/ingress/ingressrole.h
+++ b/src/ingress/ingressrole.h
@@ -90,6 +90,8 @@
 
     std::shared_ptr<IngressContext> context_;
     RetryLimits retryLimits_;
+    /// The routes whose splits are under way.
+    RouteTablePointer splitRoutes_;
 };
 
 }
