What connections free after a crowd goes back to the system, too

Memory is given back when the last messages are released; the connections that carried them, and their buffers, end after that, and nothing looked again.

It is looked at once more at the next check of idle connections (10 s).

sidecar.cpp passes reloaded settings to SidecarState.

--- a/src/answers/heldanswers.h
+++ b/src/answers/heldanswers.h
@@ -31,6 +31,8 @@
     /// Cancels @p timer at the next release.
     void cancelOnRelease(const std::shared_ptr<boost::asio::steady_timer> &timer) { waiters_.emplace_back(timer); }
     [[nodiscard]] const AnswerBudget &budget() const { return budget_; }
+    /// See MemoryReturn.
+    void returnRestOfMemory() { memoryReturn_.returnRest(); }
 
 private:
     friend class HeldAnswer;
--- a/src/core/memoryreturn.cpp
+++ b/src/core/memoryreturn.cpp
@@ -16,9 +16,18 @@
 
 void MemoryReturn::recordHeld(Bytes held, Bytes limit)
 {
-    hasFreeMemory_ = hasFreeMemory_ || held.value() > limit.value() / UpperDivisor;
-    if (hasFreeMemory_ && held.value() < limit.value() / LowerDivisor) {
-        hasFreeMemory_ = false;
+    if (held.value() > limit.value() / UpperDivisor) {
+        state_ = State::Much;
+    } else if (state_ == State::Much && held.value() < limit.value() / LowerDivisor) {
+        state_ = State::RestDue;
+        ::malloc_trim(0);
+    }
+}
+
+void MemoryReturn::returnRest()
+{
+    if (state_ == State::RestDue) {
+        state_ = State::Little;
         ::malloc_trim(0);
     }
 }
--- a/src/core/memoryreturn.h
+++ b/src/core/memoryreturn.h
@@ -11,12 +11,23 @@
 class MemoryReturn
 {
 public:
-    /// To be called when another number of bytes is held, of at most @p limit.
+    /// To be called when another number of bytes is held, of at most @p limit. Gives memory back once it is little.
     void recordHeld(Bytes held, Bytes limit);
+    /// To be called now and then. Gives back what was freed after that: connections and their buffers end after the
+    /// messages that they carried.
+    void returnRest();
 
 private:
-    /// Whether enough was held since the last return.
-    bool hasFreeMemory_ = false;
+    enum class State {
+        /// Little was held since the last return.
+        Little,
+        /// Enough is held, or was since the last return.
+        Much,
+        /// Memory was given back, and more of it may be freed a moment later.
+        RestDue,
+    };
+
+    State state_ = State::Little;
 };
 
 }
--- a/src/messages/heldmessages.h
+++ b/src/messages/heldmessages.h
@@ -34,6 +34,8 @@
     /// The refusal of a message that finds no room.
     [[nodiscard]] Failure noRoom() const;
     [[nodiscard]] const MessageBudget &budget() const { return budget_; }
+    /// See MemoryReturn.
+    void returnRestOfMemory() { memoryReturn_.returnRest(); }
 
 private:
     friend class HeldMessage;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -38,7 +38,7 @@
 {
 
 constexpr std::size_t MaxPeerConnections = 1500;
-constexpr Milliseconds IdleCheckInterval{10'000};
+constexpr Milliseconds UnusedCheckInterval{10'000};
 constexpr Milliseconds MaxPeerIdleTime{60'000};
 constexpr Milliseconds StopPollInterval{50};
 /// The time in which the callers of requests that the end of the process cuts are told.
@@ -129,18 +129,13 @@
         logStart();
         catalog_.start();
         quarantine_.start();
-        asio::co_spawn(executor_, closeIdleConnections(), asio::detached);
+        asio::co_spawn(executor_, releaseUnused(), asio::detached);
         return boost::outcome_v2::success();
     }
 
     void reload(const SidecarSettings &settings)
     {
-        state_.settings.seeds = settings.seeds;
-        state_.settings.retryRatio = settings.retryRatio;
-        state_.settings.retrySlack = settings.retrySlack;
-        state_.settings.grace = settings.grace;
-        state_.settings.linkPrices = settings.linkPrices;
-        state_.settings.allowedRequests = settings.allowedRequests;
+        state_.takeReloaded(settings);
         quarantine_.applySettings();
         applyRetryLimits();
         ingress_.setLinkPrices(state_.settings.linkPrices);
@@ -263,13 +258,15 @@
         [[maybe_unused]] const Result<void> sent = co_await exchange.respond(head, std::string());
     }
 
-    asio::awaitable<void> closeIdleConnections()
+    asio::awaitable<void> releaseUnused()
     {
         asio::steady_timer timer(executor_);
         while (true) {
-            timer.expires_after(IdleCheckInterval);
+            timer.expires_after(UnusedCheckInterval);
             co_await timer.async_wait(asio::use_awaitable);
             peerClient_.closeIdle(currentTime(), MaxPeerIdleTime);
+            heldAnswers_->returnRestOfMemory();
+            heldMessages_->returnRestOfMemory();
         }
     }
 
--- a/src/sidecar/sidecarstate.cpp
+++ b/src/sidecar/sidecarstate.cpp
@@ -32,6 +32,16 @@
     });
 }
 
+void SidecarState::takeReloaded(const SidecarSettings &reloaded)
+{
+    settings.seeds = reloaded.seeds;
+    settings.retryRatio = reloaded.retryRatio;
+    settings.retrySlack = reloaded.retrySlack;
+    settings.grace = reloaded.grace;
+    settings.linkPrices = reloaded.linkPrices;
+    settings.allowedRequests = reloaded.allowedRequests;
+}
+
 Endpoint SidecarState::ownAddress() const
 {
     const InstanceRecord *own = directory.findByAddress(settings.upstream);
--- a/src/sidecar/sidecarstate.h
+++ b/src/sidecar/sidecarstate.h
@@ -39,6 +39,8 @@
     /// Whether the node was told to stop. Written by Sidecar.
     bool isStopping = false;
 
+    /// Takes over those of @p reloaded that change while the node runs; the others wait for the next start.
+    void takeReloaded(const SidecarSettings &reloaded);
     /// The address at which other nodes reach this one.
     [[nodiscard]] Endpoint ownAddress() const;
     /// Whether callers may be sent to this node.
