Orders that cross a stop while all upstreams are full

Real nodes, upstreams of three slots in place of 24, so that most orders wait in queues or are refused there and tried again while their node stops.

--- a/tests/soak/stoppedorderstest.cpp
+++ b/tests/soak/stoppedorderstest.cpp
@@ -11,6 +11,7 @@
 
 #include "core/currenttime.h"
 #include "soak/runrecorder.h"
+#include "soak/stoppedorder.h"
 #include "soak/stoprun.h"
 #include "standins/standinprogram.h"
 
@@ -32,76 +33,21 @@
 /// Callers that send one order after the other, so that the node is never idle before its grace time ends.
 constexpr unsigned SteadyCallers = 4;
 constexpr Milliseconds UsualWork{160};
-/// From the bounds of the platform: a connection may end without an answer so long after the last byte of a request
-/// that was not passed on.
-constexpr Milliseconds LossSlack{200};
-/// Requests sent up to this long after SIGTERM are excused if their upstream works on them in the last sixth of the
-/// grace time.
-constexpr Milliseconds ExcusedUntil{3000};
-constexpr int GraceParts = 6;
+/// The slots of each upstream: enough for all orders, or for a few of them.
+constexpr std::uint32_t ManySlots = 24;
+constexpr std::uint32_t FewSlots = 3;
 /// By then a node knows that it was asked to stop.
 constexpr Milliseconds KnownAfter{20};
-/// How much earlier than its deadline a request counts as one that reached it.
-constexpr Milliseconds DeadlineTolerance{25};
-
-CallerRoute orderRoute(const char *key, RequestKind kind, Milliseconds timeout, Milliseconds callerTimeout)
-{
-    CallerRoute route;
-    route.key = RouteKey(key);
-    route.kind = kind;
-    route.service = ServiceName("arrangements");
-    route.timeout = timeout;
-    route.callerTimeout = callerTimeout;
-    return route;
-}
-
-const std::vector<CallerRoute> &orderRoutes()
-{
-    static const std::vector<CallerRoute> routes{
-        orderRoute("order", RequestKind::Unsafe, Milliseconds(1500), Milliseconds(3000)),
-        orderRoute("look", RequestKind::Safe, Milliseconds(2500), Milliseconds(2500)),
-        orderRoute("photo", RequestKind::Upload, Milliseconds(3000), Milliseconds(3000)),
-        orderRoute("fetch", RequestKind::Download, Milliseconds(3000), Milliseconds(4000)),
-        orderRoute("long", RequestKind::Unsafe, Milliseconds(12'000), Milliseconds(12'000)),
-        orderRoute("call", RequestKind::Safe, Milliseconds(900), Milliseconds(400))};
-    return routes;
-}
-
-/// How a caller sends its order.
-enum class Sending : std::uint8_t { NewConnection, KeptConnection, Pipelined, InPieces };
-
-struct PlannedOrder
-{
-    NodeNumber node = 0;
-    const CallerRoute *route = nullptr;
-    Sending sending = Sending::NewConnection;
-    /// After the node was asked to stop.
-    Milliseconds at{0};
-    Milliseconds work{0};
-};
-
-/// What became of an order.
-struct EndedOrder
-{
-    PlannedOrder plan;
-    RequestId id;
-    bool isConnected = false;
-    TimePoint sentAt;
-    TimePoint lastByteAt;
-    TimePoint endedAt;
-    std::uint16_t status = 0;
-};
-
-/// Which nodes are stopped.
-enum class StoppedRole : std::uint8_t { Ingress, Egress };
 
 /// One run: nodes that are stopped, and orders that cross their stops.
 class StoppedOrders
 {
 public:
-    StoppedOrders(StoppedRole role, Milliseconds grace, std::uint64_t seed)
+    /// @p slots: those of each upstream.
+    StoppedOrders(StoppedRole role, Milliseconds grace, std::uint32_t slots, std::uint64_t seed)
         : role_(role)
         , grace_(grace)
+        , slots_(slots)
         , random_(seed)
         , run_(options())
     {
@@ -113,8 +59,8 @@
     {
         std::vector<std::string> found;
         for (const EndedOrder &order : ended_) {
-            if (const auto problem = problemOf(order)) {
-                found.push_back(describe(order) + ": " + *problem);
+            if (const auto problem = problemOf(order, stop(), runs_)) {
+                found.push_back(describe(order, stop(), runs_) + ": " + *problem);
             }
         }
         return found;
@@ -135,7 +81,7 @@
                 && order.endedAt - order.sentAt < order.plan.route->timeout - DeadlineTolerance
                 && order.endedAt - order.sentAt < order.plan.route->callerTimeout - DeadlineTolerance;
             if (isCut && !run_.hasLogged(order.plan.node, "role=ingress request=" + order.id.value() + " ")) {
-                found.push_back(describe(order));
+                found.push_back(describe(order, stop(), runs_));
             }
         }
         return found;
@@ -148,7 +94,7 @@
         options.nodes = Nodes;
         options.grace = grace_;
         options.work = UsualWork;
-        options.slots = 24;
+        options.slots = slots_;
         options.observer = &runs_;
         options.routes = orderRoutes();
         return options;
@@ -175,6 +121,8 @@
         }
     }
 
+    [[nodiscard]] OrderStop stop() const { return {role_, grace_, stoppedAt_}; }
+
     void stopNodes()
     {
         const auto stop = [this](NodeNumber node) { run_.stopNode(node); };
@@ -368,50 +316,9 @@
         co_return body ? answer.value().status : std::uint16_t{0};
     }
 
-    /// Returns which promise to its caller was broken; nothing if none was.
-    [[nodiscard]] std::optional<std::string> problemOf(const EndedOrder &order) const
-    {
-        if (!order.isConnected) {
-            return std::nullopt;
-        }
-        const auto run = runs_.find(order.id);
-        if (order.status == UnavailableStatus) {
-            return run ? std::optional<std::string>("refused as not run, and has run") : std::nullopt;
-        }
-        const Milliseconds timeout = std::min(order.plan.route->timeout, order.plan.route->callerTimeout);
-        const bool isTimedOut = order.endedAt - order.sentAt >= timeout - DeadlineTolerance;
-        if (isTimedOut || order.status == OkStatus) {
-            return std::nullopt;
-        }
-        if (run && run->begin < order.endedAt) {
-            const bool isExcused = role_ == StoppedRole::Ingress && order.plan.at <= ExcusedUntil
-                && run->begin + order.plan.work > stoppedAt_ + grace_ - grace_ / GraceParts
-                && order.endedAt > stoppedAt_ + grace_ - grace_ / GraceParts;
-            return isExcused ? std::nullopt : std::optional<std::string>("cut while its upstream worked on it");
-        }
-        if (order.status == 0 && order.endedAt - order.lastByteAt > LossSlack) {
-            return "read, not passed on and not answered";
-        }
-        return std::nullopt;
-    }
-
-    [[nodiscard]] std::string describe(const EndedOrder &order) const
-    {
-        const auto since = [](TimePoint from, TimePoint to) {
-            return std::to_string(std::chrono::duration_cast<Milliseconds>(to - from).count());
-        };
-        std::string text = order.id.value() + " route " + order.plan.route->key.value() + " sent "
-            + since(stoppedAt_, order.sentAt) + " ms after SIGTERM, work " + std::to_string(order.plan.work.count())
-            + " ms, sending " + std::to_string(static_cast<int>(order.plan.sending)) + ", status "
-            + std::to_string(order.status) + " after " + since(order.sentAt, order.endedAt) + " ms";
-        if (const auto run = runs_.find(order.id)) {
-            text += ", run begun after " + since(order.sentAt, run->begin) + " ms";
-        }
-        return text;
-    }
-
     StoppedRole role_;
     Milliseconds grace_;
+    std::uint32_t slots_;
     Random random_;
     RunRecorder runs_;
     StopRun run_;
@@ -438,13 +345,14 @@
     return seeds;
 }
 
-void playSeeds(StoppedRole role)
+/// @p slots: those of each upstream.
+void playSeeds(StoppedRole role, std::uint32_t slots)
 {
     const Milliseconds grace = GENERATE(Milliseconds(1000), Milliseconds(2500), Milliseconds(6000));
     const SeedRange seeds = seedRange();
     for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
         INFO("grace time of " << grace.count() << " ms, seed " << seed);
-        StoppedOrders orders(role, grace, seed);
+        StoppedOrders orders(role, grace, slots, seed);
         orders.play();
         for (const std::string &violation : orders.violations()) {
             FAIL_CHECK(violation);
@@ -462,11 +370,19 @@
 TEST_CASE("orders that a stopping node takes are answered whole, or refused as not run, however slow their upstream",
           "[.stopped-orders]")
 {
-    playSeeds(StoppedRole::Ingress);
+    playSeeds(StoppedRole::Ingress, ManySlots);
 }
 
 // Guards against orders that the node beside an upstream takes although it ends before they do.
 TEST_CASE("orders that run beside a node that stops are answered whole", "[.stopped-orders]")
 {
-    playSeeds(StoppedRole::Egress);
+    playSeeds(StoppedRole::Egress, ManySlots);
+}
+
+// Guards against orders that wait for full upstreams, or are refused there, and are passed on when the stop is almost
+// over.
+TEST_CASE("orders that a stopping node takes while all upstreams are full are answered whole, or refused as not run",
+          "[.stopped-orders]")
+{
+    playSeeds(StoppedRole::Ingress, FewSlots);
 }
