Followers whose sources are all cut off read the store

Callers saw: 404 for routes that were there, and requests to services and instances of before, up to 11 s after a change, at nodes that were not cut off while others were.

Cause: "the store is unavailable" was reported alike by a node that calls the store without success and by one that has lost its source and calls nothing, so that nodes followed each other; silent sources were asked one after the other; and a node believed readers that were cut off themselves, although other nodes were silent to it, or although it had joined after its list was made. Its own turn to probe the store comes after a second for each node of the fleet.

Now a node says whether anybody on the way of its news calls the store; reports without one are none. A node whose source is late asks the others at once, in AlternativeSources, and reads the store when none of them can be followed. A node with a reason to doubt probes each second.

--- a/src/instances/catalogplan.cpp
+++ b/src/instances/catalogplan.cpp
@@ -133,6 +133,8 @@
     }
     if (isUsable(node, report, now)) {
         follow(node, report, now);
+    } else if (report.isStoreUnwatched) {
+        recordNoNews(node, now);
     } else {
         recordUnavailableReport(node, report, now);
     }
@@ -152,6 +154,7 @@
     hasNoSource_ = false;
     hasStoreProbeSucceeded_ = false;
     nextStoreProbe_.reset();
+    hasSilentNode_ = false;
 }
 
 void CatalogPlan::recordUnavailableReport(const Endpoint &node, const SourceReport &report, TimePoint now)
@@ -160,7 +163,8 @@
     if (following_ == node && !dependsOnThisNode(report)) {
         recordLostReader(now);
     }
-    hasNoSource_ = false;
+    // A node that reads the store knows better.
+    hasNoSource_ = hasNoSource_ && isReadingStore();
     if (!std::exchange(hasUnavailableReport_, true)) {
         scheduleStoreProbe(now);
     }
@@ -177,9 +181,25 @@
     }
 }
 
+void CatalogPlan::recordNoNews(const Endpoint &node, TimePoint now)
+{
+    election_.recordFailure(node, now);
+    if (following_ == node) {
+        recordLostReader(now);
+        following_.reset();
+        isSearchExhausted_ = false;
+    }
+}
+
+void CatalogPlan::onAlternativesFailed()
+{
+    hasNoSource_ = hasNoSource_ || !isActiveReader();
+}
+
 void CatalogPlan::onNoAnswer(const Endpoint &node, TimePoint now)
 {
     election_.recordFailure(node, now);
+    hasSilentNode_ = true;
     if (following_ == node) {
         // If @p node is between this node and the reader, only reports from before its answer was due are in question:
         // the reader itself may still be alive.
@@ -257,10 +277,14 @@
 
 bool CatalogPlan::wantsStoreProbe(TimePoint now)
 {
-    if (reading() != StoreReading::None || !isStoreReportedUnavailable() || !nextStoreProbe_
-        || now < *nextStoreProbe_) {
+    const bool isDueInTurn = nextStoreProbe_ && now >= *nextStoreProbe_;
+    // The list of a node that it doesn't name is from before the node came, and so are the nodes that it asks.
+    const bool isInDoubt = hasSilentNode_ || !isListed_;
+    const bool isDueForDoubt = isInDoubt && now - lastStoreProbe_ >= times_.doubtProbeInterval;
+    if (reading() != StoreReading::None || !isStoreReportedUnavailable() || !(isDueInTurn || isDueForDoubt)) {
         return false;
     }
+    lastStoreProbe_ = now;
     scheduleStoreProbe(now);
     return true;
 }
--- a/src/instances/catalogplan.h
+++ b/src/instances/catalogplan.h
@@ -41,6 +41,9 @@
     /// Whether the answering node has no source now that is known to read the store. The state of the store is then the
     /// last that it knew.
     bool isSearching = false;
+    /// Whether neither the answering node nor the one that it follows knows a node that calls the store now. That it
+    /// reports the store as unavailable then tells nothing of the store.
+    bool isStoreUnwatched = false;
 };
 
 /// A query to another node for updates of the catalog and of the store's state.
@@ -63,6 +66,8 @@
 /// If the store refuses some nodes only, a node that lost its source finds a working reader by querying substitutes:
 /// standbys first, then readers of other regions. In addition, the whole fleet probes the store about once per second,
 /// however large it is. A node whose sources are all silent gets no report on the store, so it reads the store itself.
+/// A report by a node that has lost its own sources is none: nodes that lost the same reader would wait for each other.
+/// A node that hears of a lost store while other nodes are silent probes the store itself soon.
 ///
 /// Thread safety: none; one owner. Errors: none.
 class CatalogPlan
@@ -88,6 +93,11 @@
     /// @p node answered a query, or failed to answer it.
     void onAnswer(const Endpoint &node, const SourceReport &report, TimePoint now);
     void onNoAnswer(const Endpoint &node, TimePoint now);
+    /// The source is late, and so are all nodes that were asked in its place, or they know no more than this one. The
+    /// node reads the store itself until it has a source again.
+    void onAlternativesFailed();
+    /// Whether this node could follow @p node, which reported @p report.
+    [[nodiscard]] bool isUsable(const Endpoint &node, const SourceReport &report, TimePoint now) const;
     /// A probe of the store succeeded although other nodes report the store as unavailable.
     void storeProbeSucceeded(TimePoint now);
 
@@ -121,6 +131,11 @@
     {
         return !isReadingStore() && (!hasAvailableSource() || report_.isSearching);
     }
+    /// Whether this node knows no node that calls the store now, itself included.
+    [[nodiscard]] bool isStoreUnwatched() const
+    {
+        return reading() == StoreReading::None && (!following_ || report_.isStoreUnwatched);
+    }
     /// The node that reads the store for this one; this node's own address while it reads itself or follows no node.
     [[nodiscard]] Endpoint reader() const;
     /// The nodes between this node and the reader, the nearest first.
@@ -158,7 +173,6 @@
         TimePoint at;
     };
 
-    [[nodiscard]] bool isUsable(const Endpoint &node, const SourceReport &report, TimePoint now) const;
     /// Whether @p report is from before the loss of the reader that this node lost.
     [[nodiscard]] bool dependsOnLostReader(const SourceReport &report, TimePoint now) const;
     /// Whether the answering node gets its updates from this node.
@@ -176,6 +190,8 @@
     [[nodiscard]] std::optional<SourceQuery> search(TimePoint now);
     void follow(const Endpoint &node, const SourceReport &report, TimePoint now);
     void recordUnavailableReport(const Endpoint &node, const SourceReport &report, TimePoint now);
+    /// @p node has no news of the store.
+    void recordNoNews(const Endpoint &node, TimePoint now);
     void scheduleStoreProbe(TimePoint now);
 
     CatalogTimes times_;
@@ -211,6 +227,10 @@
     /// Whether a probe by this node succeeded although other nodes report the store as unavailable.
     bool hasStoreProbeSucceeded_ = false;
     std::optional<TimePoint> nextStoreProbe_;
+    TimePoint lastStoreProbe_;
+    /// Whether a node was silent since a source was last followed: a store that is unavailable silences no node, so
+    /// that this one may be on the wrong side of a cut.
+    bool hasSilentNode_ = false;
 };
 
 }
--- a/src/instances/catalogtimes.h
+++ b/src/instances/catalogtimes.h
@@ -73,6 +73,8 @@
     /// the number of nodes in the fleet. The whole fleet therefore probes about once in this time.
     Milliseconds probeIntervalPerNode{1000};
     Milliseconds minProbeInterval{5000};
+    /// The same for a node that has a reason to doubt the reports.
+    Milliseconds doubtProbeInterval{1000};
 };
 
 /// How often a reader calls the store while its watches wait.
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -199,6 +199,9 @@
   routeChangesFrom @21 :UInt64 = 0xffffffffffffffff;
   # The version of the routes to which routeChanges apply; zero if they are all routes. Nodes of an earlier version don't
   # set it, which reads as the largest number.
+  unwatched @22 :Bool;
+  # Neither the sender nor the node that it follows knows a node that calls the store now: that the store is unavailable
+  # is then no more than the lack of news. Nodes of an earlier version don't set it.
 }
 
 struct Evacuation {
--- a/src/rpc/peermessages.h
+++ b/src/rpc/peermessages.h
@@ -144,6 +144,8 @@
     /// Whether the sender neither reads the store now nor has a source that is known to. The state of the store is then
     /// the last that it knew.
     bool isSearching = false;
+    /// Whether neither the sender nor the node that it follows knows a node that calls the store now.
+    bool isStoreUnwatched = false;
     /// Number of nodes between the sender and the store: 0 for a sender that reads the store itself.
     std::uint8_t hops = 0;
     /// The node that reads the store for the sender; empty if none does.
--- a/src/rpc/wireconversion.cpp
+++ b/src/rpc/wireconversion.cpp
@@ -315,6 +315,7 @@
     }
     wire.setQuarantine(catalog.quarantine.value());
     wire.setSearching(catalog.isSearching);
+    wire.setUnwatched(catalog.isStoreUnwatched);
     if (!catalog.via.empty()) {
         auto via = wire.initVia(static_cast<unsigned>(catalog.via.size()));
         for (unsigned index = 0; index < via.size(); ++index) {
@@ -365,6 +366,7 @@
     }
     catalog.quarantine = QuarantineDigest(wire.getQuarantine());
     catalog.isSearching = wire.getSearching();
+    catalog.isStoreUnwatched = wire.getUnwatched();
     for (const std::uint32_t hash : wire.getVia()) {
         catalog.via.emplace_back(hash);
     }
--- a/src/sidecar/catalogcontroller.cpp
+++ b/src/sidecar/catalogcontroller.cpp
@@ -37,6 +37,7 @@
     report.age = catalog.storeAge;
     report.storeAvailableFor = catalog.storeAvailableFor;
     report.isSearching = catalog.isSearching;
+    report.isStoreUnwatched = catalog.isStoreUnwatched;
     return report;
 }
 
@@ -59,6 +60,7 @@
     , plan_(state.location.region, decisions.readers, decisions.catalog, Random(state.random()))
     , bootstrap_(executor, state, times_, bootstrapCallbacks())
     , exchange_(executor, client_, plan_, times_, exchangeCallbacks())
+    , alternatives_(executor, alternativesCallbacks())
     , startedAt_(currentTime())
     , lastStoreAnswer_(startedAt_)
     , queryPause_(executor)
@@ -89,6 +91,28 @@
     return callbacks;
 }
 
+AlternativeSourcesCallbacks CatalogController::alternativesCallbacks()
+{
+    AlternativeSourcesCallbacks callbacks;
+    callbacks.ask = [this](Endpoint peer) {
+        return client_.ask(std::move(peer), makeRequest(Milliseconds{0}, StoreState::Available), times_.peerTimeout);
+    };
+    callbacks.isUsable = [this](const Endpoint &peer, const Catalog &catalog) {
+        return plan_.isUsable(peer, reportOf(catalog), currentTime());
+    };
+    callbacks.takeUpdates = [this](Endpoint peer, Catalog catalog) {
+        return takeUpdates(std::move(peer), std::move(catalog));
+    };
+    callbacks.onAllFailed = [this] {
+        // The overdue answer may have come meanwhile.
+        if (isSourceOverdue_) {
+            plan_.onAlternativesFailed();
+            applyReading();
+        }
+    };
+    return callbacks;
+}
+
 void CatalogController::start()
 {
     source_.attach(*this);
@@ -141,6 +165,7 @@
     catalog.storeAge = plan_.age(currentTime());
     catalog.storeAvailableFor = plan_.storeAvailableFor(currentTime());
     catalog.isSearching = plan_.isSearching();
+    catalog.isStoreUnwatched = plan_.isStoreUnwatched();
     catalog.confirmedAge = confirmation_.age();
     catalog.quarantine = state_.quarantine.digest();
     catalog.heldFor = timeSince(askedAt);
@@ -296,12 +321,12 @@
         log_.recordHoldUp(currentTime() - timer.expiry());
         contents_.expire();
         source_.setCheckTimes(plan_.checkTimes(currentTime()));
-        if (needsPeers()) {
-            co_await askPeers();
-        }
         if (plan_.wantsStoreProbe(currentTime())) {
             co_await probeStore();
         }
+        if (needsPeers()) {
+            co_await askPeers();
+        }
         if (const auto peer = newerPeers_.takeOverdue(currentTime())) {
             co_await catchUp(*peer);
         }
@@ -420,8 +445,6 @@
     co_return hasChanged || isSourceNew || currentTime() - askedAt >= times_.followPause;
 }
 
-/// Guards against a node that waits for a suspended source although other nodes have updates: a source counts as silent
-/// only after a time that allows for lost packets, which is long against the time in which updates have to arrive.
 void CatalogController::queryAlternatives(const Endpoint &source, TimePoint dueAt)
 {
     const TimePoint now = currentTime();
@@ -431,10 +454,11 @@
         return;
     }
     isSourceOverdue_ = plan_.following() == source;
-    for (Endpoint &peer : plan_.alternatives(source, now)) {
+    const std::vector<Endpoint> peers = plan_.alternatives(source, now);
+    for (const Endpoint &peer : peers) {
         log_.logOverdueAnswer(source, peer);
-        asio::co_spawn(executor_, takeUpdatesFrom(std::move(peer)), asio::detached);
     }
+    alternatives_.ask(peers);
 }
 
 asio::awaitable<void> CatalogController::takeUpdatesFrom(Endpoint peer)
@@ -536,6 +560,7 @@
 asio::awaitable<void> CatalogController::probeStore()
 {
     const bool isReachable = co_await source_.isReachable();
+    log_.logStoreProbe(isReachable);
     if (isReachable) {
         plan_.storeProbeSucceeded(currentTime());
         applyReading();
--- a/src/sidecar/catalogcontroller.h
+++ b/src/sidecar/catalogcontroller.h
@@ -11,6 +11,7 @@
 
 #include "core/currenttime.h"
 #include "instances/catalogplan.h"
+#include "sidecar/alternativesources.h"
 #include "sidecar/catalogbootstrap.h"
 #include "sidecar/catalogclient.h"
 #include "sidecar/catalogconfirmation.h"
@@ -104,6 +105,7 @@
     /// before they are applied.
     boost::asio::awaitable<void> passRoutesOn(const Endpoint &peer, const Catalog &catalog);
     [[nodiscard]] ReaderExchangeCallbacks exchangeCallbacks();
+    [[nodiscard]] AlternativeSourcesCallbacks alternativesCallbacks();
     /// Takes over from @p catalog, which was applied, up to when this node has all that the store had accepted.
     void takeConfirmation(const Catalog &catalog);
     /// Called before the list of @p catalog is applied. See StoreAccess.
@@ -144,6 +146,7 @@
     CatalogPlan plan_;
     CatalogBootstrap bootstrap_;
     ReaderExchange exchange_;
+    AlternativeSources alternatives_;
     CatalogConfirmation confirmation_;
     TimePoint startedAt_;
     /// When the store last answered a call of this node; before the first answer, when the node started.
--- a/src/sidecar/cataloglog.cpp
+++ b/src/sidecar/cataloglog.cpp
@@ -147,6 +147,11 @@
     metrics_.count("egretpath_source_overdue_total");
 }
 
+void CatalogLog::logStoreProbe(bool isReachable)
+{
+    log_.info(StructuredLine("probe").add("reachable", isReachable ? "yes" : "no"));
+}
+
 void CatalogLog::logSearchBegan(const Endpoint &lastReader)
 {
     log_.info(StructuredLine("search").add("state", "began").add("reads_store", lastReader.value()));
--- a/src/sidecar/cataloglog.h
+++ b/src/sidecar/cataloglog.h
@@ -65,6 +65,8 @@
     void logFollowEnded(const Endpoint &followed, std::string_view reason, Duration silentFor);
     /// The answer of @p overdue is late, and @p queried is queried beside it.
     void logOverdueAnswer(const Endpoint &overdue, const Endpoint &queried);
+    /// This node has called the store once, though others report it as unavailable.
+    void logStoreProbe(bool isReachable);
     /// This node has no source any more that is known to read the store; @p lastReader was the last one.
     void logSearchBegan(const Endpoint &lastReader);
     /// It has one again: @p source, or the store itself.
--- a/tests/instances/catalogfleet.cpp
+++ b/tests/instances/catalogfleet.cpp
@@ -401,6 +401,7 @@
     report.age = plan.age(now());
     report.storeAvailableFor = plan.storeAvailableFor(now());
     report.isSearching = plan.isSearching();
+    report.isStoreUnwatched = plan.isStoreUnwatched();
     return report;
 }
 
--- a/tests/rpc/peerrpctest.cpp
+++ b/tests/rpc/peerrpctest.cpp
@@ -461,6 +461,7 @@
         f.service.catalogAnswer.confirmedAge = Milliseconds(0);
         f.service.catalogAnswer.storeAvailableFor = Milliseconds(70);
         f.service.catalogAnswer.isSearching = true;
+        f.service.catalogAnswer.isStoreUnwatched = true;
         f.service.catalogAnswer.via = {NodeHash(7), NodeHash(8)};
         f.service.catalogAnswer.quarantine = QuarantineDigest(80);
         f.service.catalogAnswer.hops = 2;
@@ -492,6 +493,7 @@
         CHECK(received.confirmedAge == Milliseconds(0));
         CHECK(received.storeAvailableFor == Milliseconds(70));
         CHECK(received.isSearching);
+        CHECK(received.isStoreUnwatched);
         CHECK(received.via == std::vector<NodeHash>{NodeHash(7), NodeHash(8)});
         CHECK(received.quarantine == QuarantineDigest(80));
         CHECK(received.hops == 2);
