--- a/tests/crowds/endlessanswerstest.cpp
+++ b/tests/crowds/endlessanswerstest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <string>
@@ -78,11 +79,14 @@
     }
 }
 
-CrowdMessage requestFor(const std::string &path, std::size_t kind, bool reads)
+CrowdMessage requestFor(const std::string &path, std::size_t kind, bool reads, std::size_t bodyBytes = 1)
 {
     CrowdMessage message;
     message.start = "POST " + path + std::to_string(kind) + " HTTP/1.1\r\nHost: " + CrowdDeployment::Host
-        + "\r\nX-Egretpath-Attempt-Id: endless\r\nX-Egretpath-Deadline-Ms: 3000\r\nContent-Length: 1\r\n\r\ne";
+        + "\r\nX-Egretpath-Attempt-Id: endless\r\nX-Egretpath-Deadline-Ms: 3000\r\nContent-Length: "
+        + std::to_string(bodyBytes) + "\r\n\r\n";
+    message.unit = std::string(std::min(bodyBytes, BlockBytes), 'e');
+    message.units = bodyBytes / message.unit.size();
     message.reads = reads;
     return message;
 }
@@ -148,3 +152,19 @@
     requireThatNodesBear(deployment, ManyClients, requestFor(path, kind, reads), otherPath);
     requireBoundedUse(deployment, sampler);
 }
+
+// Guards against an answer and an upload of the same request that each count as if the other were not there.
+TEST_CASE("answers without end while the uploads are still sent")
+{
+    constexpr std::size_t UploadBytes = 100 * BlockBytes;
+    const bool isAway = GENERATE(false, true);
+    const char *path = isAway ? CrowdDeployment::AwayPath : CrowdDeployment::HerePath;
+    const char *otherPath = isAway ? CrowdDeployment::HerePath : CrowdDeployment::AwayPath;
+    CrowdDeployment deployment(CrowdLimits(), answerWithoutEnd);
+    REQUIRE(deployment.waitUntilServing());
+    UseSampler sampler(deployment.watched());
+    for (const std::size_t kind : {SignedBody, FailureBody}) {
+        requireThatNodesBear(deployment, FewClients, requestFor(path, kind, true, UploadBytes), otherPath);
+    }
+    requireBoundedUse(deployment, sampler);
+}
